--- /dev/null
+++ b/src/codec.c
@@ -0,0 +1,53 @@
+/*
+ * codec.c -- XDR records to and from memory
+ *
+ * XDR is already linked for the RPCs, is typed by a committed definition,
+ * and bounds every length while it decodes, so the same library serves the
+ * records in the store and the calls to workers.
+ */
+#include "codec.h"
+
+#include <stdlib.h>
+
+char *
+codec_encode (xdrproc_t proc, const void *obj, size_t *len)
+{
+  XDR x;
+  size_t size = xdr_sizeof (proc, (void *)obj);
+  char *data = malloc (size ? size : 1);
+  int ok;
+
+  if (!data)
+    return NULL;
+  xdrmem_create (&x, data, (u_int)size, XDR_ENCODE);
+  ok = proc (&x, (void *)obj);
+  xdr_destroy (&x);
+  if (!ok)
+    {
+      free (data);
+      return NULL;
+    }
+  *len = size;
+  return data;
+}
+
+int
+codec_decode (xdrproc_t proc, void *obj, const char *data, size_t len)
+{
+  XDR x;
+  int ok;
+
+  xdrmem_create (&x, (char *)data, (u_int)len, XDR_DECODE);
+  ok = proc (&x, obj);
+  xdr_destroy (&x);
+  if (ok)
+    return 0;
+  codec_free (proc, obj);
+  return -1;
+}
+
+void
+codec_free (xdrproc_t proc, void *obj)
+{
+  xdr_free (proc, obj);
+}
--- /dev/null
+++ b/src/conf.c
@@ -0,0 +1,346 @@
+/*
+ * conf.c -- the operators' configuration: base, overlays, checks
+ *
+ * One record holds the base and every overlay under a single revision
+ * number, so one compare-and-swap decides between operators who race each
+ * other, and no process can ever see half of a change.  The same check runs
+ * where a change is accepted and where it is put in force: what was
+ * accepted is therefore never refused later.
+ */
+#include "conf.h"
+
+#include <errno.h>
+#include <ini.h>
+#include <jansson.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HISTORY_MAX 32
+#define TEAM_PREFIX "team "
+/* Largest quota, so that sums over teams stay far from overflow. */
+#define QUOTA_CPUS_MAX 100000
+#define QUOTA_MEMORY_GB_MAX 1000000
+#define QUOTA_ACCELS_MAX 100000
+
+typedef struct
+{
+  const char *section;
+  const char *key;
+  size_t offset;
+  int low;
+  int high;
+  int preset;
+} conf_field_t;
+
+static const conf_field_t fields[] = {
+  { "policy", "ageing_s", offsetof (gl_conf_t, ageing_s), 1, 86400, 300 },
+  { "policy", "backfill", offsetof (gl_conf_t, backfill), 0, 1, 1 },
+  { "policy", "preempt", offsetof (gl_conf_t, preempt), 0, 1, 1 },
+  { "policy", "domains", offsetof (gl_conf_t, domains), 1, 64, 1 },
+  { "requests", "retry_percent", offsetof (gl_conf_t, retry_percent), 0, 100,
+    10 },
+  { "requests", "queue_len", offsetof (gl_conf_t, queue_len), 0, 100000,
+    200 },
+  { "requests", "deadline_ms", offsetof (gl_conf_t, deadline_ms), 10, 600000,
+    10000 },
+  { "requests", "first_byte_ms", offsetof (gl_conf_t, first_byte_ms), 10,
+    600000, 8000 },
+  { "requests", "leave_ms", offsetof (gl_conf_t, leave_ms), 100, 60000,
+    2000 },
+};
+#define NFIELDS (sizeof fields / sizeof *fields)
+
+static int *
+field_of (gl_conf_t *c, const conf_field_t *f)
+{
+  return (int *)((char *)c + f->offset);
+}
+
+void
+conf_init (gl_conf_t *c)
+{
+  memset (c, 0, sizeof *c);
+  for (size_t i = 0; i < NFIELDS; i++)
+    *field_of (c, &fields[i]) = fields[i].preset;
+}
+
+void
+conf_done (gl_conf_t *c)
+{
+  free (c->teams);
+  c->teams = NULL;
+  c->nteams = 0;
+}
+
+typedef struct
+{
+  gl_conf_t *c;
+  char *err;
+} parse_t;
+
+static int
+to_int (const char *text, int low, int high, int *out)
+{
+  char *end;
+  long v;
+
+  errno = 0;
+  v = strtol (text, &end, 10);
+  if (errno || end == text || *end || v < low || v > high)
+    return -1;
+  *out = (int)v;
+  return 0;
+}
+
+static conf_team_t *
+team_of (gl_conf_t *c, const char *name)
+{
+  conf_team_t *t;
+
+  for (size_t i = 0; i < c->nteams; i++)
+    if (!strcmp (c->teams[i].name, name))
+      return &c->teams[i];
+  if (c->nteams == CONF_TEAMS_MAX)
+    return NULL;
+  t = realloc (c->teams, (c->nteams + 1) * sizeof *t);
+  if (!t)
+    return NULL;
+  c->teams = t;
+  t = &c->teams[c->nteams++];
+  memset (t, 0, sizeof *t);
+  memcpy (t->name, name, strlen (name));
+  return t;
+}
+
+static int
+name_ok (const char *name)
+{
+  size_t n = strlen (name);
+
+  return n > 0 && n < sizeof ((conf_team_t *)0)->name
+         && strspn (name, "abcdefghijklmnopqrstuvwxyz0123456789-") == n;
+}
+
+static int
+set_team (parse_t *p, const char *team, const char *key, const char *value)
+{
+  conf_team_t *t;
+  int v;
+
+  if (!name_ok (team))
+    {
+      snprintf (p->err, CONF_ERROR_LEN, "bad team name \"%.40s\"", team);
+      return 0;
+    }
+  t = team_of (p->c, team);
+  if (!t)
+    {
+      snprintf (p->err, CONF_ERROR_LEN, "more than %d teams", CONF_TEAMS_MAX);
+      return 0;
+    }
+  if (!strcmp (key, "cpus") && !to_int (value, 0, QUOTA_CPUS_MAX, &v))
+    t->quota.cpus_m = v * 1000;
+  else if (!strcmp (key, "memory_gb")
+           && !to_int (value, 0, QUOTA_MEMORY_GB_MAX, &v))
+    t->quota.memory_mb = v * 1024;
+  else if (!strcmp (key, "accels") && !to_int (value, 0, QUOTA_ACCELS_MAX, &v))
+    t->quota.accels = v;
+  else
+    {
+      snprintf (p->err, CONF_ERROR_LEN, "[team %.40s] %.40s = %.40s: refused",
+                team, key, value);
+      return 0;
+    }
+  return 1;
+}
+
+static int
+set_value (void *ctx, const char *section, const char *key, const char *value)
+{
+  parse_t *p = ctx;
+
+  if (!strncmp (section, TEAM_PREFIX, strlen (TEAM_PREFIX)))
+    return set_team (p, section + strlen (TEAM_PREFIX), key, value);
+  for (size_t i = 0; i < NFIELDS; i++)
+    {
+      const conf_field_t *f = &fields[i];
+
+      if (strcmp (f->section, section) || strcmp (f->key, key))
+        continue;
+      if (!to_int (value, f->low, f->high, field_of (p->c, f)))
+        return 1;
+      snprintf (p->err, CONF_ERROR_LEN, "[%s] %s = %.40s: not in %d to %d",
+                section, key, value, f->low, f->high);
+      return 0;
+    }
+  snprintf (p->err, CONF_ERROR_LEN, "[%.40s] %.40s: unknown setting", section,
+            key);
+  return 0;
+}
+
+static gl_code_t
+parse_part (parse_t *p, const char *text)
+{
+  int line = ini_parse_string (text, set_value, p);
+
+  if (!line)
+    return GL_OK;
+  if (!*p->err)
+    snprintf (p->err, CONF_ERROR_LEN, "syntax error");
+  size_t n = strlen (p->err);
+  snprintf (p->err + n, CONF_ERROR_LEN - n, " (line %d)", line);
+  return GL_INVALID;
+}
+
+gl_code_t
+conf_parse (gl_conf_t *c, const char *base, const char *overlay, char *err)
+{
+  parse_t p = { c, err };
+
+  conf_init (c);
+  *err = 0;
+  if (parse_part (&p, base) || (overlay && parse_part (&p, overlay)))
+    {
+      conf_done (c);
+      conf_init (c);
+      return GL_INVALID;
+    }
+  return GL_OK;
+}
+
+/* ---- the record ---- */
+
+gl_code_t
+conf_doc_load (conf_doc_t *d, const char *text, size_t len)
+{
+  json_t *j;
+  json_t *rev;
+
+  d->json = NULL;
+  d->revision = 0;
+  j = len ? json_loadb (text, len, 0, NULL)
+          : json_pack ("{s:I,s:s,s:{},s:[]}", "revision", (json_int_t)0,
+                       "base", "", "overlays", "history");
+  rev = json_object_get (j, "revision");
+  if (!json_is_integer (rev) || json_integer_value (rev) < 0
+      || !json_is_string (json_object_get (j, "base"))
+      || !json_is_object (json_object_get (j, "overlays"))
+      || !json_is_array (json_object_get (j, "history")))
+    {
+      json_decref (j);
+      return GL_INVALID;
+    }
+  d->json = j;
+  d->revision = (uint64_t)json_integer_value (rev);
+  return GL_OK;
+}
+
+void
+conf_doc_free (conf_doc_t *d)
+{
+  json_decref (d->json);
+  d->json = NULL;
+}
+
+char *
+conf_doc_text (const conf_doc_t *d)
+{
+  return json_dumps (d->json, JSON_COMPACT | JSON_SORT_KEYS);
+}
+
+const char *
+conf_doc_part (const conf_doc_t *d, const char *site)
+{
+  if (!site)
+    return json_string_value (json_object_get (d->json, "base"));
+  return json_string_value (
+      json_object_get (json_object_get (d->json, "overlays"), site));
+}
+
+gl_code_t
+conf_doc_in_force (const conf_doc_t *d, const char *site, gl_conf_t *c,
+                   char *err)
+{
+  gl_code_t rc
+      = conf_parse (c, conf_doc_part (d, NULL), conf_doc_part (d, site), err);
+
+  c->revision = d->revision;
+  return rc;
+}
+
+/* Check the base alone and with each overlay. */
+static gl_code_t
+check_all (const conf_doc_t *d, char *err)
+{
+  json_t *overlays = json_object_get (d->json, "overlays");
+  const char *site;
+  json_t *text;
+  gl_conf_t c;
+  gl_code_t rc = conf_doc_in_force (d, "", &c, err);
+
+  conf_done (&c);
+  if (rc)
+    return rc;
+  json_object_foreach (overlays, site, text)
+  {
+    rc = conf_doc_in_force (d, site, &c, err);
+    conf_done (&c);
+    if (rc)
+      return rc;
+  }
+  return GL_OK;
+}
+
+static void
+set_part (json_t *j, const char *site, const char *text)
+{
+  if (!site)
+    json_object_set_new (j, "base", json_string (text));
+  else
+    json_object_set_new (json_object_get (j, "overlays"), site,
+                         json_string (text));
+}
+
+static void
+add_history (json_t *j, uint64_t revision, const char *site,
+             const char *author)
+{
+  json_t *history = json_object_get (j, "history");
+
+  json_array_append_new (
+      history, json_pack ("{s:I,s:s,s:s}", "revision", (json_int_t)revision,
+                          "part", site ? site : "base", "author", author));
+  while (json_array_size (history) > HISTORY_MAX)
+    json_array_remove (history, 0);
+}
+
+gl_code_t
+conf_doc_change (conf_doc_t *d, const char *site, const char *text,
+                 const char *author, char *err)
+{
+  conf_doc_t next = { d->revision + 1, json_deep_copy (d->json) };
+  gl_code_t rc;
+
+  if (site && !name_ok (site))
+    {
+      snprintf (err, CONF_ERROR_LEN, "bad site name");
+      rc = GL_INVALID;
+      goto fail;
+    }
+  set_part (next.json, site, text);
+  rc = check_all (&next, err);
+  if (rc)
+    goto fail;
+  json_object_set_new (next.json, "revision",
+                       json_integer ((json_int_t)next.revision));
+  add_history (next.json, next.revision, site, author);
+  conf_doc_free (d);
+  *d = next;
+  return GL_OK;
+
+fail:
+  conf_doc_free (&next);
+  return rc;
+}
--- /dev/null
+++ b/src/gentianlatch.h
@@ -0,0 +1,309 @@
+/*
+ * gentianlatch.h -- public interface of the gentianlatch library
+ *
+ * gentianlatch decides which task runs on which worker and which upstream
+ * serves which request.  The decisions are made by reducers: objects that
+ * take one event at a time together with the present time, change their
+ * state, and put what is to be done into a list of effects.  A reducer does
+ * no I/O, reads no clock and never blocks; the caller carries out the
+ * effects and feeds their results back as events.  The daemons, the tests,
+ * the fuzzers and the benchmarks all drive the same reducers.
+ *
+ * Units: times are milliseconds of one monotonic clock (gl_ms_t), CPUs are
+ * thousandths, memory is MiB, accelerators are whole devices.
+ *
+ * A reducer is not thread safe: one thread drives it.
+ *
+ * Functions that can fail return a gl_status_t.  Values below zero are
+ * errors; an error leaves the state as it was.
+ */
+#ifndef GENTIANLATCH_H
+#define GENTIANLATCH_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "gl_rec.h"
+
+#define GL_VERSION_STRING "0.1.0"
+
+/** typedef gl_ms_t - an instant or a span, in milliseconds */
+typedef uint64_t gl_ms_t;
+
+/**
+ * enum gl_status_t - outcome of a call or of an operator's request
+ * @GL_OK: done; for a submission: accepted and written
+ * @GL_RETRY: not done, nothing was changed; come back later
+ * @GL_INVALID: the request is malformed
+ * @GL_INFEASIBLE: no worker of the domain could ever satisfy it
+ * @GL_NOT_FOUND: no such job, worker or team
+ * @GL_NOT_OWNER: this scheduler does not own the domain
+ * @GL_UNKNOWN: it may or may not have been done; ask again with the same id
+ * @GL_NOMEM: out of memory
+ * @GL_CONFLICT: someone else changed it first
+ */
+typedef enum
+{
+  GL_OK = 0,
+  GL_RETRY = -1,
+  GL_INVALID = -2,
+  GL_INFEASIBLE = -3,
+  GL_NOT_FOUND = -4,
+  GL_NOT_OWNER = -5,
+  GL_UNKNOWN = -6,
+  GL_NOMEM = -7,
+  GL_CONFLICT = -8
+} gl_status_t_;
+typedef int gl_code_t;
+
+/** gl_code_name - stable lower-case name of a gl_code_t, for JSON and logs */
+const char *gl_code_name (gl_code_t code);
+
+/**
+ * enum gl_store_status_t - outcome of a call to the key-value service
+ * @GL_ST_OK: done
+ * @GL_ST_CONFLICT: compare-and-swap found another index; nothing written
+ * @GL_ST_ABSENT: the key does not exist
+ * @GL_ST_REFUSED: certainly not done (not sent, or refused as overloaded)
+ * @GL_ST_UNKNOWN: the answer was lost; the write may have taken effect
+ */
+typedef enum
+{
+  GL_ST_OK = 0,
+  GL_ST_CONFLICT,
+  GL_ST_ABSENT,
+  GL_ST_REFUSED,
+  GL_ST_UNKNOWN
+} gl_store_status_t;
+
+/** enum gl_vm_state_t - what the platform's list says of a VM */
+typedef enum
+{
+  GL_VM_LIVE = 0,
+  GL_VM_LEAVING = 1
+} gl_vm_state_t;
+
+/**
+ * struct gl_vm_t - one entry of the platform's list of VMs
+ * @name: unique name
+ * @role: "worker" or "upstream"
+ * @domain: failure domain
+ * @rack: rack within the domain
+ * @addr: URL prefix under which it is reached
+ * @state: live or leaving
+ */
+typedef struct
+{
+  char name[64];
+  char role[12];
+  char domain[32];
+  char rack[32];
+  char addr[96];
+  gl_vm_state_t state;
+} gl_vm_t;
+
+struct gl_conf;
+
+/* ---- scheduler events ---- */
+
+typedef enum
+{
+  GL_EV_TICK = 0,
+  GL_EV_STORE,
+  GL_EV_SUBMIT,
+  GL_EV_CANCEL,
+  GL_EV_CORDON,
+  GL_EV_VMS,
+  GL_EV_WORKER,
+  GL_EV_CONF,
+  GL_EV_STOP
+} gl_ev_kind_t;
+
+/** enum gl_call_status_t - outcome of a call to a worker */
+typedef enum
+{
+  GL_CALL_ANSWERED = 0,
+  GL_CALL_NOT_SENT,
+  GL_CALL_UNKNOWN
+} gl_call_status_t;
+
+/**
+ * struct gl_event_t - one event for a scheduler
+ *
+ * Pointers are borrowed for the length of the call.
+ */
+typedef struct
+{
+  gl_ev_kind_t kind;
+  union
+  {
+    struct
+    {
+      uint32_t tag;
+      gl_store_status_t status;
+      uint64_t index;
+      const char *data;
+      size_t len;
+    } store;
+    struct
+    {
+      uint64_t token;
+      uint64_t job;
+      const gl_jobspec_t *spec;
+    } submit;
+    struct
+    {
+      uint64_t token;
+      uint64_t job;
+    } cancel;
+    struct
+    {
+      uint64_t token;
+      const char *worker;
+      int on;
+    } cordon;
+    struct
+    {
+      const gl_vm_t *vms;
+      size_t n;
+    } vms;
+    struct
+    {
+      uint32_t worker;
+      uint32_t call;
+      gl_call_status_t status;
+      const gl_wreply_t *reply;
+    } worker;
+    const struct gl_conf *conf;
+  } u;
+} gl_event_t;
+
+/* ---- scheduler effects ---- */
+
+typedef enum
+{
+  GL_FX_STORE_GET = 0,
+  GL_FX_STORE_CAS,
+  GL_FX_WORKER,
+  GL_FX_ANSWER,
+  GL_FX_LOG,
+  GL_FX_STOPPED
+} gl_fx_kind_t;
+
+/**
+ * struct gl_effect_t - one thing that a scheduler wants done
+ *
+ * GL_FX_STORE_GET, GL_FX_STORE_CAS: call the key-value service and report
+ * with the same tag.  index 0 in a CAS means "only if absent".
+ * GL_FX_WORKER: send the encoded gl_wcall_t to addr, but not at or after
+ * send_before; report with the same worker and call numbers.
+ * GL_FX_ANSWER: final answer to the request with that token.
+ * GL_FX_LOG: a change of state worth a line.
+ * GL_FX_STOPPED: a requested stop is complete.
+ */
+typedef struct
+{
+  gl_fx_kind_t kind;
+  union
+  {
+    struct
+    {
+      uint32_t tag;
+      char key[96];
+      uint64_t index;
+    } store;
+    struct
+    {
+      uint32_t worker;
+      uint32_t call;
+      char addr[96];
+      gl_ms_t timeout;
+      gl_ms_t send_before;
+    } worker;
+    struct
+    {
+      uint64_t token;
+      gl_code_t code;
+      uint64_t job;
+      gl_ms_t retry;
+      const char *reason;
+    } answer;
+    char log[160];
+  } u;
+  char *data;
+  size_t len;
+} gl_effect_t;
+
+/** struct gl_effects_t - growable list of effects */
+typedef struct
+{
+  gl_effect_t *v;
+  size_t n;
+  size_t cap;
+} gl_effects_t;
+
+/** gl_effects_clear - free the payloads and empty the list */
+void gl_effects_clear (gl_effects_t *fx);
+/** gl_effects_free - release the list itself as well */
+void gl_effects_free (gl_effects_t *fx);
+
+/* ---- scheduler ---- */
+
+/**
+ * struct gl_sched_opts_t - what a scheduler is told at its start
+ * @node: name of this VM, unique among the candidates of the domain
+ * @domain: failure domain it stands for
+ * @rpc: address that operators' calls are forwarded to
+ * @seed: seed of its random numbers
+ * @lease: length of the owner lease
+ * @renew: period of its renewal
+ * @worker_lease: length of a worker's lease
+ * @hold: how long a worker may hold an idle call open
+ * @commit_gap: shortest time between two commits
+ * @grace: how long worker leases are renewed without the store
+ * @drift_ppm: bound on clock drift, parts per million
+ *
+ * Zero in a time takes the default named in schedint.h.
+ */
+typedef struct
+{
+  const char *node;
+  const char *domain;
+  const char *rpc;
+  unsigned long seed;
+  gl_ms_t lease;
+  gl_ms_t renew;
+  gl_ms_t worker_lease;
+  gl_ms_t hold;
+  gl_ms_t commit_gap;
+  gl_ms_t grace;
+  unsigned int drift_ppm;
+} gl_sched_opts_t;
+
+typedef struct gl_sched gl_sched_t;
+
+/** gl_sched_new - a standby scheduler, or NULL when out of memory */
+gl_sched_t *gl_sched_new (const gl_sched_opts_t *opts, gl_ms_t now);
+/** gl_sched_free - release it with all its state */
+void gl_sched_free (gl_sched_t *s);
+/** gl_sched_step - take one event at time @now, append effects to @fx */
+void gl_sched_step (gl_sched_t *s, const gl_event_t *ev, gl_ms_t now,
+                    gl_effects_t *fx);
+/** gl_sched_due - when the next GL_EV_TICK is wanted */
+gl_ms_t gl_sched_due (const gl_sched_t *s);
+/** gl_sched_active - 1 while it owns the domain, and its epoch */
+int gl_sched_active (const gl_sched_t *s, uint64_t *epoch);
+/**
+ * gl_sched_view - malloc'd JSON text about its state, or NULL
+ * @what: "jobs", "job", "workers", "queues", "summary" or "waits"
+ * @job: the job's id for "job"
+ */
+char *gl_sched_view (gl_sched_t *s, const char *what, uint64_t job,
+                     gl_ms_t now);
+/**
+ * gl_sched_metrics - malloc'd text of all counters and histograms, in the
+ * line format that common metric collectors read
+ */
+char *gl_sched_metrics (gl_sched_t *s);
+
+#endif
--- /dev/null
+++ b/src/lease.c
@@ -0,0 +1,328 @@
+/*
+ * lease.c -- who owns the domain
+ *
+ * One record per domain in the key-value service names the owner and its
+ * epoch.  The holder renews it by compare-and-swap and counts its lease
+ * from before the last successful renewal was sent.  A candidate never
+ * compares clocks with anyone: it counts from the moment at which it first
+ * saw the record's present content, and claims the record with the next
+ * epoch when that content has stood still for the length of the lease plus
+ * the drift margin.  The holder's lease began no later than the candidate's
+ * count, so it has ended by then.  The record is never deleted; a planned
+ * stop marks it released, and the next candidate need not wait.
+ *
+ * The service's own leases are not used: their end would be judged by the
+ * service's clock, at a moment that neither side can see.
+ */
+#include "schedint.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
+/* Values of the record's field "released". */
+#define REL_NO 0
+/* The next owner need not wait for the lease to end. */
+#define REL_NOW 1
+/* Nor for leases that workers hold from before its own time. */
+#define REL_SETTLED 2
+
+int
+lease_held (const gl_sched_t *s)
+{
+  if (s->role != ROLE_ACTIVE)
+    return 0;
+  return s->now < s->lease.end || FAULT (FAULT_IGNORE_OWNER_LEASE);
+}
+
+int
+lease_may_renew (const gl_sched_t *s)
+{
+  return s->role == ROLE_ACTIVE && s->now < s->lease.end + s->opts.grace
+         && !s->lease.releasing;
+}
+
+static void
+read_owner (gl_sched_t *s)
+{
+  s->lease.op_out = 1;
+  store_get (s, OP_OWNER_GET, "owner");
+}
+
+static void
+write_owner (gl_sched_t *s, uint64_t epoch, int released)
+{
+  gl_owner_t o = { 0 };
+  char *data;
+  size_t len;
+
+  s->lease.nonce++;
+  o.epoch = epoch;
+  o.renewals = s->lease.nonce;
+  o.node = s->node;
+  o.rpc = s->rpc;
+  o.released = released;
+  data = codec_encode ((xdrproc_t)xdr_gl_owner_t, &o, &len);
+  if (!data)
+    return;
+  s->lease.op_out = 1;
+  s->lease.write_sent = s->now;
+  store_cas (s, OP_OWNER_CAS, "owner", s->lease.index, data, len);
+}
+
+static void
+claim (gl_sched_t *s)
+{
+  s->role = ROLE_CLAIMING;
+  s->lease.unsure = 0;
+  s->lease.heir
+      = !s->lease.rec_epoch || s->lease.rec_released == REL_SETTLED;
+  s->epoch = s->lease.rec_epoch + 1;
+  write_owner (s, s->epoch, 0);
+}
+
+static int
+expired (const gl_sched_t *s)
+{
+  const lease_t *l = &s->lease;
+  gl_ms_t wait = s->opts.lease + drift (s, s->opts.lease);
+
+  if (!l->known)
+    return 0;
+  return l->rec_released || !l->rec_epoch || s->now >= l->first_seen + wait;
+}
+
+static int
+mine (const gl_sched_t *s)
+{
+  const lease_t *l = &s->lease;
+
+  return l->rec_epoch == s->epoch && l->rec_renewals == l->nonce;
+}
+
+void
+lease_lost (gl_sched_t *s, const char *why)
+{
+  if (s->role == ROLE_ACTIVE)
+    {
+      s->c.deposed++;
+      sched_log (s, "no longer owner of %s at epoch %llu: %s", s->domain,
+                 (unsigned long long)s->epoch, why);
+    }
+  /* Answers to operations of the past no longer concern us. */
+  s->generation++;
+  s->lease.op_out = 0;
+  s->lease.end = 0;
+  s->lease.known = 0;
+  s->role = s->stopping ? ROLE_STOPPED : ROLE_STANDBY;
+  journal_reset (s);
+  snap_reset (s);
+  policy_reset (s);
+  jobs_clear (s);
+  workers_reset (s);
+  if (s->stopping)
+    fx_add (s->fx, GL_FX_STOPPED);
+  else
+    timer_arm_before (&s->timers, s->t_lease,
+                      s->now + s->opts.renew + jitter (s, s->opts.renew));
+}
+
+/* What is loaded is running until its worker denies it or has run out. */
+void
+lease_taken (gl_sched_t *s)
+{
+  gl_ms_t span = s->opts.worker_lease;
+  size_t pos = 0;
+  handle_t h;
+
+  if (!s->lease.heir)
+    span += s->opts.grace;
+  span += drift (s, span);
+  for (int i = 0; i < s->nworkers; i++)
+    s->workers[i].inherited = s->now + span;
+  s->role = ROLE_ACTIVE;
+  s->c.takeovers++;
+  hist_add (&s->takeover_time, (double)(s->now - s->took_over));
+  while ((h = pool_next (&s->jobs, &pos)))
+    {
+      job_t *j = pool_get (&s->jobs, h);
+
+      if (j->canceled || j->doomed
+          || (j->cls == GL_CLASS_GANG && j->live && j->waiting))
+        for (uint32_t i = 0; i < j->ntasks; i++)
+          task_stop (s, (tref_t){ h, i });
+    }
+  sched_log (s, "owner of %s at epoch %llu, log %llu, %zu jobs", s->domain,
+             (unsigned long long)s->epoch, (unsigned long long)s->log.seq,
+             s->jobs.count);
+  timer_arm_before (&s->timers, s->t_workers, s->now);
+  timer_arm_before (&s->timers, s->t_age, s->now);
+  policy_wake (s);
+}
+
+/* A write of ours is known to have taken effect. */
+static void
+won (gl_sched_t *s)
+{
+  lease_t *l = &s->lease;
+
+  l->unsure = 0;
+  l->end = l->write_sent + s->opts.lease;
+  if (s->role == ROLE_CLAIMING)
+    {
+      s->role = ROLE_LOADING;
+      s->took_over = s->now;
+      journal_load (s);
+    }
+}
+
+static void
+take_record (gl_sched_t *s, const gl_event_t *ev)
+{
+  lease_t *l = &s->lease;
+  gl_owner_t o = { 0 };
+
+  if (ev->u.store.status == GL_ST_ABSENT)
+    {
+      if (!l->known || l->index)
+        l->first_seen = s->now;
+      l->index = 0;
+      l->rec_epoch = 0;
+      l->rec_released = 0;
+      l->known = 1;
+      return;
+    }
+  if (codec_decode ((xdrproc_t)xdr_gl_owner_t, &o, ev->u.store.data,
+                    ev->u.store.len))
+    {
+      sched_log (s, "owner record of %s unreadable", s->domain);
+      l->known = 0;
+      return;
+    }
+  if (!l->known || l->index != ev->u.store.index)
+    l->first_seen = s->now;
+  l->index = ev->u.store.index;
+  l->rec_epoch = o.epoch;
+  l->rec_renewals = o.renewals;
+  l->rec_released = o.released;
+  l->known = 1;
+  codec_free ((xdrproc_t)xdr_gl_owner_t, &o);
+}
+
+/* The record was read while we own the domain or try to. */
+static void
+judge_record (gl_sched_t *s)
+{
+  lease_t *l = &s->lease;
+
+  if (!l->known)
+    return;
+  if (mine (s))
+    won (s);
+  else if (s->role == ROLE_CLAIMING)
+    s->role = ROLE_STANDBY;
+  else if (l->rec_epoch > s->epoch)
+    lease_lost (s, "a later epoch is written");
+  /* Otherwise the last renewal did not arrive; the next one is due. */
+  l->unsure = 0;
+}
+
+static void
+owner_read (gl_sched_t *s, const gl_event_t *ev)
+{
+  gl_store_status_t st = ev->u.store.status;
+
+  if (st != GL_ST_OK && st != GL_ST_ABSENT)
+    return;
+  take_record (s, ev);
+  if (s->role != ROLE_STANDBY)
+    judge_record (s);
+  else if (expired (s) && !s->stopping)
+    claim (s);
+}
+
+static void
+released (gl_sched_t *s)
+{
+  s->role = ROLE_STOPPED;
+  sched_log (s, "released %s at epoch %llu", s->domain,
+             (unsigned long long)s->epoch);
+  fx_add (s->fx, GL_FX_STOPPED);
+}
+
+static void
+owner_written (gl_sched_t *s, const gl_event_t *ev)
+{
+  lease_t *l = &s->lease;
+
+  switch (ev->u.store.status)
+    {
+    case GL_ST_OK:
+      l->index = ev->u.store.index;
+      l->rec_epoch = s->epoch;
+      l->rec_renewals = l->nonce;
+      l->first_seen = s->now;
+      if (l->releasing == 2)
+        released (s);
+      else
+        won (s);
+      break;
+    case GL_ST_REFUSED:
+      if (s->role == ROLE_CLAIMING)
+        s->role = ROLE_STANDBY;
+      break;
+    default:
+      /* Lost or contested: the record itself will tell. */
+      l->unsure = 1;
+      read_owner (s);
+    }
+}
+
+void
+lease_stored (gl_sched_t *s, store_op_t op, const gl_event_t *ev)
+{
+  s->lease.op_out = 0;
+  if (op == OP_OWNER_GET)
+    owner_read (s, ev);
+  else
+    owner_written (s, ev);
+}
+
+/* releasing is 1 once asked for, 2 once the release is what was written. */
+static void
+write_release (gl_sched_t *s)
+{
+  s->lease.releasing = 2;
+  write_owner (s, s->epoch, workers_settled (s) ? REL_SETTLED : REL_NOW);
+}
+
+void
+lease_release (gl_sched_t *s)
+{
+  if (s->lease.releasing)
+    return;
+  s->lease.releasing = 1;
+  if (!s->lease.op_out)
+    write_release (s);
+}
+
+void
+lease_poll (void *ctx, gl_ms_t now)
+{
+  gl_sched_t *s = ctx;
+  lease_t *l = &s->lease;
+
+  if (s->role == ROLE_STOPPED)
+    return;
+  timer_arm (&s->timers, s->t_lease,
+             now + s->opts.renew * 3 / 4 + jitter (s, s->opts.renew / 4));
+  if (l->op_out)
+    return;
+  if (s->role == ROLE_STANDBY || l->unsure)
+    read_owner (s);
+  else if (l->releasing)
+    write_release (s);
+  else
+    write_owner (s, s->epoch, REL_NO);
+}
--- /dev/null
+++ b/src/policy.c
@@ -0,0 +1,655 @@
+/*
+ * policy.c -- which job is served next, and with what
+ *
+ * A pass serves urgent work first, then jobs of any class that have waited
+ * longer than the ageing time, then services, gangs and batch runs.  Within
+ * a class the team with the smallest dominant share (Ghodsi et al., NSDI
+ * 2011) goes next, one task at a time; a gang is placed whole or not at
+ * all.  A team looks a few jobs past one that does not fit, so one large
+ * job does not idle its team.
+ *
+ * One reservation at a time keeps small work from holding off a gang or an
+ * aged job for ever: the workers that will be free soonest are set aside,
+ * and others may use them only for tasks that end before that (EASY
+ * backfill).  Urgent work that finds no room stops the batch tasks that
+ * lose the least work, and the worker is held for it until they are gone.
+ * Only urgent work evicts and urgent work is never evicted, so two jobs
+ * cannot evict each other in turn.
+ *
+ * Shapes that did not fit are remembered for the rest of the pass: a need
+ * at least as large in every resource is not searched for again.
+ */
+#include "schedint.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Levels of place_want_t: anyone, holder of the reservation or a task that
+   ends in time, urgent work. */
+#define LEVEL_ANY 0
+#define LEVEL_RESERVED 1
+#define LEVEL_URGENT 2
+
+/* A reservation is made anew after this time, with fresh estimates. */
+#define RESERVE_MS 60000
+/* Pause before the same job evicts again, and how long the room is held. */
+#define PREEMPT_MS 5000
+/* Evictions after which a task is evicted no more. */
+#define PREEMPTED_MAX 3
+/* Run time assumed for finite work that declares none, seconds. */
+#define RUNTIME_UNKNOWN_S 86400
+/* Most records a commit may gather before placement pauses. */
+#define PENDING_MAX 4096
+#define AGE_PERIOD_MS 1000
+
+static const char WHY_ROOM[] = "no worker has room for it now";
+static const char WHY_QUOTA[] = "its team's quota share is in use";
+static const char WHY_BACKOFF[] = "paused after failed attempts";
+static const char WHY_TURN[] = "waits for its team's turn";
+static const char WHY_RESERVED[] = "workers are being kept free for it";
+static const char WHY_GANG[] = "not enough room for all its tasks at once";
+static const char WHY_STOPPING[] = "waits for its own tasks to stop";
+static const char WHY_NEVER[] = "no present worker could ever hold it";
+static const char WHY_PREEMPT[] = "waits for evicted tasks to stop";
+
+void
+policy_wake (gl_sched_t *s)
+{
+  timer_arm_before (&s->timers, s->t_pass, s->now);
+}
+
+void
+policy_reset (gl_sched_t *s)
+{
+  for (int i = 0; i < s->place.n; i++)
+    s->place.w[i].reserved = LEVEL_ANY;
+  s->resv.job = 0;
+}
+
+/* ---- feasibility ---- */
+
+static int
+workers_known (const gl_sched_t *s)
+{
+  return s->place.sum_cpus > 0;
+}
+
+/* How many tasks of this need @room could hold. */
+static int
+times_fits (const gl_res_t *need, const gl_res_t *room)
+{
+  int n = room->cpus_m / need->cpus_m;
+
+  if (need->memory_mb && room->memory_mb / need->memory_mb < n)
+    n = room->memory_mb / need->memory_mb;
+  if (need->accels && room->accels / need->accels < n)
+    n = room->accels / need->accels;
+  return n > 0 ? n : 0;
+}
+
+/* How many the listed workers could hold together if they were empty. */
+static int64_t
+tasks_at_most (const gl_sched_t *s, const gl_res_t *need)
+{
+  int64_t n = 0;
+
+  for (int i = 0; i < s->place.n; i++)
+    if (s->workers[i].listed)
+      n += times_fits (need, &s->place.w[i].total);
+  return n;
+}
+
+const char *
+policy_feasible (gl_sched_t *s, const gl_jobspec_t *spec)
+{
+  int64_t n = spec->cls == GL_CLASS_GANG ? spec->tasks : 1;
+  int team = team_index (s, spec->team);
+  const gl_res_t *q;
+  int64_t most;
+
+  if (team < 0 || !s->teams[team].known)
+    return "unknown team";
+  q = &s->teams[team].quota;
+  if (n * spec->need.cpus_m > q->cpus_m / s->conf.domains
+      || n * spec->need.memory_mb > q->memory_mb / s->conf.domains
+      || n * spec->need.accels > q->accels / s->conf.domains)
+    return "more than the team's quota share of this domain";
+  if (!workers_known (s))
+    return NULL;
+  most = tasks_at_most (s, &spec->need);
+  if (!most)
+    return "no worker is large enough for one task";
+  if (most < n)
+    return "the workers together are too small for all its tasks";
+  return NULL;
+}
+
+/* ---- remembered failures ---- */
+
+static int
+known_to_fail (const gl_sched_t *s, const gl_res_t *need, int level)
+{
+  for (int i = 0; i < s->nfailed_shape; i++)
+    if (level <= s->failed_level[i]
+        && place_fits (&s->failed_shape[i], need))
+      return 1;
+  return 0;
+}
+
+static void
+remember_failure (gl_sched_t *s, const gl_res_t *need, int level)
+{
+  if (s->nfailed_shape == FAILED_SHAPES)
+    return;
+  s->failed_shape[s->nfailed_shape] = *need;
+  s->failed_level[s->nfailed_shape++] = level;
+}
+
+/* ---- one job ---- */
+
+static int
+level_of (const gl_sched_t *s, handle_t h, const job_t *j)
+{
+  if (j->cls == GL_CLASS_URGENT)
+    return LEVEL_URGENT;
+  if (!s->resv.job)
+    return LEVEL_ANY;
+  if (s->resv.job == h)
+    return LEVEL_RESERVED;
+  if (s->conf.backfill && j->runtime_s
+      && s->now + (gl_ms_t)j->runtime_s * 1000 <= s->resv.shadow)
+    return LEVEL_RESERVED;
+  return LEVEL_ANY;
+}
+
+static int
+find_worker (gl_sched_t *s, handle_t h, const job_t *j)
+{
+  place_want_t want = { .need = j->need,
+                        .level = level_of (s, h, j),
+                        .avoid = -1 };
+  int w;
+
+  if (s->baseline)
+    return place_first_fit (&s->place, &want);
+  if (known_to_fail (s, &j->need, want.level))
+    return -1;
+  if (j->cls == GL_CLASS_SERVICE)
+    {
+      want.rack_count = j->rack_count;
+      want.nracks = RACKS_MAX;
+    }
+  w = place_find (&s->place, &want);
+  if (w < 0)
+    remember_failure (s, &j->need, want.level);
+  return w;
+}
+
+static void
+log_assign (gl_sched_t *s, tref_t ref)
+{
+  job_t *j = pool_get (&s->jobs, ref.job);
+  task_t *t = &j->tasks[ref.index];
+  gl_rec_t rec = { .kind = GL_REC_ASSIGN };
+  gate_t gate = { .kind = GATE_START, .task = ref, .attempt = t->attempt };
+
+  rec.gl_rec_t_u.assign.task.job = j->id;
+  rec.gl_rec_t_u.assign.task.index = ref.index;
+  rec.gl_rec_t_u.assign.task.attempt = t->attempt;
+  rec.gl_rec_t_u.assign.worker = strdup (s->workers[t->worker].name);
+  rec.gl_rec_t_u.assign.boot = t->boot;
+  journal_add (s, &rec);
+  journal_gate (s, &gate);
+  s->c.placed++;
+  if (FAULT (FAULT_START_BEFORE_COMMIT))
+    worker_wake (s, t->worker);
+}
+
+static uint32_t
+next_waiting (job_t *j)
+{
+  while (j->first_waiting < j->ntasks
+         && j->tasks[j->first_waiting].state != TASK_WAITING)
+    j->first_waiting++;
+  return j->first_waiting;
+}
+
+static void
+drop_holds (gl_sched_t *s, handle_t h, job_t *j)
+{
+  if (j->hold_worker >= 0)
+    {
+      s->place.w[j->hold_worker].reserved = LEVEL_ANY;
+      j->hold_worker = -1;
+    }
+  if (s->resv.job == h && !j->waiting)
+    policy_reset (s);
+}
+
+static int
+place_one (gl_sched_t *s, handle_t h, job_t *j)
+{
+  tref_t ref = { h, next_waiting (j) };
+  int w = find_worker (s, h, j);
+
+  if (w < 0 || task_bind (s, ref, w, 0))
+    return 0;
+  log_assign (s, ref);
+  drop_holds (s, h, j);
+  return 1;
+}
+
+/* Choose a worker for every waiting task, taking the room as it goes; the
+   room is given back before the tasks are bound. */
+static uint32_t
+choose_all (gl_sched_t *s, handle_t h, job_t *j, int *chosen)
+{
+  uint32_t n = 0;
+
+  for (; n < j->waiting; n++)
+    {
+      chosen[n] = find_worker (s, h, j);
+      if (chosen[n] < 0 || place_take (&s->place, chosen[n], &j->need))
+        break;
+    }
+  for (uint32_t i = 0; i < n; i++)
+    place_give (&s->place, chosen[i], &j->need);
+  /* Failures seen with tentative grants say nothing of the true room. */
+  if (n < j->waiting)
+    s->nfailed_shape = 0;
+  return n;
+}
+
+static int
+place_gang (gl_sched_t *s, handle_t h, job_t *j)
+{
+  int *chosen = calloc (j->waiting, sizeof *chosen);
+  uint32_t want = j->waiting;
+  uint32_t n;
+
+  if (!chosen)
+    return 0;
+  n = choose_all (s, h, j, chosen);
+  if (n == want || (FAULT (FAULT_GANG_PARTIAL) && n))
+    for (uint32_t i = 0; i < n; i++)
+      {
+        tref_t ref = { h, next_waiting (j) };
+        if (!task_bind (s, ref, chosen[i], 0))
+          log_assign (s, ref);
+      }
+  free (chosen);
+  if (n == want)
+    drop_holds (s, h, j);
+  return n == want;
+}
+
+/* ---- reservation ---- */
+
+typedef struct
+{
+  int worker;
+  int tasks;
+  gl_ms_t when;
+} offer_t;
+
+static int
+offer_cmp (const void *a, const void *b)
+{
+  const offer_t *x = a;
+  const offer_t *y = b;
+
+  if (x->when != y->when)
+    return x->when < y->when ? -1 : 1;
+  return y->tasks - x->tasks;
+}
+
+/* What the worker could hold once its finite tasks have ended, and when. */
+static offer_t
+offer_of (gl_sched_t *s, int i, const job_t *j)
+{
+  worker_t *w = &s->workers[i];
+  gl_res_t room = s->place.w[i].total;
+  offer_t o = { i, 0, s->now };
+
+  for (int k = 0; k < w->ntasks; k++)
+    {
+      job_t *other = pool_get (&s->jobs, w->tasks[k].job);
+      task_t *t = &other->tasks[w->tasks[k].index];
+      gl_ms_t run = other->runtime_s ? other->runtime_s : RUNTIME_UNKNOWN_S;
+      gl_ms_t end = t->since + run * 1000;
+
+      if (other->cls == GL_CLASS_SERVICE)
+        {
+          room.cpus_m -= other->need.cpus_m;
+          room.memory_mb -= other->need.memory_mb;
+          room.accels -= other->need.accels;
+        }
+      else if (end > o.when)
+        o.when = end;
+    }
+  o.tasks = times_fits (&j->need, &room);
+  return o;
+}
+
+static void
+take_offers (gl_sched_t *s, const offer_t *offers, int n, uint32_t tasks)
+{
+  uint32_t have = 0;
+
+  for (int i = 0; i < n && have < tasks; i++)
+    {
+      have += (uint32_t)offers[i].tasks;
+      s->place.w[offers[i].worker].reserved = LEVEL_RESERVED;
+      s->resv.shadow = offers[i].when;
+    }
+}
+
+static void
+try_reserve (gl_sched_t *s, handle_t h, job_t *j)
+{
+  offer_t *offers;
+  uint32_t sum = 0;
+  int n = 0;
+
+  if (s->resv.job == h && s->now < s->resv.made + RESERVE_MS)
+    {
+      j->reason = WHY_RESERVED;
+      return;
+    }
+  if (s->resv.job && s->resv.job != h)
+    return;
+  policy_reset (s);
+  offers = calloc ((size_t)s->nworkers + 1, sizeof *offers);
+  if (!offers)
+    return;
+  for (int i = 0; i < s->nworkers; i++)
+    if (s->place.w[i].usable)
+      {
+        offers[n] = offer_of (s, i, j);
+        sum += (uint32_t)offers[n].tasks;
+        n += offers[n].tasks > 0;
+      }
+  if (sum >= j->waiting)
+    {
+      qsort (offers, (size_t)n, sizeof *offers, offer_cmp);
+      s->resv.job = h;
+      s->resv.made = s->now;
+      take_offers (s, offers, n, j->waiting);
+      s->c.reservations++;
+      j->reason = WHY_RESERVED;
+    }
+  else
+    j->reason = WHY_NEVER;
+  free (offers);
+}
+
+/* ---- eviction for urgent work ---- */
+
+typedef struct
+{
+  tref_t victims[16];
+  int n;
+  int worker;
+  uint64_t loss;
+} plan_t;
+
+static int
+evictable (const job_t *j, const task_t *t)
+{
+  return j->cls == GL_CLASS_BATCH && j->max_attempts > 1
+         && j->preempted < PREEMPTED_MAX * j->ntasks
+         && t->attempt < j->max_attempts
+         && (t->state == TASK_RUNNING || t->state == TASK_STARTING);
+}
+
+/* Evict the youngest tasks of worker @i until @need fits. */
+static int
+plan_worker (gl_sched_t *s, int i, const gl_res_t *need, plan_t *p)
+{
+  worker_t *w = &s->workers[i];
+  gl_res_t room = place_free (&s->place, i);
+
+  p->n = 0;
+  p->loss = 0;
+  p->worker = i;
+  while (!place_fits (need, &room))
+    {
+      int best = -1;
+      task_t *bt = NULL;
+
+      for (int k = 0; k < w->ntasks; k++)
+        {
+          job_t *j = pool_get (&s->jobs, w->tasks[k].job);
+          task_t *t = &j->tasks[w->tasks[k].index];
+          int taken = 0;
+
+          for (int v = 0; v < p->n; v++)
+            taken |= p->victims[v].job == w->tasks[k].job
+                     && p->victims[v].index == w->tasks[k].index;
+          if (!taken && evictable (j, t) && (!bt || t->since > bt->since))
+            {
+              best = k;
+              bt = t;
+            }
+        }
+      if (best < 0 || p->n == 16)
+        return -1;
+      job_t *j = pool_get (&s->jobs, w->tasks[best].job);
+      room.cpus_m += j->need.cpus_m;
+      room.memory_mb += j->need.memory_mb;
+      room.accels += j->need.accels;
+      p->loss += (s->now - bt->since + 1) * (uint64_t)j->need.cpus_m;
+      p->victims[p->n++] = w->tasks[best];
+    }
+  return 0;
+}
+
+static void
+try_preempt (gl_sched_t *s, job_t *j)
+{
+  plan_t best = { .worker = -1 };
+  plan_t p;
+
+  if (!s->conf.preempt || s->now < j->preempt_after)
+    return;
+  for (int i = 0; i < s->nworkers; i++)
+    if (s->place.w[i].usable && s->place.w[i].reserved < LEVEL_URGENT
+        && place_fits (&j->need, &s->place.w[i].total)
+        && !plan_worker (s, i, &j->need, &p) && p.n
+        && (best.worker < 0 || p.loss < best.loss))
+      best = p;
+  j->preempt_after = s->now + PREEMPT_MS;
+  if (best.worker < 0)
+    return;
+  for (int v = 0; v < best.n; v++)
+    {
+      job_t *victim = pool_get (&s->jobs, best.victims[v].job);
+      victim->preempted++;
+      s->c.preempted++;
+      task_stop (s, best.victims[v]);
+    }
+  s->place.w[best.worker].reserved = LEVEL_URGENT;
+  j->hold_worker = best.worker;
+  j->reason = WHY_PREEMPT;
+}
+
+/* ---- the pass ---- */
+
+static int
+try_job (gl_sched_t *s, handle_t h, job_t *j)
+{
+  team_t *t = &s->teams[j->team];
+  gl_res_t need = j->need;
+  int whole = j->cls == GL_CLASS_GANG;
+
+  if (s->now < j->not_before)
+    {
+      j->reason = WHY_BACKOFF;
+      timer_arm_before (&s->timers, s->t_pass, j->not_before);
+      return 0;
+    }
+  if (whole && j->live)
+    {
+      j->reason = WHY_STOPPING;
+      return 0;
+    }
+  if (whole)
+    {
+      if ((int64_t)need.cpus_m * j->waiting > INT32_MAX
+          || (int64_t)need.memory_mb * j->waiting > INT32_MAX)
+        return 0;
+      need.cpus_m *= (int)j->waiting;
+      need.memory_mb *= (int)j->waiting;
+      need.accels *= (int)j->waiting;
+    }
+  if (!team_room (s, t, &need))
+    {
+      j->reason = WHY_QUOTA;
+      return 0;
+    }
+  if (whole ? place_gang (s, h, j) : place_one (s, h, j))
+    return 1;
+  j->reason = whole ? WHY_GANG : WHY_ROOM;
+  if (j->cls == GL_CLASS_URGENT)
+    try_preempt (s, j);
+  else if (whole || j->aged)
+    try_reserve (s, h, j);
+  return 0;
+}
+
+/* Place one task, or one gang, of the team's first job that fits. */
+static int
+serve_team (gl_sched_t *s, team_t *t, int cls, int aged)
+{
+  handle_t h = t->head[cls];
+  int tried = 0;
+
+  while (h && tried < PASS_DEPTH)
+    {
+      job_t *j = pool_get (&s->jobs, h);
+      handle_t next = j->next;
+
+      if (!aged || j->aged)
+        {
+          if (try_job (s, h, j))
+            return 1;
+          tried++;
+        }
+      h = next;
+    }
+  return 0;
+}
+
+static team_t *
+pick_team (gl_sched_t *s, int cls)
+{
+  team_t *best = NULL;
+  uint32_t least = 0;
+
+  for (int i = 0; i < s->nteams; i++)
+    {
+      team_t *t = &s->teams[i];
+      uint32_t share;
+
+      if (!t->head[cls] || t->blocked[cls])
+        continue;
+      share = team_share (s, t);
+      if (!best || share < least)
+        {
+          best = t;
+          least = share;
+        }
+    }
+  return best;
+}
+
+static void
+unblock (gl_sched_t *s, int cls)
+{
+  for (int i = 0; i < s->nteams; i++)
+    s->teams[i].blocked[cls] = 0;
+}
+
+/* Returns 1 when the pass must end because it has done enough. */
+static int
+serve_class (gl_sched_t *s, int cls, int aged, int *placed)
+{
+  team_t *t;
+
+  unblock (s, cls);
+  while ((t = pick_team (s, cls)))
+    {
+      if (*placed >= PASS_PLACEMENTS || s->log.pending.n > PENDING_MAX)
+        return 1;
+      if (serve_team (s, t, cls, aged))
+        (*placed)++;
+      else
+        t->blocked[cls] = 1;
+    }
+  return 0;
+}
+
+static int
+serve_all (gl_sched_t *s, int *placed)
+{
+  if (serve_class (s, GL_CLASS_URGENT, 0, placed))
+    return 1;
+  for (int cls = GL_CLASS_SERVICE; cls < CLASSES; cls++)
+    if (serve_class (s, cls, 1, placed))
+      return 1;
+  for (int cls = GL_CLASS_SERVICE; cls < CLASSES; cls++)
+    if (serve_class (s, cls, 0, placed))
+      return 1;
+  return 0;
+}
+
+static void
+check_reservation (gl_sched_t *s)
+{
+  job_t *j = pool_get (&s->jobs, s->resv.job);
+
+  if (s->resv.job && (!j || !j->queued))
+    policy_reset (s);
+}
+
+void
+policy_pass (void *ctx, gl_ms_t now)
+{
+  gl_sched_t *s = ctx;
+  int placed = 0;
+
+  if (s->role != ROLE_ACTIVE || s->stopping || !lease_held (s))
+    return;
+  s->c.passes++;
+  s->nfailed_shape = 0;
+  check_reservation (s);
+  if (serve_all (s, &placed))
+    timer_arm_before (&s->timers, s->t_pass,
+                      s->log.pending.n > PENDING_MAX ? now + 1 : now);
+}
+
+/* Queues are in order of acceptance, so the first young job ends a scan. */
+void
+policy_age (void *ctx, gl_ms_t now)
+{
+  gl_sched_t *s = ctx;
+  gl_ms_t age = (gl_ms_t)s->conf.ageing_s * 1000;
+
+  if (s->role != ROLE_ACTIVE)
+    return;
+  for (int i = 0; i < s->nteams; i++)
+    for (int cls = GL_CLASS_SERVICE; cls < CLASSES; cls++)
+      for (handle_t h = s->teams[i].head[cls]; h;)
+        {
+          job_t *j = pool_get (&s->jobs, h);
+
+          if (j->submitted + age > now)
+            break;
+          j->aged = 1;
+          h = j->next;
+        }
+  timer_arm (&s->timers, s->t_age, now + AGE_PERIOD_MS);
+  /* Reservations and holds that nobody used are looked at again. */
+  policy_wake (s);
+  (void)WHY_TURN;
+}
--- /dev/null
+++ b/src/snap.c
@@ -0,0 +1,521 @@
+/*
+ * snap.c -- snapshots of a domain in the key-value service
+ *
+ * A snapshot holds the state as of one commit, so that the log before it
+ * may be overwritten.  It is encoded when that commit is cut, when memory
+ * and log agree, and written in chunks after the commit itself.  Two sets
+ * of chunk keys take turns; the base record names the set in force and is
+ * switched last.  Every chunk carries its writer's epoch, and a writer
+ * reads a chunk before it replaces it: a former owner thus finds a later
+ * epoch, or has its compare-and-swap refused, and can never damage the set
+ * that its successor relies on.
+ */
+#include "schedint.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
+void
+snap_reset (gl_sched_t *s)
+{
+  free (s->snap.data);
+  s->snap.data = NULL;
+  s->snap.len = 0;
+  s->snap.busy = 0;
+  s->snap.loading = 0;
+  s->snap.op_out = 0;
+}
+
+static void
+chunk_key (char *key, size_t size, uint32_t slot, uint32_t chunk)
+{
+  snprintf (key, size, "snap/%u/%u", slot, chunk);
+}
+
+/* ---- encoding ---- */
+
+static void
+fill_task (const task_t *t, gl_snap_task_t *out)
+{
+  out->state = t->state == TASK_WAITING ? GL_SNAP_WAITING
+               : t->state == TASK_ENDED ? GL_SNAP_ENDED
+                                        : GL_SNAP_ASSIGNED;
+  out->attempt = t->attempt;
+  out->outcome = t->outcome;
+  out->worker = t->worker;
+  out->boot = t->boot;
+}
+
+static int
+fill_job (gl_sched_t *s, const job_t *j, gl_snap_job_t *out)
+{
+  out->job = j->id;
+  out->spec.name = (char *)j->name;
+  out->spec.team = s->teams[j->team].name;
+  out->spec.cls = (gl_class_t)j->cls;
+  out->spec.tasks = j->ntasks;
+  out->spec.need = j->need;
+  out->spec.runtime_s = j->runtime_s;
+  out->spec.max_attempts = j->max_attempts;
+  out->canceled = j->canceled;
+  out->tasks.tasks_val = calloc (j->ntasks, sizeof (gl_snap_task_t));
+  if (!out->tasks.tasks_val)
+    return -1;
+  out->tasks.tasks_len = j->ntasks;
+  for (uint32_t i = 0; i < j->ntasks; i++)
+    fill_task (&j->tasks[i], &out->tasks.tasks_val[i]);
+  return 0;
+}
+
+static int
+by_order (const void *a, const void *b)
+{
+  const job_t *const *x = a;
+  const job_t *const *y = b;
+
+  return (*x)->order < (*y)->order ? -1 : (*x)->order > (*y)->order;
+}
+
+static char *
+encode_state (gl_sched_t *s, uint64_t seq, size_t *len)
+{
+  gl_snapshot_t sn = { 0 };
+  job_t **order = calloc (s->jobs.count + 1, sizeof *order);
+  char *data = NULL;
+  size_t pos = 0;
+  size_t n = 0;
+  handle_t h;
+
+  sn.workers.workers_val
+      = calloc ((size_t)s->nworkers + 1, sizeof (gl_snap_worker_t));
+  sn.jobs.jobs_val = calloc (s->jobs.count + 1, sizeof (gl_snap_job_t));
+  if (!order || !sn.workers.workers_val || !sn.jobs.jobs_val)
+    goto done;
+  for (int i = 0; i < s->nworkers; i++)
+    {
+      sn.workers.workers_val[i].name = s->workers[i].name;
+      sn.workers.workers_val[i].cordoned = s->workers[i].cordoned;
+    }
+  while ((h = pool_next (&s->jobs, &pos)))
+    order[n++] = pool_get (&s->jobs, h);
+  qsort (order, n, sizeof *order, by_order);
+  for (size_t i = 0; i < n; i++)
+    {
+      if (fill_job (s, order[i], &sn.jobs.jobs_val[i]))
+        goto done;
+      sn.jobs.jobs_len++;
+    }
+  sn.workers.workers_len = (u_int)s->nworkers;
+  sn.epoch = s->epoch;
+  sn.seq = seq;
+  data = codec_encode ((xdrproc_t)xdr_gl_snapshot_t, &sn, len);
+
+done:
+  for (u_int i = 0; sn.jobs.jobs_val && i < sn.jobs.jobs_len; i++)
+    free (sn.jobs.jobs_val[i].tasks.tasks_val);
+  free (sn.jobs.jobs_val);
+  free (sn.workers.workers_val);
+  free (order);
+  return data;
+}
+
+/* ---- writing ---- */
+
+/* Begin a snapshot of the present state, which must be that of commit
+   @seq. */
+static void
+begin (gl_sched_t *s, uint64_t seq)
+{
+  s->snap.data = encode_state (s, seq, &s->snap.len);
+  if (!s->snap.data)
+    return;
+  s->snap.busy = 1;
+  s->snap.seq = seq;
+  s->snap.slot = 1 - s->log.base_slot;
+  s->snap.chunk = 0;
+  s->snap.chunks = (uint32_t)((s->snap.len + CHUNK_BYTES - 1) / CHUNK_BYTES);
+  s->snap.last_len = s->snap.len;
+  s->log.bytes_since_snap = 0;
+}
+
+void
+snap_due (gl_sched_t *s, uint64_t seq)
+{
+  log_t *l = &s->log;
+  size_t limit = 2 * s->snap.last_len;
+
+  if (s->snap.busy)
+    return;
+  if (limit < SNAP_LOG_BYTES)
+    limit = SNAP_LOG_BYTES;
+  if (l->bytes_since_snap >= limit
+      || seq - l->base_seq >= RING_SLOTS - RING_SPARE)
+    begin (s, seq);
+}
+
+static void
+push_base (gl_sched_t *s)
+{
+  log_t *l = &s->log;
+  gl_base_t b = { s->epoch, s->snap.seq, s->snap.slot, s->snap.chunks,
+                  (u_int)s->snap.len };
+  size_t len;
+  char *data = codec_encode ((xdrproc_t)xdr_gl_base_t, &b, &len);
+
+  if (!data)
+    return;
+  s->snap.op_out = 1;
+  store_cas (s, OP_BASE_CAS, "base", l->base_index, data, len);
+}
+
+void
+snap_push (gl_sched_t *s)
+{
+  char key[32];
+
+  if (!s->snap.busy || s->snap.op_out || s->log.seq < s->snap.seq)
+    return;
+  if (s->snap.chunk == s->snap.chunks)
+    {
+      push_base (s);
+      return;
+    }
+  chunk_key (key, sizeof key, s->snap.slot, s->snap.chunk);
+  s->snap.op_out = 1;
+  store_get (s, OP_CHUNK_GET, key);
+}
+
+static void
+write_chunk (gl_sched_t *s, uint64_t index)
+{
+  gl_chunk_t c = { 0 };
+  size_t at = (size_t)s->snap.chunk * CHUNK_BYTES;
+  size_t len;
+  char key[32];
+  char *data;
+
+  c.epoch = s->epoch;
+  c.seq = s->snap.seq;
+  c.data.data_val = s->snap.data + at;
+  c.data.data_len = (u_int)(s->snap.len - at < CHUNK_BYTES ? s->snap.len - at
+                                                           : CHUNK_BYTES);
+  data = codec_encode ((xdrproc_t)xdr_gl_chunk_t, &c, &len);
+  if (!data)
+    return;
+  chunk_key (key, sizeof key, s->snap.slot, s->snap.chunk);
+  s->snap.op_out = 1;
+  s->c.snapshot_bytes += len;
+  store_cas (s, OP_CHUNK_CAS, key, index, data, len);
+}
+
+static void
+old_chunk_read (gl_sched_t *s, const gl_event_t *ev)
+{
+  gl_chunk_t c = { 0 };
+  uint64_t index = ev->u.store.index;
+
+  if (ev->u.store.status == GL_ST_ABSENT)
+    {
+      write_chunk (s, 0);
+      return;
+    }
+  if (ev->u.store.status != GL_ST_OK)
+    return;
+  if (codec_decode ((xdrproc_t)xdr_gl_chunk_t, &c, ev->u.store.data,
+                    ev->u.store.len))
+    {
+      write_chunk (s, index);
+      return;
+    }
+  if (c.epoch > s->epoch)
+    lease_lost (s, "a snapshot of a later epoch is written");
+  else if (c.epoch == s->epoch && c.seq == s->snap.seq)
+    {
+      s->snap.chunk++;
+      snap_push (s);
+    }
+  else
+    write_chunk (s, index);
+  codec_free ((xdrproc_t)xdr_gl_chunk_t, &c);
+}
+
+static void
+base_is_ours (gl_sched_t *s, uint64_t index)
+{
+  log_t *l = &s->log;
+
+  l->base_index = index;
+  l->base_seq = s->snap.seq;
+  l->base_slot = s->snap.slot;
+  s->c.snapshots++;
+  snap_reset (s);
+  /* A full ring has kept the takeover waiting. */
+  if (s->role == ROLE_LOADING)
+    journal_take_over (s);
+}
+
+/* The base record was read because the answer to its write was lost. */
+static void
+base_reread (gl_sched_t *s, const gl_event_t *ev)
+{
+  gl_base_t b = { 0 };
+
+  if (ev->u.store.status == GL_ST_ABSENT)
+    {
+      s->log.base_index = 0;
+      return;
+    }
+  if (ev->u.store.status != GL_ST_OK
+      || codec_decode ((xdrproc_t)xdr_gl_base_t, &b, ev->u.store.data,
+                       ev->u.store.len))
+    return;
+  if (b.epoch > s->epoch)
+    lease_lost (s, "a base record of a later epoch is written");
+  else if (b.epoch == s->epoch && b.seq == s->snap.seq)
+    base_is_ours (s, ev->u.store.index);
+  else
+    s->log.base_index = ev->u.store.index;
+}
+
+/* ---- loading ---- */
+
+void
+snap_load (gl_sched_t *s)
+{
+  s->snap.loading = 1;
+  s->snap.op_out = 1;
+  s->snap.chunk = 0;
+  store_get (s, OP_BASE_GET, "base");
+}
+
+void
+snap_resume (gl_sched_t *s)
+{
+  char key[32];
+
+  if (s->snap.busy)
+    {
+      snap_push (s);
+      timer_arm_before (&s->timers, s->t_commit, s->now + RENEW_MS);
+    }
+  else if (!s->snap.loading)
+    journal_read_on (s);
+  else if (s->snap.op_out)
+    return;
+  else if (!s->snap.chunk && !s->snap.chunks)
+    snap_load (s);
+  else
+    {
+      chunk_key (key, sizeof key, s->log.base_slot, s->snap.chunk);
+      s->snap.op_out = 1;
+      store_get (s, OP_CHUNK_GET, key);
+    }
+}
+
+static void
+loaded (gl_sched_t *s)
+{
+  snap_reset (s);
+  journal_read_on (s);
+}
+
+static void
+load_base (gl_sched_t *s, const gl_event_t *ev)
+{
+  log_t *l = &s->log;
+  gl_base_t b = { 0 };
+
+  s->snap.chunks = 0;
+  if (ev->u.store.status == GL_ST_ABSENT)
+    {
+      l->base_index = 0;
+      l->base_slot = 0;
+      loaded (s);
+      return;
+    }
+  if (ev->u.store.status != GL_ST_OK)
+    return;
+  if (codec_decode ((xdrproc_t)xdr_gl_base_t, &b, ev->u.store.data,
+                    ev->u.store.len)
+      || b.chunks > CHUNKS_MAX || !b.chunks)
+    {
+      lease_lost (s, "the base record cannot be read");
+      return;
+    }
+  if (b.epoch > s->epoch)
+    {
+      /* A later owner's snapshot hides its commits from the log's check. */
+      lease_lost (s, "a base record of a later epoch is written");
+      return;
+    }
+  l->base_index = ev->u.store.index;
+  l->base_seq = b.seq;
+  l->base_slot = b.slot;
+  s->snap.chunks = b.chunks;
+  snap_resume (s);
+}
+
+static void
+take_task (gl_sched_t *s, tref_t ref, const gl_snap_task_t *in,
+           const int *workers, u_int nworkers)
+{
+  job_t *j = pool_get (&s->jobs, ref.job);
+  task_t *t = &j->tasks[ref.index];
+
+  t->attempt = in->attempt;
+  t->outcome = (unsigned char)in->outcome;
+  if (in->state == GL_SNAP_ENDED)
+    {
+      t->state = TASK_ENDED;
+      j->waiting--;
+      j->ended++;
+      j->failed += in->outcome != GL_OUT_OK;
+    }
+  else if (in->state == GL_SNAP_ASSIGNED && in->worker >= 0
+           && (u_int)in->worker < nworkers
+           && !task_bind (s, ref, workers[in->worker], 1))
+    {
+      t->attempt = in->attempt;
+      t->boot = in->boot;
+      t->state = TASK_STARTING;
+    }
+}
+
+static void
+take_job (gl_sched_t *s, const gl_snap_job_t *in, const int *workers,
+          u_int nworkers)
+{
+  handle_t h = job_new (s, in->job, &in->spec);
+  job_t *j = pool_get (&s->jobs, h);
+
+  if (!j)
+    return;
+  for (u_int i = 0; i < in->tasks.tasks_len && i < j->ntasks; i++)
+    take_task (s, (tref_t){ h, i }, &in->tasks.tasks_val[i], workers,
+               nworkers);
+  j->canceled = in->canceled != 0;
+  j->doomed = j->cls == GL_CLASS_GANG && j->failed && !j->canceled;
+  job_queue (s, h);
+  job_settle (s, h);
+}
+
+static void
+take_snapshot (gl_sched_t *s, const gl_snapshot_t *sn)
+{
+  int *workers = calloc (sn->workers.workers_len + 1, sizeof *workers);
+
+  if (!workers)
+    return;
+  for (u_int i = 0; i < sn->workers.workers_len; i++)
+    {
+      workers[i] = worker_enter (s, sn->workers.workers_val[i].name);
+      s->workers[workers[i]].cordoned
+          = sn->workers.workers_val[i].cordoned != 0;
+    }
+  for (u_int i = 0; i < sn->jobs.jobs_len; i++)
+    take_job (s, &sn->jobs.jobs_val[i], workers, sn->workers.workers_len);
+  free (workers);
+  s->log.seq = sn->seq;
+}
+
+static void
+load_done (gl_sched_t *s)
+{
+  gl_snapshot_t sn = { 0 };
+
+  if (codec_decode ((xdrproc_t)xdr_gl_snapshot_t, &sn, s->snap.data,
+                    s->snap.len))
+    {
+      lease_lost (s, "the snapshot cannot be read");
+      return;
+    }
+  s->snap.last_len = s->snap.len;
+  take_snapshot (s, &sn);
+  codec_free ((xdrproc_t)xdr_gl_snapshot_t, &sn);
+  loaded (s);
+}
+
+static void
+load_chunk (gl_sched_t *s, const gl_event_t *ev)
+{
+  gl_chunk_t c = { 0 };
+  char *data;
+
+  if (ev->u.store.status == GL_ST_REFUSED
+      || ev->u.store.status == GL_ST_UNKNOWN)
+    return;
+  if (ev->u.store.status != GL_ST_OK
+      || codec_decode ((xdrproc_t)xdr_gl_chunk_t, &c, ev->u.store.data,
+                       ev->u.store.len))
+    {
+      lease_lost (s, "a snapshot chunk cannot be read");
+      return;
+    }
+  if (c.seq != s->log.base_seq)
+    {
+      /* The former owner has moved on to another snapshot meanwhile. */
+      codec_free ((xdrproc_t)xdr_gl_chunk_t, &c);
+      journal_load (s);
+      return;
+    }
+  data = realloc (s->snap.data, s->snap.len + c.data.data_len + 1);
+  if (data)
+    {
+      memcpy (data + s->snap.len, c.data.data_val, c.data.data_len);
+      s->snap.data = data;
+      s->snap.len += c.data.data_len;
+      s->snap.chunk++;
+    }
+  codec_free ((xdrproc_t)xdr_gl_chunk_t, &c);
+  if (s->snap.chunk == s->snap.chunks)
+    load_done (s);
+  else
+    snap_resume (s);
+}
+
+void
+snap_stored (gl_sched_t *s, store_op_t op, const gl_event_t *ev)
+{
+  s->snap.op_out = 0;
+  if (s->snap.loading)
+    {
+      if (op == OP_BASE_GET)
+        load_base (s, ev);
+      else if (op == OP_CHUNK_GET)
+        load_chunk (s, ev);
+      if (s->role == ROLE_LOADING && s->snap.loading && !s->snap.op_out)
+        timer_arm_before (&s->timers, s->t_commit, s->now + RENEW_MS);
+      return;
+    }
+  if (!s->snap.busy)
+    return;
+  switch (op)
+    {
+    case OP_CHUNK_GET:
+      old_chunk_read (s, ev);
+      break;
+    case OP_CHUNK_CAS:
+      if (ev->u.store.status == GL_ST_OK)
+        s->snap.chunk++;
+      /* After a lost answer the next read finds our own chunk. */
+      snap_push (s);
+      break;
+    case OP_BASE_CAS:
+      if (ev->u.store.status == GL_ST_OK)
+        base_is_ours (s, ev->u.store.index);
+      else if (ev->u.store.status != GL_ST_REFUSED)
+        {
+          s->snap.op_out = 1;
+          store_get (s, OP_BASE_GET, "base");
+        }
+      break;
+    case OP_BASE_GET:
+      base_reread (s, ev);
+      break;
+    default:
+      break;
+    }
+}
--- /dev/null
+++ b/tests/fuzz_sched.cc
@@ -0,0 +1,186 @@
+/* fuzz_sched.cc -- stateful fuzzing of two schedulers of one domain */
+#include <cstdio>
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "sim.h"
+
+#ifdef GL_TEST_FAULTS
+fault_t fault_on = FAULT_NONE;
+#endif
+
+/* One step of a script: what, with which argument, and how long after. */
+struct Step
+{
+  int kind;
+  uint32_t arg;
+  int gap;
+};
+
+static std::ostream &
+operator<< (std::ostream &os, const Step &s)
+{
+  return os << s.kind << "," << s.arg << "," << s.gap;
+}
+
+static rc::Gen<Step>
+gen_step ()
+{
+  /* The library narrows ranges at small sizes; a step always has them all. */
+  return rc::gen::resize (rc::kNominalSize, rc::gen::build<Step> (
+      rc::gen::set (&Step::kind, rc::gen::inRange (0, 32)),
+      rc::gen::set (&Step::arg, rc::gen::inRange<uint32_t> (0, 1u << 24)),
+      rc::gen::set (&Step::gap, rc::gen::inRange (0, 6000))));
+}
+
+/* Longest script. */
+static const int SCRIPT_STEPS = 100;
+static const int FAULTS = (int)Fault::Count;
+
+static void
+play_step (Sim &sim, const Step &s)
+{
+  if (s.kind < FAULTS)
+    sim.fault ((Fault)s.kind, s.arg, 200 + s.arg % 40000);
+  else if (s.kind < 27)
+    sim.submit (s.arg);
+  else if (s.kind < 30)
+    sim.cancel (s.arg);
+  else
+    sim.cordon (s.arg);
+  sim.run ((uint64_t)s.gap);
+}
+
+/* What the scripts brought about; a run in which nothing happens proves
+   nothing. */
+static struct
+{
+  uint64_t starts, commits, accepted, jobs, virtual_ms;
+} totals;
+
+/* Returns the violation, empty when every promise held. */
+static std::string
+play (const std::vector<Step> &script, uint64_t seed, uint64_t *steps)
+{
+  Sim sim (seed);
+
+  if (getenv ("GL_TRACE"))
+    sim.trace = [] (const std::string &l) { { puts (l.c_str ()); fflush (stdout); } };
+  sim.run (8000);
+  for (auto &s : script)
+    {
+      if (!sim.violation ().empty ())
+        break;
+      play_step (sim, s);
+    }
+  if (sim.violation ().empty ())
+    sim.settle ();
+  for (auto &w : sim.workers)
+    totals.starts += w.starts;
+  totals.commits += sim.oracle.seq;
+  totals.accepted += sim.oracle.accepted.size ();
+  totals.jobs += sim.oracle.jobs.size ();
+  totals.virtual_ms += sim.now;
+  if (steps)
+    *steps += sim.steps;
+  return sim.violation ();
+}
+
+static int
+setting (const char *name, int preset)
+{
+  const char *v = getenv (name);
+  return v ? atoi (v) : preset;
+}
+
+/* Like fuzz, without the search for the shortest script: the first violation
+   that any of @cases scripts of about full length meets. */
+static std::string
+fuzz_first (uint64_t seed, int cases, uint64_t *steps)
+{
+  rc::Random random (seed);
+
+  for (int i = 0; i < cases; i++)
+    {
+      auto gen = rc::gen::container<std::vector<Step>> (gen_step ());
+      auto script = gen (random.split (), SCRIPT_STEPS).value ();
+      std::string v = play (script, seed * 1000 + (uint64_t)i, steps);
+      if (!v.empty ())
+        return v;
+    }
+  return "";
+}
+
+/* Run @cases random scripts; returns the report of the first failure. */
+static std::string
+fuzz (uint64_t seed, int cases, uint64_t *steps)
+{
+  rc::detail::TestParams params;
+  std::ostringstream os;
+
+  params.seed = seed;
+  params.maxSuccess = cases;
+  auto result = rc::detail::checkTestable (
+      [&] {
+        auto script = *rc::gen::resize (
+            SCRIPT_STEPS, rc::gen::container<std::vector<Step>> (gen_step ()));
+        auto world = *rc::gen::resize (
+            rc::kNominalSize, rc::gen::inRange<uint64_t> (0, 1000000));
+        std::string v = play (script, world, steps);
+        if (!v.empty ())
+          RC_FAIL (v);
+      },
+      rc::detail::TestMetadata (), params);
+  if (result.template is<rc::detail::SuccessResult> ())
+    return "";
+  rc::detail::printResultMessage (result, os);
+  return "seed " + std::to_string (seed) + "\n" + os.str ();
+}
+
+TEST (FuzzSched, PromisesHold)
+{
+  uint64_t steps = 0;
+  int cases = setting ("CASES", 4000);
+  std::string report = fuzz ((uint64_t)setting ("SEED", 1), cases, &steps);
+
+  EXPECT_EQ ("", report);
+  printf ("%llu reducer steps, %llu starts, %llu commits, %llu jobs told "
+          "accepted of %llu written, %llu virtual s\n",
+          (unsigned long long)steps, (unsigned long long)totals.starts,
+          (unsigned long long)totals.commits,
+          (unsigned long long)totals.accepted,
+          (unsigned long long)totals.jobs,
+          (unsigned long long)totals.virtual_ms / 1000);
+  EXPECT_GT (totals.starts, (uint64_t)cases);
+}
+
+#ifdef GL_TEST_FAULTS
+/* The checks bite: every deliberate fault is found. */
+class FuzzSchedFault : public testing::TestWithParam<fault_t>
+{
+};
+
+TEST_P (FuzzSchedFault, IsCaught)
+{
+  uint64_t steps = 0;
+  std::string report;
+
+  fault_on = GetParam ();
+  for (uint64_t seed = 1; report.empty () && seed <= 40; seed++)
+    report = fuzz_first (seed, 100, &steps);
+  fault_on = FAULT_NONE;
+  EXPECT_NE ("", report) << "fault " << GetParam () << " was not found";
+  printf ("fault %d found after %llu steps: %s\n", (int)GetParam (),
+          (unsigned long long)steps, report.c_str ());
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    All, FuzzSchedFault,
+    testing::Values (FAULT_START_BEFORE_COMMIT, FAULT_ANSWER_BEFORE_COMMIT,
+                     FAULT_IGNORE_OWNER_LEASE, FAULT_NO_RUN_OUT,
+                     FAULT_NO_INHERITED_BOUND, FAULT_FREE_TWICE,
+                     FAULT_OVERFILL, FAULT_GANG_PARTIAL, FAULT_IGNORE_QUOTA,
+                     FAULT_FORGET_FENCE, FAULT_ANSWER_TWICE));
+#endif
+
--- /dev/null
+++ b/tests/sim.cc
@@ -0,0 +1,970 @@
+/* sim.cc -- one domain in virtual time; see sim.h */
+#include "sim.h"
+
+#include <cstring>
+#include <memory>
+
+static const char *const team_names[] = { "gait", "alerts" };
+/* Longest wait for an answer from the store. */
+static const uint64_t STORE_TIMEOUT_MS = 1000;
+static const uint64_t LEASE_MS_ = 3000;
+static const uint64_t WORKER_LEASE_MS_ = 20000;
+static const uint64_t GRACE_MS_ = 30000;
+static const uint64_t HOLD_MS_ = 5000;
+static const double DRIFT = 400e-6;
+
+/* ---- oracle ---- */
+
+void
+Oracle::violate (const std::string &what)
+{
+  if (violation.empty ())
+    violation = what;
+}
+
+static void
+add (gl_res_t &a, const gl_res_t &b, int sign)
+{
+  a.cpus_m += sign * b.cpus_m;
+  a.memory_mb += sign * b.memory_mb;
+  a.accels += sign * b.accels;
+}
+
+static bool
+within (const gl_res_t &a, const gl_res_t &b)
+{
+  return a.cpus_m <= b.cpus_m && a.memory_mb <= b.memory_mb
+         && a.accels <= b.accels;
+}
+
+void
+Oracle::assign (const gl_rec_assign_t &a, std::map<uint64_t, int> &gangs)
+{
+  auto it = jobs.find (a.task.job);
+  if (it == jobs.end ())
+    return violate ("assignment of a job that was never accepted");
+  Job &j = it->second;
+  if (j.live.count (a.task.index))
+    return violate ("task assigned while an earlier attempt may run");
+  if (j.ended.count (a.task.index))
+    return violate ("ended task assigned");
+  if (j.attempt[a.task.index] >= a.task.attempt)
+    return violate ("attempt number used twice");
+  j.attempt[a.task.index] = a.task.attempt;
+  j.live[a.task.index] = a.worker;
+  add (granted[a.worker], j.spec.need, 1);
+  add (team_used[j.team], j.spec.need, 1);
+  if (total.count (a.worker) && !within (granted[a.worker], total[a.worker]))
+    violate (std::string ("worker granted past its capacity: ") + a.worker);
+  if (!within (team_used[j.team], team_quota[j.team]))
+    violate ("team granted past its quota share: " + j.team);
+  if (j.spec.cls == GL_CLASS_GANG)
+    gangs[a.task.job]++;
+}
+
+void
+Oracle::end (const gl_rec_end_t &e)
+{
+  auto it = jobs.find (e.task.job);
+  if (it == jobs.end () || !it->second.live.count (e.task.index))
+    return violate ("end of a task that was not assigned");
+  Job &j = it->second;
+  add (granted[j.live[e.task.index]], j.spec.need, -1);
+  add (team_used[j.team], j.spec.need, -1);
+  j.live.erase (e.task.index);
+  if ((e.outcome == GL_OUT_OK || (e.outcome != GL_OUT_NOT_RUN
+           && e.task.attempt >= j.spec.max_attempts))
+      && j.spec.cls != GL_CLASS_SERVICE)
+    j.ended.insert (e.task.index);
+}
+
+void
+Oracle::written (const gl_batch_t &b)
+{
+  std::map<uint64_t, int> gangs;
+
+  if (b.seq != seq + 1)
+    violate ("commit out of order");
+  seq = b.seq;
+  for (u_int i = 0; i < b.recs.recs_len; i++)
+    {
+      const gl_rec_t &r = b.recs.recs_val[i];
+      switch (r.kind)
+        {
+        case GL_REC_ACCEPT:
+          {
+            Job &j = jobs[r.gl_rec_t_u.accept.job];
+            j.spec = r.gl_rec_t_u.accept.spec;
+            j.team = r.gl_rec_t_u.accept.spec.team;
+            j.spec.name = j.spec.team = nullptr;
+            break;
+          }
+        case GL_REC_ASSIGN:
+          assign (r.gl_rec_t_u.assign, gangs);
+          break;
+        case GL_REC_END:
+          end (r.gl_rec_t_u.end);
+          break;
+        case GL_REC_CANCEL:
+          jobs[r.gl_rec_t_u.cancel.job].canceled = true;
+          break;
+        default:
+          break;
+        }
+    }
+  for (auto &g : gangs)
+    {
+      Job &j = jobs[g.first];
+      if ((size_t)g.second + j.ended.size () < j.spec.tasks)
+        violate ("gang assigned in part: " + std::to_string (g.second)
+                 + " of " + std::to_string (j.spec.tasks) + ", "
+                 + std::to_string (j.live.size ()) + " live after the commit");
+    }
+}
+
+void
+Oracle::answered (uint64_t token, gl_code_t code, uint64_t job)
+{
+  if (++answers[token] > 1)
+    violate ("a request was answered twice");
+  if (code == GL_OK && job && !jobs.count (job))
+    violate ("told accepted before it was written");
+  if (code == GL_OK && job)
+    accepted[job] = token;
+}
+
+void
+Oracle::started (const std::vector<wcore_t> &workers,
+                 const std::vector<bool> &paused,
+                 const std::vector<uint64_t> &clocks)
+{
+  std::map<std::pair<uint64_t, uint32_t>, size_t> where;
+
+  for (size_t w = 0; w < workers.size (); w++)
+    {
+      if (workers[w].overfilled)
+        violate (std::string ("worker overfilled: ") + workers[w].name);
+      for (int i = 0; i < workers[w].ntasks; i++)
+        {
+          const wtask_t &t = workers[w].tasks[i];
+          if (t.state != GL_WT_RUNNING || paused[w]
+              || clocks[w] >= workers[w].not_after
+              || (t.end_at && clocks[w] >= t.end_at))
+            continue;
+          auto key = std::make_pair (t.ref.job, t.ref.index);
+          auto ins = where.emplace (key, w);
+          if (!ins.second)
+            violate ("task runs in two places: job "
+                     + std::to_string (t.ref.job) + " index "
+                     + std::to_string (t.ref.index));
+        }
+    }
+}
+
+/* ---- world ---- */
+
+Sim::Sim (uint64_t seed, int nworkers) : rng (seed)
+{
+  scheds.resize (2);
+  workers.resize ((size_t)nworkers);
+  cut_store.assign (2, 0);
+  cut_to.assign (2, std::vector<uint64_t> (workers.size (), 0));
+  cut_back = cut_to;
+  wpaused_until.assign (workers.size (), 0);
+  wdown_until.assign (workers.size (), 0);
+  wrate.assign (workers.size (), 1);
+  held.assign (workers.size (), std::vector<Held> (2));
+  for (size_t w = 0; w < workers.size (); w++)
+    {
+      wcore_t &c = workers[w];
+      memset (&c, 0, sizeof c);
+      snprintf (c.name, sizeof c.name, "w%zu", w);
+      c.total = { 16000, 65536, w % 2 ? 4 : 0 };
+      c.plan = plan_cb;
+      c.ctx = this;
+      wcore_boot (&c, ++next_boot * 1000003);
+      oracle.total[c.name] = c.total;
+      wrate[w] = 1 + DRIFT * ((double)draw (2001) / 1000 - 1);
+      gl_vm_t vm{};
+      snprintf (vm.name, sizeof vm.name, "w%zu", w);
+      strcpy (vm.role, "worker");
+      strcpy (vm.domain, "d1");
+      snprintf (vm.rack, sizeof vm.rack, "r%zu", w / 2);
+      snprintf (vm.addr, sizeof vm.addr, "%zu", w);
+      vms.push_back (vm);
+    }
+  for (auto t : team_names)
+    oracle.team_quota[t] = { 60000, 200000, 8 };
+  for (int i = 0; i < 2; i++)
+    {
+      scheds[(size_t)i].rate = 1 + DRIFT * ((double)draw (2001) / 1000 - 1);
+      scheds[(size_t)i].offset = draw (100000);
+      boot_sched (i);
+    }
+}
+
+Sim::~Sim ()
+{
+  for (auto &s : scheds)
+    gl_sched_free (s.s);
+  for (auto &w : held)
+    for (auto &h : w)
+      if (h.on)
+        codec_free ((xdrproc_t)xdr_gl_wcall_t, &h.call);
+  kv_done (&kv);
+}
+
+uint64_t
+Sim::draw (uint64_t n)
+{
+  return n ? rng () % n : 0;
+}
+
+void
+Sim::at (uint64_t when, std::function<void ()> fn)
+{
+  events.push ({ when < now ? now : when, next_order++, std::move (fn) });
+}
+
+uint64_t
+Sim::sched_clock (int i) const
+{
+  const Sched &s = scheds[(size_t)i];
+  return s.offset + (uint64_t)((double)now * s.rate);
+}
+
+uint64_t
+Sim::worker_clock (int w) const
+{
+  return 500 + (uint64_t)((double)now * wrate[(size_t)w]);
+}
+
+uint64_t
+Sim::delay ()
+{
+  uint64_t d = 1 + draw (3);
+  if (now < slow_net_until)
+    d += draw (3000);
+  return d;
+}
+
+void
+Sim::boot_sched (int i)
+{
+  Sched &s = scheds[(size_t)i];
+  char node[16];
+  gl_sched_opts_t o{};
+
+  snprintf (node, sizeof node, "vm%d", i);
+  o.node = node;
+  o.domain = "d1";
+  o.rpc = "127.0.0.1:1";
+  o.seed = (unsigned long)draw (1 << 30) + 1;
+  o.lease = LEASE_MS_;
+  o.worker_lease = WORKER_LEASE_MS_;
+  o.hold = HOLD_MS_;
+  o.grace = GRACE_MS_;
+  gl_sched_free (s.s);
+  s.s = gl_sched_new (&o, sched_clock (i));
+  s.life++;
+  s.paused_until = 0;
+  list_vms (i);
+  gl_conf_t c;
+  char err[CONF_ERROR_LEN];
+  conf_parse (&c,
+              "[policy]\nageing_s=60\n[team gait]\ncpus=60\nmemory_gb=195\n"
+              "accels=8\n[team alerts]\ncpus=60\nmemory_gb=195\naccels=8\n",
+              NULL, err);
+  c.revision = revision;
+  gl_event_t ev{};
+  ev.kind = GL_EV_CONF;
+  ev.u.conf = &c;
+  feed (i, ev);
+  conf_done (&c);
+}
+
+void
+Sim::list_vms (int i)
+{
+  std::vector<gl_vm_t> list = vms;
+  gl_event_t ev{};
+
+  if (now < list_lag_until && !healing)
+    list.erase (list.begin () + (long)draw (list.size ()));
+  ev.kind = GL_EV_VMS;
+  ev.u.vms.vms = list.data ();
+  ev.u.vms.n = list.size ();
+  feed (i, ev);
+}
+
+void
+Sim::feed (int i, const gl_event_t &ev)
+{
+  Sched &s = scheds[(size_t)i];
+  gl_effects_t fx{};
+
+  if (!s.s)
+    return;
+  steps++;
+  gl_sched_step (s.s, &ev, sched_clock (i), &fx);
+  /* A pause may fall between a decision and its sending. */
+  if (now < s.paused_until)
+    {
+      std::shared_ptr<gl_effects_t> kept (new gl_effects_t (fx),
+                                          [] (gl_effects_t *p) {
+                                            gl_effects_free (p);
+                                            delete p;
+                                          });
+      uint64_t life = s.life;
+      at (s.paused_until, [this, i, kept, life] {
+        if (scheds[(size_t)i].life == life)
+          carry_out (i, *kept);
+      });
+      return;
+    }
+  carry_out (i, fx);
+  gl_effects_free (&fx);
+}
+
+void
+Sim::carry_out (int i, gl_effects_t &fx)
+{
+  Sched &s = scheds[(size_t)i];
+
+  for (size_t k = 0; k < fx.n; k++)
+    {
+      gl_effect_t &e = fx.v[k];
+      switch (e.kind)
+        {
+        case GL_FX_STORE_GET:
+        case GL_FX_STORE_CAS:
+          send_store (i, e);
+          break;
+        case GL_FX_WORKER:
+          send_worker (i, e);
+          break;
+        case GL_FX_ANSWER:
+          oracle.answered (e.u.answer.token, e.u.answer.code, e.u.answer.job);
+          break;
+        case GL_FX_LOG:
+          if (trace)
+            trace (std::to_string (now) + " vm" + std::to_string (i) + ": "
+                   + e.u.log);
+          break;
+        case GL_FX_STOPPED:
+          {
+            uint64_t life = s.life;
+            at (now + 200, [this, i, life] {
+              if (scheds[(size_t)i].life == life)
+                boot_sched (i);
+            });
+            break;
+          }
+        }
+    }
+}
+
+/* ---- store ---- */
+
+void
+Sim::send_store (int i, gl_effect_t &e)
+{
+  uint64_t life = scheds[(size_t)i].life;
+  std::string key = e.u.store.key;
+  std::string data (e.data ? e.data : "", e.len);
+  uint32_t tag = e.u.store.tag;
+  uint64_t index = e.u.store.index;
+  gl_fx_kind_t kind = e.kind;
+  uint64_t d = delay ();
+  /* Every operation ends with one event, whatever becomes of it. */
+  auto open = std::make_shared<bool> (true);
+  auto answer = [=, this] (gl_store_status_t st, uint64_t got,
+                           const std::string &out) {
+    if (*open)
+      answer_store (i, life, tag, st, got, out);
+    *open = false;
+  };
+
+  store_calls++;
+  if (now < cut_store[(size_t)i])
+    {
+      /* Cut on the way out: sure failure or silence. */
+      bool sure = draw (2);
+      at (now + (sure ? 1 : STORE_TIMEOUT_MS),
+          [=] { answer (sure ? GL_ST_REFUSED : GL_ST_UNKNOWN, 0, ""); });
+      return;
+    }
+  if (now < store_slow_until)
+    d += draw (2500);
+  at (now + d, [=, this] { run_store (i, kind, key, index, data, answer); });
+  at (now + STORE_TIMEOUT_MS, [=] { answer (GL_ST_UNKNOWN, 0, ""); });
+}
+
+void
+Sim::run_store (int i, gl_fx_kind_t kind, std::string key, uint64_t index,
+                std::string data, StoreAnswer answer)
+{
+  gl_store_status_t st = GL_ST_OK;
+  uint64_t got = 0;
+  std::string out;
+
+  if (now < store_down_until)
+    {
+      bool sure = draw (2);
+      at (now + (sure ? 1 : STORE_TIMEOUT_MS / 2),
+          [=] { answer (sure ? GL_ST_REFUSED : GL_ST_UNKNOWN, 0, ""); });
+      return;
+    }
+  if (kind == GL_FX_STORE_GET)
+    {
+      kv_entry_t *e = kv_get (&kv, key.c_str (), 0);
+      st = e ? GL_ST_OK : GL_ST_ABSENT;
+      if (e)
+        {
+          got = e->index;
+          out.assign (e->data, e->len);
+        }
+    }
+  else
+    {
+      got = kv_cas (&kv, key.c_str (), index, data.data (), data.size (), 0, 0);
+      st = got ? GL_ST_OK : GL_ST_CONFLICT;
+      gl_batch_t b{};
+      if (got && key.find ("/log/") != std::string::npos
+          && !codec_decode ((xdrproc_t)xdr_gl_batch_t, &b, data.data (),
+                            data.size ()))
+        {
+          if (trace)
+            trace (std::to_string (now) + " vm" + std::to_string (i)
+                   + ": commit " + std::to_string (b.seq) + " epoch "
+                   + std::to_string (b.epoch) + " records "
+                   + std::to_string (b.recs.recs_len));
+          oracle.written (b);
+          codec_free ((xdrproc_t)xdr_gl_batch_t, &b);
+        }
+    }
+  /* Cut on the way back, or lost: the write has taken effect all the same. */
+  if (now < cut_store[(size_t)i] || (now < lose_until && draw (2)))
+    at (now + STORE_TIMEOUT_MS / 2, [=] { answer (GL_ST_UNKNOWN, 0, ""); });
+  else
+    at (now + delay (), [=] { answer (st, got, out); });
+}
+
+void
+Sim::answer_store (int i, uint64_t life, uint32_t tag,
+                   gl_store_status_t status, uint64_t index, std::string data)
+{
+  Sched &s = scheds[(size_t)i];
+  gl_event_t ev{};
+
+  if (s.life != life || !s.s)
+    return;
+  if (now < s.paused_until)
+    {
+      at (s.paused_until,
+          [=, this] { answer_store (i, life, tag, status, index, data); });
+      return;
+    }
+  ev.kind = GL_EV_STORE;
+  ev.u.store.tag = tag;
+  ev.u.store.status = status;
+  ev.u.store.index = index;
+  ev.u.store.data = data.data ();
+  ev.u.store.len = data.size ();
+  feed (i, ev);
+}
+
+/* ---- workers ---- */
+
+void
+Sim::send_worker (int i, gl_effect_t &e)
+{
+  uint64_t life = scheds[(size_t)i].life;
+  uint32_t w = e.u.worker.worker;
+  uint32_t call = e.u.worker.call;
+  uint64_t timeout = e.u.worker.timeout;
+  std::string data (e.data, e.len);
+  size_t target = (size_t)atoi (e.u.worker.addr);
+
+  if (sched_clock (i) >= e.u.worker.send_before)
+    {
+      at (now + 1,
+          [=, this] { answer_worker (i, life, w, call, GL_CALL_NOT_SENT, ""); });
+      return;
+    }
+  at (now + timeout,
+      [=, this] { answer_worker (i, life, w, call, GL_CALL_UNKNOWN, ""); });
+  if (now < cut_to[(size_t)i][target])
+    return;
+  uint32_t t32 = (uint32_t)target;
+  auto go = [=, this] (bool twin) {
+    at_worker (i, life, t32 | (w << 16), call, data, twin);
+  };
+  at (now + delay (), [=] { go (false); });
+  /* A copy may arrive late, as after a retransmission by a middlebox. */
+  if (now < slow_net_until && draw (3) == 0)
+    at (now + 500 + draw (8000), [=] { go (true); });
+}
+
+void
+Sim::at_worker (int i, uint64_t life, uint32_t ww, uint32_t call,
+                std::string data, bool twin)
+{
+  uint32_t target = ww & 0xffff;
+  uint32_t w = ww >> 16;
+  wcore_t &c = workers[target];
+  gl_wcall_t msg{};
+  gl_wreply_t reply{};
+
+  if (now < wdown_until[target])
+    return;
+  if (now < wpaused_until[target])
+    {
+      at (wpaused_until[target] + 1,
+          [=, this] { at_worker (i, life, ww, call, data, twin); });
+      return;
+    }
+  if (codec_decode ((xdrproc_t)xdr_gl_wcall_t, &msg, data.data (),
+                    data.size ()))
+    return;
+  auto answer = [=, this] (gl_wreply_t *r) {
+    size_t len;
+    char *text = codec_encode ((xdrproc_t)xdr_gl_wreply_t, r, &len);
+    std::string out (text, len);
+    free (text);
+    if (!twin && now >= cut_back[(size_t)i][target])
+      at (now + delay (), [=, this] {
+        answer_worker (i, life, w, call, GL_CALL_ANSWERED, out);
+      });
+  };
+  wcore_call (&c, worker_clock ((int)target), &msg, &reply);
+  check ();
+  Held &h = held[target][(size_t)i];
+  if (msg.hold_ms && reply.status == GL_W_OK && !wcore_news (&c, msg.seen_seq)
+      && !twin)
+    {
+      if (h.on)
+        codec_free ((xdrproc_t)xdr_gl_wcall_t, &h.call);
+      h.on = true;
+      h.call = msg;
+      h.until = now + msg.hold_ms;
+      h.answer = answer;
+      codec_free ((xdrproc_t)xdr_gl_wreply_t, &reply);
+      at (h.until, [this, target] { release_held ((int)target); });
+    }
+  else
+    {
+      answer (&reply);
+      codec_free ((xdrproc_t)xdr_gl_wreply_t, &reply);
+      codec_free ((xdrproc_t)xdr_gl_wcall_t, &msg);
+    }
+  release_held ((int)target);
+}
+
+void
+Sim::release_held (int w)
+{
+  wcore_t &c = workers[(size_t)w];
+
+  if (now < wpaused_until[(size_t)w] || now < wdown_until[(size_t)w])
+    return;
+  for (auto &h : held[(size_t)w])
+    {
+      gl_wreply_t r{};
+      if (!h.on || (now < h.until && !wcore_news (&c, h.call.seen_seq)))
+        continue;
+      h.on = false;
+      if (h.call.epoch == c.epoch)
+        {
+          wcore_news_reply (&c, worker_clock (w), &h.call, &r);
+          h.answer (&r);
+          codec_free ((xdrproc_t)xdr_gl_wreply_t, &r);
+        }
+      codec_free ((xdrproc_t)xdr_gl_wcall_t, &h.call);
+    }
+}
+
+void
+Sim::answer_worker (int i, uint64_t life, uint32_t w, uint32_t call,
+                    gl_call_status_t st, std::string data)
+{
+  Sched &s = scheds[(size_t)i];
+  gl_wreply_t r{};
+  gl_event_t ev{};
+
+  if (s.life != life || !s.s)
+    return;
+  if (now < s.paused_until)
+    {
+      at (s.paused_until,
+          [=, this] { answer_worker (i, life, w, call, st, data); });
+      return;
+    }
+  ev.kind = GL_EV_WORKER;
+  ev.u.worker.worker = w;
+  ev.u.worker.call = call;
+  ev.u.worker.status = st;
+  ev.u.worker.reply = &r;
+  if (st == GL_CALL_ANSWERED
+      && codec_decode ((xdrproc_t)xdr_gl_wreply_t, &r, data.data (),
+                       data.size ()))
+    ev.u.worker.status = GL_CALL_UNKNOWN;
+  feed (i, ev);
+  if (st == GL_CALL_ANSWERED)
+    codec_free ((xdrproc_t)xdr_gl_wreply_t, &r);
+}
+
+void
+Sim::plan_cb (void *ctx, const wcore_t *w, const gl_start_t *s,
+              uint64_t *run_ms, gl_outcome_t *will)
+{
+  ((Sim *)ctx)->plan (w, s, run_ms, will);
+}
+
+/* Declared run times are often far off; services run on. */
+void
+Sim::plan (const wcore_t *w, const gl_start_t *s, uint64_t *run_ms,
+           gl_outcome_t *will)
+{
+  (void)w;
+  *run_ms = s->runtime_s ? 50 + draw (s->runtime_s * 2000) : 0;
+  *will = draw (10) ? GL_OUT_OK : GL_OUT_FAILED;
+}
+
+void
+Sim::tick_workers ()
+{
+  for (size_t w = 0; w < workers.size (); w++)
+    {
+      if (now < wpaused_until[w] || now < wdown_until[w])
+        continue;
+      wcore_tick (&workers[w], worker_clock ((int)w));
+      release_held ((int)w);
+    }
+}
+
+void
+Sim::check ()
+{
+  std::vector<bool> paused;
+  std::vector<uint64_t> clocks;
+
+  for (size_t w = 0; w < workers.size (); w++)
+    {
+      paused.push_back (now < wpaused_until[w] || now < wdown_until[w]);
+      clocks.push_back (worker_clock ((int)w));
+    }
+  oracle.started (workers, paused, clocks);
+}
+
+/* ---- time ---- */
+
+void
+Sim::run (uint64_t ms)
+{
+  uint64_t end = now + ms;
+
+  while (violation ().empty ())
+    {
+      uint64_t next = end;
+      int who = -1;
+
+      if (!events.empty () && events.top ().at < next)
+        next = events.top ().at;
+      for (int i = 0; i < 2; i++)
+        {
+          Sched &s = scheds[(size_t)i];
+          if (!s.s)
+            continue;
+          gl_ms_t due = gl_sched_due (s.s);
+          if (due == UINT64_MAX)
+            continue;
+          uint64_t t = due <= s.offset
+                           ? now
+                           : (uint64_t)((double)(due - s.offset) / s.rate) + 1;
+          if (t < now)
+            t = now;
+          if (t < s.paused_until)
+            t = s.paused_until;
+          if (t < next)
+            {
+              next = t;
+              who = i;
+            }
+        }
+      if (next >= end)
+        break;
+      now = next;
+      tick_workers ();
+      if (who >= 0)
+        {
+          gl_event_t ev{};
+          ev.kind = GL_EV_TICK;
+          feed (who, ev);
+          /* The clock must move past a timer that its rate rounds down. */
+          if (gl_sched_due (scheds[(size_t)who].s) <= sched_clock (who))
+            now++;
+        }
+      else if (!events.empty ())
+        {
+          auto fn = events.top ().fn;
+          events.pop ();
+          fn ();
+        }
+    }
+  now = end > now ? end : now;
+  check ();
+}
+
+int
+Sim::active () const
+{
+  uint64_t best = 0;
+  int who = -1;
+  for (int i = 0; i < 2; i++)
+    {
+      uint64_t epoch;
+      if (scheds[(size_t)i].s && gl_sched_active (scheds[(size_t)i].s, &epoch)
+          && epoch > best)
+        {
+          best = epoch;
+          who = i;
+        }
+    }
+  return who;
+}
+
+/* ---- operators ---- */
+
+void
+Sim::submit_spec (uint64_t id, gl_class_t cls, uint32_t tasks, gl_res_t need,
+                  uint32_t runtime_s, uint32_t max_attempts, const char *team)
+{
+  char name[32];
+  gl_jobspec_t p{};
+  gl_event_t ev{};
+
+  snprintf (name, sizeof name, "job%llu", (unsigned long long)id);
+  p.name = name;
+  p.team = (char *)team;
+  p.cls = cls;
+  p.tasks = tasks;
+  p.need = need;
+  p.runtime_s = runtime_s;
+  p.max_attempts = max_attempts;
+  ev.kind = GL_EV_SUBMIT;
+  ev.u.submit.token = next_token++;
+  ev.u.submit.job = id;
+  ev.u.submit.spec = &p;
+  for (int i = 0; i < 2; i++)
+    if (gl_sched_active (scheds[(size_t)i].s, NULL)
+        && now >= scheds[(size_t)i].paused_until)
+      {
+        ev.u.submit.token = next_token++;
+        feed (i, ev);
+      }
+}
+
+void
+Sim::submit (uint64_t arg)
+{
+  gl_class_t cls = (gl_class_t)(arg % 4);
+  uint32_t tasks = cls == GL_CLASS_GANG ? 2 + (arg >> 2) % 4
+                                        : 1 + (arg >> 2) % 3;
+  gl_res_t need = { 1000 + (int)((arg >> 5) % 8) * 1000,
+                    1024 * (1 + (int)((arg >> 8) % 16)),
+                    (arg >> 12) % 5 == 0 ? 1 : 0 };
+  uint32_t runtime = cls == GL_CLASS_SERVICE ? 0 : 1 + (arg >> 15) % 20;
+
+  submit_spec (next_job++, cls, tasks, need, runtime, 8,
+               team_names[(arg >> 20) % 2]);
+}
+
+void
+Sim::cancel (uint64_t arg)
+{
+  gl_event_t ev{};
+
+  ev.kind = GL_EV_CANCEL;
+  ev.u.cancel.job = 1 + arg % next_job;
+  for (int i = 0; i < 2; i++)
+    if (gl_sched_active (scheds[(size_t)i].s, NULL)
+        && now >= scheds[(size_t)i].paused_until)
+      {
+        ev.u.cancel.token = next_token++;
+        feed (i, ev);
+      }
+}
+
+void
+Sim::cordon (uint64_t arg)
+{
+  gl_event_t ev{};
+
+  ev.kind = GL_EV_CORDON;
+  ev.u.cordon.worker = workers[arg % workers.size ()].name;
+  ev.u.cordon.on = (arg >> 4) % 2;
+  for (int i = 0; i < 2; i++)
+    if (gl_sched_active (scheds[(size_t)i].s, NULL)
+        && now >= scheds[(size_t)i].paused_until)
+      {
+        ev.u.cordon.token = next_token++;
+        feed (i, ev);
+      }
+}
+
+void
+Sim::fault (Fault f, uint64_t arg, uint64_t ms)
+{
+  size_t i = arg % 2;
+  size_t w = (arg >> 1) % workers.size ();
+
+  switch (f)
+    {
+    case Fault::KillSched:
+      boot_sched ((int)i);
+      break;
+    case Fault::PauseSched:
+      scheds[i].paused_until = now + ms;
+      break;
+    case Fault::StopSched:
+      {
+        gl_event_t ev{};
+        ev.kind = GL_EV_STOP;
+        feed ((int)i, ev);
+        break;
+      }
+    case Fault::StoreDown:
+      store_down_until = now + ms;
+      break;
+    case Fault::StoreSlow:
+      store_slow_until = now + ms;
+      break;
+    case Fault::LoseAnswers:
+      lose_until = now + ms;
+      break;
+    case Fault::CutStore:
+      cut_store[i] = now + ms;
+      break;
+    case Fault::CutWorker:
+      cut_to[i][w] = now + ms;
+      break;
+    case Fault::CutWorkerBack:
+      cut_back[i][w] = now + ms;
+      break;
+    case Fault::KillWorker:
+      wdown_until[w] = now + ms;
+      wcore_boot (&workers[w], ++next_boot * 1000003);
+      for (auto &h : held[w])
+        if (h.on)
+          {
+            h.on = false;
+            codec_free ((xdrproc_t)xdr_gl_wcall_t, &h.call);
+          }
+      break;
+    case Fault::PauseWorker:
+      wpaused_until[w] = now + ms;
+      break;
+    case Fault::ListLag:
+      list_lag_until = now + ms;
+      list_vms ((int)i);
+      break;
+    case Fault::SlowNet:
+      slow_net_until = now + ms;
+      break;
+    default:
+      break;
+    }
+}
+
+void
+Sim::heal ()
+{
+  healing = true;
+  store_down_until = store_slow_until = lose_until = slow_net_until = 0;
+  cut_store.assign (2, 0);
+  for (auto *cut : { &cut_to, &cut_back })
+    for (auto &v : *cut)
+      v.assign (workers.size (), 0);
+  wpaused_until.assign (workers.size (), 0);
+  wdown_until.assign (workers.size (), 0);
+  for (auto &s : scheds)
+    s.paused_until = 0;
+}
+
+/* What the active scheduler says of a job, empty when it knows none. */
+std::string
+Sim::job_text (uint64_t id)
+{
+  int i = active ();
+  char *text
+      = i < 0 ? NULL
+              : gl_sched_view (scheds[(size_t)i].s, "job", id,
+                               sched_clock (i));
+  std::string t = text ? text : "";
+
+  free (text);
+  return t;
+}
+
+/* The first job that has not come to its end, 0 when all have. */
+uint64_t
+Sim::unsettled ()
+{
+  for (auto &j : oracle.jobs)
+    {
+      std::string t = job_text (j.first);
+      bool done = t.find ("\"state\":\"finished\"") != std::string::npos
+                  || t.find ("\"state\":\"failed\"") != std::string::npos
+                  || t.find ("\"state\":\"canceled\"") != std::string::npos;
+      if (!done)
+        return j.first;
+    }
+  return 0;
+}
+
+bool
+Sim::settle ()
+{
+  uint64_t left = 0;
+
+  heal ();
+  for (int round = 0; round < 240 && violation ().empty (); round++)
+    {
+      for (int i = 0; i < 2; i++)
+        list_vms (i);
+      for (size_t w = 0; w < workers.size (); w++)
+        cordon (w);
+      for (auto &j : oracle.jobs)
+        if (j.second.spec.cls == GL_CLASS_SERVICE && !j.second.canceled)
+          cancel (j.first - 1);
+      run (5000);
+      left = unsettled ();
+      if (!left && active () >= 0)
+        return true;
+    }
+  if (violation ().empty ())
+    oracle.violate ("accepted job " + std::to_string (left)
+                    + " not settled: " + job_text (left));
+  return false;
+}
+
+void
+Sim::reconfigure (uint64_t rev)
+{
+  gl_conf_t c;
+  char err[CONF_ERROR_LEN];
+
+  conf_parse (&c, "[team gait]\ncpus=60\nmemory_gb=195\naccels=8\n"
+                  "[team alerts]\ncpus=60\nmemory_gb=195\naccels=8\n",
+              NULL, err);
+  c.revision = rev;
+  for (int i = 0; i < 2; i++)
+    {
+      gl_event_t ev{};
+      ev.kind = GL_EV_CONF;
+      ev.u.conf = &c;
+      feed (i, ev);
+    }
+  conf_done (&c);
+}
