--- a/src/lease.c
+++ b/src/lease.c
@@ -33,7 +33,7 @@
 {
   if (s->role != ROLE_ACTIVE)
     return 0;
-  return s->now < s->lease.end || FAULT (FAULT_IGNORE_OWNER_LEASE);
+  return s->now < s->lease.end;
 }
 
 int
--- a/src/place.c
+++ b/src/place.c
@@ -230,6 +230,8 @@
   if (!w->usable || i == want->avoid || w->reserved > want->level)
     return 0;
   room = place_free (p, i);
+  if (FAULT (FAULT_OVERFILL))
+    room.memory_mb = w->total.memory_mb;
   return place_fits (&want->need, &room);
 }
 
--- a/src/policy.c
+++ b/src/policy.c
@@ -68,10 +68,20 @@
 
 /* ---- feasibility ---- */
 
+/* Whether the capacity of every listed worker is known, so that a verdict
+   of "never" can be given. */
 static int
 workers_known (const gl_sched_t *s)
 {
-  return s->place.sum_cpus > 0;
+  int known = 0;
+
+  for (int i = 0; i < s->nworkers; i++)
+    {
+      if (s->workers[i].listed && !s->place.w[i].total.cpus_m)
+        return 0;
+      known += s->workers[i].listed;
+    }
+  return known > 0;
 }
 
 /* How many tasks of this need @room could hold. */
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -307,6 +307,8 @@
  * struct log_t - the journal
  * @seq: last committed commit
  * @base_seq: last commit covered by the snapshot in force
+ * @base_fenced: the base record carries our epoch, so no former owner can
+ *   switch it any more
  * @index: index of each ring slot's record, 0 when not known
  * @data: the commit in flight
  */
@@ -316,6 +318,9 @@
   uint64_t base_seq;
   uint64_t base_index;
   uint32_t base_slot;
+  uint32_t base_chunks;
+  uint32_t base_bytes;
+  int base_fenced;
   uint64_t index[RING_SLOTS];
   unsigned char absent[RING_SLOTS];
   recs_t pending;
--- a/src/snap.c
+++ b/src/snap.c
@@ -9,6 +9,11 @@
  * reads a chunk before it replaces it: a former owner thus finds a later
  * epoch, or has its compare-and-swap refused, and can never damage the set
  * that its successor relies on.
+ *
+ * The takeover in the log does not stop a former owner from switching the
+ * base record.  So before its first chunk an owner writes the base record
+ * anew under its own epoch, with the content that it then finds there; only
+ * after this does it know which set is the spare one.
  */
 #include "schedint.h"
 
@@ -24,6 +29,8 @@
   free (s->snap.data);
   s->snap.data = NULL;
   s->snap.len = 0;
+  s->snap.chunk = 0;
+  s->snap.chunks = 0;
   s->snap.busy = 0;
   s->snap.loading = 0;
   s->snap.op_out = 0;
@@ -134,7 +141,6 @@
     return;
   s->snap.busy = 1;
   s->snap.seq = seq;
-  s->snap.slot = 1 - s->log.base_slot;
   s->snap.chunk = 0;
   s->snap.chunks = (uint32_t)((s->snap.len + CHUNK_BYTES - 1) / CHUNK_BYTES);
   s->snap.last_len = s->snap.len;
@@ -157,18 +163,35 @@
 }
 
 static void
-push_base (gl_sched_t *s)
+write_base (gl_sched_t *s, const gl_base_t *b)
 {
-  log_t *l = &s->log;
-  gl_base_t b = { s->epoch, s->snap.seq, s->snap.slot, s->snap.chunks,
-                  (u_int)s->snap.len };
   size_t len;
-  char *data = codec_encode ((xdrproc_t)xdr_gl_base_t, &b, &len);
+  char *data = codec_encode ((xdrproc_t)xdr_gl_base_t, b, &len);
 
   if (!data)
     return;
   s->snap.op_out = 1;
-  store_cas (s, OP_BASE_CAS, "base", l->base_index, data, len);
+  store_cas (s, OP_BASE_CAS, "base", s->log.base_index, data, len);
+}
+
+/* The base record as it stands, under our epoch. */
+static void
+push_fence (gl_sched_t *s)
+{
+  const log_t *l = &s->log;
+  gl_base_t b = { s->epoch, l->base_seq, l->base_slot, l->base_chunks,
+                  l->base_bytes };
+
+  write_base (s, &b);
+}
+
+static void
+push_base (gl_sched_t *s)
+{
+  gl_base_t b = { s->epoch, s->snap.seq, s->snap.slot, s->snap.chunks,
+                  (u_int)s->snap.len };
+
+  write_base (s, &b);
 }
 
 void
@@ -178,6 +201,12 @@
 
   if (!s->snap.busy || s->snap.op_out || s->log.seq < s->snap.seq)
     return;
+  if (!s->log.base_fenced)
+    {
+      push_fence (s);
+      return;
+    }
+  s->snap.slot = 1 - s->log.base_slot;
   if (s->snap.chunk == s->snap.chunks)
     {
       push_base (s);
@@ -243,13 +272,14 @@
 }
 
 static void
-base_is_ours (gl_sched_t *s, uint64_t index)
+switched (gl_sched_t *s)
 {
   log_t *l = &s->log;
 
-  l->base_index = index;
   l->base_seq = s->snap.seq;
   l->base_slot = s->snap.slot;
+  l->base_chunks = s->snap.chunks;
+  l->base_bytes = (uint32_t)s->snap.len;
   s->c.snapshots++;
   snap_reset (s);
   /* A full ring has kept the takeover waiting. */
@@ -257,6 +287,40 @@
     journal_take_over (s);
 }
 
+/* A write of the base record is known to have taken effect. */
+static void
+base_written (gl_sched_t *s, uint64_t index)
+{
+  s->log.base_index = index;
+  if (s->log.base_fenced)
+    {
+      switched (s);
+      return;
+    }
+  s->log.base_fenced = 1;
+  snap_push (s);
+}
+
+/* What a write of ours would have left there. */
+static int
+is_our_write (const gl_sched_t *s, const gl_base_t *b)
+{
+  return b->epoch == s->epoch
+         && b->seq == (s->log.base_fenced ? s->snap.seq : s->log.base_seq);
+}
+
+/* A former owner has switched the base record since it was loaded. */
+static void
+adopt_base (gl_sched_t *s, const gl_base_t *b)
+{
+  log_t *l = &s->log;
+
+  l->base_seq = b->seq;
+  l->base_slot = b->slot;
+  l->base_chunks = b->chunks;
+  l->base_bytes = b->bytes;
+}
+
 /* The base record was read because the answer to its write was lost. */
 static void
 base_reread (gl_sched_t *s, const gl_event_t *ev)
@@ -274,10 +338,14 @@
     return;
   if (b.epoch > s->epoch)
     lease_lost (s, "a base record of a later epoch is written");
-  else if (b.epoch == s->epoch && b.seq == s->snap.seq)
-    base_is_ours (s, ev->u.store.index);
+  else if (is_our_write (s, &b))
+    base_written (s, ev->u.store.index);
   else
-    s->log.base_index = ev->u.store.index;
+    {
+      s->log.base_index = ev->u.store.index;
+      if (!s->log.base_fenced)
+        adopt_base (s, &b);
+    }
 }
 
 /* ---- loading ---- */
@@ -340,7 +408,7 @@
     return;
   if (codec_decode ((xdrproc_t)xdr_gl_base_t, &b, ev->u.store.data,
                     ev->u.store.len)
-      || b.chunks > CHUNKS_MAX || !b.chunks)
+      || b.chunks > CHUNKS_MAX || b.slot > 1)
     {
       lease_lost (s, "the base record cannot be read");
       return;
@@ -352,10 +420,12 @@
       return;
     }
   l->base_index = ev->u.store.index;
-  l->base_seq = b.seq;
-  l->base_slot = b.slot;
+  adopt_base (s, &b);
   s->snap.chunks = b.chunks;
-  snap_resume (s);
+  if (b.chunks)
+    snap_resume (s);
+  else
+    loaded (s);
 }
 
 static void
@@ -505,7 +575,7 @@
       break;
     case OP_BASE_CAS:
       if (ev->u.store.status == GL_ST_OK)
-        base_is_ours (s, ev->u.store.index);
+        base_written (s, ev->u.store.index);
       else if (ev->u.store.status != GL_ST_REFUSED)
         {
           s->snap.op_out = 1;
--- a/src/workers.c
+++ b/src/workers.c
@@ -234,13 +234,6 @@
   return s->lease.end + s->opts.grace;
 }
 
-/* The same for starts: past the owner lease none may leave. */
-static gl_ms_t
-start_until (const gl_sched_t *s)
-{
-  return FAULT (FAULT_IGNORE_OWNER_LEASE) ? TIMER_NEVER : s->lease.end;
-}
-
 static void
 grant (gl_sched_t *s, worker_t *w, gl_wcall_t *call)
 {
@@ -335,7 +328,7 @@
   call.stops.stops_val = stops;
   grant (s, w, &call);
   send_call (s, i, &w->cmd, &call, CALL_TIMEOUT_MS,
-             call.starts.starts_len ? start_until (s) : renew_until (s));
+             call.starts.starts_len ? s->lease.end : renew_until (s));
 }
 
 static void
@@ -364,7 +357,7 @@
 bound (const gl_sched_t *s, const worker_t *w)
 {
   if (FAULT (FAULT_NO_RUN_OUT))
-    return s->now;
+    return 0;
   if (w->lease_acked || FAULT (FAULT_NO_INHERITED_BOUND))
     return w->granted;
   return w->granted > w->inherited ? w->granted : w->inherited;
@@ -532,7 +525,7 @@
       job_t *j = pool_get (&s->jobs, ref.job);
       task_t *t = &j->tasks[ref.index];
 
-      if (t->boot != r->boot
+      if ((t->boot != r->boot && !FAULT (FAULT_SKIP_BOOT_CHECK))
           || (t->confirmed && !listed (r, j->id, ref.index, t->attempt)))
         task_end_logged (s, ref, GL_OUT_LOST);
     }
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -1,6 +1,7 @@
 /* sim.cc -- one domain in virtual time; see sim.h */
 #include "sim.h"
 
+#include <algorithm>
 #include <cstring>
 #include <memory>
 
@@ -443,6 +444,11 @@
           codec_free ((xdrproc_t)xdr_gl_batch_t, &b);
         }
     }
+  if (trace && getenv ("GL_TRACE_STORE"))
+    trace (std::to_string (now) + " vm" + std::to_string (i) + ": "
+           + (kind == GL_FX_STORE_GET ? "get " : "cas ") + key + " index "
+           + std::to_string (index) + " -> " + std::to_string (st) + " "
+           + std::to_string (got));
   /* Cut on the way back, or lost: the write has taken effect all the same. */
   if (now < cut_store[(size_t)i] || (now < lose_until && draw (2)))
     at (now + STORE_TIMEOUT_MS / 2, [=] { answer (GL_ST_UNKNOWN, 0, ""); });
@@ -907,6 +913,25 @@
   return t;
 }
 
+/* Whether all workers together, empty, could hold a gang or one task. */
+bool
+Oracle::feasible (const Job &j) const
+{
+  uint32_t fit = 0;
+
+  for (auto &t : total)
+    {
+      const gl_res_t &n = j.spec.need;
+      int k = t.second.cpus_m / n.cpus_m;
+      if (n.memory_mb)
+        k = std::min (k, t.second.memory_mb / n.memory_mb);
+      if (n.accels)
+        k = std::min (k, t.second.accels / n.accels);
+      fit += (uint32_t)k;
+    }
+  return fit >= (j.spec.cls == GL_CLASS_GANG ? j.spec.tasks : 1);
+}
+
 /* The first job that has not come to its end, 0 when all have. */
 uint64_t
 Sim::unsettled ()
@@ -917,6 +942,10 @@
       bool done = t.find ("\"state\":\"finished\"") != std::string::npos
                   || t.find ("\"state\":\"failed\"") != std::string::npos
                   || t.find ("\"state\":\"canceled\"") != std::string::npos;
+      /* Accepted before the workers were known, and told to wait. */
+      if (!oracle.feasible (j.second)
+          && t.find ("no present worker") != std::string::npos)
+        done = true;
       if (!done)
         return j.first;
     }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -42,6 +42,7 @@
     std::map<uint32_t, uint32_t> attempt;
     bool canceled = false;
   };
+  bool feasible (const Job &j) const;
   std::map<uint64_t, Job> jobs;
   std::map<std::string, gl_res_t> total;
   std::map<std::string, gl_res_t> granted;
