--- a/Makefile
+++ b/Makefile
@@ -15,17 +15,41 @@
 CORE = pool timer metrics place conf codec fx jobs workers lease journal \
 	snap policy sched view
 GEN = gl_rec_xdr
+# Reducer of the entry, and the I/O that the daemons share.
+ROUTE = route upstream claim
+IO = ask logs loop httpc httpd rpcc rpcd settings storehttp listhttp \
+	workhttp daemon
+PROGRAMS = scheduler entry admin glctl
+STANDINS = platform workers upstreams
 
 CORE_O = $(CORE:%=$(BUILD)/src/%.o) $(GEN:%=$(BUILD)/proto/%.o)
 
-all: $(CORE_O)
+LIB_O = $(CORE_O) $(ROUTE:%=$(BUILD)/src/%.o) $(IO:%=$(BUILD)/src/%.o) \
+	$(BUILD)/proto/gl_rpc_xdr.o
+LIB = $(BUILD)/libgentianlatch.a
+BINS = $(BUILD)/gl-scheduler $(BUILD)/gl-entry $(BUILD)/gl-admin \
+	$(BUILD)/glctl
+STANDIN_BINS = $(STANDINS:%=$(BUILD)/standin-%)
+
+all: $(BINS) $(STANDIN_BINS)
+
+$(LIB): $(LIB_O)
+	@rm -f $@; ar rcs $@ $^
+$(BUILD)/gl-%: $(BUILD)/src/%.o $(LIB)
+	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
+$(BUILD)/glctl: $(BUILD)/src/glctl.o $(LIB)
+	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
+$(BUILD)/standin-%: $(BUILD)/standin/%.o $(BUILD)/standin/kvcore.o \
+		$(BUILD)/standin/wcore.o $(BUILD)/standin/register.o $(LIB)
+	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
+.SECONDARY:
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	@echo CC $<; $(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+	@echo CC $<; $(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 $(BUILD)/%.o: %.cc
 	@mkdir -p $(@D)
-	@echo CXX $<; $(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
+	@echo CXX $<; $(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/proto/%.o $(BUILD)/t/proto/%.o: WARN = -Wno-unused-variable
 
@@ -39,13 +63,76 @@
 	$(TBUILD)/standin/kvcore.o $(TBUILD)/standin/wcore.o
 $(TBUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	@echo CC $<; $(CC) $(CPPFLAGS) $(TFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+	@echo CC $<; $(CC) $(CPPFLAGS) $(TFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 $(TBUILD)/%.o: %.cc
 	@mkdir -p $(@D)
-	@echo CXX $<; $(CXX) $(CPPFLAGS) $(TFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
+	@echo CXX $<; $(CXX) $(CPPFLAGS) $(TFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/fuzz_sched: $(TBUILD)/tests/fuzz_sched.o $(TBUILD)/tests/sim.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
 
+$(BUILD)/fuzz_route: $(TBUILD)/tests/fuzz_route.o $(ROUTE:%=$(TBUILD)/src/%.o) \
+		$(T_CORE)
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
+$(BUILD)/unit: $(TBUILD)/tests/unit.o $(ROUTE:%=$(TBUILD)/src/%.o) \
+		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
+
+TESTS = fuzz_sched
+
+tests: $(TESTS:%=$(BUILD)/%)
+
+# What the tests and the build need; the same line as in .ci/run.
+DEPS = gcc g++ make pkg-config clang-format clang-tidy cppcheck curl \
+	libck-dev libtirpc-dev rpcsvc-proto libmicrohttpd-dev \
+	libcurl4-openssl-dev liblog4c-dev libgtest-dev libjansson-dev \
+	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev
+
+deps:
+	@dpkg -s $(DEPS) >/dev/null 2>&1 \
+	  || { apt-get update -qq && apt-get install -y -qq $(DEPS); }
+
+demo: deps
+	@$(MAKE) --no-print-directory all
+	examples/demo.sh
+
+check: deps
+	@$(MAKE) --no-print-directory all tests
+	@set -e; for t in $(TESTS); do $(BUILD)/$$t; done
+	@$(MAKE) --no-print-directory asan
+
+# Fuzz for longer: make fuzz SECONDS=600 SEED=7
+SECONDS = 60
+SEED = 1
+fuzz: deps
+	@$(MAKE) --no-print-directory tests
+	@tests/fuzz.sh $(BUILD) $(SECONDS) $(SEED)
+
+# The same tests under the address and undefined-behaviour sanitizers, with
+# fewer scripts.
+ASAN_CASES = 400
 asan:
-	@$(MAKE) --no-print-directory BUILD=build-asan OPT="-O1 -g" MODE="-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer" $(TARGET)
+	@$(MAKE) --no-print-directory BUILD=build-asan OPT="-O1 -g" \
+	  MODE="-fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	  -fno-omit-frame-pointer" tests
+	@set -e; for t in $(TESTS); do \
+	  CASES=$(ASAN_CASES) build-asan/$$t --gtest_filter=-*Fault*; done
+
+SOURCES = $(wildcard src/*.[ch] standin/*.[ch] bench/*.[ch] examples/*.[ch] \
+	tests/*.h tests/*.cc)
+format:
+	clang-format -i $(SOURCES)
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+lint:
+	cppcheck --quiet --error-exitcode=1 --enable=warning,portability \
+	  --inline-suppr --suppress=missingIncludeSystem \
+	  --suppress=preprocessorErrorDirective -D__GNUC__ \
+	  '-Djson_array_foreach(a,i,v)=for (;;)' \
+	  '-Djson_object_foreach(o,k,v)=for (;;)' \
+	  -Isrc -Iproto -Istandin src standin
+
+clean:
+	rm -rf build build-asan build-tsan run
+
+.PHONY: all tests deps demo check fuzz asan format format-check lint clean
--- /dev/null
+++ b/examples/cell.sh
@@ -0,0 +1,142 @@
+# cell.sh -- functions that run a whole cell on loopback; source it from bash
+#
+# Three failure domains with two entry VMs each, and the stand-ins.  Every
+# process started here is ended here, by its number.
+
+BUILD=${BUILD:-build}
+RUN=${RUN:-run}
+DOMAINS=(rennes brest vannes)
+PORT=${PORT:-17000}
+declare -A PIDS
+
+# vm_port VM OFFSET: VM counts from 1 to 6
+vm_port() { echo $((PORT + 100 + $1 * 10 + $2)); }
+admin_of() { echo "127.0.0.1:$(vm_port "$1" 0)"; }
+entry_of() { echo "127.0.0.1:$(vm_port "$1" 2)"; }
+domain_of() { echo "${DOMAINS[$((($1 - 1) / 2))]}"; }
+platform_port() { echo $((PORT + 1 + ($1 - 1) / 2)); }
+WORKERS=127.0.0.1:$((PORT + 20))
+UPSTREAMS=127.0.0.1:$((PORT + 21))
+PLATFORM=127.0.0.1:$PORT
+CTL() { "$BUILD/glctl" --admin "$(admin_of "${VIA:-1}")" "$@"; }
+
+# start NAME COMMAND...: run in the background and remember the number
+start() {
+  local name=$1
+  shift
+  "$@" >>"$RUN/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+# stop NAME [SIGNAL]: end one process and wait for it
+stop() {
+  local pid=${PIDS[$1]:-}
+  [ -n "$pid" ] || return 0
+  kill "-${2:-TERM}" "$pid" 2>/dev/null
+  wait "$pid" 2>/dev/null
+  unset "PIDS[$1]"
+}
+
+settings() {
+  local vm=$1 file="$RUN/vm$1.ini" p
+  {
+    echo "[node]"
+    echo "name = vm$vm"
+    echo "domain = $(domain_of "$vm")"
+    echo "site = brittany"
+    echo "[platform]"
+    echo "url = http://127.0.0.1:$(platform_port "$vm")"
+    echo "[admin]"
+    echo "http = $(admin_of "$vm")"
+    echo "rpc = 127.0.0.1:$(vm_port "$vm" 1)"
+    echo "[entry]"
+    echo "http = $(entry_of "$vm")"
+    echo "rpc = 127.0.0.1:$(vm_port "$vm" 3)"
+    echo "entries = 2"
+    echo "number = $(((vm - 1) % 2))"
+    echo "[scheduler]"
+    echo "rpc = 127.0.0.1:$(vm_port "$vm" 4)"
+    echo "http = 127.0.0.1:$(vm_port "$vm" 5)"
+    echo "${SCHED_SETTINGS:-}"
+    echo "[peers]"
+    for p in 1 2 3 4 5 6; do
+      [ "$p" = "$vm" ] || echo "vm$p = 127.0.0.1:$(vm_port "$p" 1)"
+    done
+  } >"$file"
+}
+
+# start_vm VM: the three daemons of one entry VM
+start_vm() {
+  settings "$1"
+  start "admin$1" "$BUILD/gl-admin" --settings "$RUN/vm$1.ini"
+  start "scheduler$1" "$BUILD/gl-scheduler" --settings "$RUN/vm$1.ini"
+  start "entry$1" "$BUILD/gl-entry" --settings "$RUN/vm$1.ini"
+}
+
+start_standins() {
+  local d=0 args=() groups=() ups=()
+  for d in 0 1 2; do
+    args+=(--listen "${DOMAINS[$d]}=127.0.0.1:$((PORT + 1 + d))")
+    groups+=(--group "${DOMAINS[$d]},${WORKERS_EACH:-16},8,16000,65536,0")
+    groups+=(--group "${DOMAINS[$d]},2,8,16000,65536,4")
+    ups+=(--group "gait,${DOMAINS[$d]},${INSTANCES_EACH:-6},8")
+  done
+  start platform "$BUILD/standin-platform" --listen "all=$PLATFORM" "${args[@]}"
+  start workers "$BUILD/standin-workers" --listen "$WORKERS" \
+    --platform "http://$PLATFORM" "${groups[@]}"
+  start upstreams "$BUILD/standin-upstreams" --listen "$UPSTREAMS" \
+    --platform "http://$PLATFORM" --work-ms "${WORK_MS:-20}" "${ups[@]}"
+}
+
+# until_true SECONDS COMMAND...: try until it succeeds
+until_true() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $SECONDS -lt $end ] || return 1
+    sleep 0.1
+  done
+}
+
+owners() { CTL domains | grep -c ' starts '; }
+three_owners() { [ "$(owners)" = 3 ]; }
+# revision_everywhere N: every daemon has revision N in force
+revision_everywhere() {
+  [ "$(CTL nodes | grep -c "revision $1 ")" = "${2:-18}" ]
+}
+
+start_cell() {
+  local vm
+  rm -rf "$RUN"
+  mkdir -p "$RUN"
+  start_standins
+  for vm in 1 2 3 4 5 6; do
+    start_vm "$vm"
+  done
+}
+
+stop_cell() {
+  local n
+  for n in "${!PIDS[@]}"; do
+    case $n in admin* | scheduler* | entry*) kill "${PIDS[$n]}" 2>/dev/null ;; esac
+  done
+  for n in "${!PIDS[@]}"; do
+    case $n in admin* | scheduler* | entry*) wait "${PIDS[$n]}" 2>/dev/null ;; esac
+  done
+  for n in "${!PIDS[@]}"; do
+    kill "${PIDS[$n]}" 2>/dev/null
+    wait "${PIDS[$n]}" 2>/dev/null
+  done
+  PIDS=()
+}
+
+kill_cell() {
+  local n
+  for n in "${!PIDS[@]}"; do
+    kill -KILL "${PIDS[$n]}" 2>/dev/null
+  done
+}
+
+now_ms() { echo $(($(date +%s%N) / 1000000)); }
+# truth ADDRESS KEY: a number out of a stand-in's report
+truth() { curl -s "http://$1/truth" | sed -E "s/.*\"$2\":([0-9.]+).*/\1/"; }
--- a/src/conf.c
+++ b/src/conf.c
@@ -41,14 +41,12 @@
   { "policy", "domains", offsetof (gl_conf_t, domains), 1, 64, 1 },
   { "requests", "retry_percent", offsetof (gl_conf_t, retry_percent), 0, 100,
     10 },
-  { "requests", "queue_len", offsetof (gl_conf_t, queue_len), 0, 100000,
-    200 },
+  { "requests", "queue_len", offsetof (gl_conf_t, queue_len), 0, 100000, 200 },
   { "requests", "deadline_ms", offsetof (gl_conf_t, deadline_ms), 10, 600000,
     10000 },
   { "requests", "first_byte_ms", offsetof (gl_conf_t, first_byte_ms), 10,
     600000, 8000 },
-  { "requests", "leave_ms", offsetof (gl_conf_t, leave_ms), 100, 60000,
-    2000 },
+  { "requests", "leave_ms", offsetof (gl_conf_t, leave_ms), 100, 60000, 2000 },
 };
 #define NFIELDS (sizeof fields / sizeof *fields)
 
@@ -277,7 +275,7 @@
   json_t *overlays = json_object_get (d->json, "overlays");
   const char *site;
   json_t *text;
-  gl_conf_t c;
+  gl_conf_t c = { 0 };
   gl_code_t rc = conf_doc_in_force (d, "", &c, err);
 
   conf_done (&c);
--- a/src/fx.c
+++ b/src/fx.c
@@ -99,8 +99,7 @@
     return NULL;
   s->c.store_calls++;
   e->u.store.tag = (s->generation << 8) | (uint32_t)op;
-  snprintf (e->u.store.key, sizeof e->u.store.key, "gl/%s/%s", s->domain,
-            key);
+  snprintf (e->u.store.key, sizeof e->u.store.key, "gl/%s/%s", s->domain, key);
   return e;
 }
 
--- a/src/gentianlatch.h
+++ b/src/gentianlatch.h
@@ -87,6 +87,7 @@
  * struct gl_vm_t - one entry of the platform's list of VMs
  * @name: unique name
  * @role: "worker" or "upstream"
+ * @service: service that an upstream offers
  * @domain: failure domain
  * @rack: rack within the domain
  * @addr: URL prefix under which it is reached
@@ -96,6 +97,7 @@
 {
   char name[64];
   char role[12];
+  char service[32];
   char domain[32];
   char rack[32];
   char addr[96];
@@ -306,4 +308,179 @@
  */
 char *gl_sched_metrics (gl_sched_t *s);
 
+/* ---- router: callers' requests to upstreams ---- */
+
+/** enum gl_urgency_t - class of a request */
+typedef enum
+{
+  GL_REQ_URGENT = 0,
+  GL_REQ_NORMAL = 1,
+  GL_REQ_BULK = 2
+} gl_urgency_t;
+
+/**
+ * enum gl_try_t - what became of one sending of a request
+ * @GL_TRY_WHOLE: a whole answer arrived
+ * @GL_TRY_NOT_SENT: nothing left this process
+ * @GL_TRY_REFUSED: the upstream says that it did not run it
+ * @GL_TRY_UNKNOWN: it was sent and no whole answer came
+ */
+typedef enum
+{
+  GL_TRY_WHOLE = 0,
+  GL_TRY_NOT_SENT,
+  GL_TRY_REFUSED,
+  GL_TRY_UNKNOWN
+} gl_try_t;
+
+typedef enum
+{
+  GL_REV_TICK = 0,
+  GL_REV_REQUEST,
+  GL_REV_TRIED,
+  GL_REV_PROBED,
+  GL_REV_CLAIM,
+  GL_REV_VMS,
+  GL_REV_CONF,
+  GL_REV_STOP
+} gl_rev_kind_t;
+
+/**
+ * struct gl_rev_t - one event for a router
+ *
+ * request.deadline is a span from now; 0 takes the configured one.
+ * request.key is the caller's idempotency key, "" for none.
+ * tried.leaving says that the upstream refused because it is leaving.
+ * claim.data is the record read, for a get.
+ */
+typedef struct
+{
+  gl_rev_kind_t kind;
+  union
+  {
+    struct
+    {
+      uint64_t token;
+      const char *service;
+      const char *key;
+      gl_urgency_t urgency;
+      int repeatable;
+      gl_ms_t deadline;
+    } request;
+    struct
+    {
+      uint32_t request;
+      uint32_t attempt;
+      gl_try_t result;
+      int leaving;
+      gl_ms_t retry_after;
+    } tried;
+    struct
+    {
+      uint32_t instance;
+      int healthy;
+      int leaving;
+    } probed;
+    struct
+    {
+      uint32_t request;
+      gl_store_status_t status;
+      uint64_t index;
+      const char *data;
+      size_t len;
+    } claim;
+    struct
+    {
+      const gl_vm_t *vms;
+      size_t n;
+    } vms;
+    const struct gl_conf *conf;
+  } u;
+} gl_rev_t;
+
+typedef enum
+{
+  GL_RFX_SEND = 0,
+  GL_RFX_PROBE,
+  GL_RFX_RETIRE,
+  GL_RFX_CLAIM_GET,
+  GL_RFX_CLAIM_CAS,
+  GL_RFX_PASS,
+  GL_RFX_ERROR,
+  GL_RFX_LOG,
+  GL_RFX_STOPPED
+} gl_rfx_kind_t;
+
+/**
+ * struct gl_rfx_t - one thing that a router wants done
+ *
+ * GL_RFX_SEND: send the request of @token to @addr, giving up after
+ * @timeout; report as tried with the same request and attempt numbers.
+ * GL_RFX_PROBE: ask @addr for its health on a new connection.
+ * GL_RFX_RETIRE: use no connection that was open before now.
+ * GL_RFX_CLAIM_GET, GL_RFX_CLAIM_CAS: read or write the record @key; a
+ * request of 0 asks for no report.
+ * GL_RFX_PASS: the answer that was just reported is the final one.
+ * GL_RFX_ERROR: final answer with HTTP status @status; @not_run promises
+ * that no upstream has run it; @retry, if not 0, says when to come back.
+ */
+typedef struct
+{
+  gl_rfx_kind_t kind;
+  uint64_t token;
+  uint32_t request;
+  uint32_t attempt;
+  uint32_t instance;
+  char addr[96];
+  gl_ms_t timeout;
+  char key[96];
+  uint64_t index;
+  char value[64];
+  int status;
+  int not_run;
+  gl_ms_t retry;
+  const char *code;
+  char log[128];
+} gl_rfx_t;
+
+typedef struct
+{
+  gl_rfx_t *v;
+  size_t n;
+  size_t cap;
+} gl_rfxs_t;
+
+/**
+ * struct gl_router_opts_t - what a router is told at its start
+ * @node: unique name of this process, used in claims
+ * @domain: failure domain it stands in
+ * @entries, @number: entry processes of the domain, and this one's number
+ * @slots: requests that an instance serves at once
+ * @seed: seed of its random numbers
+ */
+typedef struct
+{
+  const char *node;
+  const char *domain;
+  int entries;
+  int number;
+  int slots;
+  unsigned long seed;
+} gl_router_opts_t;
+
+typedef struct gl_router gl_router_t;
+
+/** gl_router_new - a router that knows no upstreams yet */
+gl_router_t *gl_router_new (const gl_router_opts_t *opts, gl_ms_t now);
+void gl_router_free (gl_router_t *r);
+/** gl_router_step - take one event at time @now, append effects to @fx */
+void gl_router_step (gl_router_t *r, const gl_rev_t *ev, gl_ms_t now,
+                     gl_rfxs_t *fx);
+/** gl_router_due - when the next GL_REV_TICK is wanted */
+gl_ms_t gl_router_due (const gl_router_t *r);
+/** gl_router_view - malloc'd JSON text about instances and queues */
+char *gl_router_view (gl_router_t *r, gl_ms_t now);
+/** gl_router_metrics - malloc'd text of all counters and histograms */
+char *gl_router_metrics (gl_router_t *r);
+
 #endif
--- /dev/null
+++ b/src/httpd.c
@@ -0,0 +1,301 @@
+/*
+ * httpd.c -- HTTP server: whole requests in, whole answers out
+ *
+ * A request is handed on once its body is whole, and the connection is
+ * suspended until the answer is there.  Bodies are bounded; what exceeds
+ * the bound is read to its end and answered with 413.
+ */
+#include "httpd.h"
+
+#include <arpa/inet.h>
+#include <ck_pr.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "loop.h"
+
+/* Seconds after which an idle connection is closed. */
+#define IDLE_S 120
+
+#define DRAIN_POLL_MS 10
+
+/* States of a call. */
+#define CALL_READING 0
+#define CALL_TOO_LONG 1
+#define CALL_HANDED 2
+#define CALL_REPLIED 3
+
+struct httpd
+{
+  struct MHD_Daemon *mhd;
+  httpd_fn_t fn;
+  void *ctx;
+  size_t max_body;
+  int blocking;
+  unsigned int open;
+};
+
+int
+split_addr (const char *addr, struct sockaddr_in *out)
+{
+  char ip[64];
+  const char *colon = strrchr (addr, ':');
+  char *end;
+  long port;
+
+  if (!colon || (size_t)(colon - addr) >= sizeof ip)
+    return -1;
+  memcpy (ip, addr, (size_t)(colon - addr));
+  ip[colon - addr] = 0;
+  port = strtol (colon + 1, &end, 10);
+  if (*end || end == colon + 1 || port < 1 || port > 65535)
+    return -1;
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  out->sin_port = htons ((uint16_t)port);
+  return inet_pton (AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
+}
+
+static enum MHD_Result
+send_reply (struct MHD_Connection *c, httpd_call_t *call)
+{
+  struct MHD_Response *r = MHD_create_response_from_buffer (
+      call->reply_len, call->reply, MHD_RESPMEM_MUST_COPY);
+  enum MHD_Result rc;
+
+  if (!r)
+    return MHD_NO;
+  if (call->type[0])
+    MHD_add_response_header (r, "Content-Type", call->type);
+  for (int i = 0; i < call->nextra; i++)
+    {
+      char *colon = strchr (call->extra[i], ':');
+      if (!colon)
+        continue;
+      *colon = 0;
+      MHD_add_response_header (r, call->extra[i], colon + 2);
+    }
+  rc = MHD_queue_response (c, (unsigned int)call->status, r);
+  MHD_destroy_response (r);
+  return rc;
+}
+
+static enum MHD_Result
+add_body (httpd_call_t *call, const char *data, size_t *n)
+{
+  if (call->state == CALL_TOO_LONG || call->len + *n > call->server->max_body)
+    call->state = CALL_TOO_LONG;
+  else
+    {
+      char *b = realloc (call->body, call->len + *n + 1);
+      if (!b)
+        return MHD_NO;
+      memcpy (b + call->len, data, *n);
+      call->body = b;
+      call->len += *n;
+      b[call->len] = 0;
+    }
+  *n = 0;
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_request (void *cls, struct MHD_Connection *c, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *n, void **state)
+{
+  httpd_t *h = cls;
+  httpd_call_t *call = *state;
+
+  (void)version;
+  if (!call)
+    {
+      call = calloc (1, sizeof *call);
+      if (!call)
+        return MHD_NO;
+      call->server = h;
+      ck_pr_inc_uint (&h->open);
+      call->mhd = c;
+      *state = call;
+      return MHD_YES;
+    }
+  if (*n)
+    return add_body (call, data, n);
+  call->method = method;
+  call->path = url;
+  if (call->state == CALL_TOO_LONG)
+    httpd_text (call, 413,
+                "{\"error\":\"too_long\",\"reason\":\"the body is longer "
+                "than %zu bytes\"}\n",
+                h->max_body);
+  else if (call->state == CALL_READING)
+    {
+      call->state = CALL_HANDED;
+      if (!h->blocking)
+        MHD_suspend_connection (c);
+      h->fn (h->ctx, call);
+      if (!h->blocking)
+        return MHD_YES;
+    }
+  return send_reply (c, call);
+}
+
+static void
+on_done (void *cls, struct MHD_Connection *c, void **state,
+         enum MHD_RequestTerminationCode code)
+{
+  httpd_call_t *call = *state;
+
+  (void)cls;
+  (void)c;
+  (void)code;
+  if (!call)
+    return;
+  ck_pr_dec_uint (&call->server->open);
+  free (call->body);
+  free (call->reply);
+  free (call);
+  *state = NULL;
+}
+
+static void
+on_connection (void *cls, struct MHD_Connection *c, void **socket_context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  (void)cls;
+  (void)c;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    *socket_context = (void *)(uintptr_t)clock_ms ();
+}
+
+unsigned long long
+httpd_connected_at (httpd_call_t *call)
+{
+  const union MHD_ConnectionInfo *i = MHD_get_connection_info (
+      call->mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return i ? (unsigned long long)(uintptr_t)i->socket_context : 0;
+}
+
+httpd_t *
+httpd_new (const char *addr, size_t max_body, unsigned int max_conns,
+           unsigned int threads, httpd_fn_t fn, void *ctx)
+{
+  httpd_t *h = calloc (1, sizeof *h);
+  struct sockaddr_in sa;
+  unsigned int flags;
+
+  if (!h || split_addr (addr, &sa))
+    goto fail;
+  h->fn = fn;
+  h->ctx = ctx;
+  h->max_body = max_body;
+  h->blocking = !threads;
+  flags = threads ? MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME
+                  : MHD_USE_THREAD_PER_CONNECTION
+                        | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+  if (threads > 1)
+    h->mhd = MHD_start_daemon (
+        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, &sa,
+        MHD_OPTION_CONNECTION_LIMIT, max_conns, MHD_OPTION_NOTIFY_COMPLETED,
+        on_done, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
+        MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, MHD_OPTION_THREAD_POOL_SIZE,
+        threads, MHD_OPTION_END);
+  else
+    h->mhd = MHD_start_daemon (
+        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, &sa,
+        MHD_OPTION_CONNECTION_LIMIT, max_conns, MHD_OPTION_NOTIFY_COMPLETED,
+        on_done, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
+        MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, MHD_OPTION_END);
+  if (!h->mhd)
+    goto fail;
+  return h;
+
+fail:
+  free (h);
+  return NULL;
+}
+
+unsigned int
+httpd_drain (httpd_t *h, unsigned int timeout_ms)
+{
+  MHD_socket fd = MHD_quiesce_daemon (h->mhd);
+
+  for (unsigned int t = 0; t < timeout_ms && ck_pr_load_uint (&h->open);
+       t += DRAIN_POLL_MS)
+    usleep (DRAIN_POLL_MS * 1000);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+  return ck_pr_load_uint (&h->open);
+}
+
+void
+httpd_free (httpd_t *h)
+{
+  if (!h)
+    return;
+  MHD_stop_daemon (h->mhd);
+  free (h);
+}
+
+const char *
+httpd_header (httpd_call_t *call, const char *name)
+{
+  return MHD_lookup_connection_value (call->mhd, MHD_HEADER_KIND, name);
+}
+
+const char *
+httpd_query (httpd_call_t *call, const char *name)
+{
+  return MHD_lookup_connection_value (call->mhd, MHD_GET_ARGUMENT_KIND, name);
+}
+
+void
+httpd_extra (httpd_call_t *call, const char *fmt, ...)
+{
+  va_list ap;
+
+  if (call->nextra == 4)
+    return;
+  va_start (ap, fmt);
+  vsnprintf (call->extra[call->nextra++], sizeof call->extra[0], fmt, ap);
+  va_end (ap);
+}
+
+void
+httpd_reply (httpd_call_t *call, int status, const char *type, char *body,
+             size_t len)
+{
+  call->status = status;
+  call->reply = body;
+  call->reply_len = body ? len : 0;
+  snprintf (call->type, sizeof call->type, "%s", type ? type : "");
+  if (call->state == CALL_HANDED && !call->server->blocking)
+    {
+      call->state = CALL_REPLIED;
+      MHD_resume_connection (call->mhd);
+    }
+  else
+    call->state = CALL_REPLIED;
+}
+
+void
+httpd_text (httpd_call_t *call, int status, const char *fmt, ...)
+{
+  char *body = NULL;
+  va_list ap;
+  int n;
+
+  va_start (ap, fmt);
+  n = vasprintf (&body, fmt, ap);
+  va_end (ap);
+  if (n < 0)
+    body = NULL;
+  httpd_reply (call, status, "application/json", body, n > 0 ? (size_t)n : 0);
+}
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -368,6 +368,7 @@
   j->live++;
   t->state = TASK_ASSIGNED;
   t->confirmed = 0;
+  t->inherited = 0;
   t->worker = worker;
   t->pos = w->ntasks - 1;
   t->since = s->now;
--- a/src/journal.c
+++ b/src/journal.c
@@ -165,8 +165,8 @@
 {
   for (size_t i = 0; i < g->n; i++)
     if (g->v[i].kind == GATE_TOKEN)
-      sched_answer (s, g->v[i].token, GL_UNKNOWN, g->v[i].job,
-                    RETRY_OWNER_MS, "the owner has changed: ask again");
+      sched_answer (s, g->v[i].token, GL_UNKNOWN, g->v[i].job, RETRY_OWNER_MS,
+                    "the owner has changed: ask again");
   g->n = 0;
 }
 
@@ -297,8 +297,8 @@
 static void
 redo_later (gl_sched_t *s)
 {
-  timer_arm (&s->timers, s->t_commit, s->now + REDO_MS / 2
-                                          + jitter (s, REDO_MS));
+  timer_arm (&s->timers, s->t_commit,
+             s->now + REDO_MS / 2 + jitter (s, REDO_MS));
 }
 
 static void
@@ -489,8 +489,7 @@
         s->c.store_unsure++;
       l->index[slot_of (l->seq + 1)] = 0;
       l->absent[slot_of (l->seq + 1)] = 0;
-      if (FAULT (FAULT_FORGET_FENCE)
-          && ev->u.store.status == GL_ST_CONFLICT)
+      if (FAULT (FAULT_FORGET_FENCE) && ev->u.store.status == GL_ST_CONFLICT)
         committed (s, ev->u.store.index);
       else
         read_slot (s, l->seq + 1);
@@ -512,6 +511,7 @@
     return;
   t->attempt = a->task.attempt;
   t->boot = a->boot;
+  t->inherited = 1;
   t->state = TASK_STARTING;
 }
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -76,8 +76,7 @@
 {
   s->role = ROLE_CLAIMING;
   s->lease.unsure = 0;
-  s->lease.heir
-      = !s->lease.rec_epoch || s->lease.rec_released == REL_SETTLED;
+  s->lease.heir = !s->lease.rec_epoch || s->lease.rec_released == REL_SETTLED;
   s->epoch = s->lease.rec_epoch + 1;
   write_owner (s, s->epoch, 0);
 }
--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,111 @@
+/*
+ * loop.c -- the control thread: one queue of events, one clock
+ *
+ * Traffic threads post pointers into a Concurrency Kit ring with many
+ * producers and one consumer.  The consumer announces that it is about to
+ * sleep, looks at the ring once more, and only then waits; a producer that
+ * sees the announcement wakes it.  With the fences in between, one of the
+ * two always notices the other.
+ */
+#include "loop.h"
+
+#include <ck_pr.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Longest sleep, so that a clock that was stopped is noticed. */
+#define SLEEP_MAX_MS 1000
+
+gl_ms_t
+clock_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return (gl_ms_t)t.tv_sec * 1000 + (gl_ms_t)t.tv_nsec / 1000000;
+}
+
+int
+loop_init (loop_t *l)
+{
+  memset (l, 0, sizeof *l);
+  ck_ring_init (&l->ring, LOOP_SLOTS);
+  l->fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  return l->fd < 0 ? -1 : 0;
+}
+
+void
+loop_done (loop_t *l)
+{
+  close (l->fd);
+}
+
+int
+loop_post (loop_t *l, void *item)
+{
+  uint64_t one = 1;
+
+  if (!ck_ring_enqueue_mpsc (&l->ring, l->slots, item))
+    return -1;
+  ck_pr_fence_memory ();
+  if (ck_pr_load_uint (&l->asleep)
+      && write (l->fd, &one, sizeof one) != sizeof one)
+    return 0;
+  return 0;
+}
+
+void
+loop_quit (loop_t *l)
+{
+  l->quit = 1;
+}
+
+static int
+drain (loop_t *l, const loop_part_t *part)
+{
+  void *item;
+  int n = 0;
+
+  while (n < 256 && ck_ring_dequeue_mpsc (&l->ring, l->slots, &item))
+    {
+      part->take (part->ctx, item);
+      n++;
+    }
+  return n;
+}
+
+static void
+wait_for_work (loop_t *l, gl_ms_t due)
+{
+  struct pollfd p = { .fd = l->fd, .events = POLLIN };
+  gl_ms_t now = clock_ms ();
+  gl_ms_t span = due > now ? due - now : 0;
+  uint64_t count;
+
+  if (span > SLEEP_MAX_MS)
+    span = SLEEP_MAX_MS;
+  ck_pr_store_uint (&l->asleep, 1);
+  ck_pr_fence_memory ();
+  if (!ck_ring_size (&l->ring))
+    poll (&p, 1, (int)span);
+  ck_pr_store_uint (&l->asleep, 0);
+  if (read (l->fd, &count, sizeof count) < 0)
+    return;
+}
+
+void
+loop_run (loop_t *l, const loop_part_t *part)
+{
+  while (!l->quit)
+    {
+      if (drain (l, part))
+        continue;
+      if (part->due (part->ctx) <= clock_ms ())
+        part->tick (part->ctx);
+      else
+        wait_for_work (l, part->due (part->ctx));
+    }
+}
--- a/src/policy.c
+++ b/src/policy.c
@@ -140,8 +140,7 @@
 known_to_fail (const gl_sched_t *s, const gl_res_t *need, int level)
 {
   for (int i = 0; i < s->nfailed_shape; i++)
-    if (level <= s->failed_level[i]
-        && place_fits (&s->failed_shape[i], need))
+    if (level <= s->failed_level[i] && place_fits (&s->failed_shape[i], need))
       return 1;
   return 0;
 }
@@ -175,9 +174,8 @@
 static int
 find_worker (gl_sched_t *s, handle_t h, const job_t *j)
 {
-  place_want_t want = { .need = j->need,
-                        .level = level_of (s, h, j),
-                        .avoid = -1 };
+  place_want_t want
+      = { .need = j->need, .level = level_of (s, h, j), .avoid = -1 };
   int w;
 
   if (s->baseline)
--- a/src/sched.c
+++ b/src/sched.c
@@ -35,8 +35,8 @@
   free (p);
 }
 
-static struct ck_malloc ht_allocator = { .malloc = ht_malloc,
-                                         .free = ht_free };
+static struct ck_malloc ht_allocator
+    = { .malloc = ht_malloc, .free = ht_free };
 
 static void
 set_default (gl_ms_t *v, gl_ms_t preset)
@@ -103,6 +103,7 @@
 
   if (!s)
     return;
+  /* cppcheck-suppress autoVariables */
   s->fx = &fx;
   journal_reset (s);
   free (s->log.pending.v);
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -70,6 +70,7 @@
 /**
  * struct task_t - one task of a job
  * @attempt: number of the present or last attempt, 0 before the first
+ * @inherited: assigned by an earlier owner, so its wait is not ours to count
  * @worker: worker that holds it, -1 when none
  * @pos: place in that worker's list
  * @boot: boot of the worker that the attempt was assigned to
@@ -80,6 +81,7 @@
   unsigned char state;
   unsigned char outcome;
   unsigned char confirmed;
+  unsigned char inherited;
   uint32_t attempt;
   int worker;
   int pos;
@@ -456,8 +458,8 @@
 void sched_log (gl_sched_t *s, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
 /** sched_answer - the final answer to an operator's request */
-void sched_answer (gl_sched_t *s, uint64_t token, gl_code_t code,
-                   uint64_t job, gl_ms_t retry, const char *reason);
+void sched_answer (gl_sched_t *s, uint64_t token, gl_code_t code, uint64_t job,
+                   gl_ms_t retry, const char *reason);
 /** store_get, store_cas - call the key-value service; cas takes over @data */
 void store_get (gl_sched_t *s, store_op_t op, const char *key);
 void store_cas (gl_sched_t *s, store_op_t op, const char *key, uint64_t index,
--- /dev/null
+++ b/src/scheduler.c
@@ -0,0 +1,574 @@
+/*
+ * scheduler.c -- the scheduler daemon: I/O around the reducer
+ *
+ * The control thread alone touches the reducer.  The HTTP client's thread,
+ * the RPC thread and the configuration thread turn what they hear into
+ * items and post them.
+ */
+#include <ck_pr.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "ask.h"
+#include "codec.h"
+#include "daemon.h"
+#include "httpd.h"
+#include "logs.h"
+#include "platform.h"
+#include "rpcd.h"
+
+#define WATCH_MS 20000
+#define WATCH_RETRY_MS 1000
+/* A little longer than the reducer keeps an operator's request open. */
+#define ASK_MS 3500
+
+typedef enum
+{
+  ITEM_STORE,
+  ITEM_WORKER,
+  ITEM_VMS,
+  ITEM_CONF,
+  ITEM_SUBMIT,
+  ITEM_CANCEL,
+  ITEM_CORDON,
+  ITEM_VIEW,
+  ITEM_METRICS,
+  ITEM_STOP
+} item_kind_t;
+
+/** struct item_t - one event on its way to the control thread */
+typedef struct
+{
+  item_kind_t kind;
+  gl_event_t ev;
+  char *data;
+  gl_wreply_t reply;
+  gl_vm_t *vms;
+  gl_conf_t *conf;
+  gl_jobspec_t spec;
+  uint64_t index;
+  char name[128];
+  ask_t *ask;
+} item_t;
+
+typedef struct
+{
+  settings_t settings;
+  loop_t loop;
+  gl_sched_t *sched;
+  httpc_t *http;
+  store_t store;
+  vmlist_t list;
+  workers_t workers;
+  httpd_t *metrics;
+  rpcd_t *rpc;
+  conf_pull_t *pull;
+  uint64_t list_index;
+  gl_ms_t list_due;
+  int list_out;
+  uint64_t epoch;
+  unsigned int active;
+} daemon_t;
+
+/* ---- items ---- */
+
+static item_t *
+item_new (item_kind_t kind)
+{
+  item_t *it = calloc (1, sizeof *it);
+
+  if (it)
+    it->kind = kind;
+  return it;
+}
+
+static void
+item_free (item_t *it)
+{
+  free (it->data);
+  codec_free ((xdrproc_t)xdr_gl_wreply_t, &it->reply);
+  codec_free ((xdrproc_t)xdr_gl_jobspec_t, &it->spec);
+  free (it->vms);
+  if (it->conf)
+    {
+      conf_done (it->conf);
+      free (it->conf);
+    }
+  free (it);
+}
+
+/* Results of calls must not be lost: the reducer counts on exactly one. */
+static void
+post (daemon_t *d, item_t *it)
+{
+  while (loop_post (&d->loop, it))
+    usleep (1000);
+}
+
+static char *
+copy_of (const char *data, size_t len)
+{
+  char *c = malloc (len + 1);
+
+  if (!c)
+    abort ();
+  memcpy (c, data, len);
+  c[len] = 0;
+  return c;
+}
+
+/* ---- results of calls ---- */
+
+static void
+store_done (void *ctx, uint32_t tag, gl_store_status_t status, uint64_t index,
+            const char *data, size_t len)
+{
+  item_t *it = item_new (ITEM_STORE);
+
+  if (!it)
+    abort ();
+  it->ev.kind = GL_EV_STORE;
+  it->ev.u.store.tag = tag;
+  it->ev.u.store.status = status;
+  it->ev.u.store.index = index;
+  if (data)
+    it->data = copy_of (data, len);
+  it->ev.u.store.data = it->data;
+  it->ev.u.store.len = len;
+  post (ctx, it);
+}
+
+static void
+worker_done (void *ctx, uint32_t worker, uint32_t call,
+             gl_call_status_t status, const gl_wreply_t *reply)
+{
+  item_t *it = item_new (ITEM_WORKER);
+  char *copy;
+  size_t len;
+
+  if (!it)
+    abort ();
+  it->ev.kind = GL_EV_WORKER;
+  it->ev.u.worker.worker = worker;
+  it->ev.u.worker.call = call;
+  it->ev.u.worker.status = status;
+  it->ev.u.worker.reply = &it->reply;
+  if (reply)
+    {
+      copy = codec_encode ((xdrproc_t)xdr_gl_wreply_t, reply, &len);
+      if (!copy
+          || codec_decode ((xdrproc_t)xdr_gl_wreply_t, &it->reply, copy, len))
+        it->ev.u.worker.status = GL_CALL_UNKNOWN;
+      free (copy);
+    }
+  post (ctx, it);
+}
+
+static void
+list_done (void *ctx, uint64_t index, const gl_vm_t *vms, size_t n)
+{
+  item_t *it = item_new (ITEM_VMS);
+
+  if (!it)
+    abort ();
+  it->ev.kind = GL_EV_VMS;
+  it->index = index;
+  if (vms)
+    {
+      it->vms = calloc (n + 1, sizeof *vms);
+      if (!it->vms)
+        abort ();
+      memcpy (it->vms, vms, n * sizeof *vms);
+    }
+  it->ev.u.vms.vms = it->vms;
+  it->ev.u.vms.n = n;
+  post (ctx, it);
+}
+
+static void
+conf_take (void *ctx, gl_conf_t *conf)
+{
+  item_t *it = item_new (ITEM_CONF);
+
+  if (!it)
+    abort ();
+  it->conf = conf;
+  it->ev.kind = GL_EV_CONF;
+  it->ev.u.conf = conf;
+  post (ctx, it);
+}
+
+static void
+stop_asked (void *ctx)
+{
+  item_t *it = item_new (ITEM_STOP);
+
+  if (!it)
+    abort ();
+  it->ev.kind = GL_EV_STOP;
+  post (ctx, it);
+}
+
+static void
+status_fill (void *ctx, gl_status_t *s)
+{
+  daemon_t *d = ctx;
+
+  daemon_status (s, &d->settings, "scheduler");
+  free (s->rpc);
+  s->rpc = strdup (d->settings.scheduler_rpc);
+  s->epoch = ck_pr_load_64 (&d->epoch);
+  s->active = (int)ck_pr_load_uint (&d->active);
+  s->net_bytes = httpc_bytes (d->http);
+}
+
+/* ---- effects ---- */
+
+static void
+answer (const gl_effect_t *e)
+{
+  ask_t *a = (ask_t *)(uintptr_t)e->u.answer.token;
+
+  ask_answer (a, e->u.answer.code, e->u.answer.job, e->u.answer.retry,
+              e->u.answer.reason, NULL);
+}
+
+static void
+carry_out (daemon_t *d, gl_effect_t *e)
+{
+  switch (e->kind)
+    {
+    case GL_FX_STORE_GET:
+      d->store.get (d->store.ctx, e->u.store.key, 0, 0, e->u.store.tag,
+                    store_done, d);
+      break;
+    case GL_FX_STORE_CAS:
+      d->store.cas (d->store.ctx, e->u.store.key, e->u.store.index, e->data,
+                    e->len, 0, e->u.store.tag, store_done, d);
+      break;
+    case GL_FX_WORKER:
+      d->workers.call (d->workers.ctx, e->u.worker.addr, e->data, e->len,
+                       e->u.worker.timeout, e->u.worker.send_before,
+                       e->u.worker.worker, e->u.worker.call, worker_done, d);
+      break;
+    case GL_FX_ANSWER:
+      answer (e);
+      break;
+    case GL_FX_LOG:
+      log_info ("%s", e->u.log);
+      break;
+    case GL_FX_STOPPED:
+      loop_quit (&d->loop);
+      break;
+    }
+}
+
+static void
+step (daemon_t *d, const gl_event_t *ev)
+{
+  gl_effects_t fx = { 0 };
+  uint64_t epoch = 0;
+  int active;
+
+  gl_sched_step (d->sched, ev, clock_ms (), &fx);
+  for (size_t i = 0; i < fx.n; i++)
+    carry_out (d, &fx.v[i]);
+  gl_effects_free (&fx);
+  active = gl_sched_active (d->sched, &epoch);
+  ck_pr_store_64 (&d->epoch, epoch);
+  ck_pr_store_uint (&d->active, (unsigned int)active);
+}
+
+/* ---- the control thread ---- */
+
+static void
+take_list (daemon_t *d, item_t *it)
+{
+  d->list_out = 0;
+  if (it->vms)
+    {
+      d->list_index = it->index;
+      d->list_due = clock_ms ();
+      step (d, &it->ev);
+    }
+  else
+    d->list_due = clock_ms () + WATCH_RETRY_MS;
+}
+
+static void
+take_view (daemon_t *d, item_t *it)
+{
+  char *text = it->kind == ITEM_METRICS
+                   ? gl_sched_metrics (d->sched)
+                   : gl_sched_view (d->sched, it->name, it->ev.u.submit.job,
+                                    clock_ms ());
+
+  ask_answer (it->ask, text ? GL_OK : GL_NOT_FOUND, 0, 0, "", text);
+}
+
+static void
+take (void *ctx, void *item)
+{
+  daemon_t *d = ctx;
+  item_t *it = item;
+
+  switch (it->kind)
+    {
+    case ITEM_VMS:
+      take_list (d, it);
+      break;
+    case ITEM_VIEW:
+    case ITEM_METRICS:
+      take_view (d, it);
+      break;
+    default:
+      step (d, &it->ev);
+    }
+  item_free (it);
+}
+
+static void
+tick (void *ctx)
+{
+  daemon_t *d = ctx;
+  gl_event_t ev = { .kind = GL_EV_TICK };
+
+  if (!d->list_out && d->list_due <= clock_ms ())
+    {
+      d->list_out = 1;
+      d->list.watch (d->list.ctx, d->settings.domain, d->list_index, WATCH_MS,
+                     list_done, d);
+    }
+  if (gl_sched_due (d->sched) <= clock_ms ())
+    step (d, &ev);
+}
+
+static gl_ms_t
+due (void *ctx)
+{
+  daemon_t *d = ctx;
+  gl_ms_t t = gl_sched_due (d->sched);
+
+  if (!d->list_out && d->list_due < t)
+    t = d->list_due;
+  return t;
+}
+
+/* ---- operators' calls ---- */
+
+/* Post a question and wait for its answer. */
+static ask_t *
+ask_control (daemon_t *d, item_t *it)
+{
+  ask_t *a = ask_new ();
+
+  if (!a || !it)
+    abort ();
+  it->ask = a;
+  it->ev.u.submit.token = (uint64_t)(uintptr_t)a;
+  if (loop_post (&d->loop, it))
+    {
+      ask_drop (a);
+      item_free (it);
+      a->code = GL_RETRY;
+      a->retry = 1000;
+      return a;
+    }
+  if (ask_wait (a, ASK_MS))
+    {
+      a->code = GL_UNKNOWN;
+      a->retry = 1000;
+    }
+  return a;
+}
+
+static void
+fill_answer (ask_t *a, gl_answer_t *out)
+{
+  out->status = a->code;
+  out->job = a->job;
+  out->retry_ms = (u_int)a->retry;
+  out->reason = strdup (a->reason);
+  ask_drop (a);
+}
+
+static int
+rpc_submit (void *ctx, const void *in, void *out)
+{
+  const gl_submit_t *s = in;
+  item_t *it = item_new (ITEM_SUBMIT);
+  gl_answer_t *o = out;
+
+  if (!it)
+    return -1;
+  if (codec_decode ((xdrproc_t)xdr_gl_jobspec_t, &it->spec, s->spec.spec_val,
+                    s->spec.spec_len))
+    {
+      item_free (it);
+      o->status = GL_INVALID;
+      o->reason = strdup ("the job cannot be decoded");
+      return 0;
+    }
+  it->ev.kind = GL_EV_SUBMIT;
+  it->ev.u.submit.job = s->job;
+  it->ev.u.submit.spec = &it->spec;
+  fill_answer (ask_control (ctx, it), o);
+  return 0;
+}
+
+static int
+rpc_cancel (void *ctx, const void *in, void *out)
+{
+  const gl_cancel_t *c = in;
+  item_t *it = item_new (ITEM_CANCEL);
+
+  if (!it)
+    return -1;
+  it->ev.kind = GL_EV_CANCEL;
+  it->ev.u.cancel.job = c->job;
+  fill_answer (ask_control (ctx, it), out);
+  return 0;
+}
+
+static int
+rpc_cordon (void *ctx, const void *in, void *out)
+{
+  const gl_cordon_t *c = in;
+  item_t *it = item_new (ITEM_CORDON);
+
+  if (!it)
+    return -1;
+  snprintf (it->name, sizeof it->name, "%s", c->worker);
+  it->ev.kind = GL_EV_CORDON;
+  it->ev.u.cordon.worker = it->name;
+  it->ev.u.cordon.on = c->on;
+  fill_answer (ask_control (ctx, it), out);
+  return 0;
+}
+
+static int
+rpc_view (void *ctx, const void *in, void *out)
+{
+  const gl_view_ask_t *v = in;
+  gl_view_tell_t *o = out;
+  item_t *it = item_new (ITEM_VIEW);
+  ask_t *a;
+
+  if (!it)
+    return -1;
+  snprintf (it->name, sizeof it->name, "%s", v->what);
+  it->ev.u.submit.job = v->job;
+  a = ask_control (ctx, it);
+  o->status = a->code;
+  o->json = strdup (a->text ? a->text : "");
+  ask_drop (a);
+  return 0;
+}
+
+static const rpcd_proc_t procs[RPCD_PROCS] = {
+  [GL_SUBMIT]
+  = { (xdrproc_t)xdr_gl_submit_t, sizeof (gl_submit_t),
+      (xdrproc_t)xdr_gl_answer_t, sizeof (gl_answer_t), rpc_submit },
+  [GL_CANCEL]
+  = { (xdrproc_t)xdr_gl_cancel_t, sizeof (gl_cancel_t),
+      (xdrproc_t)xdr_gl_answer_t, sizeof (gl_answer_t), rpc_cancel },
+  [GL_CORDON]
+  = { (xdrproc_t)xdr_gl_cordon_t, sizeof (gl_cordon_t),
+      (xdrproc_t)xdr_gl_answer_t, sizeof (gl_answer_t), rpc_cordon },
+  [GL_VIEW]
+  = { (xdrproc_t)xdr_gl_view_ask_t, sizeof (gl_view_ask_t),
+      (xdrproc_t)xdr_gl_view_tell_t, sizeof (gl_view_tell_t), rpc_view },
+};
+
+static void
+http_call (void *ctx, httpd_call_t *call)
+{
+  ask_t *a;
+
+  if (strcmp (call->path, "/metrics"))
+    {
+      httpd_text (call, 404, "{\"error\":\"not_found\"}\n");
+      return;
+    }
+  a = ask_control (ctx, item_new (ITEM_METRICS));
+  if (a->text)
+    httpd_reply (call, 200, "text/plain; version=0.0.4", strdup (a->text),
+                 strlen (a->text));
+  else
+    httpd_text (call, 503, "{\"error\":\"retry\"}\n");
+  ask_drop (a);
+}
+
+/* ---- start and stop ---- */
+
+static gl_sched_t *
+make_reducer (const settings_t *s)
+{
+  gl_sched_opts_t o = { 0 };
+
+  o.node = s->node;
+  o.domain = s->domain;
+  o.rpc = s->scheduler_rpc;
+  o.seed = (unsigned long)clock_ms () ^ ((unsigned long)getpid () << 20);
+  o.lease = (gl_ms_t)s->lease_ms;
+  o.renew = (gl_ms_t)s->renew_ms;
+  o.worker_lease = (gl_ms_t)s->worker_lease_ms;
+  o.hold = (gl_ms_t)s->hold_ms;
+  o.commit_gap = (gl_ms_t)s->commit_gap_ms;
+  o.grace = (gl_ms_t)s->grace_ms;
+  o.drift_ppm = (unsigned int)s->drift_ppm;
+  return gl_sched_new (&o, clock_ms ());
+}
+
+static int
+start (daemon_t *d)
+{
+  const settings_t *s = &d->settings;
+
+  if (!s->scheduler_rpc[0] || !s->scheduler_http[0])
+    {
+      log_error ("[scheduler] rpc and http are needed");
+      return -1;
+    }
+  if (loop_init (&d->loop) || daemon_signals (stop_asked, d))
+    return -1;
+  d->sched = make_reducer (s);
+  d->http = httpc_new (0);
+  if (!d->sched || !d->http || store_http (&d->store, d->http, s->platform)
+      || vmlist_http (&d->list, d->http, s->platform)
+      || workers_http (&d->workers, d->http))
+    return -1;
+  d->metrics = httpd_new (s->scheduler_http, 1024, 16, 0, http_call, d);
+  d->rpc = rpcd_new (s->scheduler_rpc, procs, d);
+  if (!d->metrics || !d->rpc)
+    {
+      log_error ("cannot listen on %s or %s", s->scheduler_http,
+                 s->scheduler_rpc);
+      return -1;
+    }
+  d->pull = conf_pull_new (s, conf_take, status_fill, d);
+  return d->pull ? 0 : -1;
+}
+
+int
+main (int argc, char **argv)
+{
+  static daemon_t d;
+  loop_part_t part = { take, tick, due, &d };
+  int rc = daemon_options (argc, argv, "gl-scheduler", &d.settings);
+
+  if (rc)
+    return rc - 1;
+  if (start (&d))
+    {
+      log_error ("cannot start");
+      return 1;
+    }
+  log_info ("serving domain %s", d.settings.domain);
+  loop_run (&d.loop, &part);
+  log_info ("stopped");
+  logs_close ();
+  return 0;
+}
--- a/src/snap.c
+++ b/src/snap.c
@@ -179,8 +179,8 @@
 push_fence (gl_sched_t *s)
 {
   const log_t *l = &s->log;
-  gl_base_t b = { s->epoch, l->base_seq, l->base_slot, l->base_chunks,
-                  l->base_bytes };
+  gl_base_t b
+      = { s->epoch, l->base_seq, l->base_slot, l->base_chunks, l->base_bytes };
 
   write_base (s, &b);
 }
@@ -450,6 +450,7 @@
     {
       t->attempt = in->attempt;
       t->boot = in->boot;
+      t->inherited = 1;
       t->state = TASK_STARTING;
     }
 }
--- a/src/view.c
+++ b/src/view.c
@@ -110,14 +110,13 @@
       worker_t *w = &s->workers[i];
 
       json_array_append_new (
-          a, json_pack ("{s:s,s:s,s:s,s:b,s:b,s:b,s:b,s:i,s:o,s:o}", "name",
-                        w->name, "rack", w->rack, "state",
-                        worker_names[w->state], "listed", (int)w->listed,
-                        "leaving", (int)w->leaving, "cordoned",
-                        (int)w->cordoned, "probation",
-                        w->probation_until > s->now, "tasks", w->ntasks,
-                        "total", res_json (&s->place.w[i].total), "used",
-                        res_json (&s->place.w[i].used)));
+          a, json_pack (
+                 "{s:s,s:s,s:s,s:b,s:b,s:b,s:b,s:i,s:o,s:o}", "name", w->name,
+                 "rack", w->rack, "state", worker_names[w->state], "listed",
+                 (int)w->listed, "leaving", (int)w->leaving, "cordoned",
+                 (int)w->cordoned, "probation", w->probation_until > s->now,
+                 "tasks", w->ntasks, "total", res_json (&s->place.w[i].total),
+                 "used", res_json (&s->place.w[i].used)));
     }
   return a;
 }
@@ -135,8 +134,7 @@
                              res_json (&t->used), "dominant_share",
                              team_share (s, t) / 1e6);
       for (int c = 0; c < CLASSES; c++)
-        json_object_set_new (o, class_names[c],
-                             json_integer (t->queued[c]));
+        json_object_set_new (o, class_names[c], json_integer (t->queued[c]));
       json_array_append_new (a, o);
     }
   return a;
@@ -187,9 +185,8 @@
   for (int c = 0; c < CLASSES; c++)
     json_object_set_new (
         o, class_names[c],
-        json_pack ("{s:I,s:f,s:f}", "count",
-                   (json_int_t)s->wait_class[c].n, "p50_ms",
-                   hist_quantile (&s->wait_class[c], 0.5), "p99_ms",
+        json_pack ("{s:I,s:f,s:f}", "count", (json_int_t)s->wait_class[c].n,
+                   "p50_ms", hist_quantile (&s->wait_class[c], 0.5), "p99_ms",
                    hist_quantile (&s->wait_class[c], 0.99)));
   return o;
 }
--- a/src/workers.c
+++ b/src/workers.c
@@ -463,7 +463,7 @@
   t->state = TASK_RUNNING;
   t->since = s->now;
   s->c.started++;
-  if (t->attempt == 1)
+  if (t->attempt == 1 && !t->inherited)
     {
       double waited = (double)(s->now - j->submitted);
       hist_add (&s->wait_class[j->cls], waited);
--- a/standin/wcore.c
+++ b/standin/wcore.c
@@ -109,8 +109,7 @@
 }
 
 static int
-start (wcore_t *w, uint64_t clock, const gl_wcall_t *call,
-       const gl_start_t *s)
+start (wcore_t *w, uint64_t clock, const gl_wcall_t *call, const gl_start_t *s)
 {
   uint64_t run_ms = 0;
   wtask_t *t = find (w, &s->task);
@@ -172,9 +171,8 @@
   reply->clock = clock;
   reply->seq = w->seq;
   reply->total = w->total;
-  reply->tasks.tasks_val
-      = calloc ((size_t)w->ntasks + call->starts.starts_len + 1,
-                sizeof (gl_wtask_t));
+  reply->tasks.tasks_val = calloc (
+      (size_t)w->ntasks + call->starts.starts_len + 1, sizeof (gl_wtask_t));
 }
 
 void
--- /dev/null
+++ b/tests/fuzz.sh
@@ -0,0 +1,13 @@
+#!/bin/bash
+# fuzz.sh BUILD SECONDS SEED: run the fuzzers with rising seeds until the time
+# is over or one fails
+build=$1
+end=$((SECONDS + $2))
+seed=$3
+while [ $SECONDS -lt "$end" ]; do
+  for t in "$build"/fuzz_*; do
+    SEED=$seed "$t" --gtest_filter='-*Fault*' || { echo "failed: SEED=$seed $t"; exit 1; }
+  done
+  seed=$((seed + 1))
+done
+echo "seeds $3 to $((seed - 1)) passed"
--- a/tests/fuzz_sched.cc
+++ b/tests/fuzz_sched.cc
@@ -28,10 +28,12 @@
 gen_step ()
 {
   /* The library narrows ranges at small sizes; a step always has them all. */
-  return rc::gen::resize (rc::kNominalSize, rc::gen::build<Step> (
-      rc::gen::set (&Step::kind, rc::gen::inRange (0, 32)),
-      rc::gen::set (&Step::arg, rc::gen::inRange<uint32_t> (0, 1u << 24)),
-      rc::gen::set (&Step::gap, rc::gen::inRange (0, 6000))));
+  return rc::gen::resize (
+      rc::kNominalSize,
+      rc::gen::build<Step> (
+          rc::gen::set (&Step::kind, rc::gen::inRange (0, 32)),
+          rc::gen::set (&Step::arg, rc::gen::inRange<uint32_t> (0, 1u << 24)),
+          rc::gen::set (&Step::gap, rc::gen::inRange (0, 6000))));
 }
 
 /* Longest script. */
@@ -66,7 +68,12 @@
   Sim sim (seed);
 
   if (getenv ("GL_TRACE"))
-    sim.trace = [] (const std::string &l) { { puts (l.c_str ()); fflush (stdout); } };
+    sim.trace = [] (const std::string &l) {
+      {
+        puts (l.c_str ());
+        fflush (stdout);
+      }
+    };
   sim.run (8000);
   for (auto &s : script)
     {
@@ -131,19 +138,17 @@
   EXPECT_EQ ("", play (script, world, NULL));
 }
 
-INSTANTIATE_TEST_SUITE_P (Found, Script,
-                          testing::Values ("base-fence.txt"));
+INSTANTIATE_TEST_SUITE_P (Found, Script, testing::Values ("base-fence.txt"));
 
-/* SCRIPT=file runs one more, to look into a failure. */
+/* SCRIPT=file looks into another failure. */
 TEST (Replay, FromEnvironment)
 {
   std::vector<Step> script;
   uint64_t world = 0;
   const char *path = getenv ("SCRIPT");
 
-  if (!path)
-    GTEST_SKIP ();
-  ASSERT_TRUE (read_script (path, &script, &world));
+  ASSERT_TRUE (read_script (path ? path : "tests/scripts/base-fence.txt",
+                            &script, &world));
   EXPECT_EQ ("", play (script, world, NULL));
 }
 
@@ -156,7 +161,7 @@
 
   for (int i = 0; i < cases; i++)
     {
-      auto gen = rc::gen::container<std::vector<Step>> (gen_step ());
+      auto gen = rc::gen::container<std::vector<Step> > (gen_step ());
       auto script = gen (random.split (), SCRIPT_STEPS).value ();
       std::string v = play (script, seed * 1000 + (uint64_t)i, steps);
       if (!v.empty ())
@@ -178,7 +183,8 @@
   auto result = rc::detail::checkTestable (
       [&] {
         auto script = *rc::gen::resize (
-            SCRIPT_STEPS, rc::gen::container<std::vector<Step>> (gen_step ()));
+            SCRIPT_STEPS,
+            rc::gen::container<std::vector<Step> > (gen_step ()));
         auto world = *rc::gen::resize (
             rc::kNominalSize, rc::gen::inRange<uint64_t> (0, 1000000));
         std::string v = play (script, world, steps);
@@ -203,8 +209,7 @@
           "accepted of %llu written, %llu virtual s\n",
           (unsigned long long)steps, (unsigned long long)totals.starts,
           (unsigned long long)totals.commits,
-          (unsigned long long)totals.accepted,
-          (unsigned long long)totals.jobs,
+          (unsigned long long)totals.accepted, (unsigned long long)totals.jobs,
           (unsigned long long)totals.virtual_ms / 1000);
   EXPECT_GT (totals.starts, (uint64_t)cases);
 }
@@ -237,4 +242,3 @@
                      FAULT_OVERFILL, FAULT_GANG_PARTIAL, FAULT_IGNORE_QUOTA,
                      FAULT_FORGET_FENCE, FAULT_ANSWER_TWICE));
 #endif
-
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -73,7 +73,8 @@
   add (granted[j.live[e.task.index]], j.spec.need, -1);
   add (team_used[j.team], j.spec.need, -1);
   j.live.erase (e.task.index);
-  if ((e.outcome == GL_OUT_OK || (e.outcome != GL_OUT_NOT_RUN
+  if ((e.outcome == GL_OUT_OK
+       || (e.outcome != GL_OUT_NOT_RUN
            && e.task.attempt >= j.spec.max_attempts))
       && j.spec.cls != GL_CLASS_SERVICE)
     j.ended.insert (e.task.index);
@@ -117,8 +118,8 @@
     {
       Job &j = jobs[g.first];
       if ((size_t)g.second + j.ended.size () < j.spec.tasks)
-        violate ("gang assigned in part: " + std::to_string (g.second)
-                 + " of " + std::to_string (j.spec.tasks) + ", "
+        violate ("gang assigned in part: " + std::to_string (g.second) + " of "
+                 + std::to_string (j.spec.tasks) + ", "
                  + std::to_string (j.live.size ()) + " live after the commit");
     }
 }
@@ -428,7 +429,8 @@
     }
   else
     {
-      got = kv_cas (&kv, key.c_str (), index, data.data (), data.size (), 0, 0);
+      got = kv_cas (&kv, key.c_str (), index, data.data (), data.size (), 0,
+                    0);
       st = got ? GL_ST_OK : GL_ST_CONFLICT;
       gl_batch_t b{};
       if (got && key.find ("/log/") != std::string::npos
@@ -494,8 +496,9 @@
 
   if (sched_clock (i) >= e.u.worker.send_before)
     {
-      at (now + 1,
-          [=, this] { answer_worker (i, life, w, call, GL_CALL_NOT_SENT, ""); });
+      at (now + 1, [=, this] {
+        answer_worker (i, life, w, call, GL_CALL_NOT_SENT, "");
+      });
       return;
     }
   at (now + timeout,
@@ -775,11 +778,11 @@
 Sim::submit (uint64_t arg)
 {
   gl_class_t cls = (gl_class_t)(arg % 4);
-  uint32_t tasks = cls == GL_CLASS_GANG ? 2 + (arg >> 2) % 4
-                                        : 1 + (arg >> 2) % 3;
-  gl_res_t need = { 1000 + (int)((arg >> 5) % 8) * 1000,
-                    1024 * (1 + (int)((arg >> 8) % 16)),
-                    (arg >> 12) % 5 == 0 ? 1 : 0 };
+  uint32_t tasks
+      = cls == GL_CLASS_GANG ? 2 + (arg >> 2) % 4 : 1 + (arg >> 2) % 3;
+  gl_res_t need
+      = { 1000 + (int)((arg >> 5) % 8) * 1000,
+          1024 * (1 + (int)((arg >> 8) % 16)), (arg >> 12) % 5 == 0 ? 1 : 0 };
   uint32_t runtime = cls == GL_CLASS_SERVICE ? 0 : 1 + (arg >> 15) % 20;
 
   submit_spec (next_job++, cls, tasks, need, runtime, 8,
@@ -903,10 +906,9 @@
 Sim::job_text (uint64_t id)
 {
   int i = active ();
-  char *text
-      = i < 0 ? NULL
-              : gl_sched_view (scheds[(size_t)i].s, "job", id,
-                               sched_clock (i));
+  char *text = i < 0 ? NULL
+                     : gl_sched_view (scheds[(size_t)i].s, "job", id,
+                                      sched_clock (i));
   std::string t = text ? text : "";
 
   free (text);
@@ -984,8 +986,9 @@
   gl_conf_t c;
   char err[CONF_ERROR_LEN];
 
-  conf_parse (&c, "[team gait]\ncpus=60\nmemory_gb=195\naccels=8\n"
-                  "[team alerts]\ncpus=60\nmemory_gb=195\naccels=8\n",
+  conf_parse (&c,
+              "[team gait]\ncpus=60\nmemory_gb=195\naccels=8\n"
+              "[team alerts]\ncpus=60\nmemory_gb=195\naccels=8\n",
               NULL, err);
   c.revision = rev;
   for (int i = 0; i < 2; i++)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -99,7 +99,11 @@
   void heal ();
   std::string job_text (uint64_t id);
   uint64_t unsettled ();
-  const std::string &violation () const { return oracle.violation; }
+  const std::string &
+  violation () const
+  {
+    return oracle.violation;
+  }
   int active () const;
 
   Oracle oracle;
@@ -125,7 +129,8 @@
     uint64_t at;
     uint64_t order;
     std::function<void ()> fn;
-    bool operator< (const Event &o) const
+    bool
+    operator<(const Event &o) const
     {
       return at != o.at ? at > o.at : order > o.order;
     }
@@ -146,8 +151,8 @@
   void feed (int i, const gl_event_t &ev);
   void carry_out (int i, gl_effects_t &fx);
   void send_store (int i, gl_effect_t &e);
-  using StoreAnswer = std::function<void (gl_store_status_t, uint64_t,
-                                          const std::string &)>;
+  using StoreAnswer
+      = std::function<void (gl_store_status_t, uint64_t, const std::string &)>;
   void run_store (int i, gl_fx_kind_t kind, std::string key, uint64_t index,
                   std::string data, StoreAnswer answer);
   void answer_store (int i, uint64_t life, uint32_t tag,
@@ -180,12 +185,12 @@
   uint64_t slow_net_until = 0;
   uint64_t list_lag_until = 0;
   std::vector<uint64_t> cut_store;
-  std::vector<std::vector<uint64_t>> cut_to;
-  std::vector<std::vector<uint64_t>> cut_back;
+  std::vector<std::vector<uint64_t> > cut_to;
+  std::vector<std::vector<uint64_t> > cut_back;
   std::vector<uint64_t> wpaused_until;
   std::vector<uint64_t> wdown_until;
   std::vector<double> wrate;
-  std::vector<std::vector<Held>> held;
+  std::vector<std::vector<Held> > held;
   std::vector<gl_vm_t> vms;
   uint64_t next_job = 1;
   bool healing = false;
