Router fuzzed: 'not run' is no longer said of a request that ran

Cause: a repeatable request that had been sent once, was paused for its resending and then met its deadline in the queue was answered 'not run'.

Also: a request for a service without a usable instance is answered at once instead of waiting for its deadline, and 503 instead of 404 is said before the first list has arrived.

--- a/Makefile
+++ b/Makefile
@@ -78,7 +78,7 @@
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
-TESTS = fuzz_sched
+TESTS = fuzz_sched fuzz_route
 
 tests: $(TESTS:%=$(BUILD)/%)
 
--- a/src/route.c
+++ b/src/route.c
@@ -166,6 +166,15 @@
   return (gl_ms_t)(ahead * took / slots);
 }
 
+/* Nothing is held for a service that no instance offers at the moment. */
+static int
+no_instance (const gl_router_t *r, int service)
+{
+  double took;
+
+  return !upstream_slots (r, service, &took);
+}
+
 static int
 queue_ahead (const gl_router_t *r, const request_t *q)
 {
@@ -193,6 +202,13 @@
   int ahead = queue_ahead (r, q);
   gl_ms_t wait = expected_wait (r, q, ahead);
 
+  if (no_instance (r, q->service))
+    {
+      r->c.refused_service++;
+      request_error (r, h, 503, "no_instance", 1,
+                     RETRY_MS + route_jitter (r, RETRY_MS));
+      return 1;
+    }
   if (ahead < r->conf.queue_len && r->now + wait < q->deadline)
     return 0;
   r->c.refused_overload++;
@@ -251,7 +267,10 @@
   if (service < 0)
     {
       r->c.refused_service++;
-      early_error (r, token, 404, "no_such_service", 0);
+      if (r->list_known)
+        early_error (r, token, 404, "no_such_service", 0);
+      else
+        early_error (r, token, 503, "starting", RETRY_MS);
       return;
     }
   h = r->requests.count < REQUESTS_MAX ? pool_add (&r->requests) : 0;
@@ -354,7 +373,7 @@
       if (r->now >= q->deadline)
         {
           r->c.expired++;
-          request_error (r, h, 504, "deadline", 1, RETRY_MS);
+          request_error (r, h, 504, "deadline", !q->sent_once, RETRY_MS);
           continue;
         }
       i = upstream_choose (r, service, q->last_instance);
@@ -470,7 +489,7 @@
       handle_t next = q->next;
       gl_ms_t wait = expected_wait (r, q, ahead);
 
-      if (r->now + wait >= q->deadline)
+      if (r->now + wait >= q->deadline || no_instance (r, q->service))
         {
           r->c.expired++;
           request_error (r, h, 503, "overloaded", !q->sent_once,
@@ -572,6 +591,7 @@
       claim_answered (r, ev);
       break;
     case GL_REV_VMS:
+      r->list_known = 1;
       upstreams_listed (r, ev->u.vms.vms, ev->u.vms.n);
       break;
     case GL_REV_CONF:
--- a/src/routeint.h
+++ b/src/routeint.h
@@ -172,6 +172,7 @@
   pool_t requests;
   handle_t paused;
   int budget[URGENCIES];
+  int list_known;
   int stopping;
   int stopped;
   uint64_t marks;
