--- a/Makefile
+++ b/Makefile
@@ -6,14 +6,14 @@
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter -Wno-stringop-truncation
 PKGS = libmicrohttpd libcurl log4c jansson inih gsl ck libxxhash
-CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -I/usr/include/tirpc \
+CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -Ibench -I/usr/include/tirpc \
 	$(shell pkg-config --cflags $(PKGS)) $(DEFS)
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(MODE)
 CXXFLAGS = -std=gnu++17 $(OPT) -Wall -Wextra -Wno-unused-parameter $(MODE)
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -ltirpc -lpthread -lm
 
 CORE = pool timer metrics place conf codec fx jobs workers lease journal \
-	snap policy sched view
+	snap fit policy sched view
 GEN = gl_rec_xdr
 # Reducer of the entry, and the I/O that the daemons share.
 ROUTE = route upstream claim
@@ -130,9 +130,18 @@
 	  --suppress=preprocessorErrorDirective -D__GNUC__ \
 	  '-Djson_array_foreach(a,i,v)=for (;;)' \
 	  '-Djson_object_foreach(o,k,v)=for (;;)' \
-	  -Isrc -Iproto -Istandin src standin
+	  -Isrc -Iproto -Istandin -Ibench src standin
 
 clean:
 	rm -rf build build-asan build-tsan run
 
 .PHONY: all tests deps demo check fuzz asan format format-check lint clean
+
+# ---- measurements ----
+BENCH_O = $(BUILD)/bench/drive.o $(BUILD)/standin/kvcore.o \
+	$(BUILD)/standin/wcore.o
+$(BUILD)/bench-%: $(BUILD)/bench/%.o $(BENCH_O) $(LIB)
+	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
+bench: deps
+	@$(MAKE) --no-print-directory $(BUILD)/bench-bench
+	$(BUILD)/bench-bench
--- /dev/null
+++ b/bench/drive.c
@@ -0,0 +1,471 @@
+/*
+ * drive.c -- one scheduler in virtual time with a store and workers that
+ * always answer
+ *
+ * Everything that a call or its answer would carry is encoded, so that the
+ * bytes counted are the bytes that the daemons would send.
+ */
+#include "drive.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "codec.h"
+#include "conf.h"
+
+#define EV_STORE 1
+#define EV_CALL 2
+#define EV_REPLY 3
+#define EV_WAKE 4
+
+static void step (drive_t *d, const gl_event_t *ev);
+
+/* ---- the future ---- */
+
+static int
+before (const drive_event_t *a, const drive_event_t *b)
+{
+  return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+static void
+push (drive_t *d, drive_event_t e)
+{
+  size_t i = d->nheap++;
+
+  if (d->nheap > d->cap)
+    {
+      d->cap = d->cap ? 2 * d->cap : 1024;
+      d->heap = realloc (d->heap, d->cap * sizeof *d->heap);
+      if (!d->heap)
+        abort ();
+    }
+  e.order = ++d->order;
+  while (i && before (&e, &d->heap[(i - 1) / 2]))
+    {
+      d->heap[i] = d->heap[(i - 1) / 2];
+      i = (i - 1) / 2;
+    }
+  d->heap[i] = e;
+}
+
+static drive_event_t
+pop (drive_t *d)
+{
+  drive_event_t top = d->heap[0];
+  drive_event_t last = d->heap[--d->nheap];
+  size_t i = 0;
+
+  for (;;)
+    {
+      size_t c = 2 * i + 1;
+      if (c >= d->nheap)
+        break;
+      if (c + 1 < d->nheap && before (&d->heap[c + 1], &d->heap[c]))
+        c++;
+      if (before (&last, &d->heap[c]))
+        break;
+      d->heap[i] = d->heap[c];
+      i = c;
+    }
+  d->heap[i] = last;
+  return top;
+}
+
+/* ---- the store ---- */
+
+static void
+do_store (drive_t *d, gl_effect_t *e)
+{
+  drive_event_t ev = { .at = d->now + DRIVE_STORE_MS,
+                       .kind = EV_STORE,
+                       .a = e->u.store.tag };
+
+  if (e->kind == GL_FX_STORE_GET)
+    {
+      kv_entry_t *k = kv_get (&d->kv, e->u.store.key, 0);
+
+      d->store_gets++;
+      ev.status = k ? GL_ST_OK : GL_ST_ABSENT;
+      if (k)
+        {
+          ev.index = k->index;
+          ev.len = k->len;
+          ev.data = malloc (k->len + 1);
+          memcpy (ev.data, k->data, k->len);
+        }
+      d->store_bytes += strlen (e->u.store.key) + ev.len;
+    }
+  else
+    {
+      d->store_puts++;
+      d->store_bytes += strlen (e->u.store.key) + e->len;
+      ev.index = kv_cas (&d->kv, e->u.store.key, e->u.store.index, e->data,
+                         e->len, 0, 0);
+      ev.status = ev.index ? GL_ST_OK : GL_ST_CONFLICT;
+    }
+  push (d, ev);
+}
+
+/* ---- workers ---- */
+
+static void
+send_reply (drive_t *d, uint32_t w, uint32_t call, gl_wreply_t *r)
+{
+  drive_event_t ev
+      = { .at = d->now + DRIVE_NET_MS, .kind = EV_REPLY, .a = w, .b = call };
+
+  ev.data = codec_encode ((xdrproc_t)xdr_gl_wreply_t, r, &ev.len);
+  d->worker_bytes += ev.len;
+  codec_free ((xdrproc_t)xdr_gl_wreply_t, r);
+  push (d, ev);
+}
+
+static void
+answer_held (drive_t *d, uint32_t w)
+{
+  drive_held_t *h = &d->held[w];
+  gl_wreply_t r = { 0 };
+  gl_wcall_t call = { 0 };
+
+  if (!h->on || (d->now < h->until && !wcore_news (d->w[w], h->seen_seq)))
+    return;
+  h->on = 0;
+  call.seen_seq = h->seen_seq;
+  wcore_news_reply (d->w[w], d->now, &call, &r);
+  send_reply (d, w, h->call, &r);
+}
+
+/* Wake the worker when its next task ends. */
+static void
+set_wake (drive_t *d, uint32_t w)
+{
+  const wcore_t *c = d->w[w];
+  gl_ms_t next = UINT64_MAX;
+
+  for (int i = 0; i < c->ntasks; i++)
+    if (c->tasks[i].state == GL_WT_RUNNING && c->tasks[i].end_at
+        && c->tasks[i].end_at < next)
+      next = c->tasks[i].end_at;
+  if (next == UINT64_MAX || next == d->wake[w])
+    return;
+  d->wake[w] = next;
+  push (d, (drive_event_t){ .at = next, .kind = EV_WAKE, .a = w });
+}
+
+static void
+take_call (drive_t *d, const drive_event_t *ev)
+{
+  wcore_t *c = d->w[ev->a];
+  drive_held_t *h = &d->held[ev->a];
+  gl_wcall_t call = { 0 };
+  gl_wreply_t r = { 0 };
+
+  if (codec_decode ((xdrproc_t)xdr_gl_wcall_t, &call, ev->data, ev->len))
+    abort ();
+  wcore_call (c, d->now, &call, &r);
+  if (call.hold_ms && r.status == GL_W_OK && !wcore_news (c, call.seen_seq))
+    {
+      *h = (drive_held_t){ 1, ev->b, d->now + call.hold_ms, call.seen_seq,
+                           call.epoch };
+      codec_free ((xdrproc_t)xdr_gl_wreply_t, &r);
+      push (d, (drive_event_t){ .at = h->until, .kind = EV_WAKE, .a = ev->a });
+    }
+  else
+    send_reply (d, ev->a, ev->b, &r);
+  codec_free ((xdrproc_t)xdr_gl_wcall_t, &call);
+  answer_held (d, ev->a);
+  set_wake (d, ev->a);
+}
+
+static void
+take_reply (drive_t *d, const drive_event_t *e)
+{
+  gl_wreply_t r = { 0 };
+  gl_event_t ev = { .kind = GL_EV_WORKER };
+
+  if (codec_decode ((xdrproc_t)xdr_gl_wreply_t, &r, e->data, e->len))
+    abort ();
+  ev.u.worker.worker = e->a;
+  ev.u.worker.call = e->b;
+  ev.u.worker.status = GL_CALL_ANSWERED;
+  ev.u.worker.reply = &r;
+  step (d, &ev);
+  codec_free ((xdrproc_t)xdr_gl_wreply_t, &r);
+}
+
+static void
+take_wake (drive_t *d, uint32_t w)
+{
+  wcore_tick (d->w[w], d->now);
+  answer_held (d, w);
+  d->wake[w] = 0;
+  set_wake (d, w);
+}
+
+static void
+plan (void *ctx, const wcore_t *w, const gl_start_t *s, uint64_t *run_ms,
+      gl_outcome_t *will)
+{
+  drive_t *d = ctx;
+
+  (void)w;
+  *run_ms = d->run (d->ctx, s);
+  *will = GL_OUT_OK;
+}
+
+/* ---- steps ---- */
+
+static void
+carry_out (drive_t *d, gl_effect_t *e)
+{
+  switch (e->kind)
+    {
+    case GL_FX_STORE_GET:
+    case GL_FX_STORE_CAS:
+      do_store (d, e);
+      break;
+    case GL_FX_WORKER:
+      d->worker_calls++;
+      d->worker_bytes += e->len;
+      push (d, (drive_event_t){ .at = d->now + DRIVE_NET_MS,
+                                .kind = EV_CALL,
+                                .a = (uint32_t)atoi (e->u.worker.addr),
+                                .b = e->u.worker.call,
+                                .data = e->data,
+                                .len = e->len });
+      e->data = NULL;
+      break;
+    case GL_FX_ANSWER:
+      if (e->u.answer.code == GL_OK)
+        d->accepted++;
+      else
+        d->refused++;
+      break;
+    default:
+      break;
+    }
+}
+
+static uint64_t
+nanoseconds (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return (uint64_t)t.tv_sec * 1000000000ULL + (uint64_t)t.tv_nsec;
+}
+
+static void
+step (drive_t *d, const gl_event_t *ev)
+{
+  gl_effects_t fx = { 0 };
+  uint64_t began = d->step_ns ? nanoseconds () : 0;
+
+  gl_sched_step (d->s, ev, d->now, &fx);
+  if (d->step_ns)
+    d->step_ns (d->ctx, ev, nanoseconds () - began);
+  for (size_t i = 0; i < fx.n; i++)
+    carry_out (d, &fx.v[i]);
+  gl_effects_free (&fx);
+}
+
+static void
+take (drive_t *d, drive_event_t *e)
+{
+  gl_event_t ev = { .kind = GL_EV_STORE };
+
+  switch (e->kind)
+    {
+    case EV_STORE:
+      ev.u.store.tag = e->a;
+      ev.u.store.status = (gl_store_status_t)e->status;
+      ev.u.store.index = e->index;
+      ev.u.store.data = e->data;
+      ev.u.store.len = e->len;
+      step (d, &ev);
+      break;
+    case EV_CALL:
+      take_call (d, e);
+      break;
+    case EV_REPLY:
+      take_reply (d, e);
+      break;
+    default:
+      take_wake (d, e->a);
+    }
+  free (e->data);
+}
+
+void
+drive_until (drive_t *d, gl_ms_t when)
+{
+  for (;;)
+    {
+      gl_ms_t due = gl_sched_due (d->s);
+      gl_ms_t next = d->nheap ? d->heap[0].at : UINT64_MAX;
+      gl_event_t ev = { .kind = GL_EV_TICK };
+
+      if (due > when && next > when)
+        break;
+      if (next <= due)
+        {
+          drive_event_t e = pop (d);
+          if (e.at > d->now)
+            d->now = e.at;
+          take (d, &e);
+        }
+      else
+        {
+          if (due > d->now)
+            d->now = due;
+          step (d, &ev);
+          if (gl_sched_due (d->s) <= d->now)
+            d->now++;
+        }
+    }
+  if (when > d->now)
+    d->now = when;
+}
+
+void
+drive_submit (drive_t *d, uint64_t id, gl_class_t cls, int team,
+              uint32_t tasks, gl_res_t need, uint32_t runtime_s)
+{
+  char name[32];
+  char team_name[16];
+  gl_jobspec_t p = { 0 };
+  gl_event_t ev = { .kind = GL_EV_SUBMIT };
+
+  snprintf (name, sizeof name, "j%llu", (unsigned long long)id);
+  snprintf (team_name, sizeof team_name, "t%d", team);
+  p.name = name;
+  p.team = team_name;
+  p.cls = cls;
+  p.tasks = tasks;
+  p.need = need;
+  p.runtime_s = runtime_s;
+  p.max_attempts = 5;
+  ev.u.submit.token = id;
+  ev.u.submit.job = id;
+  ev.u.submit.spec = &p;
+  step (d, &ev);
+}
+
+int
+drive_tasks (const drive_t *d)
+{
+  int n = 0;
+
+  for (int w = 0; w < d->nw; w++)
+    for (int i = 0; i < d->w[w]->ntasks; i++)
+      n += d->w[w]->tasks[i].state == GL_WT_RUNNING;
+  return n;
+}
+
+/* ---- begin and end ---- */
+
+static void
+configure (drive_t *d, int teams)
+{
+  size_t size = (size_t)teams * 96 + 256;
+  char *text = malloc (size);
+  size_t n = (size_t)snprintf (text, size, "[policy]\nageing_s = 300\n");
+  char err[CONF_ERROR_LEN];
+  gl_conf_t c;
+  gl_event_t ev = { .kind = GL_EV_CONF, .u.conf = &c };
+
+  for (int i = 0; i < teams; i++)
+    n += (size_t)snprintf (
+        text + n, size - n,
+        "[team t%d]\ncpus = 99999\nmemory_gb = 999999\naccels = 99999\n", i);
+  if (conf_parse (&c, text, NULL, err))
+    {
+      fprintf (stderr, "drive: %s\n", err);
+      abort ();
+    }
+  c.revision = 1;
+  step (d, &ev);
+  conf_done (&c);
+  free (text);
+}
+
+static void
+list_workers (drive_t *d, const drive_shape_t *shapes, int nshapes)
+{
+  gl_vm_t *vms = calloc ((size_t)d->nw + 1, sizeof *vms);
+  gl_event_t ev = { .kind = GL_EV_VMS };
+  int k = 0;
+
+  for (int s = 0; s < nshapes; s++)
+    for (int i = 0; i < shapes[s].count; i++, k++)
+      {
+        wcore_t *c = calloc (1, sizeof *c);
+
+        snprintf (c->name, sizeof c->name, "w%d", k);
+        c->total = shapes[s].total;
+        c->plan = plan;
+        c->ctx = d;
+        wcore_boot (c, (uint64_t)k + 1);
+        d->w[k] = c;
+        snprintf (vms[k].name, sizeof vms[k].name, "w%d", k);
+        snprintf (vms[k].role, sizeof vms[k].role, "worker");
+        snprintf (vms[k].domain, sizeof vms[k].domain, "d1");
+        snprintf (vms[k].rack, sizeof vms[k].rack, "r%d", k / shapes[s].rack);
+        snprintf (vms[k].addr, sizeof vms[k].addr, "%d", k);
+      }
+  ev.u.vms.vms = vms;
+  ev.u.vms.n = (size_t)d->nw;
+  step (d, &ev);
+  free (vms);
+}
+
+drive_t *
+drive_new (const drive_shape_t *shapes, int nshapes, int teams,
+           gl_policy_t policy, drive_run_t run, void *ctx)
+{
+  drive_t *d = calloc (1, sizeof *d);
+  gl_sched_opts_t o = { .node = "vm0",
+                        .domain = "d1",
+                        .rpc = "127.0.0.1:1",
+                        .seed = 1,
+                        .policy = policy };
+
+  if (!d)
+    abort ();
+  for (int s = 0; s < nshapes; s++)
+    d->nw += shapes[s].count;
+  d->w = calloc ((size_t)d->nw, sizeof *d->w);
+  d->held = calloc ((size_t)d->nw, sizeof *d->held);
+  d->wake = calloc ((size_t)d->nw, sizeof *d->wake);
+  d->run = run;
+  d->ctx = ctx;
+  d->now = 1000;
+  d->s = gl_sched_new (&o, d->now);
+  if (!d->w || !d->held || !d->wake || !d->s)
+    abort ();
+  configure (d, teams);
+  list_workers (d, shapes, nshapes);
+  drive_until (d, d->now + 10000);
+  if (!gl_sched_active (d->s, NULL))
+    abort ();
+  return d;
+}
+
+void
+drive_free (drive_t *d)
+{
+  gl_sched_free (d->s);
+  for (int i = 0; i < d->nw; i++)
+    free (d->w[i]);
+  while (d->nheap)
+    free (pop (d).data);
+  free (d->w);
+  free (d->held);
+  free (d->wake);
+  free (d->heap);
+  kv_done (&d->kv);
+  free (d);
+}
--- /dev/null
+++ b/src/fit.c
@@ -0,0 +1,124 @@
+/*
+ * fit.c -- needs that are known not to fit at present
+ *
+ * Near a full cell most searches fail, and a failed search is the dearest:
+ * it looks at every worker with enough free CPUs.  So a need that found no
+ * worker is marked, and the mark stands until some worker gains room for
+ * it.  Only the worker that gained can make it fit, so each gain is held
+ * against the marked needs alone.
+ *
+ * A gang that did not fit, and any larger one of the same need, is tried
+ * again only after some worker has gained room for one task more.
+ *
+ * fit_version rises with every mark that falls.  A queue whose jobs all
+ * failed is not looked at again under the same version.
+ */
+#include "schedint.h"
+
+static int
+same (const gl_res_t *a, const gl_res_t *b)
+{
+  return a->cpus_m == b->cpus_m && a->memory_mb == b->memory_mb
+         && a->accels == b->accels;
+}
+
+int
+fit_shape (gl_sched_t *s, const gl_res_t *need)
+{
+  for (int i = 0; i < s->nshapes; i++)
+    if (same (&s->shapes[i].need, need))
+      return i;
+  if (s->nshapes == SHAPES_MAX)
+    return -1;
+  s->shapes[s->nshapes].need = *need;
+  s->shapes[s->nshapes].failed = -1;
+  s->shapes[s->nshapes].gains = 1;
+  return s->nshapes++;
+}
+
+int
+fit_fails (const gl_sched_t *s, const job_t *j, int level)
+{
+  return j->shape >= 0 && level <= s->shapes[j->shape].failed;
+}
+
+void
+fit_failed (gl_sched_t *s, const job_t *j, int level)
+{
+  if (j->shape >= 0 && !s->tentative && level > s->shapes[j->shape].failed)
+    s->shapes[j->shape].failed = level;
+}
+
+/* Whether the need fits the worker once more than before it gained. */
+static int
+once_more (const gl_res_t *need, const gl_res_t *room, const gl_res_t *freed)
+{
+  gl_res_t before = *room;
+
+  if (!freed)
+    return 1;
+  before.cpus_m -= freed->cpus_m;
+  before.memory_mb -= freed->memory_mb;
+  before.accels -= freed->accels;
+  return place_times (need, room) > place_times (need, &before);
+}
+
+void
+fit_gained (gl_sched_t *s, int worker, const gl_res_t *freed)
+{
+  gl_res_t room = place_free (&s->place, worker);
+
+  for (int i = 0; i < s->nshapes; i++)
+    {
+      shape_t *h = &s->shapes[i];
+
+      if (!place_fits (&h->need, &room))
+        continue;
+      if (h->gang_tasks && once_more (&h->need, &room, freed))
+        {
+          h->gains++;
+          s->fit_version++;
+        }
+      s->fit_version += h->failed >= 0;
+      h->failed = -1;
+    }
+}
+
+int
+fit_gang_fails (const gl_sched_t *s, const job_t *j, int level)
+{
+  const shape_t *h;
+
+  if (j->shape < 0)
+    return 0;
+  h = &s->shapes[j->shape];
+  return h->gang_tasks && h->gang_gains == h->gains
+         && j->waiting >= h->gang_tasks && level <= h->gang_level;
+}
+
+void
+fit_gang_failed (gl_sched_t *s, const job_t *j, int level)
+{
+  shape_t *h;
+
+  if (j->shape < 0)
+    return;
+  h = &s->shapes[j->shape];
+  if (h->gang_gains == h->gains && h->gang_tasks
+      && (h->gang_tasks <= j->waiting || level < h->gang_level))
+    return;
+  h->gang_tasks = j->waiting;
+  h->gang_gains = h->gains;
+  h->gang_level = level;
+}
+
+void
+fit_reset (gl_sched_t *s)
+{
+  for (int i = 0; i < s->nshapes; i++)
+    {
+      s->shapes[i].failed = -1;
+      s->shapes[i].gains++;
+    }
+  s->fit_version++;
+}
--- a/src/gentianlatch.h
+++ b/src/gentianlatch.h
@@ -251,6 +251,21 @@
 
 /* ---- scheduler ---- */
 
+/**
+ * enum gl_policy_t - how workers are chosen; all but the first are baselines
+ * @GL_POLICY_FULL: best fit, spreading, reservation, backfill, eviction
+ * @GL_POLICY_FIRST_FIT: the lowest-numbered worker that fits
+ * @GL_POLICY_RANDOM_FIT: any worker that fits
+ * @GL_POLICY_NO_RESERVATION: the full policy without its reservation
+ */
+typedef enum
+{
+  GL_POLICY_FULL = 0,
+  GL_POLICY_FIRST_FIT,
+  GL_POLICY_RANDOM_FIT,
+  GL_POLICY_NO_RESERVATION
+} gl_policy_t;
+
 /**
  * struct gl_sched_opts_t - what a scheduler is told at its start
  * @node: name of this VM, unique among the candidates of the domain
@@ -264,6 +279,7 @@
  * @commit_gap: shortest time between two commits
  * @grace: how long worker leases are renewed without the store
  * @drift_ppm: bound on clock drift, parts per million
+ * @policy: how workers are chosen
  *
  * Zero in a time takes the default named in schedint.h.
  */
@@ -280,6 +296,7 @@
   gl_ms_t commit_gap;
   gl_ms_t grace;
   unsigned int drift_ppm;
+  gl_policy_t policy;
 } gl_sched_opts_t;
 
 typedef struct gl_sched gl_sched_t;
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -90,11 +90,16 @@
 int
 team_index (gl_sched_t *s, const char *name)
 {
+  ranked_t *ranked;
   team_t *t;
 
   for (int i = 0; i < s->nteams; i++)
     if (!strcmp (s->teams[i].name, name))
       return i;
+  ranked = realloc (s->ranked, (size_t)(s->nteams + 1) * sizeof *ranked);
+  if (!ranked)
+    return -1;
+  s->ranked = ranked;
   t = realloc (s->teams, (size_t)(s->nteams + 1) * sizeof *t);
   if (!t)
     return -1;
@@ -168,6 +173,7 @@
   else
     t->tail[j->cls] = h;
   t->queued[j->cls]++;
+  t->stuck[j->cls] = 0;
   j->queued = 1;
 }
 
@@ -185,6 +191,7 @@
   else
     t->tail[j->cls] = j->prev;
   t->queued[j->cls]--;
+  t->stuck[j->cls] = 0;
   j->queued = 0;
 }
 
@@ -227,6 +234,7 @@
   j->max_attempts = spec->max_attempts;
   j->waiting = spec->tasks;
   j->hold_worker = -1;
+  j->shape = fit_shape (s, &spec->need);
   j->submitted = s->now;
   j->order = ++s->next_order;
   j->reason = "waits for the next placement pass";
@@ -391,6 +399,9 @@
       && s->place.w[t->worker].used.accels >= j->need.accels)
     place_give (&s->place, t->worker, &j->need);
   team_charge (&s->teams[j->team], &j->need, -1);
+  /* Its quota has room again. */
+  memset (s->teams[j->team].stuck, 0, sizeof s->teams[j->team].stuck);
+  fit_gained (s, t->worker, &j->need);
   j->rack_count[s->place.w[t->worker].rack]--;
   list_remove (s, &s->workers[t->worker], t->pos);
   t->worker = -1;
--- a/src/journal.c
+++ b/src/journal.c
@@ -120,6 +120,7 @@
   if (g.kind == GATE_ACK)
     g.job = s->workers[g.worker].boot;
   g.since = s->now;
+  g.after = s->log.pending.n;
   if (s->log.pending.n)
     gates_add (&s->log.gates, &g);
   else if (s->log.data)
@@ -134,6 +135,12 @@
   return !s->log.pending.n && !s->log.data;
 }
 
+int
+journal_full (const gl_sched_t *s)
+{
+  return s->log.pending.n > PENDING_MAX;
+}
+
 int
 journal_stuck (const gl_sched_t *s)
 {
@@ -235,27 +242,71 @@
   store_cas (s, OP_LOG_CAS, key, l->index[slot], copy, l->len);
 }
 
+static int
+same_assign (const gl_rec_t *a, const gl_rec_t *b)
+{
+  return a->kind == GL_REC_ASSIGN && b->kind == GL_REC_ASSIGN
+         && a->gl_rec_t_u.assign.task.job == b->gl_rec_t_u.assign.task.job;
+}
+
+/* How many pending records the next commit takes. */
+static size_t
+commit_size (const recs_t *r)
+{
+  size_t n = r->n < COMMIT_RECORDS ? r->n : COMMIT_RECORDS;
+
+  while (n < r->n && same_assign (&r->v[n - 1], &r->v[n]))
+    n++;
+  return n;
+}
+
+static void
+shift_recs (recs_t *r, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    codec_free ((xdrproc_t)xdr_gl_rec_t, &r->v[i]);
+  memmove (r->v, r->v + n, (r->n - n) * sizeof *r->v);
+  r->n -= n;
+}
+
+/* Gates of the first @n records go with them. */
+static void
+shift_gates (log_t *l, size_t n)
+{
+  size_t kept = 0;
+
+  l->flying.n = 0;
+  for (size_t i = 0; i < l->gates.n; i++)
+    if (l->gates.v[i].after <= n)
+      gates_add (&l->flying, &l->gates.v[i]);
+    else
+      {
+        l->gates.v[kept] = l->gates.v[i];
+        l->gates.v[kept++].after -= n;
+      }
+  l->gates.n = kept;
+}
+
 static void
 cut (gl_sched_t *s)
 {
   log_t *l = &s->log;
   gl_batch_t b = { 0 };
-  gates_t spare = l->flying;
+  size_t n = commit_size (&l->pending);
 
   b.epoch = s->epoch;
   b.seq = l->seq + 1;
-  b.recs.recs_len = (u_int)l->pending.n;
+  b.recs.recs_len = (u_int)n;
   b.recs.recs_val = l->pending.v;
   l->data = codec_encode ((xdrproc_t)xdr_gl_batch_t, &b, &l->len);
   if (!l->data)
     abort ();
-  drop_recs (&l->pending);
-  l->flying = l->gates;
-  l->gates = spare;
-  l->gates.n = 0;
+  shift_recs (&l->pending, n);
+  shift_gates (l, n);
   l->last_cut = s->now;
   l->since = s->now;
-  if (s->role == ROLE_ACTIVE)
+  /* Memory is ahead of the log while records are left over. */
+  if (s->role == ROLE_ACTIVE && !l->pending.n)
     snap_due (s, l->seq + 1);
   write_slot (s);
 }
--- a/src/place.c
+++ b/src/place.c
@@ -1,15 +1,17 @@
 /*
  * place.c -- index of workers by free resources, and best fit over it
  *
- * Workers with accelerators and workers without form two groups, so that a
- * task that asks for none fills the plain workers first and leaves the
- * accelerators to those that need them.  Within a group a worker sits in
- * the bucket of its whole free CPUs.  A search starts at the bucket of the
- * need and walks upward, so workers that are too full are never looked at,
- * and the first candidates found are the tightest.  It stops after
- * SCAN_ENOUGH candidates that fit: the few percent that an exact best fit
- * would add are lost in the error of the declared sizes, while the cost
- * stays flat as the number of workers grows.
+ * Workers fall into three groups: without accelerators, with all of them
+ * taken, with some free.  A task that asks for none fills the groups in
+ * this order and so leaves the accelerators to those that need them; one
+ * that asks for some looks at the last group only.  Within a group a worker
+ * sits in a bucket by its whole free CPUs and by its free memory.  A search
+ * starts at the bucket of the need and walks upward in both, so that only
+ * workers in the two border rows can fail to fit, and the first candidates
+ * found are the tightest.  It stops after SCAN_ENOUGH candidates that fit:
+ * the few percent that an exact best fit would add are lost in the error of
+ * the declared sizes, while the cost grows more slowly than the number of
+ * workers.
  *
  * Invariant: for every worker with capacity, used <= total in each
  * resource.  place_take refuses anything else; only place_take_known, which
@@ -25,6 +27,13 @@
 
 /* Candidates that fit after which a search is content. */
 #define SCAN_ENOUGH 16
+#define SCAN_SPREAD 64
+/* Memory buckets of one GiB each, before they double. */
+#define MEM_LINEAR 10
+/* Groups of workers. */
+#define GROUP_PLAIN 0
+#define GROUP_TAKEN 1
+#define GROUP_FREE 2
 /* Cost of a task of the same job in the same rack, beside the leftover
    fractions, which add up to at most about 3000. */
 #define SPREAD_COST 10000
@@ -34,8 +43,9 @@
 {
   memset (p, 0, sizeof *p);
   for (int g = 0; g < PLACE_GROUPS; g++)
-    for (int b = 0; b < PLACE_BUCKETS; b++)
-      p->head[g][b] = -1;
+    for (int c = 0; c < PLACE_CPUS; c++)
+      for (int m = 0; m < PLACE_MEMS; m++)
+        p->head[g][c][m] = -1;
 }
 
 void
@@ -52,6 +62,18 @@
          && need->accels <= room->accels;
 }
 
+int
+place_times (const gl_res_t *need, const gl_res_t *room)
+{
+  int n = room->cpus_m / need->cpus_m;
+
+  if (need->memory_mb && room->memory_mb / need->memory_mb < n)
+    n = room->memory_mb / need->memory_mb;
+  if (need->accels && room->accels / need->accels < n)
+    n = room->accels / need->accels;
+  return n > 0 ? n : 0;
+}
+
 gl_res_t
 place_free (const place_t *p, int i)
 {
@@ -63,48 +85,88 @@
 }
 
 static int
-bucket_of (int cpus_m)
+cpu_bucket (int cpus_m)
 {
   int b = cpus_m / 1000;
 
   if (b < 0)
     return 0;
-  return b < PLACE_BUCKETS ? b : PLACE_BUCKETS - 1;
+  return b < PLACE_CPUS ? b : PLACE_CPUS - 1;
+}
+
+/* Whole GiB up to MEM_LINEAR, then one bucket for each doubling. */
+static int
+mem_bucket (int memory_mb)
+{
+  int gib = memory_mb / 1024;
+  int b = MEM_LINEAR;
+
+  if (gib < 0)
+    return 0;
+  if (gib < MEM_LINEAR)
+    return gib;
+  while (gib >= 2 * MEM_LINEAR && b < PLACE_MEMS - 1)
+    {
+      gib /= 2;
+      b++;
+    }
+  return b;
+}
+
+static int
+group_of (const place_worker_t *w)
+{
+  if (!w->total.accels)
+    return GROUP_PLAIN;
+  return w->total.accels > w->used.accels ? GROUP_FREE : GROUP_TAKEN;
 }
 
 static void
 unlink_worker (place_t *p, int i)
 {
   place_worker_t *w = &p->w[i];
+  int *head = &p->head[w->group][w->cpu][w->mem];
 
   if (!w->linked)
     return;
   if (w->prev >= 0)
     p->w[w->prev].next = w->next;
   else
-    p->head[w->group][w->bucket] = w->next;
+    *head = w->next;
   if (w->next >= 0)
     p->w[w->next].prev = w->prev;
-  if (p->head[w->group][w->bucket] < 0)
-    p->map[w->group] &= ~(1ULL << w->bucket);
+  if (*head < 0)
+    p->mem_map[w->group][w->cpu] &= (uint16_t) ~(1u << w->mem);
+  if (!p->mem_map[w->group][w->cpu])
+    p->cpu_map[w->group] &= ~(1ULL << w->cpu);
   w->linked = 0;
 }
 
+static void
+set_bucket (place_worker_t *w)
+{
+  w->group = (unsigned char)group_of (w);
+  w->cpu = (unsigned char)cpu_bucket (w->total.cpus_m - w->used.cpus_m);
+  w->mem = (unsigned char)mem_bucket (w->total.memory_mb - w->used.memory_mb);
+}
+
 static void
 link_worker (place_t *p, int i)
 {
   place_worker_t *w = &p->w[i];
+  int *head;
 
   if (!w->usable)
     return;
-  w->group = w->total.accels > 0;
-  w->bucket = (unsigned char)bucket_of (w->total.cpus_m - w->used.cpus_m);
+  set_bucket (w);
+  head = &p->head[w->group][w->cpu][w->mem];
   w->prev = -1;
-  w->next = p->head[w->group][w->bucket];
+  w->next = *head;
   if (w->next >= 0)
     p->w[w->next].prev = i;
-  p->head[w->group][w->bucket] = i;
-  p->map[w->group] |= 1ULL << w->bucket;
+  *head = i;
+  p->mem_map[w->group][w->cpu] |= (uint16_t)(1u << w->mem);
+  p->cpu_map[w->group] |= 1ULL << w->cpu;
   w->linked = 1;
 }
 
@@ -113,9 +175,11 @@
 relink (place_t *p, int i)
 {
   place_worker_t *w = &p->w[i];
+  place_worker_t now = *w;
 
-  if (w->linked && w->usable
-      && w->bucket == bucket_of (w->total.cpus_m - w->used.cpus_m))
+  set_bucket (&now);
+  if (w->linked && now.group == w->group && now.cpu == w->cpu
+      && now.mem == w->mem)
     return;
   unlink_worker (p, i);
   link_worker (p, i);
@@ -263,45 +327,57 @@
     }
 }
 
-static int
-search_group (place_t *p, int g, const place_want_t *want)
+static void
+search_group (place_t *p, int g, const place_want_t *want, search_t *s)
 {
-  search_t s = { -1, 0, 0 };
-  int first = bucket_of (want->need.cpus_m);
-  uint64_t map = p->map[g] & (~0ULL << first);
-  /* Spreading has to see every rack; packing only the tightest few. */
-  int enough = want->rack_count ? p->n : SCAN_ENOUGH;
+  int mem = mem_bucket (want->need.memory_mb);
+  uint64_t cpus = p->cpu_map[g] & (~0ULL << cpu_bucket (want->need.cpus_m));
+  /* Spreading has to see many racks; packing only the tightest few. */
+  int enough = want->rack_count ? SCAN_SPREAD : SCAN_ENOUGH;
 
-  while (map && s.found < enough)
+  while (cpus && s->found < enough)
     {
-      int b = __builtin_ctzll (map);
+      int c = __builtin_ctzll (cpus);
+      unsigned int mems = p->mem_map[g][c] & (~0u << mem);
+
+      cpus &= cpus - 1;
+      while (mems && s->found < enough)
+        {
+          int m = __builtin_ctz (mems);
 
-      map &= map - 1;
-      search_bucket (p, p->head[g][b], want, enough, &s);
+          mems &= mems - 1;
+          search_bucket (p, p->head[g][c][m], want, enough, s);
+        }
     }
-  return s.best;
 }
 
 int
 place_find (place_t *p, const place_want_t *want)
 {
-  if (!want->need.accels)
-    {
-      int i = search_group (p, 0, want);
-      if (i >= 0)
-        return i;
-    }
-  return search_group (p, 1, want);
+  search_t s = { -1, 0, 0 };
+
+  for (int g = want->need.accels ? GROUP_FREE : GROUP_PLAIN;
+       g < PLACE_GROUPS && s.best < 0; g++)
+    search_group (p, g, want, &s);
+  return s.best;
 }
 
 int
-place_first_fit (place_t *p, const place_want_t *want)
+place_random_fit (place_t *p, const place_want_t *want, int from)
 {
-  for (int i = 0; i < p->n; i++)
+  for (int k = 0; k < p->n; k++)
     {
+      int i = (from + k) % p->n;
+
       p->probes++;
       if (eligible (p, i, want))
         return i;
     }
   return -1;
 }
+
+int
+place_first_fit (place_t *p, const place_want_t *want)
+{
+  return place_random_fit (p, want, 0);
+}
--- a/src/place.h
+++ b/src/place.h
@@ -4,8 +4,9 @@
 
 #include "gentianlatch.h"
 
-#define PLACE_BUCKETS 64
-#define PLACE_GROUPS 2
+#define PLACE_CPUS 64
+#define PLACE_MEMS 16
+#define PLACE_GROUPS 3
 
 /**
  * struct place_worker_t - what placement knows of one worker
@@ -24,7 +25,8 @@
   unsigned char reserved;
   unsigned char linked;
   unsigned char group;
-  unsigned char bucket;
+  unsigned char cpu;
+  unsigned char mem;
   int prev;
   int next;
 } place_worker_t;
@@ -34,8 +36,9 @@
   place_worker_t *w;
   int n;
   int cap;
-  int head[PLACE_GROUPS][PLACE_BUCKETS];
-  uint64_t map[PLACE_GROUPS];
+  int head[PLACE_GROUPS][PLACE_CPUS][PLACE_MEMS];
+  uint64_t cpu_map[PLACE_GROUPS];
+  uint16_t mem_map[PLACE_GROUPS][PLACE_CPUS];
   int64_t sum_cpus;
   int64_t sum_memory;
   int64_t sum_accels;
@@ -81,8 +84,12 @@
 int place_find (place_t *p, const place_want_t *want);
 /** place_first_fit - lowest-numbered worker that fits, a baseline */
 int place_first_fit (place_t *p, const place_want_t *want);
+/** place_random_fit - the first that fits from worker @from on, a baseline */
+int place_random_fit (place_t *p, const place_want_t *want, int from);
 /** place_fits - whether @need fits within @room */
 int place_fits (const gl_res_t *need, const gl_res_t *room);
+/** place_times - how many tasks of @need fit within @room */
+int place_times (const gl_res_t *need, const gl_res_t *room);
 /** place_free - free resources of worker @i */
 gl_res_t place_free (const place_t *p, int i);
 
--- a/src/policy.c
+++ b/src/policy.c
@@ -16,8 +16,7 @@
  * Only urgent work evicts and urgent work is never evicted, so two jobs
  * cannot evict each other in turn.
  *
- * Shapes that did not fit are remembered for the rest of the pass: a need
- * at least as large in every resource is not searched for again.
+ * What is known not to fit is not searched for again; see fit.c.
  */
 #include "schedint.h"
 
@@ -38,14 +37,14 @@
 #define PREEMPTED_MAX 3
 /* Run time assumed for finite work that declares none, seconds. */
 #define RUNTIME_UNKNOWN_S 86400
-/* Most records a commit may gather before placement pauses. */
-#define PENDING_MAX 4096
 #define AGE_PERIOD_MS 1000
+/* Finite tasks of a worker, and offers it makes, that a reservation weighs. */
+#define ENDINGS_MAX 128
+#define OFFERS_A_WORKER 8
 
 static const char WHY_ROOM[] = "no worker has room for it now";
 static const char WHY_QUOTA[] = "its team's quota share is in use";
 static const char WHY_BACKOFF[] = "paused after failed attempts";
-static const char WHY_TURN[] = "waits for its team's turn";
 static const char WHY_RESERVED[] = "workers are being kept free for it";
 static const char WHY_GANG[] = "not enough room for all its tasks at once";
 static const char WHY_STOPPING[] = "waits for its own tasks to stop";
@@ -64,6 +63,7 @@
   for (int i = 0; i < s->place.n; i++)
     s->place.w[i].reserved = LEVEL_ANY;
   s->resv.job = 0;
+  fit_reset (s);
 }
 
 /* ---- feasibility ---- */
@@ -84,19 +84,6 @@
   return known > 0;
 }
 
-/* How many tasks of this need @room could hold. */
-static int
-times_fits (const gl_res_t *need, const gl_res_t *room)
-{
-  int n = room->cpus_m / need->cpus_m;
-
-  if (need->memory_mb && room->memory_mb / need->memory_mb < n)
-    n = room->memory_mb / need->memory_mb;
-  if (need->accels && room->accels / need->accels < n)
-    n = room->accels / need->accels;
-  return n > 0 ? n : 0;
-}
-
 /* How many the listed workers could hold together if they were empty. */
 static int64_t
 tasks_at_most (const gl_sched_t *s, const gl_res_t *need)
@@ -105,7 +92,7 @@
 
   for (int i = 0; i < s->place.n; i++)
     if (s->workers[i].listed)
-      n += times_fits (need, &s->place.w[i].total);
+      n += place_times (need, &s->place.w[i].total);
   return n;
 }
 
@@ -134,26 +121,6 @@
   return NULL;
 }
 
-/* ---- remembered failures ---- */
-
-static int
-known_to_fail (const gl_sched_t *s, const gl_res_t *need, int level)
-{
-  for (int i = 0; i < s->nfailed_shape; i++)
-    if (level <= s->failed_level[i] && place_fits (&s->failed_shape[i], need))
-      return 1;
-  return 0;
-}
-
-static void
-remember_failure (gl_sched_t *s, const gl_res_t *need, int level)
-{
-  if (s->nfailed_shape == FAILED_SHAPES)
-    return;
-  s->failed_shape[s->nfailed_shape] = *need;
-  s->failed_level[s->nfailed_shape++] = level;
-}
-
 /* ---- one job ---- */
 
 static int
@@ -178,9 +145,12 @@
       = { .need = j->need, .level = level_of (s, h, j), .avoid = -1 };
   int w;
 
-  if (s->baseline)
+  if (s->opts.policy == GL_POLICY_FIRST_FIT)
     return place_first_fit (&s->place, &want);
-  if (known_to_fail (s, &j->need, want.level))
+  if (s->opts.policy == GL_POLICY_RANDOM_FIT)
+    return place_random_fit (&s->place, &want,
+                             (int)jitter (s, (gl_ms_t)s->place.n));
+  if (fit_fails (s, j, want.level))
     return -1;
   if (j->cls == GL_CLASS_SERVICE)
     {
@@ -189,7 +159,7 @@
     }
   w = place_find (&s->place, &want);
   if (w < 0)
-    remember_failure (s, &j->need, want.level);
+    fit_failed (s, j, want.level);
   return w;
 }
 
@@ -228,6 +198,7 @@
   if (j->hold_worker >= 0)
     {
       s->place.w[j->hold_worker].reserved = LEVEL_ANY;
+      fit_gained (s, j->hold_worker, NULL);
       j->hold_worker = -1;
     }
   if (s->resv.job == h && !j->waiting)
@@ -254,6 +225,8 @@
 {
   uint32_t n = 0;
 
+  /* Failures beside tentative grants say nothing of the true room. */
+  s->tentative = 1;
   for (; n < j->waiting; n++)
     {
       chosen[n] = find_worker (s, h, j);
@@ -262,9 +235,7 @@
     }
   for (uint32_t i = 0; i < n; i++)
     place_give (&s->place, chosen[i], &j->need);
-  /* Failures seen with tentative grants say nothing of the true room. */
-  if (n < j->waiting)
-    s->nfailed_shape = 0;
+  s->tentative = 0;
   return n;
 }
 
@@ -275,8 +246,11 @@
   uint32_t want = j->waiting;
   uint32_t n;
 
-  if (!chosen)
-    return 0;
+  if (!chosen || fit_gang_fails (s, j, level_of (s, h, j)))
+    {
+      free (chosen);
+      return 0;
+    }
   n = choose_all (s, h, j, chosen);
   if (n == want || (FAULT (FAULT_GANG_PARTIAL) && n))
     for (uint32_t i = 0; i < n; i++)
@@ -288,6 +262,8 @@
   free (chosen);
   if (n == want)
     drop_holds (s, h, j);
+  else
+    fit_gang_failed (s, j, level_of (s, h, j));
   return n == want;
 }
 
@@ -311,32 +287,78 @@
   return y->tasks - x->tasks;
 }
 
-/* What the worker could hold once its finite tasks have ended, and when. */
-static offer_t
-offer_of (gl_sched_t *s, int i, const job_t *j)
+typedef struct
+{
+  gl_ms_t when;
+  gl_res_t need;
+} ending_t;
+
+static int
+ending_cmp (const void *a, const void *b)
+{
+  const ending_t *x = a;
+  const ending_t *y = b;
+
+  return x->when < y->when ? -1 : x->when > y->when;
+}
+
+/* When a task is expected to end.  One that runs past its declared time is
+   expected to run on for half as long as it has already run. */
+static gl_ms_t
+expected_end (const gl_sched_t *s, const job_t *j, const task_t *t)
+{
+  gl_ms_t run = j->runtime_s ? j->runtime_s : RUNTIME_UNKNOWN_S;
+  gl_ms_t end = t->since + run * 1000;
+
+  return end > s->now ? end : s->now + (s->now - t->since) / 2 + 1000;
+}
+
+/* The worker's finite tasks in the order of their expected ends. */
+static int
+endings_of (gl_sched_t *s, int i, ending_t *out)
 {
   worker_t *w = &s->workers[i];
-  gl_res_t room = s->place.w[i].total;
-  offer_t o = { i, 0, s->now };
+  int n = 0;
 
-  for (int k = 0; k < w->ntasks; k++)
+  for (int k = 0; k < w->ntasks && n < ENDINGS_MAX; k++)
     {
-      job_t *other = pool_get (&s->jobs, w->tasks[k].job);
-      task_t *t = &other->tasks[w->tasks[k].index];
-      gl_ms_t run = other->runtime_s ? other->runtime_s : RUNTIME_UNKNOWN_S;
-      gl_ms_t end = t->since + run * 1000;
+      job_t *j = pool_get (&s->jobs, w->tasks[k].job);
 
-      if (other->cls == GL_CLASS_SERVICE)
-        {
-          room.cpus_m -= other->need.cpus_m;
-          room.memory_mb -= other->need.memory_mb;
-          room.accels -= other->need.accels;
-        }
-      else if (end > o.when)
-        o.when = end;
+      if (j->cls == GL_CLASS_SERVICE)
+        continue;
+      out[n].when = expected_end (s, j, &j->tasks[w->tasks[k].index]);
+      out[n++].need = j->need;
+    }
+  qsort (out, (size_t)n, sizeof *out, ending_cmp);
+  return n;
+}
+
+/* Each moment at which the worker can hold more tasks of @j than before. */
+static int
+offers_of (gl_sched_t *s, int i, const job_t *j, offer_t *out)
+{
+  ending_t e[ENDINGS_MAX];
+  gl_res_t room = place_free (&s->place, i);
+  int held = place_times (&j->need, &room);
+  int n = 0;
+  int m = endings_of (s, i, e);
+
+  if (held)
+    out[n++] = (offer_t){ i, held, s->now };
+  for (int k = 0; k < m && n < OFFERS_A_WORKER; k++)
+    {
+      int more;
+
+      room.cpus_m += e[k].need.cpus_m;
+      room.memory_mb += e[k].need.memory_mb;
+      room.accels += e[k].need.accels;
+      more = place_times (&j->need, &room) - held;
+      if (more <= 0)
+        continue;
+      out[n++] = (offer_t){ i, more, e[k].when };
+      held += more;
     }
-  o.tasks = times_fits (&j->need, &room);
-  return o;
+  return n;
 }
 
 static void
@@ -367,15 +389,16 @@
   if (s->resv.job && s->resv.job != h)
     return;
   policy_reset (s);
-  offers = calloc ((size_t)s->nworkers + 1, sizeof *offers);
+  offers = calloc ((size_t)s->nworkers * OFFERS_A_WORKER + 1, sizeof *offers);
   if (!offers)
     return;
   for (int i = 0; i < s->nworkers; i++)
     if (s->place.w[i].usable)
       {
-        offers[n] = offer_of (s, i, j);
-        sum += (uint32_t)offers[n].tasks;
-        n += offers[n].tasks > 0;
+        int more = offers_of (s, i, j, offers + n);
+        for (int k = 0; k < more; k++)
+          sum += (uint32_t)offers[n + k].tasks;
+        n += more;
       }
   if (sum >= j->waiting)
     {
@@ -520,7 +543,7 @@
   j->reason = whole ? WHY_GANG : WHY_ROOM;
   if (j->cls == GL_CLASS_URGENT)
     try_preempt (s, j);
-  else if (whole || j->aged)
+  else if ((whole || j->aged) && s->opts.policy != GL_POLICY_NO_RESERVATION)
     try_reserve (s, h, j);
   return 0;
 }
@@ -531,6 +554,8 @@
 {
   handle_t h = t->head[cls];
   int tried = 0;
+  /* Urgent work tries to evict again, and a pause ends by itself. */
+  int stuck = cls != GL_CLASS_URGENT && !aged;
 
   while (h && tried < PASS_DEPTH)
     {
@@ -541,58 +566,85 @@
         {
           if (try_job (s, h, j))
             return 1;
+          if (s->now < j->not_before)
+            stuck = 0;
           tried++;
         }
       h = next;
     }
+  if (stuck)
+    t->stuck[cls] = s->fit_version;
   return 0;
 }
 
-static team_t *
-pick_team (gl_sched_t *s, int cls)
+/* ---- teams by share: a heap with the smallest on top ---- */
+
+static void
+rank_down (gl_sched_t *s, int i)
 {
-  team_t *best = NULL;
-  uint32_t least = 0;
+  ranked_t *h = s->ranked;
 
-  for (int i = 0; i < s->nteams; i++)
+  for (;;)
     {
-      team_t *t = &s->teams[i];
-      uint32_t share;
-
-      if (!t->head[cls] || t->blocked[cls])
-        continue;
-      share = team_share (s, t);
-      if (!best || share < least)
-        {
-          best = t;
-          least = share;
-        }
+      int c = 2 * i + 1;
+      ranked_t t;
+
+      if (c >= s->nranked)
+        return;
+      if (c + 1 < s->nranked && h[c + 1].share < h[c].share)
+        c++;
+      if (h[i].share <= h[c].share)
+        return;
+      t = h[i];
+      h[i] = h[c];
+      h[c] = t;
+      i = c;
     }
-  return best;
+}
+
+static int
+worth_a_look (const gl_sched_t *s, const team_t *t, int cls)
+{
+  return t->head[cls] && t->stuck[cls] != s->fit_version;
 }
 
 static void
-unblock (gl_sched_t *s, int cls)
+rank_teams (gl_sched_t *s, int cls)
 {
+  s->nranked = 0;
   for (int i = 0; i < s->nteams; i++)
-    s->teams[i].blocked[cls] = 0;
+    if (worth_a_look (s, &s->teams[i], cls))
+      s->ranked[s->nranked++] = (ranked_t){ team_share (s, &s->teams[i]), i };
+  for (int i = s->nranked / 2; i-- > 0;)
+    rank_down (s, i);
+}
+
+static void
+drop_top (gl_sched_t *s)
+{
+  s->ranked[0] = s->ranked[--s->nranked];
+  rank_down (s, 0);
 }
 
 /* Returns 1 when the pass must end because it has done enough. */
 static int
 serve_class (gl_sched_t *s, int cls, int aged, int *placed)
 {
-  team_t *t;
-
-  unblock (s, cls);
-  while ((t = pick_team (s, cls)))
+  rank_teams (s, cls);
+  while (s->nranked)
     {
-      if (*placed >= PASS_PLACEMENTS || s->log.pending.n > PENDING_MAX)
+      team_t *t = &s->teams[s->ranked[0].team];
+
+      if (*placed >= PASS_PLACEMENTS || journal_full (s))
         return 1;
       if (serve_team (s, t, cls, aged))
-        (*placed)++;
+        {
+          (*placed)++;
+          s->ranked[0].share = team_share (s, t);
+          rank_down (s, 0);
+        }
       else
-        t->blocked[cls] = 1;
+        drop_top (s);
     }
   return 0;
 }
@@ -603,7 +655,7 @@
   if (serve_class (s, GL_CLASS_URGENT, 0, placed))
     return 1;
   for (int cls = GL_CLASS_SERVICE; cls < CLASSES; cls++)
-    if (serve_class (s, cls, 1, placed))
+    if (s->naged && serve_class (s, cls, 1, placed))
       return 1;
   for (int cls = GL_CLASS_SERVICE; cls < CLASSES; cls++)
     if (serve_class (s, cls, 0, placed))
@@ -626,14 +678,12 @@
   gl_sched_t *s = ctx;
   int placed = 0;
 
-  if (s->role != ROLE_ACTIVE || s->stopping || !lease_held (s))
+  if (s->role != ROLE_ACTIVE || s->stopping || !lease_held (s) || !s->ranked)
     return;
   s->c.passes++;
-  s->nfailed_shape = 0;
   check_reservation (s);
   if (serve_all (s, &placed))
-    timer_arm_before (&s->timers, s->t_pass,
-                      s->log.pending.n > PENDING_MAX ? now + 1 : now);
+    timer_arm_before (&s->timers, s->t_pass, journal_full (s) ? now + 1 : now);
 }
 
 /* Queues are in order of acceptance, so the first young job ends a scan. */
@@ -645,6 +695,7 @@
 
   if (s->role != ROLE_ACTIVE)
     return;
+  s->naged = 0;
   for (int i = 0; i < s->nteams; i++)
     for (int cls = GL_CLASS_SERVICE; cls < CLASSES; cls++)
       for (handle_t h = s->teams[i].head[cls]; h;)
@@ -654,10 +705,11 @@
           if (j->submitted + age > now)
             break;
           j->aged = 1;
+          s->naged++;
           h = j->next;
         }
   timer_arm (&s->timers, s->t_age, now + AGE_PERIOD_MS);
   /* Reservations and holds that nobody used are looked at again. */
+  s->fit_version++;
   policy_wake (s);
-  (void)WHY_TURN;
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -71,6 +71,7 @@
     return NULL;
   set_options (s, opts);
   s->now = now;
+  s->fit_version = 1;
   conf_init (&s->conf);
   pool_init (&s->jobs, sizeof (job_t));
   place_init (&s->place);
@@ -122,6 +123,8 @@
   for (int i = 0; i < s->nteams; i++)
     hist_done (&s->teams[i].wait);
   free (s->teams);
+  free (s->ranked);
+  free (s->dirty);
   for (int i = 0; i < CLASSES; i++)
     hist_done (&s->wait_class[i]);
   hist_done (&s->commit_time);
@@ -159,6 +162,9 @@
   else if (!lease_held (s) || journal_stuck (s))
     sched_answer (s, token, GL_RETRY, job, RETRY_STORE_MS,
                   "the key-value service does not answer");
+  else if (journal_full (s))
+    sched_answer (s, token, GL_RETRY, job, RETRY_OWNER_MS,
+                  "too many requests at once");
   else
     return 1;
   return 0;
@@ -356,6 +362,7 @@
       s->teams[t].known = 1;
       s->teams[t].quota = c->teams[i].quota;
     }
+  fit_reset (s);
   policy_wake (s);
 }
 
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -47,9 +47,16 @@
 #define PASS_PLACEMENTS 256
 /* Jobs of one team looked at past one that does not fit. */
 #define PASS_DEPTH 8
-#define FAILED_SHAPES 32
+/* Distinct needs that are told apart; jobs of further ones are searched for
+   every time. */
+#define SHAPES_MAX 512
 #define RACKS_MAX 128
 
+/* Pending records past which no more work is taken on or placed, and most
+   records of one commit; a gang's assignments may exceed it, never split. */
+#define PENDING_MAX 4096
+#define COMMIT_RECORDS 4000
+
 /* Retry time told to operators, milliseconds. */
 #define RETRY_OWNER_MS 2000
 #define RETRY_STORE_MS 5000
@@ -125,6 +132,7 @@
   gl_ms_t not_before;
   gl_ms_t preempt_after;
   int hold_worker;
+  int shape;
   uint64_t order;
   const char *reason;
   handle_t prev;
@@ -133,7 +141,10 @@
   uint16_t *rack_count;
 } job_t;
 
-/** struct team_t - one team: quota share of this domain and what it uses */
+/**
+ * struct team_t - one team: quota share of this domain and what it uses
+ * @stuck: fit_version under which nothing of the queue could be placed
+ */
 typedef struct
 {
   char name[64];
@@ -143,7 +154,7 @@
   handle_t head[CLASSES];
   handle_t tail[CLASSES];
   uint32_t queued[CLASSES];
-  unsigned char blocked[CLASSES];
+  uint64_t stuck[CLASSES];
   hist_t wait;
 } team_t;
 
@@ -206,6 +217,7 @@
   int ntasks;
   int captasks;
   int ncmd;
+  unsigned char dirty;
   gl_taskref_t *strays;
   int nstrays;
   call_t hold;
@@ -235,7 +247,10 @@
   GATE_ACK
 } gate_kind_t;
 
-/** struct gate_t - what a commit lets happen */
+/**
+ * struct gate_t - what a commit lets happen
+ * @after: number of pending records that must be written first
+ */
 typedef struct
 {
   gate_kind_t kind;
@@ -246,6 +261,7 @@
   uint32_t attempt;
   int worker;
   uint64_t seq;
+  size_t after;
 } gate_t;
 
 typedef struct
@@ -353,6 +369,31 @@
   size_t last_len;
 } snap_t;
 
+/**
+ * struct shape_t - a need that jobs ask for
+ * @failed: highest level at which it found no worker, -1 for none
+ * @gains: how often a worker has gained so much that the need fits it once
+ *   more than before
+ * @gang_tasks: smallest gang that found no room, since @gang_gains and at
+ *   @gang_level; 0 for none
+ */
+typedef struct
+{
+  gl_res_t need;
+  int failed;
+  uint64_t gains;
+  uint32_t gang_tasks;
+  uint64_t gang_gains;
+  int gang_level;
+} shape_t;
+
+/** struct ranked_t - a team in the order of its dominant share */
+typedef struct
+{
+  uint32_t share;
+  int team;
+} ranked_t;
+
 /** struct reservation_t - workers kept for one job that did not fit */
 typedef struct
 {
@@ -439,11 +480,17 @@
   uint64_t next_order;
   unsigned char pass_more;
   reservation_t resv;
-  int baseline;
 
-  gl_res_t failed_shape[FAILED_SHAPES];
-  int failed_level[FAILED_SHAPES];
-  int nfailed_shape;
+  shape_t shapes[SHAPES_MAX];
+  int nshapes;
+  int naged;
+  int tentative;
+  uint64_t fit_version;
+  ranked_t *ranked;
+  int nranked;
+  int *dirty;
+  int ndirty;
+  gl_ms_t sweep_at;
   counters_t c;
   hist_t wait_class[CLASSES];
   hist_t commit_time;
@@ -510,6 +557,8 @@
 void journal_apply (gl_sched_t *s, const gl_rec_t *rec);
 /** journal_expire - answer requests that waited too long for their commit */
 void journal_expire (gl_sched_t *s);
+/** journal_full - too much waits to be written to take on more */
+int journal_full (const gl_sched_t *s);
 /** journal_stuck - the store has kept a commit waiting for too long */
 int journal_stuck (const gl_sched_t *s);
 
@@ -588,6 +637,23 @@
 /** worker_blame - note a failed attempt against the worker */
 void worker_blame (gl_sched_t *s, int i, uint64_t job, int failed);
 
+/* fit.c */
+
+/** fit_shape - number of a need, -1 when there are too many */
+int fit_shape (gl_sched_t *s, const gl_res_t *need);
+/** fit_fails - whether the job's need is known to find no worker */
+int fit_fails (const gl_sched_t *s, const job_t *j, int level);
+/** fit_failed - the job's need has found no worker at @level */
+void fit_failed (gl_sched_t *s, const job_t *j, int level);
+/** fit_gained - @worker has gained @freed, or NULL: has become usable */
+void fit_gained (gl_sched_t *s, int worker, const gl_res_t *freed);
+/** fit_gang_fails - a gang no larger has failed since anything changed */
+int fit_gang_fails (const gl_sched_t *s, const job_t *j, int level);
+/** fit_gang_failed - the gang did not fit */
+void fit_gang_failed (gl_sched_t *s, const job_t *j, int level);
+/** fit_reset - anything may fit again */
+void fit_reset (gl_sched_t *s);
+
 /* policy.c */
 
 /** policy_pass - timer: place what can be placed */
--- a/src/workers.c
+++ b/src/workers.c
@@ -44,6 +44,8 @@
 #define CMD_NONE 0
 #define CMD_AGAIN 1
 #define CMD_NEW 2
+/* Period at which every worker is looked at. */
+#define SWEEP_MS 200
 #define STARTS_A_CALL 64
 #define STRAYS_MAX 256
 /* Failed attempts of different jobs in a row that put a worker on probation,
@@ -79,6 +81,7 @@
 {
   int i = worker_find (s, name);
   worker_t *w;
+  int *dirty;
 
   if (i >= 0)
     return i;
@@ -91,6 +94,10 @@
       s->workers = w;
       s->capworkers = cap;
     }
+  dirty = realloc (s->dirty, (size_t)(s->nworkers + 1) * sizeof *dirty);
+  if (!dirty)
+    return -1;
+  s->dirty = dirty;
   if (place_add (&s->place) < 0)
     return -1;
   w = &s->workers[s->nworkers];
@@ -108,7 +115,30 @@
 
   place_set (&s->place, i, &w->total, s->place.w[i].rack, usable);
   if (usable)
-    policy_wake (s);
+    {
+      fit_gained (s, i, NULL);
+      policy_wake (s);
+    }
+}
+
+/* Have one worker looked at in the next poll. */
+static void
+touch (gl_sched_t *s, int i)
+{
+  if (!s->workers[i].dirty)
+    {
+      s->workers[i].dirty = 1;
+      s->dirty[s->ndirty++] = i;
+    }
+  timer_arm_before (&s->timers, s->t_workers, s->now);
+}
+
+/* Have all workers looked at in the next poll. */
+static void
+touch_all (gl_sched_t *s)
+{
+  s->sweep_at = s->now;
+  timer_arm_before (&s->timers, s->t_workers, s->now);
 }
 
 void
@@ -119,7 +149,7 @@
   w->ncmd = CMD_NEW;
   if (w->state == WORKER_READY)
     w->retry_at = s->now;
-  timer_arm_before (&s->timers, s->t_workers, s->now);
+  touch (s, i);
 }
 
 /* ---- the platform's list ---- */
@@ -190,7 +220,7 @@
       if (s->role == ROLE_ACTIVE && s->workers[i].leaving)
         drain (s, i);
     }
-  timer_arm_before (&s->timers, s->t_workers, s->now);
+  touch_all (s);
 }
 
 /* ---- calls out ---- */
@@ -347,7 +377,6 @@
   w->retry_at = s->now + w->backoff / 2 + jitter (s, w->backoff);
   if (w->backoff < RETRY_MAX_MS)
     w->backoff *= 2;
-  timer_arm_before (&s->timers, s->t_workers, w->retry_at);
 }
 
 /* ---- running out ---- */
@@ -402,21 +431,8 @@
     run_out (s, i);
 }
 
-static gl_ms_t
-next_due (const gl_sched_t *s, const worker_t *w)
-{
-  gl_ms_t due = TIMER_NEVER;
-
-  if (w->addr[0] && (w->listed || w->ntasks) && !w->cmd.id
-      && (w->state != WORKER_READY || w->ncmd))
-    due = w->retry_at;
-  if (w->ntasks && w->state != WORKER_READY && bound (s, w) + 1 < due)
-    due = bound (s, w) + 1;
-  if (w->probation_until && w->probation_until < due)
-    due = w->probation_until;
-  return due;
-}
-
+/* Workers with news are looked at at once, all others at each sweep, so
+   that a start costs the same whatever the number of workers. */
 void
 workers_poll (void *ctx, gl_ms_t now)
 {
@@ -424,16 +440,19 @@
 
   if (s->role != ROLE_ACTIVE)
     return;
-  for (int i = 0; i < s->nworkers; i++)
-    poll_one (s, i);
-  for (int i = 0; i < s->nworkers; i++)
+  for (int k = 0; k < s->ndirty; k++)
     {
-      gl_ms_t due = next_due (s, &s->workers[i]);
-
-      if (due != TIMER_NEVER)
-        timer_arm_before (&s->timers, s->t_workers,
-                          due > now ? due : now + 1 + RETRY_MIN_MS);
+      s->workers[s->dirty[k]].dirty = 0;
+      poll_one (s, s->dirty[k]);
     }
+  s->ndirty = 0;
+  if (now >= s->sweep_at)
+    {
+      s->sweep_at = now + SWEEP_MS;
+      for (int i = 0; i < s->nworkers; i++)
+        poll_one (s, i);
+    }
+  timer_arm_before (&s->timers, s->t_workers, s->sweep_at);
 }
 
 /* ---- answers ---- */
@@ -634,7 +653,7 @@
     take_status (s, i, &call, ev->u.worker.reply);
   else
     call_failed (s, i);
-  timer_arm_before (&s->timers, s->t_workers, s->now);
+  touch (s, i);
 }
 
 void
@@ -660,9 +679,12 @@
       w->fail_jobs = 0;
       w->probation_until = 0;
       w->ntasks = 0;
+      w->dirty = 0;
       memset (&s->place.w[i].used, 0, sizeof (gl_res_t));
       worker_refresh (s, i);
     }
+  s->ndirty = 0;
+  s->sweep_at = s->now;
 }
 
 int
--- a/standin/wcore.h
+++ b/standin/wcore.h
@@ -4,7 +4,7 @@
 
 #include "gl_rec.h"
 
-#define WCORE_TASKS_MAX 512
+#define WCORE_TASKS_MAX 160
 
 /**
  * struct wtask_t - one attempt that the worker runs or remembers
