Failures of a whole cell: system test, spreading over workers, faster health

Cause and change, one by one: - a service of four tasks was packed on one worker, so one lost worker took all of it: racks were spread over, workers were not. Candidates now cost 4000 a task of the same job, more than any leftover; a test places twelve tasks on six workers, two on each. - a leaving instance that the list still called live was sent a request 3 s after its leaving (refused unrun): health checks came every 2.5 to 7.5 s.

--- a/Makefile
+++ b/Makefile
@@ -78,7 +78,7 @@
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
-TESTS = fuzz_sched fuzz_route
+TESTS = unit fuzz_sched fuzz_route
 
 tests: $(TESTS:%=$(BUILD)/%)
 
@@ -100,6 +100,9 @@
 	@$(MAKE) --no-print-directory all tests
 	@set -e; for t in $(TESTS); do $(BUILD)/$$t; done
 	@$(MAKE) --no-print-directory asan
+	@$(MAKE) --no-print-directory tsan
+	@$(MAKE) --no-print-directory bounds
+	tests/system.sh
 
 # Fuzz for longer: make fuzz SECONDS=600 SEED=7
 SECONDS = 60
@@ -118,6 +121,12 @@
 	@set -e; for t in $(TESTS); do \
 	  CASES=$(ASAN_CASES) build-asan/$$t --gtest_filter=-*Fault*; done
 
+# The threaded parts under the thread sanitizer.
+tsan:
+	@$(MAKE) --no-print-directory BUILD=build-tsan OPT="-O1 -g" \
+	  MODE="-fsanitize=thread" build-tsan/unit
+	TSAN_OPTIONS=suppressions=tests/tsan.supp build-tsan/unit --gtest_filter='Threads.*:Http.*:Rpc.*'
+
 SOURCES = $(wildcard src/*.[ch] standin/*.[ch] bench/*.[ch] examples/*.[ch] \
 	tests/*.h tests/*.cc)
 format:
@@ -135,7 +144,7 @@
 clean:
 	rm -rf build build-asan build-tsan run
 
-.PHONY: all tests deps demo check fuzz asan format format-check lint clean
+.PHONY: all tests deps demo check fuzz asan tsan bounds format format-check lint clean
 
 # ---- measurements ----
 BENCH_O = $(BUILD)/bench/drive.o $(BUILD)/standin/kvcore.o \
@@ -145,3 +154,18 @@
 bench: deps
 	@$(MAKE) --no-print-directory $(BUILD)/bench-bench
 	$(BUILD)/bench-bench
+weeks: deps
+	@$(MAKE) --no-print-directory $(BUILD)/bench-weeks
+	$(BUILD)/bench-weeks
+# Print the slopes anew and hold the counted ones against the page.
+capacity: deps
+	@$(MAKE) --no-print-directory $(BUILD)/bench-capacity
+	bench/capacity.sh $(BUILD)
+.PHONY: bench weeks capacity
+# Regression bounds by counts in virtual time.
+bounds:
+	@$(MAKE) --no-print-directory $(BUILD)/bench-bench $(BUILD)/bench-weeks \
+	  $(BUILD)/bench-capacity
+	$(BUILD)/bench-bench --ops
+	$(BUILD)/bench-weeks --full
+	bench/capacity.sh $(BUILD)
--- a/src/conf.c
+++ b/src/conf.c
@@ -178,10 +178,32 @@
   return 0;
 }
 
+/* The library takes no notice of what follows a section's bracket.  Returns
+   the number of the first line that has something there, 0 for none. */
+static int
+stray_text (const char *text)
+{
+  for (int line = 1; text && *text; line++)
+    {
+      const char *end = strchr (text, '\n');
+      const char *close = *text == '[' ? strchr (text, ']') : NULL;
+      size_t len = end ? (size_t)(end - text) : strlen (text);
+
+      if (close && close < text + len
+          && strspn (close + 1, " \t\r") + 1 < (size_t)(text + len - close))
+        return line;
+      text = end ? end + 1 : NULL;
+    }
+  return 0;
+}
+
 static gl_code_t
 parse_part (parse_t *p, const char *text)
 {
-  int line = ini_parse_string (text, set_value, p);
+  int line = stray_text (text);
+
+  if (!line)
+    line = ini_parse_string (text, set_value, p);
 
   if (!line)
     return GL_OK;
--- a/src/entry.c
+++ b/src/entry.c
@@ -70,7 +70,7 @@
 typedef struct
 {
   settings_t settings;
-  loop_t loop;
+  loop_t *loop;
   gl_router_t *router;
   httpc_t *upstreams;
   httpc_t *http;
@@ -112,7 +112,7 @@
 static void
 post (daemon_t *d, item_t *it)
 {
-  while (loop_post (&d->loop, it))
+  while (loop_post (d->loop, it))
     usleep (1000);
 }
 
@@ -387,7 +387,7 @@
       log_info ("%s", e->log);
       break;
     case GL_RFX_STOPPED:
-      loop_quit (&d->loop);
+      loop_quit (d->loop);
       break;
     }
 }
@@ -576,7 +576,7 @@
   it->ev.u.request.urgency = urgency_of (call);
   it->ev.u.request.repeatable = !key && method_repeats (call->method);
   it->ev.u.request.deadline = deadline ? strtoull (deadline, NULL, 10) : 0;
-  if (loop_post (&d->loop, it))
+  if (loop_post (d->loop, it))
     {
       item_free (it);
       httpd_extra (call, "Retry-After: 1");
@@ -599,7 +599,8 @@
       log_error ("[entry] http is needed");
       return -1;
     }
-  if (loop_init (&d->loop) || daemon_signals (stop_asked, d))
+  d->loop = loop_new ();
+  if (!d->loop || daemon_signals (stop_asked, d))
     return -1;
   snprintf (node, sizeof node, "%s.%d", s->node, (int)getpid ());
   o.node = node;
@@ -639,7 +640,7 @@
       return 1;
     }
   log_info ("serving callers on %s", d.settings.entry_http);
-  loop_run (&d.loop, &part);
+  loop_run (d.loop, &part);
   left = httpd_drain (d.server, DRAIN_MS);
   log_info ("stopped, %u answers cut", left);
   logs_close ();
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -19,6 +19,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "handover.h"
 #include "loop.h"
 
 #define SLOTS 8192
@@ -136,8 +137,12 @@
 static int
 set_headers (transfer_t *t, const httpc_request_t *r)
 {
+  /* Neither header is wanted; each call is a few hundred bytes. */
   struct curl_slist *l = curl_slist_append (NULL, "Expect:");
 
+  if (l && !curl_slist_append (l, "Accept:"))
+    return -1;
+
   for (size_t i = 0; l && r->headers && r->headers[i]; i++)
     {
       struct curl_slist *m = curl_slist_append (l, r->headers[i]);
@@ -360,7 +365,10 @@
   while (!ck_pr_load_uint (&c->quit))
     {
       while (ck_ring_dequeue_mpsc (&c->ring, c->slots, &item))
-        begin (c, item);
+        {
+          HANDOVER_IN (item);
+          begin (c, item);
+        }
       curl_multi_perform (c->multi, &running);
       reap (c);
       if (!ck_ring_size (&c->ring))
@@ -428,6 +436,7 @@
 
   if (!t)
     return -1;
+  HANDOVER_OUT (t);
   if (!ck_ring_enqueue_mpsc (&c->ring, c->slots, t))
     {
       transfer_free (t);
--- a/src/loop.c
+++ b/src/loop.c
@@ -10,14 +10,32 @@
 #include "loop.h"
 
 #include <ck_pr.h>
+#include <ck_ring.h>
 #include <poll.h>
-#include <string.h>
+#include <stdlib.h>
 #include <sys/eventfd.h>
 #include <time.h>
 #include <unistd.h>
 
+#include "handover.h"
+
 /* Longest sleep, so that a clock that was stopped is noticed. */
 #define SLEEP_MAX_MS 1000
+#define LOOP_SLOTS 8192
+
+/**
+ * struct loop - the queue
+ * @fd: event descriptor that wakes the control thread
+ * @asleep: the control thread waits, so a post must wake it
+ */
+struct loop
+{
+  ck_ring_t ring;
+  ck_ring_buffer_t slots[LOOP_SLOTS];
+  int fd;
+  unsigned int asleep;
+  int quit;
+};
 
 gl_ms_t
 clock_ms (void)
@@ -28,19 +46,28 @@
   return (gl_ms_t)t.tv_sec * 1000 + (gl_ms_t)t.tv_nsec / 1000000;
 }
 
-int
-loop_init (loop_t *l)
+loop_t *
+loop_new (void)
 {
-  memset (l, 0, sizeof *l);
+  loop_t *l = calloc (1, sizeof *l);
+
+  if (!l)
+    return NULL;
   ck_ring_init (&l->ring, LOOP_SLOTS);
   l->fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
-  return l->fd < 0 ? -1 : 0;
+  if (l->fd < 0)
+    {
+      free (l);
+      return NULL;
+    }
+  return l;
 }
 
 void
-loop_done (loop_t *l)
+loop_free (loop_t *l)
 {
   close (l->fd);
+  free (l);
 }
 
 int
@@ -48,6 +75,7 @@
 {
   uint64_t one = 1;
 
+  HANDOVER_OUT (item);
   if (!ck_ring_enqueue_mpsc (&l->ring, l->slots, item))
     return -1;
   ck_pr_fence_memory ();
@@ -71,6 +99,7 @@
 
   while (n < 256 && ck_ring_dequeue_mpsc (&l->ring, l->slots, &item))
     {
+      HANDOVER_IN (item);
       part->take (part->ctx, item);
       n++;
     }
--- a/src/place.c
+++ b/src/place.c
@@ -37,6 +37,8 @@
 /* Cost of a task of the same job in the same rack, beside the leftover
    fractions, which add up to at most about 3000. */
 #define SPREAD_COST 10000
+/* The same on one worker; still dearer than any leftover. */
+#define CROWD_COST 4000
 
 void
 place_init (place_t *p)
@@ -282,6 +284,8 @@
   s += leftover (room.accels, want->need.accels, w->total.accels);
   if (want->rack_count && w->rack < want->nracks)
     s += SPREAD_COST * want->rack_count[w->rack];
+  if (want->crowd)
+    s += CROWD_COST * want->crowd (want->ctx, i);
   return s;
 }
 
--- a/src/place.h
+++ b/src/place.h
@@ -50,6 +50,7 @@
  * @need: resources of one task
  * @rack_count: tasks of the same job per rack, or NULL when spread is moot
  * @nracks: length of rack_count
+ * @crowd: tasks of the same job on a worker, or NULL; called with @ctx
  * @level: reserved workers up to this level may be used
  * @avoid: worker not to choose again, -1 for none
  */
@@ -58,6 +59,8 @@
   gl_res_t need;
   const uint16_t *rack_count;
   int nracks;
+  int (*crowd) (void *ctx, int worker);
+  void *ctx;
   int level;
   int avoid;
 } place_want_t;
--- a/src/policy.c
+++ b/src/policy.c
@@ -138,11 +138,31 @@
   return LEVEL_ANY;
 }
 
+/** struct crowd_t - the job whose tasks are counted on a worker */
+typedef struct
+{
+  gl_sched_t *s;
+  handle_t job;
+} crowd_t;
+
+static int
+count_crowd (void *ctx, int worker)
+{
+  const crowd_t *c = ctx;
+  const worker_t *w = &c->s->workers[worker];
+  int n = 0;
+
+  for (int k = 0; k < w->ntasks; k++)
+    n += w->tasks[k].job == c->job;
+  return n;
+}
+
 static int
 find_worker (gl_sched_t *s, handle_t h, const job_t *j)
 {
   place_want_t want
       = { .need = j->need, .level = level_of (s, h, j), .avoid = -1 };
+  crowd_t crowd = { s, h };
   int w;
 
   if (s->opts.policy == GL_POLICY_FIRST_FIT)
@@ -156,6 +176,8 @@
     {
       want.rack_count = j->rack_count;
       want.nracks = RACKS_MAX;
+      want.crowd = count_crowd;
+      want.ctx = &crowd;
     }
   w = place_find (&s->place, &want);
   if (w < 0)
--- a/src/routeint.h
+++ b/src/routeint.h
@@ -22,8 +22,9 @@
 /* Pause before a request is sent again after a lost answer. */
 #define RESEND_MIN_MS 10
 #define RESEND_MAX_MS 200
-/* Health checks of the own domain's instances. */
-#define HEALTH_MS 5000
+/* Health checks of the own domain's instances, each after half to one and a
+   half of this; an instance that answered since then needs none. */
+#define HEALTH_MS 1600
 #define PROBE_MIN_MS 250
 #define PROBE_MAX_MS 10000
 /* A refusal for lack of slots keeps an instance out for this long. */
@@ -71,6 +72,7 @@
   gl_ms_t probe_wait;
   gl_ms_t full_until;
   gl_ms_t left_at;
+  gl_ms_t answered_at;
   gl_ms_t healthy_since;
 } instance_t;
 
--- a/src/rpcd.c
+++ b/src/rpcd.c
@@ -30,6 +30,7 @@
   unsigned int quit;
   const rpcd_proc_t *procs;
   void *ctx;
+  SVCXPRT *listener;
 };
 
 /* The library's dispatch function has no context argument. */
@@ -134,6 +135,7 @@
   x = svc_vc_create (fd, 0, 0);
   if (!x || !svc_reg (x, GL_PROGRAM, GL_VERSION, dispatch, NULL))
     goto fail;
+  d->listener = x;
   d->procs = procs;
   d->ctx = ctx;
   the_server = d;
@@ -153,7 +155,7 @@
     return;
   ck_pr_store_uint (&d->quit, 1);
   pthread_join (d->thread, NULL);
-  svc_exit ();
+  svc_destroy (d->listener);
   the_server = NULL;
   free (d);
 }
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -20,8 +20,8 @@
 #define LEASE_MS 3000
 #define RENEW_MS 750
 #define WORKER_LEASE_MS 60000
-#define HOLD_MS 20000
-#define COMMIT_GAP_MS 20
+#define HOLD_MS 30000
+#define COMMIT_GAP_MS 50
 #define GRACE_MS 3600000
 #define DRIFT_PPM 500
 /* Fixed part of the margin on every lease. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -56,7 +56,7 @@
 typedef struct
 {
   settings_t settings;
-  loop_t loop;
+  loop_t *loop;
   gl_sched_t *sched;
   httpc_t *http;
   store_t store;
@@ -103,7 +103,7 @@
 static void
 post (daemon_t *d, item_t *it)
 {
-  while (loop_post (&d->loop, it))
+  while (loop_post (d->loop, it))
     usleep (1000);
 }
 
@@ -260,7 +260,7 @@
       log_info ("%s", e->u.log);
       break;
     case GL_FX_STOPPED:
-      loop_quit (&d->loop);
+      loop_quit (d->loop);
       break;
     }
 }
@@ -368,7 +368,7 @@
     abort ();
   it->ask = a;
   it->ev.u.submit.token = (uint64_t)(uintptr_t)a;
-  if (loop_post (&d->loop, it))
+  if (loop_post (d->loop, it))
     {
       ask_drop (a);
       item_free (it);
@@ -532,7 +532,8 @@
       log_error ("[scheduler] rpc and http are needed");
       return -1;
     }
-  if (loop_init (&d->loop) || daemon_signals (stop_asked, d))
+  d->loop = loop_new ();
+  if (!d->loop || daemon_signals (stop_asked, d))
     return -1;
   d->sched = make_reducer (s);
   d->http = httpc_new (0);
@@ -567,7 +568,7 @@
       return 1;
     }
   log_info ("serving domain %s", d.settings.domain);
-  loop_run (&d.loop, &part);
+  loop_run (d.loop, &part);
   log_info ("stopped");
   logs_close ();
   return 0;
--- a/src/settings.c
+++ b/src/settings.c
@@ -60,8 +60,8 @@
   INT ("scheduler", "lease_ms", lease_ms, 500, 60000, 3000),
   INT ("scheduler", "renew_ms", renew_ms, 100, 20000, 750),
   INT ("scheduler", "worker_lease_ms", worker_lease_ms, 2000, 600000, 60000),
-  INT ("scheduler", "hold_ms", hold_ms, 500, 120000, 20000),
-  INT ("scheduler", "commit_gap_ms", commit_gap_ms, 1, 1000, 20),
+  INT ("scheduler", "hold_ms", hold_ms, 500, 120000, 30000),
+  INT ("scheduler", "commit_gap_ms", commit_gap_ms, 1, 1000, 50),
   INT ("scheduler", "grace_ms", grace_ms, 1000, 86400000, 3600000),
   INT ("scheduler", "drift_ppm", drift_ppm, 1, 10000, 500),
 };
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -204,9 +204,9 @@
 
   n->took
       = n->took > 0 ? n->took + SMOOTH * ((double)ms - n->took) : (double)ms;
+  n->answered_at = r->now;
   if (n->limit < n->share)
     n->limit++;
-  (void)r;
 }
 
 void
@@ -328,6 +328,9 @@
 
       if (!n->listed || n->probing || (!n->own && n->state == INST_OK))
         continue;
+      if (n->probe_at <= now && n->state == INST_OK
+          && n->answered_at + HEALTH_MS / 2 > now)
+        n->probe_at = now + HEALTH_MS / 2;
       if (n->probe_at <= now)
         send_probe (r, i);
       else if (n->probe_at < next)
--- a/src/workers.c
+++ b/src/workers.c
@@ -292,8 +292,9 @@
   gl_wcall_t call = { 0 };
 
   grant (s, w, &call);
-  call.hold_ms = (u_int)s->opts.hold;
-  send_call (s, i, &w->hold, &call, s->opts.hold + CALL_TIMEOUT_MS,
+  /* Spread, so that workers greeted together are not renewed together. */
+  call.hold_ms = (u_int)(s->opts.hold * 3 / 4 + jitter (s, s->opts.hold / 4));
+  send_call (s, i, &w->hold, &call, call.hold_ms + CALL_TIMEOUT_MS,
              renew_until (s));
 }
 
--- /dev/null
+++ b/tests/system.sh
@@ -0,0 +1,185 @@
+#!/bin/bash
+# system.sh -- a cell of real processes on loopback under failure: bad input,
+# lost answers, a store that is down, a domain cut off, a paused owner, lost
+# workers, leaving, dead and silent upstreams, operators who race.
+cd "$(dirname "$0")/.." || exit 1
+export PORT=${PORT:-18000} RUN=run-system
+. examples/cell.sh
+trap kill_cell EXIT
+WORKERS_EACH=6 INSTANCES_EACH=4
+SCHED_SETTINGS=$'worker_lease_ms = 8000\nhold_ms = 3000\ngrace_ms = 20000'
+FAILED=0
+PASSED=0
+check() {
+  if [ "$2" = "$3" ]; then
+    PASSED=$((PASSED + 1))
+    echo "ok   $1"
+  else
+    FAILED=$((FAILED + 1))
+    echo "FAIL $1: got \"$2\", wanted \"$3\""
+  fi
+}
+holds() { if "${@:2}" >/dev/null 2>&1; then check "$1" yes yes; else check "$1" no yes; fi; }
+status_of() { curl -s -m 15 -o "$RUN/body" -w '%{http_code}' "$@"; }
+fault() { curl -sf -o /dev/null -X POST "http://$1/fault?$2" || check "the fault $2 was taken" no yes; }
+job_is() { CTL job "$1" 2>/dev/null | head -1 | grep -Eq " ($2) "; }
+running() { CTL job "$1" 2>/dev/null | grep -c ' running attempt'; }
+running_is() { [ "$(running "$1")" = "$2" ]; }
+owner_of() { CTL domains | awk -v d="$1" '$1 == d { print $3 }'; }
+owned_by_other() { [ -n "$(owner_of "$1")" ] && [ "$(owner_of "$1")" != "$2" ]; }
+
+start_cell
+holds "three domains find owners" until_true 30 three_owners
+cat >"$RUN/base.ini" <<'INI'
+[policy]
+domains = 3
+[requests]
+deadline_ms = 5000
+first_byte_ms = 1000
+[team t1]
+cpus = 600
+memory_gb = 2400
+accels = 24
+INI
+CTL config apply "$RUN/base.ini" >/dev/null
+holds "first configuration in force everywhere" until_true 9 revision_everywhere 1
+
+echo "-- bad input: precise errors, state as it was"
+A="http://$(admin_of 1)" E="http://$(entry_of 1)"
+head -c 300000 /dev/zero >"$RUN/long"
+while read -r want code args; do
+  [ -n "$want" ] || continue
+  got=$(eval "status_of $args")
+  check "$args" "$got $(sed -nE 's/.*"error": ?"([a-z_]+)".*/\1/p' "$RUN/body")" "$want $code"
+done <<'CASES'
+400 invalid       -d 'no json' $A/v1/jobs
+400 invalid       -d '[]' $A/v1/jobs
+400 invalid       -d '{"name":"x"}' $A/v1/jobs
+400 invalid       -d '{"name":"x","team":"t1","class":"slow"}' $A/v1/jobs
+400 invalid       -d '{"name":"x","team":"t1","class":"batch","tasks":0}' $A/v1/jobs
+400 invalid       -d '{"name":"x","team":"t1","class":"batch","cpus_m":"many"}' $A/v1/jobs
+422 infeasible    -d '{"name":"x","team":"nobody","class":"batch"}' $A/v1/jobs
+422 infeasible    -d '{"name":"x","team":"t1","class":"batch","cpus_m":90000}' $A/v1/jobs
+503 not_owner     -d '{"name":"x","team":"t1","class":"batch","domain":"mars"}' $A/v1/jobs
+404 not_found     $A/v1/jobs/123
+404 not_found     $A/v1/shoes
+405 bad_method    -X PATCH $A/v1/jobs
+400 invalid       -X PUT -d $'[policy]\nageing_s = 0' $A/v1/config/base
+400 invalid       -X PUT -d '[policy] ageing_s = 1' $A/v1/config/base
+400 invalid       -X PUT -d '' $A/v1/config/No-Site
+409 conflict      -X PUT -d '' "$A/v1/config/base?revision=99"
+413 too_long      --data-binary @$RUN/long $A/v1/jobs
+400 invalid       -X POST "$A/v1/cordon/w?on=2"
+404 not_found     -X POST "$A/v1/cordon/nobody?on=1"
+404 no_such_service $E/shoes/1
+404 no_such_service $E/
+400 bad_idempotency_key -d x -H 'Idempotency-Key: a/b' $E/gait/1
+CASES
+check "no job was accepted" "$(CTL jobs | wc -l)" 0
+check "the revision stands" "$(CTL --json config | sed -nE 's/.*"revision": ([0-9]+).*/\1/p' | tail -1)" 1
+"$BUILD/gl-entry" --settings /nowhere 2>/dev/null
+check "a daemon without settings" $? 2
+"$BUILD/glctl" shoes 2>/dev/null
+check "an unknown command" $? 2
+CTL job 12x 2>/dev/null
+check "a job number that is none" $? 2
+CTL job 99 2>/dev/null
+check "an unknown job" $? 4
+"$BUILD/glctl" --admin 127.0.0.1:1 jobs 2>/dev/null
+check "nobody there" $? 5
+
+echo "-- operators race: one revision, one winner"
+for i in 1 2 3 4; do
+  printf '[policy]\nageing_s = 10%s\n' $i >"$RUN/o$i.ini"
+  VIA=$i CTL config apply "$RUN/o$i.ini" --site brittany --revision 1 >"$RUN/o$i.out" 2>&1 &
+  RACERS[$i]=$!
+done
+wins=0
+for i in 1 2 3 4; do wait "${RACERS[$i]}" && wins=$((wins + 1)); done
+check "changes that won" $wins 1
+holds "the winner's in force everywhere" until_true 9 revision_everywhere 2
+
+echo "-- a service and a gang, then failures"
+svc=$(CTL submit --name svc --team t1 --class service --tasks 4 --cpus-m 1000 --memory-mb 512 --domain rennes | cut -d' ' -f1)
+gang=$(CTL submit --name gang --team t1 --class gang --tasks 4 --cpus-m 2000 --memory-mb 512 --accels 1 --runtime-s 60 --domain rennes | cut -d' ' -f1)
+holds "the service runs" until_true 15 running_is "$svc" 4
+holds "the gang runs whole" until_true 15 running_is "$gang" 4
+
+fault "$PLATFORM" "kind=lose&via=rennes&ms=2500"
+for i in 1 2 3 4 5 6; do
+  CTL submit --id 777 --name once --team t1 --class batch --runtime-s 1 --domain rennes >/dev/null 2>&1 && break
+  sleep 1
+done
+holds "a submission whose answers were lost ends well" until_true 20 job_is 777 finished
+check "it was accepted once" "$(CTL jobs | grep -c ' once ')" 1
+
+fault "$PLATFORM" "kind=down&ms=6000"
+sleep 4
+t0=$(now_ms)
+CTL submit --name late --team t1 --class batch --domain rennes >/dev/null 2>"$RUN/late.err"
+check "without the store a submission is told to come back" $? 3
+holds "and at once" [ $(($(now_ms) - t0)) -lt 3000 ]
+holds "with a time" grep -q 'come back in' "$RUN/late.err"
+check "running tasks are kept" "$(running "$svc")" 4
+holds "when the store is back, work is taken" until_true 20 CTL submit --name back --team t1 --class batch --runtime-s 1 --domain rennes
+check "the service never stopped" "$(CTL job "$svc" | grep -c 'running attempt 1')" 4
+
+fault "$PLATFORM" "kind=cut&via=vannes&ms=15000"
+sleep 1
+check "a domain cut off serves its callers" "$(status_of "http://$(entry_of 5)/gait/cut")" 200
+check "and says of a keyed request that it was not run" \
+  "$(status_of -d n -H 'Idempotency-Key: cut-1' "http://$(entry_of 5)/gait/n") $(sed -nE 's/.*"not_run":(true|false).*/\1/p' "$RUN/body")" "503 true"
+printf '[policy]\nageing_s = 200\n' >"$RUN/cut.ini"
+CTL config apply "$RUN/cut.ini" --site brittany >/dev/null
+holds "a change reaches the domain that is cut off from the store" until_true 9 revision_everywhere 3
+sleep 10
+holds "owners again after the cut" until_true 30 three_owners
+
+owner=$(owner_of rennes)
+kill -STOP "${PIDS[scheduler${owner#vm}]}"
+holds "a paused owner is succeeded" until_true 20 owned_by_other rennes "$owner"
+kill -CONT "${PIDS[scheduler${owner#vm}]}"
+sleep 3
+check "one owner a domain" "$(owners)" 3
+check "the service ran on" "$(CTL job "$svc" | grep -c 'running attempt 1')" 4
+
+victim=$(CTL job "$svc" | awk '$1 == "task" && $3 == "running" { print $7; exit }')
+fault "$WORKERS" "worker=$victim&kind=kill&ms=2000"
+restarted() { [ "$(CTL job "$svc" | grep -c 'running attempt 1')" -lt "$1" ] && running_is "$svc" 4; }
+holds "tasks of a lost worker run again" until_true 30 restarted 4
+left=$(CTL job "$svc" | grep -c 'running attempt 1')
+victim=$(CTL job "$svc" | awk '$1 == "task" && $3 == "running" && $5 == 1 { print $7; exit }')
+fault "$WORKERS" "worker=$victim&kind=pause&ms=15000"
+holds "tasks of a silent worker run again" until_true 40 restarted $((left > 0 ? left : 1))
+holds "a cordon holds" CTL cordon "$victim"
+CTL uncordon "$victim" >/dev/null
+CTL cancel "$gang" >/dev/null
+holds "a canceled gang stops" until_true 15 job_is "$gang" canceled
+
+echo "-- upstreams"
+load() { for i in $(seq 1 "$1"); do curl -s -m 15 -o /dev/null -w '%{http_code}\n' "$2/gait/$i"; done | sort | uniq -c | awk '{ printf "%s:%s ", $2, $1 }'; }
+fault "$UPSTREAMS" "instance=rennes-u0&kind=leave&ms=60000"
+check "an instance leaves: answers" "$(load 60 "$E")" "200:60 "
+fault "$UPSTREAMS" "instance=rennes-u1&kind=silent"
+check "connections gone silent: answers" "$(load 60 "$E")" "200:60 "
+for i in $(seq 1 20); do
+  for e in 1 2 3; do
+    curl -s -m 15 -o /dev/null -w '%{http_code}\n' -d x -H "Idempotency-Key: k-$i" "http://$(entry_of $e)/gait/notice" &
+    KEYED[$((i * 3 + e))]=$!
+  done
+  for e in 1 2 3; do wait "${KEYED[$((i * 3 + e))]}"; done
+done >"$RUN/keyed"
+check "a key sent to three entries at once: answered well" "$(grep -c 200 "$RUN/keyed")" 20
+fault "$UPSTREAMS" "instance=rennes-u2&kind=dead&ms=8000"
+check "an instance dies: answers to repeatable requests" "$(load 60 "$E")" "200:60 "
+check "late work for a leaving instance" "$(truth "$UPSTREAMS" late_after_leaving)" 0
+
+echo "-- what must hold, as the stand-ins saw it"
+check "keys run twice" "$(truth "$UPSTREAMS" key_doubles)" 0
+check "workers overfilled" "$(truth "$WORKERS" overfilled)" 0
+check "tasks in two places" "$(truth "$WORKERS" doubled)" 0
+stop_cell
+check "daemons left running" "${#PIDS[@]}" 0
+for f in "$RUN"/*.log; do check "$f has no crash" "$(grep -cE 'Assert|Sanitizer|core dumped' "$f")" 0; done
+echo "$PASSED passed, $FAILED failed"
+[ $FAILED = 0 ]
--- /dev/null
+++ b/tests/unit.cc
@@ -0,0 +1,751 @@
+/* unit.cc -- single modules: tables, timers, configuration, placement, and
+   the threaded parts on loopback */
+#include <arpa/inet.h>
+#include <atomic>
+#include <cstdio>
+#include <cstring>
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+extern "C"
+{
+#include "ask.h"
+#include "codec.h"
+#include "conf.h"
+#include "fault.h"
+#include "gentianlatch.h"
+#include "gl_rpc.h"
+#include "httpc.h"
+#include "httpd.h"
+#include "loop.h"
+#include "metrics.h"
+#include "place.h"
+#include "pool.h"
+#include "rpcc.h"
+#include "rpcd.h"
+#include "settings.h"
+#include "timer.h"
+}
+
+#ifdef GL_TEST_FAULTS
+fault_t fault_on = FAULT_NONE;
+#endif
+
+/* ---- tables and timers ---- */
+
+TEST (Pool, StaleHandlesFindNothing)
+{
+  pool_t p;
+  pool_init (&p, sizeof (int));
+  std::vector<handle_t> old;
+  for (int i = 0; i < 1000; i++)
+    old.push_back (pool_add (&p));
+  for (auto h : old)
+    pool_del (&p, h);
+  for (int i = 0; i < 1000; i++)
+    ASSERT_NE (0u, pool_add (&p));
+  for (auto h : old)
+    EXPECT_EQ (nullptr, pool_get (&p, h));
+  EXPECT_EQ (nullptr, pool_get (&p, 0));
+  EXPECT_EQ (1000u, p.count);
+  pool_done (&p);
+}
+
+static std::vector<int> fired;
+
+static void
+fire (void *ctx, gl_ms_t)
+{
+  fired.push_back (*(int *)ctx);
+}
+
+TEST (Timer, FiresInOrderOfDueTime)
+{
+  timer_service_t ts{};
+  int names[] = { 0, 1, 2 };
+  int id[3];
+  for (int i = 0; i < 3; i++)
+    id[i] = timer_subscribe (&ts, fire, &names[i]);
+  fired.clear ();
+  timer_arm (&ts, id[0], 30);
+  timer_arm (&ts, id[1], 10);
+  timer_arm (&ts, id[2], 20);
+  timer_arm_before (&ts, id[0], 40);
+  timer_run (&ts, 25);
+  EXPECT_EQ ((std::vector<int>{ 1, 2 }), fired);
+  EXPECT_EQ (30u, timer_next (&ts));
+  timer_run (&ts, 30);
+  EXPECT_EQ (TIMER_NEVER, timer_next (&ts));
+}
+
+TEST (Hist, QuantileWithinOneBin)
+{
+  hist_t h{};
+  for (int i = 1; i <= 1000; i++)
+    hist_add (&h, i);
+  EXPECT_NEAR (500, hist_quantile (&h, 0.5), 500 * 0.16);
+  EXPECT_NEAR (990, hist_quantile (&h, 0.99), 990 * 0.16);
+  hist_add (&h, 1e12);
+  EXPECT_EQ (1001u, h.n);
+  hist_done (&h);
+}
+
+/* ---- configuration and settings: bad input, expected answer ---- */
+
+struct Bad
+{
+  const char *text;
+  const char *error;
+};
+
+TEST (Conf, RefusesWithTheReason)
+{
+  static const Bad bad[] = {
+    { "[policy]\nageing_s = 0\n",
+      "[policy] ageing_s = 0: not in 1 to 86400 (line 2)" },
+    { "[policy]\nageing_s = ten\n",
+      "[policy] ageing_s = ten: not in 1 to 86400 (line 2)" },
+    { "[policy]\nageing_s = 99999999999999999999\n",
+      "[policy] ageing_s = 99999999999999999999: not in 1 to 86400 (line 2)" },
+    { "[policy]\ncolour = red\n",
+      "[policy] colour: unknown setting (line 2)" },
+    { "[team A]\ncpus = 1\n", "bad team name \"A\" (line 2)" },
+    { "[team a]\ncpus = -1\n", "[team a] cpus = -1: refused (line 2)" },
+    { "[team a]\nshoes = 4\n", "[team a] shoes = 4: refused (line 2)" },
+    { "nonsense\n", "syntax error (line 1)" },
+    { "\n[policy] ageing_s = 1\n", "syntax error (line 2)" },
+  };
+  for (auto &b : bad)
+    {
+      gl_conf_t c;
+      char err[CONF_ERROR_LEN];
+      EXPECT_EQ (GL_INVALID, conf_parse (&c, b.text, NULL, err)) << b.text;
+      EXPECT_STREQ (b.error, err);
+      EXPECT_EQ (0u, c.nteams);
+      conf_done (&c);
+    }
+}
+
+TEST (Conf, OverlayReplacesKeysAndRevisionOnlyRises)
+{
+  conf_doc_t d;
+  char err[CONF_ERROR_LEN];
+  gl_conf_t c;
+
+  ASSERT_EQ (GL_OK, conf_doc_load (&d, "", 0));
+  ASSERT_EQ (GL_OK,
+             conf_doc_change (&d, NULL, "[team a]\ncpus = 4\nmemory_gb = 8\n",
+                              "ann", err));
+  ASSERT_EQ (GL_OK, conf_doc_change (&d, "manila", "[team a]\ncpus = 6\n",
+                                     "ben", err));
+  EXPECT_EQ (2u, d.revision);
+  /* A change that does not pass leaves all as it was. */
+  EXPECT_EQ (GL_INVALID, conf_doc_change (&d, NULL, "[x]\ny = 1\n", "c", err));
+  EXPECT_EQ (GL_INVALID, conf_doc_change (&d, "../x", "", "c", err));
+  EXPECT_EQ (2u, d.revision);
+  ASSERT_EQ (GL_OK, conf_doc_in_force (&d, "manila", &c, err));
+  EXPECT_EQ (6000, c.teams[0].quota.cpus_m);
+  EXPECT_EQ (8192, c.teams[0].quota.memory_mb);
+  conf_done (&c);
+  ASSERT_EQ (GL_OK, conf_doc_in_force (&d, "brittany", &c, err));
+  EXPECT_EQ (4000, c.teams[0].quota.cpus_m);
+  conf_done (&c);
+  char *text = conf_doc_text (&d);
+  conf_doc_t again;
+  ASSERT_EQ (GL_OK, conf_doc_load (&again, text, strlen (text)));
+  EXPECT_EQ (2u, again.revision);
+  conf_doc_free (&again);
+  free (text);
+  conf_doc_free (&d);
+  EXPECT_EQ (GL_INVALID, conf_doc_load (&d, "{\"revision\":-1}", 15));
+  EXPECT_EQ (GL_INVALID, conf_doc_load (&d, "[]", 2));
+}
+
+TEST (Settings, RefusesWithTheReason)
+{
+  static const char whole[]
+      = "[node]\nname = a\ndomain = d\nsite = s\n[platform]\n"
+        "url = http://127.0.0.1:1\n[admin]\nrpc = 127.0.0.1:2\n";
+  static const Bad bad[] = {
+    { "[admin]\nhttp = 127.0.0.1:99999\n",
+      "[admin] http = 127.0.0.1:99999: refused (line 10)" },
+    { "[admin]\nhttp = localhost:80\n",
+      "[admin] http = localhost:80: refused (line 10)" },
+    { "[node]\nname = A b\n", "[node] name = A b: refused (line 10)" },
+    { "[scheduler]\nlease_ms = 1\n",
+      "[scheduler] lease_ms = 1: not in 500 to 60000 (line 10)" },
+    { "[scheduler]\nlease_ms = 1000\n",
+      "[scheduler] renew_ms is more than a third of lease_ms" },
+    { "[entry]\nnumber = 3\n", "[entry] number is not below entries" },
+    { "[peers]\nb = nowhere\n", "[peers] b = nowhere: refused (line 10)" },
+  };
+  char path[] = "/tmp/gl-settings-XXXXXX";
+  int fd = mkstemp (path);
+  ASSERT_GE (fd, 0);
+  close (fd);
+  for (auto &b : bad)
+    {
+      settings_t s;
+      char err[SETTINGS_ERROR_LEN];
+      FILE *f = fopen (path, "w");
+      fprintf (f, "%s%s", whole, b.text);
+      fclose (f);
+      EXPECT_EQ (GL_INVALID, settings_load (&s, path, err));
+      EXPECT_STREQ (b.error, err);
+    }
+  unlink (path);
+}
+
+/* ---- records ---- */
+
+TEST (Codec, GarbageIsRefusedAndNothingLeaks)
+{
+  std::mt19937 rng (5);
+  gl_batch_t b{};
+  gl_rec_t recs[3]{};
+  size_t len;
+
+  recs[0].kind = GL_REC_ACCEPT;
+  recs[0].gl_rec_t_u.accept.spec.name = (char *)"n";
+  recs[0].gl_rec_t_u.accept.spec.team = (char *)"t";
+  recs[1].kind = GL_REC_ASSIGN;
+  recs[1].gl_rec_t_u.assign.worker = (char *)"w1";
+  recs[2].kind = GL_REC_END;
+  b.recs.recs_len = 3;
+  b.recs.recs_val = recs;
+  char *good = codec_encode ((xdrproc_t)xdr_gl_batch_t, &b, &len);
+  ASSERT_NE (nullptr, good);
+  int refused = 0;
+  for (int i = 0; i < 20000; i++)
+    {
+      std::string bad (good, len);
+      for (int k = 0; k < 3; k++)
+        bad[rng () % len] = (char)rng ();
+      if (i % 3 == 0)
+        bad.resize (rng () % len);
+      gl_batch_t out{};
+      if (codec_decode ((xdrproc_t)xdr_gl_batch_t, &out, bad.data (),
+                        bad.size ()))
+        refused++;
+      else
+        codec_free ((xdrproc_t)xdr_gl_batch_t, &out);
+    }
+  EXPECT_GT (refused, 5000);
+  free (good);
+}
+
+/* ---- placement against a search of every worker ---- */
+
+TEST (Place, FindsAWorkerExactlyWhenOneFits)
+{
+  std::mt19937 rng (3);
+  place_t p;
+  struct Grant
+  {
+    int worker;
+    gl_res_t r;
+  };
+  std::vector<Grant> grants;
+
+  place_init (&p);
+  for (int i = 0; i < 60; i++)
+    {
+      gl_res_t total
+          = { 1000 * (int)(4 + rng () % 60), 1024 * (int)(4 + rng () % 250),
+              rng () % 3 ? 0 : (int)(rng () % 9) };
+      ASSERT_EQ (i, place_add (&p));
+      place_set (&p, i, &total, i / 8, 1);
+    }
+  for (int step = 0; step < 40000; step++)
+    {
+      gl_res_t need = { 1 + (int)(rng () % 16000), (int)(rng () % 65536),
+                        rng () % 4 ? 0 : 1 };
+      uint16_t racks[8] = { 1, 0, 2, 0, 0, 0, 0, 0 };
+      place_want_t want{};
+      want.need = need;
+      want.avoid = -1;
+      want.level = (int)(rng () % 3);
+      if (rng () % 2)
+        {
+          want.rack_count = racks;
+          want.nracks = 8;
+        }
+      p.w[rng () % 60].reserved = (unsigned char)(rng () % 3);
+      int any = place_first_fit (&p, &want);
+      int w = place_find (&p, &want);
+      ASSERT_EQ (any >= 0, w >= 0) << "step " << step;
+      if (w >= 0)
+        {
+          ASSERT_LE (p.w[w].reserved, want.level);
+          ASSERT_EQ (0, place_take (&p, w, &need));
+          grants.push_back ({ w, need });
+        }
+      gl_res_t huge = { 1 << 30, 0, 0 };
+      ASSERT_EQ (-1, place_take (&p, 0, &huge));
+      while (grants.size () > 150 || (w < 0 && !grants.empty ()))
+        {
+          size_t k = rng () % grants.size ();
+          place_give (&p, grants[k].worker, &grants[k].r);
+          grants[k] = grants.back ();
+          grants.pop_back ();
+          if (w < 0)
+            break;
+        }
+      for (int i = 0; i < 60; i++)
+        {
+          gl_res_t room = place_free (&p, i);
+          ASSERT_GE (room.cpus_m, 0);
+          ASSERT_GE (room.memory_mb, 0);
+          ASSERT_GE (room.accels, 0);
+        }
+    }
+  place_done (&p);
+}
+
+static int
+crowd_of (void *ctx, int worker)
+{
+  return ((int *)ctx)[worker];
+}
+
+TEST (Place, SpreadsOverRacksThenOverWorkers)
+{
+  place_t p;
+  int crowd[6] = { 0 };
+  uint16_t racks[3] = { 0 };
+  place_want_t want{};
+
+  place_init (&p);
+  for (int i = 0; i < 6; i++)
+    {
+      gl_res_t total = { 16000, 65536, 0 };
+      place_add (&p);
+      place_set (&p, i, &total, i / 2, 1);
+    }
+  want.need = { 1000, 1024, 0 };
+  want.avoid = -1;
+  want.rack_count = racks;
+  want.nracks = 3;
+  want.crowd = crowd_of;
+  want.ctx = crowd;
+  for (int k = 0; k < 12; k++)
+    {
+      int w = place_find (&p, &want);
+      ASSERT_EQ (0, place_take (&p, w, &want.need));
+      crowd[w]++;
+      racks[w / 2]++;
+    }
+  for (int i = 0; i < 6; i++)
+    EXPECT_EQ (2, crowd[i]);
+  place_done (&p);
+}
+
+/* ---- the scheduler, step by step ---- */
+
+struct Driver
+{
+  gl_sched_t *s;
+  gl_effects_t fx{};
+  gl_ms_t now = 1000;
+
+  Driver ()
+  {
+    gl_sched_opts_t o{};
+    o.node = "vm1";
+    o.domain = "d";
+    o.rpc = "127.0.0.1:1";
+    o.seed = 9;
+    s = gl_sched_new (&o, now);
+  }
+  ~Driver ()
+  {
+    gl_effects_free (&fx);
+    gl_sched_free (s);
+  }
+  void
+  step (const gl_event_t &ev)
+  {
+    gl_effects_clear (&fx);
+    gl_sched_step (s, &ev, now, &fx);
+  }
+  void
+  tick ()
+  {
+    gl_event_t ev{};
+    now = gl_sched_due (s);
+    step (ev);
+  }
+  /* Answer the last store operation; nothing else may be out. */
+  void
+  answer (gl_store_status_t st, uint64_t index, const char *data = "",
+          size_t len = 0)
+  {
+    gl_event_t ev{};
+    ASSERT_GE (fx.n, 1u);
+    ev.kind = GL_EV_STORE;
+    ev.u.store.tag = fx.v[fx.n - 1].u.store.tag;
+    ev.u.store.status = st;
+    ev.u.store.index = index;
+    ev.u.store.data = data;
+    ev.u.store.len = len;
+    now++;
+    step (ev);
+  }
+  std::string
+  key () const
+  {
+    return fx.n ? fx.v[fx.n - 1].u.store.key : "";
+  }
+  void
+  submit (uint64_t id)
+  {
+    gl_jobspec_t p{};
+    gl_event_t ev{};
+    p.name = (char *)"n";
+    p.team = (char *)"t";
+    p.cls = GL_CLASS_BATCH;
+    p.tasks = 1;
+    p.need = { 1, 1, 0 };
+    p.max_attempts = 1;
+    ev.kind = GL_EV_SUBMIT;
+    ev.u.submit.token = id + 1;
+    ev.u.submit.job = id;
+    ev.u.submit.spec = &p;
+    step (ev);
+  }
+  void
+  own ()
+  {
+    gl_conf_t c;
+    char err[CONF_ERROR_LEN];
+    gl_event_t ev{};
+    conf_parse (&c, "[team t]\ncpus=99999\nmemory_gb=99999\n", NULL, err);
+    c.revision = 1;
+    ev.kind = GL_EV_CONF;
+    ev.u.conf = &c;
+    step (ev);
+    conf_done (&c);
+    tick ();
+    answer (GL_ST_ABSENT, 0);
+    answer (GL_ST_OK, 1);
+    answer (GL_ST_ABSENT, 0);
+    answer (GL_ST_ABSENT, 0);
+    answer (GL_ST_OK, 2);
+    ASSERT_TRUE (gl_sched_active (s, NULL));
+  }
+};
+
+/* A candidate that was slow to load finds a later owner's snapshot, which
+   hides that owner's takeover from the check of the log. */
+TEST (Sched, LateClaimEndsAtALaterBaseRecord)
+{
+  Driver d;
+  gl_base_t b = { 5, 7, 0, 0, 0 };
+  size_t len;
+  char *data = codec_encode ((xdrproc_t)xdr_gl_base_t, &b, &len);
+
+  d.tick ();
+  EXPECT_EQ ("gl/d/owner", d.key ());
+  d.answer (GL_ST_ABSENT, 0);
+  d.answer (GL_ST_OK, 1);
+  EXPECT_EQ ("gl/d/base", d.key ());
+  d.answer (GL_ST_OK, 9, data, len);
+  EXPECT_EQ (0u, d.fx.n) << "it went on to " << d.key ();
+  EXPECT_FALSE (gl_sched_active (d.s, NULL));
+  free (data);
+}
+
+TEST (Sched, AFloodIsToldToComeBack)
+{
+  Driver d;
+  int retry = 0;
+
+  d.own ();
+  for (uint64_t id = 1; id <= 12000; id++)
+    {
+      d.submit (id);
+      for (size_t i = 0; i < d.fx.n; i++)
+        if (d.fx.v[i].kind == GL_FX_ANSWER)
+          {
+            EXPECT_EQ (GL_RETRY, d.fx.v[i].u.answer.code);
+            EXPECT_GT (d.fx.v[i].u.answer.retry, 0u);
+            retry++;
+          }
+    }
+  EXPECT_GT (retry, 5000);
+}
+
+TEST (Sched, StandbyAndBadJobsAreAnsweredAtOnce)
+{
+  Driver d;
+
+  d.submit (1);
+  ASSERT_EQ (1u, d.fx.n);
+  EXPECT_EQ (GL_NOT_OWNER, d.fx.v[0].u.answer.code);
+  EXPECT_GT (d.fx.v[0].u.answer.retry, 0u);
+  d.own ();
+  d.submit (0);
+  ASSERT_GE (d.fx.n, 1u);
+  EXPECT_EQ (GL_INVALID, d.fx.v[0].u.answer.code);
+  /* Past its lease nothing new is accepted, and that is said at once. */
+  d.now += 10000;
+  d.submit (2);
+  bool told = false;
+  for (size_t i = 0; i < d.fx.n; i++)
+    told |= d.fx.v[i].kind == GL_FX_ANSWER
+            && d.fx.v[i].u.answer.code == GL_RETRY
+            && d.fx.v[i].u.answer.retry > 0;
+  EXPECT_TRUE (told);
+}
+
+/* ---- threads ---- */
+
+static std::atomic<int> taken;
+
+static void
+take_item (void *ctx, void *item)
+{
+  if (++taken == 40000)
+    loop_quit ((loop_t *)ctx);
+  delete (int *)item;
+}
+
+static void
+no_tick (void *)
+{
+}
+
+static gl_ms_t
+never_due (void *)
+{
+  return UINT64_MAX;
+}
+
+TEST (Threads, EveryPostArrives)
+{
+  loop_t *l = loop_new ();
+  loop_part_t part = { take_item, no_tick, never_due, l };
+  std::vector<std::thread> producers;
+
+  taken = 0;
+  ASSERT_NE (nullptr, l);
+  for (int t = 0; t < 4; t++)
+    producers.emplace_back ([l] {
+      for (int i = 0; i < 10000; i++)
+        {
+          int *item = new int (i);
+          while (loop_post (l, item))
+            usleep (100);
+        }
+    });
+  loop_run (l, &part);
+  for (auto &t : producers)
+    t.join ();
+  EXPECT_EQ (40000, taken.load ());
+  loop_free (l);
+}
+
+TEST (Threads, AnAbandonedQuestionDoesNoHarm)
+{
+  for (int i = 0; i < 200; i++)
+    {
+      ask_t *a = ask_new ();
+      std::thread t ([a, i] {
+        if (i % 2)
+          usleep (2000);
+        ask_answer (a, GL_OK, 7, 0, "x", strdup ("text"));
+      });
+      if (!ask_wait (a, 1))
+        {
+          EXPECT_EQ (7u, a->job);
+        }
+      ask_drop (a);
+      t.join ();
+    }
+}
+
+/* ---- HTTP and RPC on loopback ---- */
+
+static void
+echo (void *, httpd_call_t *call)
+{
+  if (!strcmp (call->path, "/slow"))
+    usleep (400000);
+  httpd_extra (call, "ETag: \"42\"");
+  httpd_text (call, 200, "%s %s %zu", call->method, call->path, call->len);
+}
+
+static int
+free_port ()
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in sa
+  {
+  };
+  socklen_t len = sizeof sa;
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  bind (fd, (struct sockaddr *)&sa, sizeof sa);
+  getsockname (fd, (struct sockaddr *)&sa, &len);
+  close (fd);
+  return ntohs (sa.sin_port);
+}
+
+struct Web
+{
+  std::string addr = "127.0.0.1:" + std::to_string (free_port ());
+  httpd_t *server = httpd_new (addr.c_str (), 1000, 20, 0, echo, NULL);
+  httpc_t *client = httpc_new (0);
+  ~Web ()
+  {
+    httpc_free (client);
+    httpd_free (server);
+  }
+  httpc_result_t
+  ask (const char *method, const char *path, size_t len = 0,
+       gl_ms_t timeout = 2000, gl_ms_t send_before = 0)
+  {
+    std::string url = "http://" + addr + path;
+    std::string body (len, 'x');
+    httpc_request_t r{};
+    httpc_result_t res{};
+    r.method = method;
+    r.url = url.c_str ();
+    r.body = body.data ();
+    r.len = len;
+    r.timeout = timeout;
+    r.send_before = send_before;
+    httpc_wait (client, &r, &res);
+    return res;
+  }
+};
+
+TEST (Http, WholeAnswersAndBoundedBodies)
+{
+  Web w;
+  ASSERT_NE (nullptr, w.server);
+  auto r = w.ask ("POST", "/a", 1000);
+  EXPECT_EQ (HTTPC_WHOLE, r.outcome);
+  EXPECT_STREQ ("POST /a 1000", r.body);
+  EXPECT_EQ (42u, r.etag);
+  free (r.body);
+  r = w.ask ("POST", "/a", 1001);
+  EXPECT_EQ (413, r.status);
+  free (r.body);
+}
+
+TEST (Http, OutcomesTellSentFromNotSent)
+{
+  Web w;
+  auto r = w.ask ("GET", "/slow", 0, 100);
+  EXPECT_EQ (HTTPC_UNKNOWN, r.outcome);
+  free (r.body);
+  /* Too late to leave. */
+  r = w.ask ("GET", "/a", 0, 2000, 1);
+  EXPECT_EQ (HTTPC_NOT_SENT, r.outcome);
+  free (r.body);
+  httpc_request_t q{};
+  httpc_result_t res{};
+  std::string url = "http://127.0.0.1:" + std::to_string (free_port ()) + "/";
+  q.method = "GET";
+  q.url = url.c_str ();
+  q.timeout = 1000;
+  httpc_wait (w.client, &q, &res);
+  EXPECT_EQ (HTTPC_NOT_SENT, res.outcome);
+  free (res.body);
+}
+
+/* A server that breaks its answer off in the middle. */
+TEST (Http, APartialAnswerIsNotWhole)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in sa
+  {
+  };
+  socklen_t len = sizeof sa;
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ASSERT_EQ (0, bind (fd, (struct sockaddr *)&sa, sizeof sa));
+  ASSERT_EQ (0, listen (fd, 4));
+  getsockname (fd, (struct sockaddr *)&sa, &len);
+  std::thread t ([fd] {
+    int c = accept (fd, NULL, NULL);
+    char buf[2000];
+    static const char half[] = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+                               "\r\nonly this";
+    if (read (c, buf, sizeof buf) > 0 && write (c, half, sizeof half - 1) > 0)
+      usleep (1000);
+    close (c);
+  });
+  httpc_t *client = httpc_new (0);
+  httpc_request_t q{};
+  httpc_result_t res{};
+  std::string url
+      = "http://127.0.0.1:" + std::to_string (ntohs (sa.sin_port)) + "/";
+  q.method = "GET";
+  q.url = url.c_str ();
+  q.timeout = 1000;
+  httpc_wait (client, &q, &res);
+  EXPECT_EQ (HTTPC_UNKNOWN, res.outcome);
+  free (res.body);
+  t.join ();
+  httpc_free (client);
+  close (fd);
+}
+
+static int
+answer_cancel (void *, const void *in, void *out)
+{
+  ((gl_answer_t *)out)->job = ((const gl_cancel_t *)in)->job + 1;
+  ((gl_answer_t *)out)->reason = strdup ("r");
+  return 0;
+}
+
+TEST (Rpc, CallsAndBadFrames)
+{
+  static rpcd_proc_t procs[RPCD_PROCS];
+  std::string addr = "127.0.0.1:" + std::to_string (free_port ());
+  struct sockaddr_in sa;
+  rpcc_t r{};
+  gl_cancel_t in = { 41 };
+  gl_answer_t out{};
+  std::mt19937 rng (1);
+
+  procs[GL_CANCEL] = { (xdrproc_t)xdr_gl_cancel_t, sizeof in,
+                       (xdrproc_t)xdr_gl_answer_t, sizeof out, answer_cancel };
+  rpcd_t *d = rpcd_new (addr.c_str (), procs, NULL);
+  ASSERT_NE (nullptr, d);
+  split_addr (addr.c_str (), &sa);
+  for (int i = 0; i < 30; i++)
+    {
+      /* Garbage, and records that are announced and never come. */
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      std::string junk (200, 0);
+      for (auto &c : junk)
+        c = (char)rng ();
+      if (i % 2)
+        junk = std::string ("\x7f\xff\xff\xff", 4);
+      ASSERT_EQ (0, connect (fd, (struct sockaddr *)&sa, sizeof sa));
+      EXPECT_GT (write (fd, junk.data (), junk.size ()), 0);
+      close (fd);
+    }
+  EXPECT_EQ (GL_OK, rpcc_call (&r, addr.c_str (), GL_CANCEL,
+                               (xdrproc_t)xdr_gl_cancel_t, &in,
+                               (xdrproc_t)xdr_gl_answer_t, &out, 3000));
+  EXPECT_EQ (42u, out.job);
+  xdr_free ((xdrproc_t)xdr_gl_answer_t, (char *)&out);
+  memset (&out, 0, sizeof out);
+  EXPECT_NE (GL_OK, rpcc_call (&r, addr.c_str (), GL_CORDON,
+                               (xdrproc_t)xdr_gl_cancel_t, &in,
+                               (xdrproc_t)xdr_gl_answer_t, &out, 1000));
+  rpcc_close (&r);
+  rpcd_free (d);
+  EXPECT_EQ (GL_RETRY, rpcc_call (&r, addr.c_str (), GL_CANCEL,
+                                  (xdrproc_t)xdr_gl_cancel_t, &in,
+                                  (xdrproc_t)xdr_gl_answer_t, &out, 500));
+}
