A stopping entry cuts nothing and warns its balancer; claims are rationed

A stop now says 'leaving' on /-/healthz for linger_ms (2 s) while it serves on, then closes the listener, answers with Connection: close, and takes what is still posted until no call is open.

Each entry now claims at claims_per_s (25), gives up the rest at once with a time to come back.

--- a/src/admin.c
+++ b/src/admin.c
@@ -36,6 +36,7 @@
 #define NODES_MAX 64
 #define NODES_FRESH_MS 500
 #define APPLY_TRIES 3
+#define DRAIN_MS 5000
 
 typedef struct
 {
@@ -974,7 +975,9 @@
   log_info ("serving operators on %s", a.settings.admin_http);
   while (read (a.pipe[0], &c, 1) < 0)
     continue;
-  httpd_drain (a.server, 5000);
+  httpd_quiesce (a.server);
+  for (int i = 0; i < DRAIN_MS / 10 && httpd_open (a.server); i++)
+    usleep (10000);
   log_info ("stopped");
   logs_close ();
   return 0;
--- a/src/claim.c
+++ b/src/claim.c
@@ -9,6 +9,10 @@
  * claim is ours.  When the request ends as "not run" the claim is released,
  * so that the caller may send it again.
  *
+ * A claim costs the service one write, out of the same few hundred a second
+ * that keep the domains' owners.  So each entry claims at a bounded rate and
+ * gives up at once what exceeds it.
+ *
  * When the service cannot be reached the request is answered "not run" at
  * once: it has not been sent, and without a claim it must not be.
  */
@@ -34,6 +38,22 @@
   q->state = kind == GL_RFX_CLAIM_GET ? REQ_CLAIM_GET : REQ_CLAIM_CAS;
 }
 
+/* Take one from the bucket of claims, which holds a second's worth. */
+static int
+claim_allowed (gl_router_t *r)
+{
+  double rate = r->conf.claims_per_s;
+
+  r->claim_tokens += rate * (double)(r->now - r->claim_filled) / 1000;
+  r->claim_filled = r->now;
+  if (r->claim_tokens > rate)
+    r->claim_tokens = rate;
+  if (r->claim_tokens < 1)
+    return 0;
+  r->claim_tokens -= 1;
+  return 1;
+}
+
 void
 claim_begin (gl_router_t *r, handle_t h)
 {
@@ -44,6 +64,13 @@
       request_ready (r, h);
       return;
     }
+  if (!claim_allowed (r))
+    {
+      r->c.claim_limit++;
+      request_error (r, h, 503, "claim_limit", 1,
+                     RETRY_MS + route_jitter (r, RETRY_MS));
+      return;
+    }
   r->c.claims++;
   q->claim_index = 0;
   snprintf (q->mark, sizeof q->mark, "%.40s/%llu", r->node,
--- a/src/conf.c
+++ b/src/conf.c
@@ -46,7 +46,8 @@
     10000 },
   { "requests", "first_byte_ms", offsetof (gl_conf_t, first_byte_ms), 10,
     600000, 8000 },
-  { "requests", "leave_ms", offsetof (gl_conf_t, leave_ms), 100, 60000, 2000 },
+  { "requests", "claims_per_s", offsetof (gl_conf_t, claims_per_s), 1, 1000,
+    25 },
 };
 #define NFIELDS (sizeof fields / sizeof *fields)
 
--- a/src/conf.h
+++ b/src/conf.h
@@ -36,7 +36,7 @@
   int queue_len;
   int deadline_ms;
   int first_byte_ms;
-  int leave_ms;
+  int claims_per_s;
 } gl_conf_t;
 
 /** conf_init - defaults, no teams, revision 0 */
--- a/src/entry.c
+++ b/src/entry.c
@@ -81,6 +81,7 @@
   uint64_t list_index;
   gl_ms_t list_due;
   int list_out;
+  gl_ms_t stop_at;
   unsigned int stopping;
   item_t *current;
 } daemon_t;
@@ -239,7 +240,6 @@
   item_t *it = item_new (ITEM_STOP);
 
   ck_pr_store_uint (&d->stopping, 1);
-  it->ev.kind = GL_REV_STOP;
   post (d, it);
 }
 
@@ -438,6 +438,11 @@
                                    : gl_router_metrics (d->router);
       ask_answer (it->ask, GL_OK, 0, 0, NULL, text);
       break;
+    case ITEM_STOP:
+      /* The balancer is told first and given time to turn elsewhere. */
+      if (!d->stop_at)
+        d->stop_at = clock_ms () + (gl_ms_t)d->settings.linger_ms;
+      break;
     default:
       step (d, &it->ev);
     }
@@ -451,6 +456,14 @@
   daemon_t *d = ctx;
   gl_rev_t ev = { .kind = GL_REV_TICK };
 
+  if (d->stop_at && d->stop_at <= clock_ms ())
+    {
+      d->stop_at = UINT64_MAX;
+      httpd_quiesce (d->server);
+      ev.kind = GL_REV_STOP;
+      step (d, &ev);
+      return;
+    }
   if (!d->list_out && d->list_due <= clock_ms ())
     {
       d->list_out = 1;
@@ -469,6 +482,8 @@
 
   if (!d->list_out && d->list_due < t)
     t = d->list_due;
+  if (d->stop_at && d->stop_at < t)
+    t = d->stop_at;
   return t;
 }
 
@@ -624,6 +639,21 @@
   return d->pull && d->server ? 0 : -1;
 }
 
+/* Answer what was posted while the loop ended; wait for answers to leave. */
+static unsigned int
+finish (daemon_t *d, const loop_part_t *part)
+{
+  gl_ms_t end = clock_ms () + DRAIN_MS;
+
+  do
+    {
+      loop_drain (d->loop, part);
+      usleep (10000);
+    }
+  while (httpd_open (d->server) && clock_ms () < end);
+  return httpd_open (d->server);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -641,7 +671,7 @@
     }
   log_info ("serving callers on %s", d.settings.entry_http);
   loop_run (d.loop, &part);
-  left = httpd_drain (d.server, DRAIN_MS);
+  left = finish (&d, &part);
   log_info ("stopped, %u answers cut", left);
   logs_close ();
   return 0;
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -23,8 +23,6 @@
 /* Seconds after which an idle connection is closed. */
 #define IDLE_S 120
 
-#define DRAIN_POLL_MS 10
-
 /* States of a call. */
 #define CALL_READING 0
 #define CALL_TOO_LONG 1
@@ -39,6 +37,7 @@
   size_t max_body;
   int blocking;
   unsigned int open;
+  unsigned int closing;
 };
 
 int
@@ -73,6 +72,8 @@
     return MHD_NO;
   if (call->type[0])
     MHD_add_response_header (r, "Content-Type", call->type);
+  if (ck_pr_load_uint (&call->server->closing))
+    MHD_add_response_header (r, MHD_HTTP_HEADER_CONNECTION, "close");
   for (int i = 0; i < call->nextra; i++)
     {
       char *colon = strchr (call->extra[i], ':');
@@ -222,16 +223,19 @@
   return NULL;
 }
 
-unsigned int
-httpd_drain (httpd_t *h, unsigned int timeout_ms)
+void
+httpd_quiesce (httpd_t *h)
 {
   MHD_socket fd = MHD_quiesce_daemon (h->mhd);
 
-  for (unsigned int t = 0; t < timeout_ms && ck_pr_load_uint (&h->open);
-       t += DRAIN_POLL_MS)
-    usleep (DRAIN_POLL_MS * 1000);
+  ck_pr_store_uint (&h->closing, 1);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
+}
+
+unsigned int
+httpd_open (httpd_t *h)
+{
   return ck_pr_load_uint (&h->open);
 }
 
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -47,11 +47,11 @@
  */
 httpd_t *httpd_new (const char *addr, size_t max_body, unsigned int max_conns,
                     unsigned int threads, httpd_fn_t fn, void *ctx);
-/**
- * httpd_drain - accept no more connections and wait up to @timeout_ms until
- * every answer has left; returns the number of calls still open
- */
-unsigned int httpd_drain (httpd_t *h, unsigned int timeout_ms);
+/** httpd_quiesce - accept no more connections; close those that are idle or
+    have had their answer */
+void httpd_quiesce (httpd_t *h);
+/** httpd_open - calls whose answer has not left yet */
+unsigned int httpd_open (httpd_t *h);
 /** httpd_free - stop; every call must have been replied to */
 void httpd_free (httpd_t *h);
 /** httpd_header - a request header, or NULL */
--- a/src/loop.c
+++ b/src/loop.c
@@ -106,6 +106,13 @@
   return n;
 }
 
+void
+loop_drain (loop_t *l, const loop_part_t *part)
+{
+  while (drain (l, part))
+    continue;
+}
+
 static void
 wait_for_work (loop_t *l, gl_ms_t due)
 {
--- a/src/loop.h
+++ b/src/loop.h
@@ -27,6 +27,8 @@
 int loop_post (loop_t *l, void *item);
 /** loop_run - run the control thread until loop_quit */
 void loop_run (loop_t *l, const loop_part_t *part);
+/** loop_drain - take what is posted, without waiting */
+void loop_drain (loop_t *l, const loop_part_t *part);
 /** loop_quit - end loop_run; called on the control thread */
 void loop_quit (loop_t *l);
 /** loop_free - release it */
--- a/src/route.c
+++ b/src/route.c
@@ -627,6 +627,8 @@
   r->number = opts->number;
   r->slots = opts->slots > 0 ? opts->slots : 8;
   r->now = now;
+  r->claim_filled = now;
+  r->claim_tokens = 1;
   pool_init (&r->requests, sizeof (request_t));
   conf_init (&r->conf);
   r->rng = gsl_rng_alloc (gsl_rng_taus2);
--- a/src/routeint.h
+++ b/src/routeint.h
@@ -140,6 +140,7 @@
   X (not_run, "ended as not run after trying")                                \
   X (no_budget, "not sent again for lack of retry budget")                    \
   X (claims, "claims of idempotency keys")                                    \
+  X (claim_limit, "keyed requests given up for the rate of claims")           \
   X (claim_taken, "requests whose key was taken before")                      \
   X (probes, "health checks and probes")                                      \
   X (suspected, "instances that failed a probe")                              \
@@ -174,6 +175,8 @@
   pool_t requests;
   handle_t paused;
   int budget[URGENCIES];
+  double claim_tokens;
+  gl_ms_t claim_filled;
   int list_known;
   int stopping;
   int stopped;
--- a/src/settings.c
+++ b/src/settings.c
@@ -55,6 +55,7 @@
   INT ("entry", "entries", entries, 1, 64, 1),
   INT ("entry", "number", entry_number, 0, 63, 0),
   INT ("entry", "slots", slots, 1, 1024, 8),
+  INT ("entry", "linger_ms", linger_ms, 0, 60000, 2000),
   TEXT ("scheduler", "rpc", KIND_ADDR, scheduler_rpc),
   TEXT ("scheduler", "http", KIND_ADDR, scheduler_http),
   INT ("scheduler", "lease_ms", lease_ms, 500, 60000, 3000),
--- a/src/settings.h
+++ b/src/settings.h
@@ -31,6 +31,7 @@
   int entries;
   int entry_number;
   int slots;
+  int linger_ms;
   int lease_ms;
   int renew_ms;
   int worker_lease_ms;
--- a/tests/fuzz_route.cc
+++ b/tests/fuzz_route.cc
@@ -194,6 +194,7 @@
   c.deadline_ms = 4000;
   c.first_byte_ms = 1500;
   c.queue_len = 30;
+  c.claims_per_s = 20;
   ev.kind = GL_REV_CONF;
   ev.u.conf = &c;
   feed (e, ev);
