Operators who race: a change takes effect once, or its author is told so

Cause: after a lost answer a change was looked up by comparing the whole record. If another operator's change had been accepted on top of it, the comparison failed, the change was made a second time, and so could undo the other's. The decision is now a state machine of its own (change.c): every change carries a number into the record's history, and is made again only if its number is missing there after the record has moved on.

Ruled out: comparing authors (two windows of one operator), and giving up at every lost answer (the operator could not tell what to do).

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 CXXFLAGS = -std=gnu++17 $(OPT) -Wall -Wextra -Wno-unused-parameter $(MODE)
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -ltirpc -lpthread -lm
 
-CORE = pool timer metrics place conf codec fx jobs workers lease journal \
+CORE = pool timer metrics place conf change codec fx jobs workers lease journal \
 	snap fit policy sched view
 GEN = gl_rec_xdr
 # Reducer of the entry, and the I/O that the daemons share.
@@ -74,11 +74,13 @@
 $(BUILD)/fuzz_route: $(TBUILD)/tests/fuzz_route.o $(ROUTE:%=$(TBUILD)/src/%.o) \
 		$(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
+$(BUILD)/fuzz_conf: $(TBUILD)/tests/fuzz_conf.o $(T_CORE)
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
 $(BUILD)/unit: $(TBUILD)/tests/unit.o $(ROUTE:%=$(TBUILD)/src/%.o) \
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
-TESTS = unit fuzz_sched fuzz_route
+TESTS = unit fuzz_sched fuzz_route fuzz_conf
 
 tests: $(TESTS:%=$(BUILD)/%)
 
--- a/src/admin.c
+++ b/src/admin.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "change.h"
 #include "codec.h"
 #include "daemon.h"
 #include "httpd.h"
@@ -35,7 +36,6 @@
 #define LOCAL_STALE_MS 5000
 #define NODES_MAX 64
 #define NODES_FRESH_MS 500
-#define APPLY_TRIES 3
 #define DRAIN_MS 5000
 
 typedef struct
@@ -760,85 +760,55 @@
   reply_json (call, 200, j);
 }
 
-/* Write a change; a lost answer is settled by reading the record. */
-static gl_code_t
-write_config (admin_t *a, const char *site, const char *text,
-              const char *author, uint64_t expect, int check, char *err,
-              uint64_t *revision)
+/* One write of the record. */
+static gl_store_status_t
+write_record (admin_t *a, uint64_t index, const char *record)
 {
-  for (int i = 0; i < APPLY_TRIES; i++)
+  wait_t w = { .lock = PTHREAD_MUTEX_INITIALIZER,
+               .cond = PTHREAD_COND_INITIALIZER };
+
+  a->store.cas (a->store.ctx, CONF_KEY, index, record, strlen (record), 0, 0,
+                store_done, &w);
+  wait_done (&w);
+  free (w.data);
+  if (w.status == GL_ST_OK)
+    adopt (a, record, strlen (record));
+  return w.status;
+}
+
+/* Carry a change out, one store operation after the other. */
+static void
+run_change (admin_t *a, change_t *c)
+{
+  change_op_t op = CHANGE_GET;
+
+  while (op != CHANGE_DONE)
     {
-      conf_doc_t doc = { 0 };
-      wait_t w;
-      gl_store_status_t st = read_record (a, 0, &w);
-      uint64_t index = w.index;
-      gl_code_t rc;
-      char *record;
-
-      if (st == GL_ST_ABSENT)
-        index = 0;
-      if ((st != GL_ST_OK && st != GL_ST_ABSENT)
-          || conf_doc_load (&doc, w.data ? w.data : "", w.len))
-        {
-          free (w.data);
-          snprintf (err, CONF_ERROR_LEN,
-                    "the key-value service does not answer");
-          return GL_RETRY;
-        }
+      wait_t w = { 0 };
+      gl_store_status_t st;
+
+      if (op == CHANGE_PUT)
+        st = write_record (a, c->index, c->record);
+      else
+        st = read_record (a, 0, &w);
+      op = change_took (c, op, st, w.index, w.data ? w.data : "", w.len);
       free (w.data);
-      if (expect != UINT64_MAX && doc.revision != expect)
-        {
-          snprintf (err, CONF_ERROR_LEN, "revision is %llu by now",
-                    (unsigned long long)doc.revision);
-          conf_doc_free (&doc);
-          return GL_CONFLICT;
-        }
-      rc = conf_doc_change (&doc, site, text, author, err);
-      *revision = doc.revision;
-      record = conf_doc_text (&doc);
-      conf_doc_free (&doc);
-      if (rc || check)
-        {
-          free (record);
-          return rc;
-        }
-      w = (wait_t){ .lock = PTHREAD_MUTEX_INITIALIZER,
-                    .cond = PTHREAD_COND_INITIALIZER };
-      a->store.cas (a->store.ctx, CONF_KEY, index, record, strlen (record), 0,
-                    0, store_done, &w);
-      wait_done (&w);
-      free (w.data);
-      st = w.status;
-      if (st == GL_ST_UNKNOWN && read_record (a, 0, &w) == GL_ST_OK)
-        {
-          /* The author's own text under this revision is his change. */
-          int same = w.data && !strcmp (w.data, record);
-          free (w.data);
-          st = same ? GL_ST_OK : GL_ST_CONFLICT;
-        }
-      if (st == GL_ST_OK)
-        {
-          adopt (a, record, strlen (record));
-          free (record);
-          return GL_OK;
-        }
-      free (record);
-      if (st == GL_ST_UNKNOWN)
-        {
-          snprintf (err, CONF_ERROR_LEN,
-                    "written or not: look before trying "
-                    "again");
-          return GL_UNKNOWN;
-        }
-      if (st == GL_ST_REFUSED)
-        {
-          snprintf (err, CONF_ERROR_LEN,
-                    "the key-value service refuses writes");
-          return GL_RETRY;
-        }
     }
-  snprintf (err, CONF_ERROR_LEN, "others keep changing it");
-  return GL_CONFLICT;
+  change_free (c);
+}
+
+static uint64_t
+change_number (const change_t *c)
+{
+  struct
+  {
+    gl_ms_t now;
+    pid_t pid;
+    const void *where;
+    const void *stack;
+  } salt = { clock_ms (), getpid (), c->text, c };
+
+  return (XXH3_64bits (&salt, sizeof salt) >> 16) + 1;
 }
 
 static void
@@ -847,22 +817,21 @@
   const char *author = httpd_header (call, "From");
   const char *expect = httpd_query (call, "revision");
   const char *check = httpd_query (call, "check");
-  char err[CONF_ERROR_LEN] = "";
-  uint64_t revision = 0;
-  gl_code_t rc;
-
-  rc = write_config (a, strcmp (part, "base") ? part : NULL,
-                     call->body ? call->body : "", author ? author : "unknown",
-                     expect ? strtoull (expect, NULL, 10) : UINT64_MAX,
-                     check && !strcmp (check, "1"), err, &revision);
-  if (rc)
-    reply_error (call, http_status (rc), gl_code_name (rc), err,
-                 rc == GL_RETRY ? 5000 : 0);
+  change_t c = { .site = strcmp (part, "base") ? part : NULL,
+                 .text = call->body ? call->body : "",
+                 .author = author ? author : "unknown",
+                 .expect = expect ? strtoull (expect, NULL, 10) : CHANGE_ANY,
+                 .check = check && !strcmp (check, "1") };
+
+  c.id = change_number (&c);
+  run_change (a, &c);
+  if (c.code)
+    reply_error (call, http_status (c.code), gl_code_name (c.code), c.err,
+                 c.code == GL_RETRY ? 5000 : 0);
   else
     reply_json (call, 200,
-                json_pack ("{s:s,s:I}", "status",
-                           check && !strcmp (check, "1") ? "checked" : "ok",
-                           "revision", (json_int_t)revision));
+                json_pack ("{s:s,s:I}", "status", c.check ? "checked" : "ok",
+                           "revision", (json_int_t)c.revision));
 }
 
 static int
--- a/src/conf.c
+++ b/src/conf.c
@@ -326,20 +326,35 @@
 
 static void
 add_history (json_t *j, uint64_t revision, const char *site,
-             const char *author)
+             const char *author, uint64_t change)
 {
   json_t *history = json_object_get (j, "history");
 
   json_array_append_new (
-      history, json_pack ("{s:I,s:s,s:s}", "revision", (json_int_t)revision,
-                          "part", site ? site : "base", "author", author));
+      history, json_pack ("{s:I,s:s,s:s,s:I}", "revision",
+                          (json_int_t)revision, "part", site ? site : "base",
+                          "author", author, "change", (json_int_t)change));
   while (json_array_size (history) > HISTORY_MAX)
     json_array_remove (history, 0);
 }
 
+uint64_t
+conf_doc_revision_of (const conf_doc_t *d, uint64_t change)
+{
+  json_t *h;
+  size_t i;
+
+  json_array_foreach (
+      json_object_get (d->json, "history"), i,
+      h) if ((uint64_t)json_integer_value (json_object_get (h, "change"))
+             == change) return (uint64_t)
+      json_integer_value (json_object_get (h, "revision"));
+  return 0;
+}
+
 gl_code_t
 conf_doc_change (conf_doc_t *d, const char *site, const char *text,
-                 const char *author, char *err)
+                 const char *author, uint64_t change, char *err)
 {
   conf_doc_t next = { d->revision + 1, json_deep_copy (d->json) };
   gl_code_t rc;
@@ -356,7 +371,7 @@
     goto fail;
   json_object_set_new (next.json, "revision",
                        json_integer ((json_int_t)next.revision));
-  add_history (next.json, next.revision, site, author);
+  add_history (next.json, next.revision, site, author, change);
   conf_doc_free (d);
   *d = next;
   return GL_OK;
--- a/src/conf.h
+++ b/src/conf.h
@@ -75,12 +75,15 @@
 /**
  * conf_doc_change - replace one part and raise the revision by one
  * @author: who asks
+ * @change: number that is unique to this change; kept in the history
  * @err: CONF_ERROR_LEN bytes for the reason of a refusal
  *
  * The whole is checked for every site first; nothing changes on an error.
  */
 gl_code_t conf_doc_change (conf_doc_t *d, const char *site, const char *text,
-                           const char *author, char *err);
+                           const char *author, uint64_t change, char *err);
+/** conf_doc_revision_of - revision that a change made; 0 when not recorded */
+uint64_t conf_doc_revision_of (const conf_doc_t *d, uint64_t change);
 /** conf_doc_in_force - configuration of @site under this record */
 gl_code_t conf_doc_in_force (const conf_doc_t *d, const char *site,
                              gl_conf_t *c, char *err);
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -140,14 +140,17 @@
   ASSERT_EQ (GL_OK, conf_doc_load (&d, "", 0));
   ASSERT_EQ (GL_OK,
              conf_doc_change (&d, NULL, "[team a]\ncpus = 4\nmemory_gb = 8\n",
-                              "ann", err));
+                              "ann", 71, err));
   ASSERT_EQ (GL_OK, conf_doc_change (&d, "manila", "[team a]\ncpus = 6\n",
-                                     "ben", err));
+                                     "ben", 72, err));
   EXPECT_EQ (2u, d.revision);
   /* A change that does not pass leaves all as it was. */
-  EXPECT_EQ (GL_INVALID, conf_doc_change (&d, NULL, "[x]\ny = 1\n", "c", err));
-  EXPECT_EQ (GL_INVALID, conf_doc_change (&d, "../x", "", "c", err));
+  EXPECT_EQ (GL_INVALID,
+             conf_doc_change (&d, NULL, "[x]\ny = 1\n", "c", 73, err));
+  EXPECT_EQ (GL_INVALID, conf_doc_change (&d, "../x", "", "c", 74, err));
   EXPECT_EQ (2u, d.revision);
+  EXPECT_EQ (1u, conf_doc_revision_of (&d, 71));
+  EXPECT_EQ (0u, conf_doc_revision_of (&d, 73));
   ASSERT_EQ (GL_OK, conf_doc_in_force (&d, "manila", &c, err));
   EXPECT_EQ (6000, c.teams[0].quota.cpus_m);
   EXPECT_EQ (8192, c.teams[0].quota.memory_mb);
