Policy under failure, tested: probation, eviction, reservation, ageing, shares

Cause of one change: a job's backoff doubled with every failed attempt, so 40 tasks that failed together put their job at the cap of 300 s at once, and it was not done after ten minutes.

tests/policy.cc drives the scheduler in virtual time: a worker that fails everything has at most seven attempts in 84 s; a job that always fails blames no worker; when all workers fail, at most 30 percent are taken out; urgent work starts within 2.4 s in a full cell, evicts the youngest, and nothing loops; a gang is not held off by small work; nothing starves; teams with like work get like shares; after ten minutes without the store, 800 ends are written within 10 s by at most 500 store calls.

--- a/Makefile
+++ b/Makefile
@@ -76,11 +76,13 @@
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
 $(BUILD)/fuzz_conf: $(TBUILD)/tests/fuzz_conf.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
+$(BUILD)/policy: $(TBUILD)/tests/policy.o $(TBUILD)/bench/drive.o $(T_CORE)
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 $(BUILD)/unit: $(TBUILD)/tests/unit.o $(ROUTE:%=$(TBUILD)/src/%.o) \
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
-TESTS = unit fuzz_sched fuzz_route fuzz_conf
+TESTS = unit policy fuzz_sched fuzz_route fuzz_conf
 
 tests: $(TESTS:%=$(BUILD)/%)
 
--- a/bench/drive.c
+++ b/bench/drive.c
@@ -83,7 +83,12 @@
                        .kind = EV_STORE,
                        .a = e->u.store.tag };
 
-  if (e->kind == GL_FX_STORE_GET)
+  if (d->store_down)
+    {
+      d->store_gets++;
+      ev.status = GL_ST_REFUSED;
+    }
+  else if (e->kind == GL_FX_STORE_GET)
     {
       kv_entry_t *k = kv_get (&d->kv, e->u.store.key, 0);
 
@@ -211,9 +216,9 @@
 {
   drive_t *d = ctx;
 
-  (void)w;
   *run_ms = d->run (d->ctx, s);
-  *will = GL_OUT_OK;
+  *will
+      = d->fails && d->fails (d->ctx, w->name, s) ? GL_OUT_FAILED : GL_OUT_OK;
 }
 
 /* ---- steps ---- */
--- a/bench/drive.h
+++ b/bench/drive.h
@@ -40,10 +40,16 @@
 /** drive_run_t - how long a task runs, milliseconds; 0 for ever */
 typedef uint64_t (*drive_run_t) (void *ctx, const gl_start_t *s);
 
+/** drive_fails_t - whether an attempt on a worker fails */
+typedef int (*drive_fails_t) (void *ctx, const char *worker,
+                              const gl_start_t *s);
+
 /**
  * struct drive - the world
  * @store_bytes, @store_puts, @store_gets: to and from the store
  * @worker_calls, @worker_bytes: to and from workers, both ways
+ * @fails: may be NULL
+ * @store_down: while not 0 every call to the store is refused
  * @step_ns: called with the duration of each step, if set
  */
 struct drive
@@ -67,6 +73,8 @@
   uint64_t accepted;
   uint64_t refused;
   drive_run_t run;
+  drive_fails_t fails;
+  int store_down;
   void *ctx;
   void (*step_ns) (void *ctx, const gl_event_t *ev, uint64_t ns);
 };
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -452,6 +452,9 @@
   if (outcome != GL_OUT_FAILED && outcome != GL_OUT_OK
       && outcome != GL_OUT_NOT_RUN)
     return;
+  /* Attempts that fail together count once. */
+  if (s->now < j->not_before)
+    return;
   shift = j->fails_in_row < 10 ? j->fails_in_row : 10;
   j->fails_in_row++;
   j->not_before = s->now + BACKOFF_MIN_MS + ((gl_ms_t)BACKOFF_MIN_MS << shift);
