--- a/src/daemon.c
+++ b/src/daemon.c
@@ -23,6 +23,7 @@
 #include "rpcc.h"
 
 #define PULL_MS 1000
+#define NAP_MS 20
 #define PULL_TIMEOUT_MS 800
 /* Failures of the local daemon after which peers are asked. */
 #define PULL_PATIENCE 2
@@ -194,6 +195,7 @@
   void *ctx;
   pthread_t thread;
   unsigned int quit;
+  unsigned int nudged;
   uint64_t revision;
   rpcc_t local;
   rpcc_t peer;
@@ -247,6 +249,18 @@
   return rc;
 }
 
+/* Wait for the period to pass or a nudge to come. */
+static void
+nap (conf_pull_t *p)
+{
+  for (int t = 0; t < PULL_MS; t += NAP_MS)
+    {
+      if (ck_pr_load_uint (&p->quit) || ck_pr_fas_uint (&p->nudged, 0))
+        return;
+      usleep (NAP_MS * 1000);
+    }
+}
+
 static void *
 pull (void *ctx)
 {
@@ -259,8 +273,7 @@
         p->failures = 0;
       else if (++p->failures > PULL_PATIENCE && s->npeers)
         ask (p, &p->peer, s->peers[p->next_peer++ % (unsigned)s->npeers]);
-      for (int i = 0; i < PULL_MS / 50 && !ck_pr_load_uint (&p->quit); i++)
-        usleep (50000);
+      nap (p);
     }
   return NULL;
 }
@@ -286,6 +299,12 @@
   return p;
 }
 
+void
+conf_pull_nudge (conf_pull_t *p)
+{
+  ck_pr_store_uint (&p->nudged, 1);
+}
+
 void
 conf_pull_free (conf_pull_t *p)
 {
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -37,6 +37,8 @@
  */
 conf_pull_t *conf_pull_new (const settings_t *settings, daemon_conf_t take,
                             daemon_fill_t fill, void *ctx);
+/** conf_pull_nudge - ask now; the status has changed */
+void conf_pull_nudge (conf_pull_t *p);
 /** conf_pull_free - stop asking */
 void conf_pull_free (conf_pull_t *p);
 /** conf_pull_revision - revision last handed over */
--- a/src/nodes.c
+++ b/src/nodes.c
@@ -15,7 +15,7 @@
 /* A daemon that has not asked for this long counts as gone. */
 #define LOCAL_STALE_MS 5000
 /* What was asked for within this time is not asked for again. */
-#define NODES_FRESH_MS 500
+#define NODES_FRESH_MS 200
 
 /* ---- statuses ---- */
 
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -17,8 +17,8 @@
 #define CLASSES 4
 
 /* Defaults of gl_sched_opts_t, milliseconds. */
-#define LEASE_MS 3000
-#define RENEW_MS 750
+#define LEASE_MS 1500
+#define RENEW_MS 400
 #define WORKER_LEASE_MS 60000
 #define HOLD_MS 30000
 #define COMMIT_GAP_MS 50
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -261,14 +261,19 @@
   gl_effects_t fx = { 0 };
   uint64_t epoch = 0;
   int active;
+  int changed;
 
   gl_sched_step (d->sched, ev, clock_ms (), &fx);
   for (size_t i = 0; i < fx.n; i++)
     carry_out (d, &fx.v[i]);
   gl_effects_free (&fx);
   active = gl_sched_active (d->sched, &epoch);
+  changed = (unsigned int)active != ck_pr_load_uint (&d->active);
   ck_pr_store_64 (&d->epoch, epoch);
   ck_pr_store_uint (&d->active, (unsigned int)active);
+  /* Operators' requests find a new owner through its status. */
+  if (d->pull && changed)
+    conf_pull_nudge (d->pull);
 }
 
 /* ---- the control thread ---- */
