A request that may run once is never sent twice by the HTTP library

Cause: when a connection that was used before dies without an answer, the library sends the request again on a new one, whatever its method. A server that runs a POST and dies thus ran it twice, below everything that the router and its fuzzer see. Shown by a unit test first: three runs for two requests.

Change: requests that are not repeatable go out on a new connection, where the library does not repeat them. After: two runs, and the second ends as unknown.

Ruled out: an option of the library against it, there is none; leaving it to the claim, which is taken before the sending. Calls to the store and to workers may be repeated: they compare an index or carry a number.

--- a/src/entry.c
+++ b/src/entry.c
@@ -265,6 +265,7 @@
                         .body = call->body,
                         .len = call->len,
                         .timeout = e->timeout,
+                        .once = e->once,
                         .max_body = ANSWER_MAX,
                         .done = sending_done,
                         .ctx = s };
--- a/src/gentianlatch.h
+++ b/src/gentianlatch.h
@@ -431,7 +431,8 @@
  * struct gl_rfx_t - one thing that a router wants done
  *
  * GL_RFX_SEND: send the request of @token to @addr, giving up after
- * @timeout; report as tried with the same request and attempt numbers.
+ * @timeout; report as tried with the same request and attempt numbers.  With
+ * @once nothing below may send it a second time.
  * GL_RFX_PROBE: ask @addr for its health on a new connection.
  * GL_RFX_RETIRE: use no connection that was open before now.
  * GL_RFX_CLAIM_GET, GL_RFX_CLAIM_CAS: read or write the record @key; a
@@ -449,6 +450,7 @@
   uint32_t instance;
   char addr[96];
   gl_ms_t timeout;
+  int once;
   char key[96];
   uint64_t index;
   char value[64];
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -5,6 +5,9 @@
  * over through a ring and wake the handle.  The instant past which a
  * request must not leave is checked here, immediately before the transfer
  * begins, since any earlier check could be followed by a pause.
+ *
+ * A request that must run once at most gets a connection of its own; see
+ * set_limits.
  */
 #include "httpc.h"
 
@@ -192,7 +195,10 @@
   curl_easy_setopt (e, CURLOPT_TCP_KEEPINTVL, (long)KEEP_INTERVAL_S);
   curl_easy_setopt (e, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (e, CURLOPT_BUFFERSIZE, (long)BUFFER_BYTES);
-  if (r->fresh)
+  /* When a connection that was used before dies without an answer, the
+     library sends the request again by itself, whatever its method.  On a
+     new connection it does not. */
+  if (r->fresh || r->once)
     curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
 }
 
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -51,6 +51,7 @@
  * @send_before: instant at or after which it must not leave, 0 for none
  * @max_body: longest answer that is taken
  * @fresh: use a new connection
+ * @once: never send it twice, whatever becomes of its connection
  */
 typedef struct
 {
@@ -64,6 +65,7 @@
   gl_ms_t send_before;
   size_t max_body;
   int fresh;
+  int once;
   httpc_done_t done;
   void *ctx;
 } httpc_request_t;
--- a/src/route.c
+++ b/src/route.c
@@ -337,6 +337,7 @@
   e->attempt = q->attempt;
   e->instance = (uint32_t)i;
   e->timeout = left < bound ? left : bound;
+  e->once = !q->repeatable;
   memcpy (e->addr, r->inst[i].addr, sizeof e->addr);
   memcpy (e->key, q->key, sizeof e->key);
 }
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -701,6 +701,78 @@
   close (fd);
 }
 
+/* Read one request from @fd; false when the caller has closed it. */
+static bool
+read_request (int fd)
+{
+  std::string got;
+  char c;
+
+  while (got.find ("\r\n\r\n") == std::string::npos)
+    {
+      if (read (fd, &c, 1) != 1)
+        return false;
+      got += c;
+    }
+  /* The bodies of this test are one byte long. */
+  return read (fd, &c, 1) == 1;
+}
+
+/* A server that dies after it has run a request on a connection that was
+   used before.  The library would send the request again by itself. */
+TEST (Http, ARequestThatRunsOnceIsNeverSentAgain)
+{
+  static std::atomic<int> runs;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in sa
+  {
+  };
+  socklen_t len = sizeof sa;
+
+  runs = 0;
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ASSERT_EQ (0, bind (fd, (struct sockaddr *)&sa, sizeof sa));
+  ASSERT_EQ (0, listen (fd, 4));
+  getsockname (fd, (struct sockaddr *)&sa, &len);
+  std::thread t ([fd] {
+    static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    std::vector<std::thread> conns;
+    int c;
+    while ((c = accept (fd, NULL, NULL)) >= 0)
+      conns.emplace_back ([c] {
+        while (read_request (c))
+          if (++runs != 1 || write (c, ok, sizeof ok - 1) < 0)
+            break;
+        close (c);
+      });
+    for (auto &n : conns)
+      n.join ();
+  });
+  httpc_t *client = httpc_new (0);
+  httpc_request_t q{};
+  httpc_result_t res{};
+  std::string url
+      = "http://127.0.0.1:" + std::to_string (ntohs (sa.sin_port)) + "/";
+  q.method = "POST";
+  q.url = url.c_str ();
+  q.body = "x";
+  q.len = 1;
+  q.timeout = 1000;
+  q.once = 1;
+  ASSERT_EQ (0, httpc_wait (client, &q, &res));
+  EXPECT_EQ (200, res.status);
+  free (res.body);
+  httpc_wait (client, &q, &res);
+  EXPECT_EQ (HTTPC_UNKNOWN, res.outcome);
+  EXPECT_EQ (2, runs.load ());
+  free (res.body);
+  httpc_free (client);
+  shutdown (fd, SHUT_RDWR);
+  close (fd);
+  t.join ();
+}
+
 static int
 answer_cancel (void *, const void *in, void *out)
 {
