--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 MODE ?=
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter -Wno-stringop-truncation
-PKGS = libmicrohttpd libcurl log4c jansson inih gsl ck libxxhash
+PKGS = libmicrohttpd libcurl log4c jansson inih gsl ck libxxhash nettle
 CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -Ibench -I/usr/include/tirpc \
 	$(shell pkg-config --cflags $(PKGS)) $(DEFS)
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(MODE)
@@ -13,11 +13,13 @@
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -ltirpc -lpthread -lm
 
 CORE = pool timer metrics place conf change codec fx jobs workers lease journal \
-	snap fit policy sched view
-GEN = gl_rec_xdr
+	snap fit policy sched view names cell cellfx cellown celljob cellwork \
+	cellsave cellplan cellask
+GEN = gl_rec_xdr gl_cell_xdr
 # Reducer of the entry, and the I/O that the daemons share.
 ROUTE = route upstream claim
-IO = ask logs loop httpc httpd rpcc rpcd settings storehttp listhttp \
+IO = ask logs loop httpc httpd rpcc rpcd inifile settings cellset line \
+	rpcmux celld storehttp listhttp \
 	workhttp listwatch daemon
 ADMIN = admin record nodes
 STANDINS = platform workers upstreams
@@ -27,7 +29,8 @@
 LIB_O = $(CORE_O) $(ROUTE:%=$(BUILD)/src/%.o) $(IO:%=$(BUILD)/src/%.o) \
 	$(BUILD)/proto/gl_rpc_xdr.o
 LIB = $(BUILD)/libgentianlatch.a
-BINS = $(BUILD)/gl-scheduler $(BUILD)/gl-entry $(BUILD)/gl-admin \
+PLATFORM = http store watch entries worker advice ingress main
+BINS = $(BUILD)/gl-cell $(BUILD)/gl-scheduler $(BUILD)/gl-entry $(BUILD)/gl-admin \
 	$(BUILD)/glctl
 STANDIN_BINS = $(STANDINS:%=$(BUILD)/standin-%)
 
@@ -37,6 +40,8 @@
 	@rm -f $@; ar rcs $@ $^
 $(BUILD)/gl-admin: $(ADMIN:%=$(BUILD)/src/%.o) $(LIB)
 	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
+$(BUILD)/gl-cell: $(PLATFORM:%=$(BUILD)/platform/%.o) $(LIB)
+	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
 $(BUILD)/gl-%: $(BUILD)/src/%.o $(LIB)
 	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
 $(BUILD)/glctl: $(BUILD)/src/glctl.o $(LIB)
@@ -95,7 +100,7 @@
 DEPS = gcc g++ make pkg-config clang-format clang-tidy cppcheck curl \
 	libck-dev libtirpc-dev rpcsvc-proto libmicrohttpd-dev \
 	libcurl4-openssl-dev liblog4c-dev libgtest-dev libjansson-dev \
-	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev
+	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev nettle-dev
 
 deps:
 	@dpkg -s $(DEPS) >/dev/null 2>&1 \
@@ -136,7 +141,7 @@
 	  MODE="-fsanitize=thread" build-tsan/unit
 	TSAN_OPTIONS=suppressions=tests/tsan.supp build-tsan/unit --gtest_filter='Threads.*:Http.*:Rpc.*'
 
-SOURCES = $(wildcard src/*.[ch] standin/*.[ch] bench/*.[ch] examples/*.[ch] \
+SOURCES = $(wildcard src/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] examples/*.[ch] \
 	tests/*.h tests/*.cc)
 format:
 	clang-format -i $(SOURCES)
@@ -148,7 +153,7 @@
 	  --suppress=preprocessorErrorDirective -D__GNUC__ \
 	  '-Djson_array_foreach(a,i,v)=for (;;)' \
 	  '-Djson_object_foreach(o,k,v)=for (;;)' \
-	  -Isrc -Iproto -Istandin -Ibench src standin
+	  -Isrc -Iproto -Istandin -Ibench src standin platform
 
 clean:
 	rm -rf build build-asan build-tsan run
--- /dev/null
+++ b/src/cell.c
@@ -0,0 +1,306 @@
+/*
+ * cell.c -- the cell's reducer: events in, effects out
+ *
+ * Lower modules change their own part of the state; what follows from an
+ * event for all of them, planning and writing, is done once at its end.
+ */
+#include "cellint.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
+cell_t *
+cell_new (const char *vm, const char *addr, const char *domain,
+          const cell_bounds_t *bounds, uint64_t seed)
+{
+  cell_t *c = calloc (1, sizeof *c);
+
+  if (!c)
+    return NULL;
+  c->rng = gsl_rng_alloc (gsl_rng_taus2);
+  c->vms = calloc (CELL_NAME, sizeof *c->vms);
+  if (!c->rng || !c->vms || names_init (&c->vm_names)
+      || names_init (&c->worker_names) || names_init (&c->job_names))
+    {
+      cell_free (c);
+      return NULL;
+    }
+  gsl_rng_set (c->rng, seed);
+  cell_set (c->vm, vm);
+  cell_set (c->addr, addr);
+  cell_set (c->domain, domain);
+  c->bounds = *bounds;
+  pool_init (&c->jobs, sizeof (cjob_t));
+  pool_init (&c->steps, sizeof (cstep_t));
+  c->t_own = timer_subscribe (&c->timers, own_tick, c);
+  c->t_work = timer_subscribe (&c->timers, cworkers_tick, c);
+  c->t_save = timer_subscribe (&c->timers, save_tick, c);
+  c->t_plan = timer_subscribe (&c->timers, plan_tick, c);
+  c->t_ask = timer_subscribe (&c->timers, ask_tick, c);
+  c->t_jobs = timer_subscribe (&c->timers, cjobs_tick, c);
+  timer_arm (&c->timers, c->t_own, 0);
+  timer_arm (&c->timers, c->t_work, 0);
+  timer_arm (&c->timers, c->t_ask, 0);
+  timer_arm (&c->timers, c->t_jobs, 0);
+  return c;
+}
+
+void
+cell_free (cell_t *c)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  if (!c)
+    return;
+  while ((h = pool_next (&c->jobs, &pos)))
+    cjob_free (c, pool_get (&c->jobs, h));
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      free (c->workers[i].tasks);
+      free (c->workers[i].gates);
+    }
+  for (size_t i = 0; i < c->nrequests; i++)
+    codec_free ((xdrproc_t)xdr_gl_ask_t, &c->requests[i].ask);
+  codec_free ((xdrproc_t)xdr_gl_tenure_t, &c->tenure);
+  free (c->requests);
+  free (c->workers);
+  free (c->vms);
+  free (c->conf.queues);
+  free (c->dirty.v);
+  free (c->waiting.v);
+  pool_done (&c->jobs);
+  pool_done (&c->steps);
+  names_done (&c->vm_names);
+  names_done (&c->worker_names);
+  names_done (&c->job_names);
+  if (c->rng)
+    gsl_rng_free (c->rng);
+  free (c);
+}
+
+/* ---- configuration ---- */
+
+static cell_queue_t *
+queue_named (cell_conf_t *conf, const char *name)
+{
+  for (int i = 0; i < conf->nqueues; i++)
+    if (!strcmp (conf->queues[i].name, name))
+      return &conf->queues[i];
+  return NULL;
+}
+
+/* Queues keep their places, since jobs refer to them; one that is no longer
+   in the configuration takes no new jobs. */
+static void
+take_conf (cell_t *c, cell_conf_t *conf)
+{
+  int added = 0;
+
+  if (conf->version <= c->conf.version)
+    {
+      free (conf->queues);
+      free (conf);
+      return;
+    }
+  for (int i = 0; i < c->conf.nqueues; i++)
+    c->conf.queues[i].dropped = 1;
+  for (int i = 0; i < conf->nqueues; i++)
+    {
+      cell_queue_t *q = queue_named (&c->conf, conf->queues[i].name);
+      cell_queue_t *v;
+
+      if (q)
+        {
+          *q = conf->queues[i];
+          continue;
+        }
+      v = realloc (c->conf.queues, (size_t)(c->conf.nqueues + 1) * sizeof *v);
+      if (!v)
+        break;
+      c->conf.queues = v;
+      v[c->conf.nqueues++] = conf->queues[i];
+      added++;
+    }
+  cell_log (c, "config version=%llu was=%llu queues=%d added=%d",
+            (unsigned long long)conf->version,
+            (unsigned long long)c->conf.version, conf->nqueues, added);
+  c->conf.version = conf->version;
+  free (conf->queues);
+  free (conf);
+  plan_wake (c);
+}
+
+int
+cell_configured (const cell_t *c)
+{
+  return c->conf.version != 0;
+}
+
+const cell_queue_t *
+cell_queue (const cell_t *c, const char *host, const char *path,
+            const char **rest)
+{
+  const cell_queue_t *best = NULL;
+  size_t len = 0;
+
+  for (int i = 0; i < c->conf.nqueues; i++)
+    {
+      const cell_queue_t *q = &c->conf.queues[i];
+      size_t n = strlen (q->prefix);
+
+      if (q->dropped || strcmp (q->host, host) || strncmp (path, q->prefix, n)
+          || (best && n <= len))
+        continue;
+      best = q;
+      len = n;
+    }
+  if (best)
+    *rest = path + len;
+  return best;
+}
+
+uint32_t
+cell_waiting (const cell_t *c, const char *queue)
+{
+  size_t pos = 0;
+  handle_t h;
+  uint32_t n = 0;
+
+  if (c->role != CR_OWNER)
+    {
+      for (int i = 0; i < c->nheard; i++)
+        if (!strcmp (c->heard[i].queue, queue))
+          return c->heard[i].waiting;
+      return 0;
+    }
+  while ((h = pool_next (&c->jobs, &pos)))
+    {
+      const cjob_t *j = pool_get (&c->jobs, h);
+
+      n += j->durable && !j->begun && j->want < GL_PHASE_COMPLETED
+           && !strcmp (j->work.queue, queue);
+    }
+  return n;
+}
+
+int
+cell_ready (const cell_t *c)
+{
+  return c->conf.version && !c->stopping
+         && (c->role == CR_OWNER
+             || (c->tenure_known && !c->owner_refused
+                 && c->now - c->beacon_at < CELL_KEY_LOST_MS));
+}
+
+/* ---- events ---- */
+
+static void
+dispatch (cell_t *c, const cell_event_t *ev)
+{
+  switch (ev->kind)
+    {
+    case CELL_EV_TICK:
+      break;
+    case CELL_EV_MEMBER:
+      own_member (c, ev);
+      break;
+    case CELL_EV_MEMBERS_SYNC:
+      own_synced (c);
+      break;
+    case CELL_EV_WORKER:
+      cworker_info (c, ev);
+      break;
+    case CELL_EV_WORKERS_SYNC:
+      cworkers_synced (c);
+      break;
+    case CELL_EV_CONF:
+      take_conf (c, ev->conf);
+      break;
+    case CELL_EV_WROTE:
+      own_wrote (c, ev);
+      break;
+    case CELL_EV_PAGE:
+      own_page (c, ev);
+      break;
+    case CELL_EV_READ:
+      ask_read (c, ev);
+      break;
+    case CELL_EV_LEASE:
+      own_lease (c, ev);
+      break;
+    case CELL_EV_WCALL:
+      cworker_answer (c, ev);
+      break;
+    case CELL_EV_COUNSEL:
+      plan_counsel (c, ev);
+      break;
+    case CELL_EV_ASK:
+      ask_take (c, ev);
+      break;
+    case CELL_EV_TOLD:
+      ask_told (c, ev);
+      break;
+    case CELL_EV_BEACON:
+      own_beacon (c, ev);
+      break;
+    case CELL_EV_PEER_DOWN:
+      own_peer_down (c, ev->vm);
+      break;
+    case CELL_EV_STOP:
+      own_stop (c);
+      break;
+    }
+}
+
+void
+cell_step (cell_t *c, const cell_event_t *ev, gl_ms_t now, cell_effects_t *fx)
+{
+  c->now = now;
+  c->fx = fx;
+  if (ev->wall)
+    c->wall = ev->wall;
+  timer_run (&c->timers, now);
+  dispatch (c, ev);
+  plan_run (c);
+  save_flush (c);
+  c->fx = NULL;
+}
+
+gl_ms_t
+cell_due (const cell_t *c)
+{
+  return timer_next (&c->timers);
+}
+
+/* ---- metrics ---- */
+
+void
+cell_metrics (const cell_t *c, void *text)
+{
+  text_t *t = text;
+  char label[16];
+
+#define X(name, help)                                                         \
+  text_add (t, "cell_%s %llu\n", #name, (unsigned long long)c->c.name);
+  CELL_COUNTERS (X)
+#undef X
+  text_add (t, "cell_owner %d\ncell_generation %llu\ncell_jobs %zu\n",
+            c->role == CR_OWNER, (unsigned long long)c->tenure.generation,
+            c->jobs.count);
+  text_add (t, "cell_steps_waiting %zu\ncell_requests_open %zu\n",
+            c->waiting.n, c->nrequests);
+  hist_print (t, "cell_accept_ms", "kind", "submit", &c->accept_time);
+  hist_print (t, "cell_transaction_ms", "kind", "write", &c->txn_time);
+  hist_print (t, "cell_takeover_ms", "kind", "load", &c->takeover_time);
+  for (int i = 0; i < CELL_PRIORITIES; i++)
+    {
+      snprintf (label, sizeof label, "%d", i);
+      hist_print (t, "cell_first_start_ms", "priority", label,
+                  &c->start_time[i]);
+      hist_print (t, "cell_whole_ms", "priority", label, &c->whole_time[i]);
+    }
+}
--- /dev/null
+++ b/src/celljob.c
@@ -0,0 +1,588 @@
+/*
+ * celljob.c -- jobs, steps and tasks of the cell
+ *
+ * A job has turns (one, unless it repeats), a turn has the job's steps, a
+ * step has tasks.  A task waits, is bound to one worker, or is done; only
+ * ctask_bind and ctask_unbind move it to and from a worker, and with it what
+ * the worker holds.  What has to outlast the owner of a task is its fact:
+ * done, failed runs, checkpoint.  Which worker runs it is not written: a
+ * successor learns that from the workers.
+ */
+#include "cellint.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
+/* Run numbers that one owner may use before those of its successor begin. */
+#define RUNS_A_GENERATION 1000
+#define TICK_MS 200
+/* Longest wait of a turn that a timer is set for. */
+#define TURNS_AHEAD 4
+
+cjob_t *
+job_named (cell_t *c, const char *id)
+{
+  return pool_get (&c->jobs, (handle_t)names_get (&c->job_names, id));
+}
+
+cjob_t *
+cstep_job (cell_t *c, const cstep_t *s)
+{
+  return pool_get (&c->jobs, s->job);
+}
+
+static uint32_t
+turns_of (const cjob_t *j)
+{
+  return j->work.times ? j->work.times : 1;
+}
+
+/* ---- steps ---- */
+
+static cstep_t *
+step_new (cell_t *c, cjob_t *j, uint32_t turn, uint32_t index)
+{
+  handle_t h = pool_add (&c->steps);
+  cstep_t *s = pool_get (&c->steps, h);
+
+  if (!s)
+    return NULL;
+  s->self = h;
+  s->job = j->self;
+  s->turn = turn;
+  s->index = index;
+  s->def = &j->work.steps.steps_val[index];
+  s->tasks = calloc (s->def->count, sizeof *s->tasks);
+  if (!s->tasks || handles_add (&j->steps, h))
+    {
+      free (s->tasks);
+      pool_del (&c->steps, h);
+      return NULL;
+    }
+  for (uint32_t i = 0; i < s->def->count; i++)
+    {
+      s->tasks[i].worker = -1;
+      s->tasks[i].inherited = j->inherited && !c->census_whole;
+    }
+  s->nwaiting = s->def->count;
+  return s;
+}
+
+static void
+step_free (cell_t *c, cstep_t *s)
+{
+  for (uint32_t i = 0; i < s->def->count; i++)
+    if (s->tasks[i].worker >= 0)
+      ctask_unbind (c, s, i);
+  free (s->tasks);
+  free (s->verdicts);
+  free (s->passes);
+  pool_del (&c->steps, s->self);
+}
+
+void
+cstep_list (cell_t *c, cstep_t *s)
+{
+  if (s->listed || !s->ready || !s->nwaiting)
+    return;
+  if (!handles_add (&c->waiting, s->self))
+    s->listed = 1;
+  plan_wake (c);
+}
+
+static cstep_t *
+step_at (cell_t *c, const cjob_t *j, uint32_t turn, uint32_t index)
+{
+  size_t n = j->work.steps.steps_len;
+  size_t at = (size_t)turn * n + index;
+
+  return at < j->steps.n ? pool_get (&c->steps, j->steps.v[at]) : NULL;
+}
+
+static int
+step_free_to_run (cell_t *c, const cjob_t *j, const cstep_t *s)
+{
+  for (uint32_t i = 0; i < s->def->after.after_len; i++)
+    {
+      cstep_t *p = step_at (c, j, s->turn, s->def->after.after_val[i]);
+
+      if (p && p->ndone < p->def->count)
+        return 0;
+    }
+  return 1;
+}
+
+/* ---- jobs ---- */
+
+cjob_t *
+cjob_new (cell_t *c, gl_work_t *work)
+{
+  handle_t h = pool_add (&c->jobs);
+  cjob_t *j = pool_get (&c->jobs, h);
+
+  if (!j)
+    {
+      codec_free ((xdrproc_t)xdr_gl_work_t, work);
+      return NULL;
+    }
+  j->self = h;
+  j->work = *work;
+  memset (work, 0, sizeof *work);
+  cell_set (j->id, j->work.id);
+  j->arrived = c->now;
+  j->queue = -1;
+  for (int i = 0; i < c->conf.nqueues; i++)
+    if (!strcmp (c->conf.queues[i].name, j->work.queue))
+      j->queue = i;
+  if (names_put (&c->job_names, j->id, h))
+    {
+      codec_free ((xdrproc_t)xdr_gl_work_t, &j->work);
+      pool_del (&c->jobs, h);
+      return NULL;
+    }
+  return j;
+}
+
+static void
+free_steps (cell_t *c, cjob_t *j)
+{
+  for (size_t i = 0; i < j->steps.n; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
+
+      if (s)
+        step_free (c, s);
+    }
+  free (j->steps.v);
+  memset (&j->steps, 0, sizeof j->steps);
+}
+
+void
+cjob_free (cell_t *c, cjob_t *j)
+{
+  free_steps (c, j);
+  names_del (&c->job_names, j->id);
+  codec_free ((xdrproc_t)xdr_gl_work_t, &j->work);
+  free (j->waiters.v);
+  free (j->enders.v);
+  pool_del (&c->jobs, j->self);
+}
+
+static void
+turn_new (cell_t *c, cjob_t *j)
+{
+  uint32_t turn = j->turns_made++;
+
+  for (uint32_t i = 0; i < j->work.steps.steps_len; i++)
+    if (!step_new (c, j, turn, i))
+      cell_log (c, "out_of_memory id=%s", j->id);
+}
+
+static uint64_t
+turn_due (const cjob_t *j, uint32_t turn)
+{
+  return j->work.first_ms + (uint64_t)turn * j->work.every_ms;
+}
+
+void
+cjob_open (cell_t *c, cjob_t *j)
+{
+  if (j->phase >= GL_PHASE_COMPLETED || j->want >= GL_PHASE_COMPLETED)
+    return;
+  while (j->turns_made < turns_of (j)
+         && (!j->work.times || turn_due (j, j->turns_made) <= c->wall))
+    turn_new (c, j);
+  for (size_t i = 0; i < j->steps.n; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
+
+      if (!s)
+        continue;
+      if (!s->ready && step_free_to_run (c, j, s))
+        {
+          s->ready = 1;
+          s->since = c->now;
+        }
+      cstep_list (c, s);
+    }
+}
+
+void
+cjob_finish (cell_t *c, cjob_t *j, gl_phase_t phase)
+{
+  if (j->want >= GL_PHASE_COMPLETED || j->phase >= GL_PHASE_COMPLETED)
+    return;
+  j->want = phase;
+  j->version++;
+  for (size_t i = 0; i < j->steps.n; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
+
+      for (uint32_t k = 0; s && k < s->def->count; k++)
+        if (s->tasks[k].worker >= 0)
+          cworker_stop (c, s, k);
+    }
+  save_job (c, j, 1);
+}
+
+void
+cjob_written (cell_t *c, cjob_t *j, gl_phase_t phase)
+{
+  static const char *const names[]
+      = { "pending", "running", "completed", "failed", "cancelled" };
+
+  j->phase = phase;
+  j->ended_at = c->now;
+  if (phase == GL_PHASE_COMPLETED)
+    c->c.completed++;
+  else if (phase == GL_PHASE_FAILED)
+    c->c.failed++;
+  else
+    c->c.cancelled++;
+  if (j->queue >= 0 && c->conf.queues[j->queue].priority >= 0
+      && c->conf.queues[j->queue].priority < CELL_PRIORITIES)
+    hist_add (&c->whole_time[c->conf.queues[j->queue].priority],
+              (double)(c->now - j->arrived));
+  cell_log (c, "job_ended id=%s phase=%s age_ms=%llu", j->id, names[phase],
+            (unsigned long long)(c->now - j->arrived));
+  for (size_t i = 0; i < j->enders.n; i++)
+    cell_tell (c, j->enders.v[i], GL_OK, 0, phase, NULL);
+  j->enders.n = 0;
+}
+
+/* ---- tasks ---- */
+
+void
+ctask_name (const cell_t *c, const cstep_t *s, uint32_t index,
+            char out[CELL_NAME])
+{
+  const cjob_t *j = pool_get (&c->jobs, s->job);
+
+  snprintf (out, CELL_NAME, "%s.%u.%u.%u", j->id, s->turn, s->index, index);
+}
+
+ctask_t *
+ctask_find (cell_t *c, const char *name, cstep_t **step, uint32_t *index)
+{
+  char id[CELL_NAME];
+  unsigned int turn;
+  unsigned int at;
+  cjob_t *j;
+  cstep_t *s;
+
+  if (sscanf (name, "%63[^.].%u.%u.%u", id, &turn, &at, index) != 4)
+    return NULL;
+  j = job_named (c, id);
+  if (!j || at >= j->work.steps.steps_len)
+    return NULL;
+  /* A turn that has begun under an earlier owner has come. */
+  while (j->want < GL_PHASE_COMPLETED && j->phase < GL_PHASE_COMPLETED
+         && j->turns_made <= turn && j->turns_made < turns_of (j))
+    turn_new (c, j);
+  s = step_at (c, j, turn, at);
+  if (!s || *index >= s->def->count)
+    return NULL;
+  *step = s;
+  return &s->tasks[*index];
+}
+
+int
+ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker)
+{
+  cworker_t *w = &c->workers[worker];
+  ctask_t *t = &s->tasks[index];
+  cjob_t *j = cstep_job (c, s);
+
+  assert (t->worker < 0);
+  if (w->ntasks == w->captasks)
+    {
+      int cap = w->captasks ? 2 * w->captasks : 8;
+      ctref_t *v = realloc (w->tasks, (size_t)cap * sizeof *v);
+
+      if (!v)
+        return -1;
+      w->tasks = v;
+      w->captasks = cap;
+    }
+  t->worker = worker;
+  t->fenced_at = 0;
+  t->pos = w->ntasks;
+  w->tasks[w->ntasks++] = (ctref_t){ s->self, index };
+  if (!s->def->filler)
+    w->used.cpus_m += s->def->need.cpus_m;
+  w->used.memory_mb += s->def->need.memory_mb;
+  w->used.accels += s->def->need.accels;
+  if (t->state == CT_WAITING)
+    s->nwaiting--;
+  j->live++;
+  if (!j->begun)
+    j->begun = 1;
+  return 0;
+}
+
+void
+ctask_unbind (cell_t *c, cstep_t *s, uint32_t index)
+{
+  ctask_t *t = &s->tasks[index];
+  cworker_t *w = &c->workers[t->worker];
+  ctref_t last = w->tasks[--w->ntasks];
+  cjob_t *j = cstep_job (c, s);
+
+  if (t->pos < w->ntasks)
+    {
+      cstep_t *o = pool_get (&c->steps, last.step);
+
+      w->tasks[t->pos] = last;
+      o->tasks[last.index].pos = t->pos;
+    }
+  t->worker = -1;
+  if (!s->def->filler)
+    w->used.cpus_m -= s->def->need.cpus_m;
+  w->used.memory_mb -= s->def->need.memory_mb;
+  w->used.accels -= s->def->need.accels;
+  j->live--;
+  plan_wake (c);
+}
+
+void
+ctask_requeue (cell_t *c, cstep_t *s, uint32_t index)
+{
+  ctask_t *t = &s->tasks[index];
+
+  if (t->worker >= 0)
+    ctask_unbind (c, s, index);
+  if (t->state != CT_WAITING)
+    s->nwaiting++;
+  t->state = CT_WAITING;
+  cstep_list (c, s);
+}
+
+static int
+turn_done (cell_t *c, const cjob_t *j, uint32_t turn)
+{
+  for (uint32_t i = 0; i < j->work.steps.steps_len; i++)
+    {
+      cstep_t *s = step_at (c, j, turn, i);
+
+      if (!s || s->ndone < s->def->count)
+        return 0;
+    }
+  return 1;
+}
+
+static int
+job_done (cell_t *c, const cjob_t *j)
+{
+  if (j->turns_made < turns_of (j))
+    return 0;
+  for (uint32_t t = 0; t < turns_of (j); t++)
+    if (!turn_done (c, j, t))
+      return 0;
+  return 1;
+}
+
+static void
+mark_done (cell_t *c, cstep_t *s, uint32_t index)
+{
+  ctask_t *t = &s->tasks[index];
+
+  if (t->state == CT_DONE)
+    return;
+  if (t->worker >= 0)
+    ctask_unbind (c, s, index);
+  else if (t->state == CT_WAITING)
+    s->nwaiting--;
+  t->state = CT_DONE;
+  t->fact = 1;
+  t->inherited = 0;
+  s->ndone++;
+}
+
+/* One member's good end is the gang's. */
+static void
+gang_done (cell_t *c, cstep_t *s)
+{
+  for (uint32_t i = 0; i < s->def->count; i++)
+    mark_done (c, s, i);
+}
+
+static void
+take_failure (cell_t *c, cjob_t *j, cstep_t *s, uint32_t index)
+{
+  ctask_t *t = &s->tasks[index];
+  uint32_t most = j->queue >= 0 ? c->conf.queues[j->queue].attempts : 0;
+
+  t->failed++;
+  t->fact = 1;
+  if (!s->def->lasting && most && t->failed >= most)
+    cjob_finish (c, j, GL_PHASE_FAILED);
+}
+
+/* The other members of a gang of which one has ended badly run on for
+   nothing; they are stopped, and the gang is started anew as a whole. */
+static void
+gang_break (cell_t *c, cstep_t *s)
+{
+  for (uint32_t i = 0; i < s->def->count; i++)
+    if (s->tasks[i].worker >= 0)
+      cworker_stop (c, s, i);
+}
+
+uint64_t
+ctask_ended (cell_t *c, cstep_t *s, uint32_t index, cell_how_t how,
+             const char *saved)
+{
+  ctask_t *t = &s->tasks[index];
+  cjob_t *j = cstep_job (c, s);
+
+  if (saved && saved[0] && strcmp (saved, t->saved))
+    {
+      cell_set (t->saved, saved);
+      t->fact = 1;
+    }
+  t->inherited = 0;
+  j->version++;
+  if (how == CELL_HOW_DONE && !s->def->lasting)
+    {
+      c->c.ends_done++;
+      if (s->def->gang)
+        gang_done (c, s);
+      else
+        mark_done (c, s, index);
+      if (j->want < GL_PHASE_COMPLETED && job_done (c, j))
+        cjob_finish (c, j, GL_PHASE_COMPLETED);
+      else if (s->ndone == s->def->count)
+        cjob_open (c, j);
+      save_job (c, j, j->want >= GL_PHASE_COMPLETED);
+      return j->version;
+    }
+  ctask_requeue (c, s, index);
+  if (how == CELL_HOW_FAILED)
+    {
+      c->c.ends_failed++;
+      take_failure (c, j, s, index);
+    }
+  else
+    c->c.ends_stopped++;
+  if (s->def->gang)
+    gang_break (c, s);
+  save_job (c, j, j->want >= GL_PHASE_COMPLETED);
+  return j->version;
+}
+
+/* ---- facts ---- */
+
+void
+cjob_facts (cell_t *c, cjob_t *j, gl_progress_t *p)
+{
+  size_t n = 0;
+
+  memset (p, 0, sizeof *p);
+  for (size_t i = 0; i < j->steps.n; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
+
+      for (uint32_t k = 0; s && k < s->def->count; k++)
+        n += s->tasks[k].fact;
+    }
+  p->facts.facts_val = calloc (n + 1, sizeof (gl_fact_t));
+  if (!p->facts.facts_val)
+    return;
+  for (size_t i = 0; i < j->steps.n; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
+
+      for (uint32_t k = 0; s && k < s->def->count; k++)
+        {
+          ctask_t *t = &s->tasks[k];
+          gl_fact_t *f;
+
+          if (!t->fact)
+            continue;
+          f = &p->facts.facts_val[p->facts.facts_len++];
+          f->turn = s->turn;
+          f->step = s->index;
+          f->index = k;
+          f->run = t->run;
+          f->failed = t->failed;
+          f->done = t->state == CT_DONE;
+          f->saved = strdup (t->saved);
+        }
+    }
+}
+
+void
+cjob_recall (cell_t *c, cjob_t *j, const gl_progress_t *p)
+{
+  for (u_int i = 0; i < p->facts.facts_len; i++)
+    {
+      const gl_fact_t *f = &p->facts.facts_val[i];
+      cstep_t *s;
+      ctask_t *t;
+
+      while (j->turns_made <= f->turn && j->turns_made < turns_of (j))
+        turn_new (c, j);
+      s = f->step < j->work.steps.steps_len ? step_at (c, j, f->turn, f->step)
+                                            : NULL;
+      if (!s || f->index >= s->def->count)
+        {
+          cell_log (c, "fact_unknown id=%s", j->id);
+          continue;
+        }
+      t = &s->tasks[f->index];
+      t->fact = 1;
+      t->run = f->run;
+      t->failed = f->failed;
+      cell_set (t->saved, f->saved);
+      j->begun = 1;
+      if (f->done)
+        mark_done (c, s, f->index);
+    }
+  j->version = j->written = 1;
+}
+
+/* ---- time ---- */
+
+static void
+forget (cell_t *c, cjob_t *j)
+{
+  cell_effect_t *e = cell_fx (c, CELL_FX_TXN);
+
+  if (e && (e->txn = calloc (1, sizeof *e->txn)))
+    {
+      e->tag = cell_tag (c);
+      e->timeout = CELL_TXN_MS;
+      own_check (c, e->txn);
+      snprintf (e->txn->puts[0].key, CELL_NAME, "gl/d/%s", j->id);
+      e->txn->nputs = 1;
+    }
+  cjob_free (c, j);
+}
+
+void
+cjobs_tick (void *ctx, gl_ms_t now)
+{
+  cell_t *c = ctx;
+  size_t pos = 0;
+  handle_t h;
+
+  timer_arm (&c->timers, c->t_jobs, now + TICK_MS);
+  if (c->role != CR_OWNER)
+    return;
+  while ((h = pool_next (&c->jobs, &pos)))
+    {
+      cjob_t *j = pool_get (&c->jobs, h);
+
+      if (j->phase >= GL_PHASE_COMPLETED && !j->live && j->steps.n)
+        free_steps (c, j);
+      if (j->phase >= GL_PHASE_COMPLETED && !j->live && !j->saving
+          && now - j->ended_at > c->bounds.kept)
+        forget (c, j);
+      else if (j->durable && j->work.times && j->turns_made < j->work.times)
+        cjob_open (c, j);
+    }
+}
--- /dev/null
+++ b/src/cellown.c
@@ -0,0 +1,606 @@
+/*
+ * cellown.c -- who owns the cell
+ *
+ * One record, the tenure, names the owner and counts generations; it is only
+ * ever changed under the condition that it has not changed.  Every write of
+ * an owner carries the same condition, so a former owner writes nothing, and
+ * its generation is the fencing token that workers check.  Safety rests on
+ * this alone; how soon a standby claims the cell is a matter of liveness.
+ *
+ * A standby claims when the owner has handed over, when its address refuses
+ * connections, when its key with a lease has gone and no beacon came for a
+ * while, or when that key stays away although beacons come: such an owner
+ * cannot write.
+ */
+#include "cellint.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
+#define KEY_TENURE "gl/m/tenure"
+#define KEY_OWNER "gl/m/owner"
+#define KEY_VM "gl/m/vm/"
+/* Standbys claim at different moments, to save all but one the attempt. */
+#define CLAIM_SPREAD_MS 60
+#define CLAIM_TIMEOUT_MS 1500
+#define TICK_MS 50
+#define PAGE_TIMEOUT_MS 1500
+
+static void load_begin (cell_t *c);
+
+/* ---- what the store says of the members ---- */
+
+static void
+take_tenure (cell_t *c, const cell_item_t *item)
+{
+  gl_tenure_t t;
+  int moved;
+
+  memset (&t, 0, sizeof t);
+  if (item->revision <= c->tenure_rev)
+    return;
+  if (codec_decode ((xdrproc_t)xdr_gl_tenure_t, &t, item->value, item->len))
+    {
+      cell_log (c, "tenure_unreadable revision=%llu",
+                (unsigned long long)item->revision);
+      return;
+    }
+  moved = t.generation != c->tenure.generation;
+  codec_free ((xdrproc_t)xdr_gl_tenure_t, &c->tenure);
+  c->tenure = t;
+  c->tenure_rev = item->revision;
+  c->tenure_known = 1;
+  if (!moved)
+    return;
+  c->owner_refused = 0;
+  c->beacon_at = c->now;
+  c->owner_key_gone = c->now;
+  if ((c->role == CR_OWNER || c->role == CR_LOADING)
+      && t.generation > c->generation)
+    own_deposed (c, "another owner");
+  cell_log (c, "owner_is vm=%s generation=%llu revision=%llu", t.vm,
+            (unsigned long long)t.generation,
+            (unsigned long long)item->revision);
+  ask_owner_changed (c);
+}
+
+static void
+take_vm (cell_t *c, const cell_item_t *item, int gone)
+{
+  const char *name = item->key + strlen (KEY_VM);
+  uintptr_t i = names_get (&c->vm_names, name);
+  gl_vminfo_t info;
+  cvm_t *v;
+
+  if (gone)
+    {
+      if (i)
+        c->vms[i - 1].listed = 0;
+      if (!strcmp (name, c->vm))
+        c->keys_lost = 1;
+      return;
+    }
+  memset (&info, 0, sizeof info);
+  if (codec_decode ((xdrproc_t)xdr_gl_vminfo_t, &info, item->value, item->len))
+    {
+      cell_log (c, "vm_unreadable key=%s", item->key);
+      return;
+    }
+  if (!i && c->nvms < CELL_NAME)
+    {
+      v = &c->vms[c->nvms];
+      memset (v, 0, sizeof *v);
+      cell_set (v->vm, name);
+      if (!names_put (&c->vm_names, v->vm, (uintptr_t)c->nvms + 1))
+        i = (uintptr_t)++c->nvms;
+    }
+  if (i)
+    {
+      v = &c->vms[i - 1];
+      cell_set (v->addr, info.addr);
+      cell_set (v->domain, info.domain);
+      v->listed = 1;
+      v->shy_until = 0;
+    }
+  codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
+}
+
+void
+own_member (cell_t *c, const cell_event_t *ev)
+{
+  const cell_item_t *item = ev->items;
+
+  if (!strcmp (item->key, KEY_TENURE) && !ev->gone)
+    take_tenure (c, item);
+  else if (!strcmp (item->key, KEY_OWNER))
+    {
+      if (c->owner_key && ev->gone)
+        c->owner_key_gone = c->now;
+      c->owner_key = !ev->gone;
+      if (ev->gone && c->role == CR_OWNER)
+        c->keys_lost = 1;
+    }
+  else if (!strncmp (item->key, KEY_VM, strlen (KEY_VM)))
+    take_vm (c, item, ev->gone);
+}
+
+void
+own_synced (cell_t *c)
+{
+  if (!c->members_synced)
+    c->owner_key_gone = c->now;
+  c->members_synced = 1;
+}
+
+/* ---- this VM's lease ---- */
+
+static void
+ask_lease (cell_t *c)
+{
+  cell_effect_t *e = cell_fx (c, CELL_FX_LEASE);
+
+  if (!e)
+    return;
+  c->lease_tag = e->tag = cell_tag (c);
+  c->lease_sent = c->now;
+  e->timeout = CELL_VM_LEASE_MS;
+}
+
+/* The keys that say that this VM is there; the owner's only when it is. */
+static void
+put_keys (cell_t *c)
+{
+  cell_effect_t *e;
+  gl_vminfo_t info = { c->vm, c->addr, c->domain };
+  cell_put_t *p;
+
+  e = cell_fx (c, CELL_FX_TXN);
+  if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
+    return;
+  e->tag = cell_tag (c);
+  e->timeout = CELL_TXN_MS;
+  p = &e->txn->puts[e->txn->nputs++];
+  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
+  p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
+  p->leased = 1;
+  if (c->role != CR_OWNER && c->role != CR_LOADING)
+    return;
+  own_check (c, e->txn);
+  p = &e->txn->puts[e->txn->nputs++];
+  cell_set (p->key, KEY_OWNER);
+  p->value = strdup (c->vm);
+  p->len = strlen (c->vm);
+  p->leased = 1;
+}
+
+void
+own_lease (cell_t *c, const cell_event_t *ev)
+{
+  int fresh;
+
+  if (ev->tag != c->lease_tag)
+    return;
+  c->lease_tag = 0;
+  if (ev->status == GL_ST_OK)
+    {
+      /* revision is 1 when the lease is a new one, without keys. */
+      fresh = ev->revision == 1;
+      if (!c->leased)
+        cell_log (c, "store_back away_ms=%llu",
+                  (unsigned long long)(c->now - c->leased_at));
+      c->leased = 1;
+      c->leased_at = c->now;
+      c->store_at = c->now;
+      if (fresh || c->keys_lost)
+        put_keys (c);
+      c->keys_lost = 0;
+      return;
+    }
+  if (c->leased)
+    cell_log (c, "store_lost status=%d", ev->status);
+  c->leased = 0;
+}
+
+/* ---- claims ---- */
+
+void
+own_check (const cell_t *c, cell_txn_t *txn)
+{
+  cell_item_t *i = &txn->checks[txn->nchecks++];
+
+  cell_set (i->key, KEY_TENURE);
+  i->revision = c->tenure_rev;
+}
+
+static int
+write_tenure (cell_t *c, uint64_t generation, int released, uint64_t *tag)
+{
+  cell_effect_t *e = cell_fx (c, CELL_FX_TXN);
+  gl_tenure_t t = { generation, c->vm, c->addr, released };
+  cell_put_t *p;
+
+  if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
+    return -1;
+  *tag = e->tag = cell_tag (c);
+  e->timeout = CLAIM_TIMEOUT_MS;
+  own_check (c, e->txn);
+  p = &e->txn->puts[e->txn->nputs++];
+  cell_set (p->key, KEY_TENURE);
+  p->value = codec_encode ((xdrproc_t)xdr_gl_tenure_t, &t, &p->len);
+  p = &e->txn->puts[e->txn->nputs++];
+  cell_set (p->key, KEY_OWNER);
+  if (!released)
+    {
+      p->value = strdup (c->vm);
+      p->len = strlen (c->vm);
+      p->leased = 1;
+    }
+  return 0;
+}
+
+/* Why a claim is due, or NULL. */
+static const char *
+claim_reason (const cell_t *c)
+{
+  gl_ms_t silent = c->now - c->beacon_at;
+
+  if (!c->tenure_known)
+    return "first";
+  if (c->tenure.released)
+    return "released";
+  if (!strcmp (c->tenure.vm, c->vm))
+    return "restarted";
+  if (c->owner_refused && silent > CELL_BEACON_MS)
+    return "refused";
+  if (c->owner_key)
+    return NULL;
+  if (silent > CELL_BEACON_LOST_MS)
+    return "silent";
+  if (c->now - c->owner_key_gone > CELL_KEY_LOST_MS)
+    return "cannot_write";
+  return NULL;
+}
+
+static void
+try_claim (cell_t *c)
+{
+  const char *why;
+
+  if (c->role != CR_STANDBY || c->stopping || !c->members_synced
+      || !c->workers_synced || !c->leased || !c->conf.version
+      || c->now < c->claim_not_before)
+    return;
+  why = claim_reason (c);
+  if (!why)
+    {
+      c->claim_at = 0;
+      return;
+    }
+  if (!c->claim_at)
+    c->claim_at = c->now + gsl_rng_uniform_int (c->rng, CLAIM_SPREAD_MS);
+  if (c->now < c->claim_at)
+    return;
+  c->claim_at = 0;
+  c->generation = c->tenure.generation + 1;
+  cell_log (c, "claim why=%s generation=%llu silent_ms=%llu", why,
+            (unsigned long long)c->generation,
+            (unsigned long long)(c->now - c->beacon_at));
+  if (!write_tenure (c, c->generation, 0, &c->claim_tag))
+    c->role = CR_CLAIMING;
+}
+
+static void
+claimed (cell_t *c, uint64_t revision)
+{
+  codec_free ((xdrproc_t)xdr_gl_tenure_t, &c->tenure);
+  c->tenure.generation = c->generation;
+  c->tenure.vm = strdup (c->vm);
+  c->tenure.addr = strdup (c->addr);
+  c->tenure.released = 0;
+  c->tenure_rev = revision;
+  c->tenure_known = 1;
+  c->role = CR_LOADING;
+  c->took_over = c->now;
+  c->store_at = c->now;
+  c->c.takeovers++;
+  cell_log (c, "claimed generation=%llu revision=%llu",
+            (unsigned long long)c->generation, (unsigned long long)revision);
+  cworkers_adopt (c);
+  load_begin (c);
+}
+
+/* The write may have been delivered twice; the second copy finds the first.
+   Returns the revision of our own claim, or 0. */
+static uint64_t
+claimed_before (const cell_t *c, const cell_event_t *ev)
+{
+  gl_tenure_t t;
+  uint64_t revision = 0;
+
+  for (int i = 0; i < ev->nitems; i++)
+    {
+      const cell_item_t *is = &ev->items[i];
+
+      memset (&t, 0, sizeof t);
+      if (strcmp (is->key, KEY_TENURE) || !is->value
+          || codec_decode ((xdrproc_t)xdr_gl_tenure_t, &t, is->value, is->len))
+        continue;
+      if (t.generation == c->generation && !t.released && !strcmp (t.vm, c->vm)
+          && is->revision > c->tenure_rev)
+        revision = is->revision;
+      codec_free ((xdrproc_t)xdr_gl_tenure_t, &t);
+    }
+  return revision;
+}
+
+void
+own_wrote (cell_t *c, const cell_event_t *ev)
+{
+  uint64_t revision = 0;
+
+  if (ev->status == GL_ST_OK)
+    c->store_at = c->now;
+  if (save_wrote (c, ev))
+    return;
+  if (ev->tag == c->release_tag && c->release_tag)
+    {
+      c->release_tag = 0;
+      cell_log (c, "released status=%d", ev->status);
+      own_deposed (c, "released");
+      c->claim_not_before = c->now + 2 * CELL_CLAIM_AGAIN_MS;
+      return;
+    }
+  if (ev->tag != c->claim_tag || c->role != CR_CLAIMING)
+    return;
+  c->claim_tag = 0;
+  if (ev->status == GL_ST_OK || (revision = claimed_before (c, ev)))
+    {
+      claimed (c, revision ? revision : ev->revision);
+      return;
+    }
+  c->role = CR_STANDBY;
+  c->claim_not_before
+      = c->now + gsl_rng_uniform_int (c->rng, CELL_CLAIM_AGAIN_MS / 4) + 50;
+  cell_log (c, "claim_lost generation=%llu status=%d",
+            (unsigned long long)c->generation, ev->status);
+  for (int i = 0; i < ev->nitems; i++)
+    if (!strcmp (ev->items[i].key, KEY_TENURE) && ev->items[i].value)
+      take_tenure (c, &ev->items[i]);
+}
+
+/* ---- taking over ---- */
+
+static void
+load_page (cell_t *c, const char *after)
+{
+  cell_effect_t *e = cell_fx (c, CELL_FX_PAGE);
+
+  if (!e)
+    return;
+  c->load_tag = e->tag = cell_tag (c);
+  e->timeout = PAGE_TIMEOUT_MS;
+  cell_set (e->key, c->load_prefix);
+  cell_set (e->after, after);
+}
+
+static void
+load_begin (cell_t *c)
+{
+  cell_set (c->load_prefix, "gl/j/");
+  load_page (c, "");
+}
+
+static void
+load_job (cell_t *c, const cell_item_t *item)
+{
+  gl_work_t work;
+  cjob_t *j;
+
+  memset (&work, 0, sizeof work);
+  if (codec_decode ((xdrproc_t)xdr_gl_work_t, &work, item->value, item->len))
+    {
+      cell_log (c, "job_unreadable key=%s", item->key);
+      return;
+    }
+  if (job_named (c, work.id))
+    {
+      codec_free ((xdrproc_t)xdr_gl_work_t, &work);
+      return;
+    }
+  j = cjob_new (c, &work);
+  if (j)
+    j->durable = j->inherited = 1;
+}
+
+static void
+load_progress (cell_t *c, const cell_item_t *item)
+{
+  cjob_t *j = job_named (c, item->key + strlen ("gl/p/"));
+  gl_progress_t p;
+
+  memset (&p, 0, sizeof p);
+  if (!j)
+    return;
+  if (codec_decode ((xdrproc_t)xdr_gl_progress_t, &p, item->value, item->len))
+    {
+      cell_log (c, "progress_unreadable key=%s", item->key);
+      return;
+    }
+  cjob_recall (c, j, &p);
+  codec_free ((xdrproc_t)xdr_gl_progress_t, &p);
+}
+
+static void
+loaded (cell_t *c)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  c->role = CR_OWNER;
+  hist_add (&c->takeover_time, (double)(c->now - c->took_over));
+  while ((h = pool_next (&c->jobs, &pos)))
+    cjob_open (c, pool_get (&c->jobs, h));
+  cell_log (c, "owner jobs=%zu workers=%d load_ms=%llu unheard=%d",
+            c->jobs.count, c->nworkers,
+            (unsigned long long)(c->now - c->took_over), c->unheard);
+  c->beacon_due = c->now;
+  put_keys (c);
+  plan_wake (c);
+  ask_owner_changed (c);
+}
+
+void
+own_page (cell_t *c, const cell_event_t *ev)
+{
+  int jobs = !strcmp (c->load_prefix, "gl/j/");
+
+  if (ev->tag != c->load_tag || c->role != CR_LOADING)
+    return;
+  if (ev->status != GL_ST_OK)
+    {
+      /* The prefix is read anew; what is known already is skipped. */
+      cell_log (c, "load_again prefix=%s status=%d", c->load_prefix,
+                ev->status);
+      load_page (c, "");
+      return;
+    }
+  for (int i = 0; i < ev->nitems; i++)
+    if (jobs)
+      load_job (c, &ev->items[i]);
+    else
+      load_progress (c, &ev->items[i]);
+  if (ev->more && ev->nitems)
+    load_page (c, ev->items[ev->nitems - 1].key);
+  else if (jobs)
+    {
+      cell_set (c->load_prefix, "gl/p/");
+      load_page (c, "");
+    }
+  else
+    loaded (c);
+}
+
+void
+own_deposed (cell_t *c, const char *why)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  cell_log (c, "deposed why=%s generation=%llu", why,
+            (unsigned long long)c->generation);
+  c->c.deposed++;
+  c->role = CR_STANDBY;
+  c->claim_not_before = c->now + CELL_CLAIM_AGAIN_MS;
+  save_reset (c);
+  plan_reset (c);
+  while ((h = pool_next (&c->jobs, &pos)))
+    cjob_free (c, pool_get (&c->jobs, h));
+  cworkers_reset (c);
+  ask_owner_changed (c);
+}
+
+/* ---- beacons and time ---- */
+
+void
+own_beacon (cell_t *c, const cell_event_t *ev)
+{
+  if (ev->beacon->generation >= c->tenure.generation)
+    {
+      c->beacon_at = c->now;
+      c->owner_refused = 0;
+      c->nheard = 0;
+      for (u_int i = 0;
+           i < ev->beacon->queues.queues_len && c->nheard < CELL_NAME; i++)
+        {
+          cqcount_t *q = &c->heard[c->nheard++];
+
+          cell_set (q->queue, ev->beacon->queues.queues_val[i].queue);
+          q->waiting = ev->beacon->queues.queues_val[i].waiting;
+        }
+    }
+}
+
+void
+own_peer_down (cell_t *c, const char *addr)
+{
+  if (c->tenure_known && c->tenure.addr && !strcmp (addr, c->tenure.addr))
+    c->owner_refused = 1;
+  for (int i = 0; i < c->nvms; i++)
+    if (!strcmp (c->vms[i].addr, addr))
+      c->vms[i].shy_until = c->now + 1000;
+}
+
+static int
+fill_beacon (cell_t *c, gl_beacon_t *b)
+{
+  b->generation = c->generation;
+  b->vm = strdup (c->vm);
+  b->addr = strdup (c->addr);
+  b->queues.queues_val
+      = calloc ((size_t)c->conf.nqueues + 1, sizeof (gl_queue_count_t));
+  if (!b->vm || !b->addr || !b->queues.queues_val)
+    return -1;
+  for (int i = 0; i < c->conf.nqueues; i++)
+    {
+      uint32_t n = cell_waiting (c, c->conf.queues[i].name);
+      gl_queue_count_t *q;
+
+      if (!n)
+        continue;
+      q = &b->queues.queues_val[b->queues.queues_len++];
+      q->queue = strdup (c->conf.queues[i].name);
+      q->waiting = n;
+    }
+  return 0;
+}
+
+static void
+send_beacons (cell_t *c)
+{
+  c->beacon_due = c->now + CELL_BEACON_MS;
+  for (int i = 0; i < c->nvms; i++)
+    {
+      cell_effect_t *e;
+
+      if (!c->vms[i].listed || !strcmp (c->vms[i].vm, c->vm))
+        continue;
+      e = cell_fx (c, CELL_FX_BEACON);
+      if (!e || !(e->beacon = calloc (1, sizeof *e->beacon))
+          || fill_beacon (c, e->beacon))
+        return;
+      cell_set (e->key, c->vms[i].addr);
+    }
+}
+
+static void
+finish_stop (cell_t *c)
+{
+  if (c->role == CR_OWNER && save_idle (c) && !c->release_tag)
+    write_tenure (c, c->generation, 1, &c->release_tag);
+}
+
+void
+own_stop (cell_t *c)
+{
+  c->stopping = 1;
+  cell_log (c, "stopping role=%d", c->role);
+  finish_stop (c);
+}
+
+void
+own_tick (void *ctx, gl_ms_t now)
+{
+  cell_t *c = ctx;
+
+  if (!c->lease_tag && now >= c->lease_sent + CELL_VM_KEEP_MS)
+    ask_lease (c);
+  if (c->role == CR_OWNER && now >= c->beacon_due)
+    send_beacons (c);
+  if (c->stopping)
+    finish_stop (c);
+  try_claim (c);
+  timer_arm (&c->timers, c->t_own, now + TICK_MS);
+}
--- /dev/null
+++ b/src/cellset.c
@@ -0,0 +1,88 @@
+/*
+ * cellset.c -- settings of a VM of the cell
+ */
+#include "cellset.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define TEXT(section, key, kind, member)                                      \
+  {                                                                           \
+    section, key, kind, offsetof (cellset_t, member),                         \
+        sizeof ((cellset_t *)0)->member, 0, 0, 0                              \
+  }
+#define INT(section, key, member, low, high, preset)                          \
+  {                                                                           \
+    section, key, KIND_INT, offsetof (cellset_t, member), sizeof (int), low,  \
+        high, preset                                                          \
+  }
+#define REAL(section, key, member, low, high, preset)                         \
+  {                                                                           \
+    section, key, KIND_REAL, offsetof (cellset_t, member), sizeof (double),   \
+        low, high, preset                                                     \
+  }
+
+static const field_t fields[] = {
+  TEXT ("vm", "name", KIND_NAME, name),
+  TEXT ("vm", "domain", KIND_NAME, domain),
+  TEXT ("listen", "requests", KIND_ADDR, requests),
+  TEXT ("listen", "ready", KIND_ADDR, ready),
+  TEXT ("listen", "rpc", KIND_ADDR, rpc),
+  TEXT ("listen", "metrics", KIND_ADDR, metrics),
+  TEXT ("platform", "store", KIND_ADDR, store),
+  TEXT ("platform", "advisor", KIND_ADDR, advisor),
+  INT ("platform", "writes_per_s", writes_per_s, 1, 1000000, 400),
+  INT ("platform", "reads_per_s", reads_per_s, 1, 1000000, 2000),
+  INT ("platform", "lease_min_ms", ttl_min, 1, 600000, 1000),
+  REAL ("stop", "drain_s", drain_s, 0, 600, 6),
+  INT ("workers", "lease_max_ms", worker_lease_max, 500, 600000, 10000),
+  INT ("workers", "stop_max_ms", stop_max, 0, 60000, 1000),
+  INT ("workers", "gang_wait_ms", gang_wait, 100, 600000, 3000),
+  REAL ("workers", "far_factor", far_factor, 1, 1000, 1),
+  INT ("workers", "restore_ms", restore, 0, 600000, 0),
+  INT ("jobs", "kept_s", kept_s, 1, 86400, 120),
+  INT ("jobs", "early_ms", early, 0, 60000, 0),
+};
+
+static gl_code_t
+check_whole (const cellset_t *s, char *err)
+{
+  const char *why = NULL;
+
+  if (!s->name[0] || !s->domain[0])
+    why = "[vm] name and domain are needed";
+  else if (!s->requests[0] || !s->ready[0] || !s->rpc[0])
+    why = "[listen] requests, ready and rpc are needed";
+  else if (!s->store[0])
+    why = "[platform] store is needed";
+  if (!why)
+    return GL_OK;
+  snprintf (err, SETTINGS_ERROR_LEN, "%s", why);
+  return GL_INVALID;
+}
+
+gl_code_t
+cellset_load (cellset_t *s, const char *path, char *err)
+{
+  inifile_t f = { fields, sizeof fields / sizeof *fields, s, NULL, err };
+  gl_code_t rc;
+
+  memset (s, 0, sizeof *s);
+  rc = inifile_load (&f, path);
+  return rc ? rc : check_whole (s, err);
+}
+
+void
+cellset_bounds (const cellset_t *s, cell_bounds_t *b)
+{
+  memset (b, 0, sizeof *b);
+  b->worker_lease_max = (uint32_t)s->worker_lease_max;
+  b->stop_max = (uint32_t)s->stop_max;
+  b->gang_wait = (uint32_t)s->gang_wait;
+  /* A state is asked for up to its last moment. */
+  b->kept = (uint32_t)s->kept_s * 1000 + 30000;
+  b->store_ttl_min = (uint32_t)s->ttl_min;
+  b->early = (uint32_t)s->early;
+  b->far_factor = s->far_factor;
+  b->restore = (uint32_t)s->restore;
+}
--- /dev/null
+++ b/src/inifile.c
@@ -0,0 +1,133 @@
+/*
+ * inifile.c -- settings files: tables of fields, checked as they are read
+ */
+#include "inifile.h"
+
+#include <errno.h>
+#include <ini.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "httpd.h"
+
+static int
+name_ok (const char *v)
+{
+  size_t n = strlen (v);
+
+  return n && strspn (v, "abcdefghijklmnopqrstuvwxyz0123456789-") == n;
+}
+
+static int
+text_ok (const field_t *f, const char *v)
+{
+  struct sockaddr_in sa;
+
+  if (strlen (v) >= f->size)
+    return 0;
+  if (f->kind == KIND_NAME)
+    return name_ok (v);
+  if (f->kind == KIND_ADDR)
+    return !split_addr (v, &sa);
+  return !strncmp (v, "http://", 7) && !split_addr (v + 7, &sa);
+}
+
+static int
+refuse (const inifile_t *p, const field_t *f, const char *v, const char *why)
+{
+  snprintf (p->err, SETTINGS_ERROR_LEN, "[%s] %s = %.60s: %s", f->section,
+            f->key, v, why);
+  return 0;
+}
+
+static int
+set_number (const inifile_t *p, const field_t *f, char *at, const char *v)
+{
+  char *end;
+  double n;
+
+  errno = 0;
+  n = f->kind == KIND_REAL ? strtod (v, &end) : (double)strtol (v, &end, 10);
+  if (errno || end == v || *end || n < f->low || n > f->high)
+    {
+      char why[48];
+
+      snprintf (why, sizeof why, "not in %d to %d", f->low, f->high);
+      return refuse (p, f, v, why);
+    }
+  if (f->kind == KIND_REAL)
+    *(double *)(void *)at = n;
+  else
+    *(int *)(void *)at = (int)n;
+  return 1;
+}
+
+static int
+set_field (const inifile_t *p, const field_t *f, const char *v)
+{
+  char *at = (char *)p->into + f->offset;
+
+  if (f->kind == KIND_INT || f->kind == KIND_REAL)
+    return set_number (p, f, at, v);
+  if (f->kind == KIND_FLAG)
+    {
+      if (strcmp (v, "true") && strcmp (v, "false"))
+        return refuse (p, f, v, "neither true nor false");
+      *(int *)(void *)at = !strcmp (v, "true");
+      return 1;
+    }
+  if (!text_ok (f, v))
+    return refuse (p, f, v, "refused");
+  strcpy (at, v);
+  return 1;
+}
+
+static int
+set_value (void *ctx, const char *section, const char *key, const char *v)
+{
+  inifile_t *p = ctx;
+
+  for (size_t i = 0; i < p->nfields; i++)
+    if (!strcmp (p->fields[i].section, section)
+        && !strcmp (p->fields[i].key, key))
+      return set_field (p, &p->fields[i], v);
+  if (p->other)
+    {
+      int rc = p->other (p->into, section, key, v, p->err);
+      if (rc || *p->err)
+        return rc;
+    }
+  snprintf (p->err, SETTINGS_ERROR_LEN, "[%.40s] %.40s: unknown setting",
+            section, key);
+  return 0;
+}
+
+gl_code_t
+inifile_load (inifile_t *f, const char *path)
+{
+  size_t n;
+  int line;
+
+  *f->err = 0;
+  for (size_t i = 0; i < f->nfields; i++)
+    if (f->fields[i].kind == KIND_INT || f->fields[i].kind == KIND_FLAG)
+      *(int *)(void *)((char *)f->into + f->fields[i].offset)
+          = f->fields[i].preset;
+    else if (f->fields[i].kind == KIND_REAL)
+      *(double *)(void *)((char *)f->into + f->fields[i].offset)
+          = f->fields[i].preset;
+  line = ini_parse (path, set_value, f);
+  if (line < 0)
+    {
+      snprintf (f->err, SETTINGS_ERROR_LEN, "cannot read %.120s", path);
+      return GL_INVALID;
+    }
+  if (!line)
+    return GL_OK;
+  n = strlen (f->err);
+  snprintf (f->err + n, SETTINGS_ERROR_LEN - n, "%s (line %d)",
+            n ? "" : "syntax error", line);
+  return GL_INVALID;
+}
--- a/src/loop.h
+++ b/src/loop.h
@@ -21,6 +21,10 @@
   void *ctx;
 } loop_part_t;
 
+/** loop_fd_t - @fd can be read or written, or has failed; @events is a mask
+    of epoll's */
+typedef void (*loop_fd_t) (void *ctx, int fd, uint32_t events);
+
 /** loop_new - an empty queue; NULL without memory or descriptor */
 loop_t *loop_new (void);
 /** loop_post - hand @item to the control thread; -1 when the queue is full */
@@ -36,6 +40,13 @@
 void loop_run (loop_t *l, const loop_part_t *part);
 /** loop_drain - take what is posted, without waiting */
 void loop_drain (loop_t *l, const loop_part_t *part);
+/**
+ * loop_watch - call @fn on the control thread when @events are due on @fd
+ *
+ * Called again for the same descriptor it changes what is wanted; with no
+ * @events it ends the watching, which must come before the close.
+ */
+int loop_watch (loop_t *l, int fd, uint32_t events, loop_fd_t fn, void *ctx);
 /** loop_quit - end loop_run; called on the control thread */
 void loop_quit (loop_t *l);
 /** loop_free - release it */
--- /dev/null
+++ b/src/rpcmux.c
@@ -0,0 +1,617 @@
+/*
+ * rpcmux.c -- ONC RPC (RFC 5531) over TCP on the control thread
+ *
+ * The library's client blocks for each call, so this module does the waiting
+ * and leaves the messages to the library.  One connection leads to a peer;
+ * answers are matched by transaction id and may overtake each other.
+ * Nothing blocks: what cannot be written waits in a buffer, and a peer that
+ * does not read it is given up.
+ *
+ * A connection that carried nothing back while calls on it ran out of time
+ * is closed, since one end may have lost it without a word.
+ */
+#include "rpcmux.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "codec.h"
+#include "httpd.h"
+
+#define PROGRAM 0x20047a12
+#define VERSION 1
+#define CONNS_MAX 512
+#define RECORD_MAX 2097152
+#define OUT_MAX 4194304
+#define BACKLOG 64
+/* Kernel's bound on data that a peer does not acknowledge. */
+#define USER_TIMEOUT_MS 1500
+#define CONNECT_MS 400
+/* A connection that stayed silent for this long while a call timed out. */
+#define SILENT_MS 600
+/* Room for the headers of a call or a reply. */
+#define HEADER_MAX 128
+#define LAST_FRAGMENT 0x80000000u
+
+typedef struct
+{
+  char *v;
+  size_t len;
+  size_t cap;
+} buf_t;
+
+/**
+ * struct conn_t - one connection
+ * @peer: address that we connected to, or that the caller told
+ * @ours: we connected
+ */
+typedef struct
+{
+  int fd;
+  uint32_t id;
+  int ours;
+  int connecting;
+  int wants_out;
+  gl_ms_t since;
+  gl_ms_t heard;
+  char peer[64];
+  buf_t in;
+  buf_t out;
+} conn_t;
+
+typedef struct
+{
+  uint32_t xid;
+  uint32_t conn;
+  uint32_t proc;
+  uint64_t tag;
+  gl_ms_t by;
+} waiting_t;
+
+struct rpcmux
+{
+  loop_t *loop;
+  rpcmux_hooks_t hooks;
+  int listener;
+  conn_t *conns[CONNS_MAX];
+  uint32_t next_id;
+  uint32_t next_xid;
+  waiting_t *calls;
+  size_t ncalls;
+  size_t capcalls;
+};
+
+static void on_ready (void *ctx, int fd, uint32_t events);
+static conn_t *conn_to (rpcmux_t *m, const char *addr);
+
+static int
+buf_add (buf_t *b, const void *data, size_t len)
+{
+  if (b->len + len > b->cap)
+    {
+      size_t cap = (b->len + len) * 2 + 256;
+      char *v = realloc (b->v, cap);
+
+      if (!v)
+        return -1;
+      b->v = v;
+      b->cap = cap;
+    }
+  memcpy (b->v + b->len, data, len);
+  b->len += len;
+  return 0;
+}
+
+static void
+buf_cut (buf_t *b, size_t n)
+{
+  memmove (b->v, b->v + n, b->len - n);
+  b->len -= n;
+}
+
+/* ---- connections ---- */
+
+static conn_t *
+conn_add (rpcmux_t *m, int fd)
+{
+  conn_t *c;
+  int one = 1;
+  int bound = USER_TIMEOUT_MS;
+
+  for (int i = 0; i < CONNS_MAX; i++)
+    {
+      if (m->conns[i])
+        continue;
+      c = calloc (1, sizeof *c);
+      if (!c)
+        return NULL;
+      setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+      setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof bound);
+      c->fd = fd;
+      c->id = ++m->next_id;
+      c->since = c->heard = clock_ms ();
+      m->conns[i] = c;
+      return c;
+    }
+  return NULL;
+}
+
+static conn_t *
+conn_by_id (rpcmux_t *m, uint32_t id)
+{
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i] && m->conns[i]->id == id)
+      return m->conns[i];
+  return NULL;
+}
+
+static void
+end_call (rpcmux_t *m, size_t i, gl_code_t sent, const char *data, size_t len)
+{
+  waiting_t w = m->calls[i];
+
+  m->calls[i] = m->calls[--m->ncalls];
+  m->hooks.done (m->hooks.ctx, w.tag, w.proc, sent, data, len);
+}
+
+/* The caller must not use the connection afterwards. */
+static void
+conn_close (rpcmux_t *m, conn_t *c, gl_code_t sent)
+{
+  uint32_t id = c->id;
+  char peer[sizeof c->peer];
+  int probe = !c->ours && c->peer[0];
+
+  memcpy (peer, c->peer, sizeof peer);
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i] == c)
+      m->conns[i] = NULL;
+  loop_watch (m->loop, c->fd, 0, NULL, NULL);
+  close (c->fd);
+  free (c->in.v);
+  free (c->out.v);
+  free (c);
+  for (size_t i = m->ncalls; i-- > 0;)
+    if (i < m->ncalls && m->calls[i].conn == id)
+      end_call (m, i, sent, NULL, 0);
+  /* Whether its process is gone shows when it is called. */
+  if (probe)
+    conn_to (m, peer);
+}
+
+static void
+want (rpcmux_t *m, conn_t *c, int out)
+{
+  c->wants_out = out;
+  loop_watch (m->loop, c->fd, EPOLLIN | (out ? EPOLLOUT : 0), on_ready, m);
+}
+
+static conn_t *
+conn_to (rpcmux_t *m, const char *addr)
+{
+  struct sockaddr_in sa;
+  conn_t *c;
+  int fd;
+
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i] && m->conns[i]->ours && !strcmp (m->conns[i]->peer, addr))
+      return m->conns[i];
+  if (split_addr (addr, &sa))
+    return NULL;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  c = conn_add (m, fd);
+  if (!c)
+    {
+      close (fd);
+      return NULL;
+    }
+  c->ours = 1;
+  snprintf (c->peer, sizeof c->peer, "%s", addr);
+  if (connect (fd, (struct sockaddr *)&sa, sizeof sa) && errno != EINPROGRESS)
+    {
+      conn_close (m, c, GL_RETRY);
+      m->hooks.down (m->hooks.ctx, addr);
+      return NULL;
+    }
+  c->connecting = 1;
+  want (m, c, 1);
+  return c;
+}
+
+static void
+flush (rpcmux_t *m, conn_t *c)
+{
+  ssize_t n;
+
+  if (c->connecting || !c->out.len)
+    return;
+  n = send (c->fd, c->out.v, c->out.len, MSG_NOSIGNAL);
+  if (n > 0)
+    buf_cut (&c->out, (size_t)n);
+  if (!!c->out.len != c->wants_out)
+    want (m, c, !!c->out.len);
+}
+
+/* ---- messages ---- */
+
+static void
+put_mark (char *at, size_t len)
+{
+  uint32_t mark = htonl ((uint32_t)len | LAST_FRAGMENT);
+
+  memcpy (at, &mark, sizeof mark);
+}
+
+static int
+put_call (conn_t *c, uint32_t xid, uint32_t proc, xdrproc_t in_proc,
+          const void *in)
+{
+  size_t room = HEADER_MAX + xdr_sizeof (in_proc, (void *)in);
+  char *data = malloc (room + sizeof (uint32_t));
+  struct rpc_msg msg;
+  XDR x;
+  size_t len;
+  int rc = -1;
+
+  if (!data)
+    return -1;
+  memset (&msg, 0, sizeof msg);
+  msg.rm_xid = xid;
+  msg.rm_direction = CALL;
+  msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+  msg.rm_call.cb_prog = PROGRAM;
+  msg.rm_call.cb_vers = VERSION;
+  msg.rm_call.cb_proc = proc;
+  msg.rm_call.cb_cred = _null_auth;
+  msg.rm_call.cb_verf = _null_auth;
+  xdrmem_create (&x, data + sizeof (uint32_t), (u_int)room, XDR_ENCODE);
+  if (xdr_callmsg (&x, &msg) && in_proc (&x, (void *)in))
+    {
+      len = xdr_getpos (&x);
+      put_mark (data, len);
+      rc = buf_add (&c->out, data, len + sizeof (uint32_t));
+    }
+  xdr_destroy (&x);
+  free (data);
+  return rc;
+}
+
+void
+rpcmux_call (rpcmux_t *m, const char *addr, uint32_t proc, xdrproc_t in_proc,
+             const void *in, gl_ms_t timeout, uint64_t tag)
+{
+  conn_t *c = conn_to (m, addr);
+  waiting_t *w;
+
+  if (m->ncalls == m->capcalls)
+    {
+      size_t cap = m->capcalls ? 2 * m->capcalls : 64;
+      waiting_t *v = realloc (m->calls, cap * sizeof *v);
+
+      if (v)
+        {
+          m->calls = v;
+          m->capcalls = cap;
+        }
+      else
+        c = NULL;
+    }
+  if (!c || c->out.len > OUT_MAX
+      || put_call (c, ++m->next_xid, proc, in_proc, in))
+    {
+      m->hooks.done (m->hooks.ctx, tag, proc, GL_RETRY, NULL, 0);
+      return;
+    }
+  w = &m->calls[m->ncalls++];
+  *w = (waiting_t){ m->next_xid, c->id, proc, tag, clock_ms () + timeout };
+  flush (m, c);
+}
+
+static void
+void_reply (struct rpc_msg *msg, uint32_t xid)
+{
+  memset (msg, 0, sizeof *msg);
+  msg->rm_xid = xid;
+  msg->rm_direction = REPLY;
+  msg->rm_reply.rp_stat = MSG_ACCEPTED;
+  msg->acpted_rply.ar_verf = _null_auth;
+  msg->acpted_rply.ar_results.proc = (xdrproc_t)(void (*) (void))xdr_void;
+}
+
+void
+rpcmux_reply (rpcmux_t *m, rpcmux_from_t from, xdrproc_t proc, const void *out)
+{
+  conn_t *c = conn_by_id (m, from.conn);
+  size_t room = HEADER_MAX + (proc ? xdr_sizeof (proc, (void *)out) : 0);
+  char *data = c ? malloc (room + sizeof (uint32_t)) : NULL;
+  struct rpc_msg msg;
+  XDR x;
+
+  if (!data)
+    return;
+  void_reply (&msg, from.xid);
+  msg.acpted_rply.ar_stat = proc ? SUCCESS : SYSTEM_ERR;
+  if (proc)
+    {
+      msg.acpted_rply.ar_results.proc = proc;
+      msg.acpted_rply.ar_results.where = (char *)out;
+    }
+  xdrmem_create (&x, data + sizeof (uint32_t), (u_int)room, XDR_ENCODE);
+  if (xdr_replymsg (&x, &msg))
+    {
+      size_t len = xdr_getpos (&x);
+
+      put_mark (data, len);
+      if (!buf_add (&c->out, data, len + sizeof (uint32_t)))
+        flush (m, c);
+    }
+  xdr_destroy (&x);
+  free (data);
+}
+
+void
+rpcmux_label (rpcmux_t *m, rpcmux_from_t from, const char *addr)
+{
+  conn_t *c = conn_by_id (m, from.conn);
+
+  if (c && !c->ours)
+    snprintf (c->peer, sizeof c->peer, "%s", addr);
+}
+
+static void
+take_call (rpcmux_t *m, uint32_t conn, char *data, size_t len)
+{
+  struct rpc_msg msg;
+  char cred[MAX_AUTH_BYTES];
+  char verf[MAX_AUTH_BYTES];
+  XDR x;
+  u_int at;
+
+  memset (&msg, 0, sizeof msg);
+  msg.rm_call.cb_cred.oa_base = cred;
+  msg.rm_call.cb_verf.oa_base = verf;
+  xdrmem_create (&x, data, (u_int)len, XDR_DECODE);
+  if (xdr_callmsg (&x, &msg) && msg.rm_call.cb_prog == PROGRAM)
+    {
+      at = xdr_getpos (&x);
+      m->hooks.serve (m->hooks.ctx, (rpcmux_from_t){ conn, msg.rm_xid },
+                      msg.rm_call.cb_proc, data + at, len - at);
+    }
+  xdr_destroy (&x);
+}
+
+static void
+take_answer (rpcmux_t *m, char *data, size_t len)
+{
+  struct rpc_msg msg;
+  char verf[MAX_AUTH_BYTES];
+  XDR x;
+  u_int at;
+  int ok;
+
+  void_reply (&msg, 0);
+  msg.acpted_rply.ar_verf.oa_base = verf;
+  xdrmem_create (&x, data, (u_int)len, XDR_DECODE);
+  ok = xdr_replymsg (&x, &msg) && msg.rm_reply.rp_stat == MSG_ACCEPTED
+       && msg.acpted_rply.ar_stat == SUCCESS;
+  at = xdr_getpos (&x);
+  xdr_destroy (&x);
+  for (size_t i = 0; i < m->ncalls; i++)
+    if (m->calls[i].xid == msg.rm_xid)
+      {
+        end_call (m, i, ok ? GL_OK : GL_UNKNOWN, data + at, len - at);
+        return;
+      }
+}
+
+/* Whole records in the buffer; -1 when the connection has to be closed. */
+static int
+take_records (rpcmux_t *m, uint32_t id)
+{
+  conn_t *c;
+
+  while ((c = conn_by_id (m, id)) && c->in.len >= sizeof (uint32_t))
+    {
+      uint32_t mark;
+      size_t len;
+      char *data;
+
+      memcpy (&mark, c->in.v, sizeof mark);
+      mark = ntohl (mark);
+      len = mark & ~LAST_FRAGMENT;
+      if (!(mark & LAST_FRAGMENT) || len < 8 || len > RECORD_MAX)
+        return -1;
+      if (c->in.len < len + sizeof mark)
+        return 0;
+      data = malloc (len);
+      if (!data)
+        return -1;
+      memcpy (data, c->in.v + sizeof mark, len);
+      buf_cut (&c->in, len + sizeof mark);
+      if (ntohl (((uint32_t *)(void *)data)[1]) == CALL)
+        take_call (m, id, data, len);
+      else
+        take_answer (m, data, len);
+      free (data);
+    }
+  return 0;
+}
+
+/* ---- readiness ---- */
+
+static int
+finish_connect (rpcmux_t *m, conn_t *c)
+{
+  int err = 0;
+  socklen_t len = sizeof err;
+  char peer[sizeof c->peer];
+
+  if (getsockopt (c->fd, SOL_SOCKET, SO_ERROR, &err, &len) || err)
+    {
+      memcpy (peer, c->peer, sizeof peer);
+      conn_close (m, c, GL_RETRY);
+      if (err == ECONNREFUSED || err == ECONNRESET)
+        m->hooks.down (m->hooks.ctx, peer);
+      return -1;
+    }
+  c->connecting = 0;
+  c->heard = clock_ms ();
+  flush (m, c);
+  if (!c->out.len)
+    want (m, c, 0);
+  return 0;
+}
+
+static void
+on_ready (void *ctx, int fd, uint32_t events)
+{
+  rpcmux_t *m = ctx;
+  char data[16384];
+  conn_t *c = NULL;
+  ssize_t n;
+  uint32_t id;
+
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i] && m->conns[i]->fd == fd)
+      c = m->conns[i];
+  if (!c || (c->connecting && finish_connect (m, c)))
+    return;
+  if (events & EPOLLOUT)
+    flush (m, c);
+  if (!(events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
+    return;
+  n = recv (fd, data, sizeof data, 0);
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  id = c->id;
+  if (n <= 0 || buf_add (&c->in, data, (size_t)n))
+    {
+      conn_close (m, c, GL_UNKNOWN);
+      return;
+    }
+  c->heard = clock_ms ();
+  if (take_records (m, id) && (c = conn_by_id (m, id)))
+    conn_close (m, c, GL_UNKNOWN);
+}
+
+static void
+on_accept (void *ctx, int fd, uint32_t events)
+{
+  rpcmux_t *m = ctx;
+  int s = accept4 (fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  conn_t *c = s < 0 ? NULL : conn_add (m, s);
+
+  (void)events;
+  if (c)
+    want (m, c, 0);
+  else if (s >= 0)
+    close (s);
+}
+
+/* ---- interface ---- */
+
+static int
+listen_on (const char *addr)
+{
+  struct sockaddr_in sa;
+  int one = 1;
+  int fd;
+
+  if (split_addr (addr, &sa))
+    return -1;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&sa, sizeof sa) || listen (fd, BACKLOG))
+    {
+      close (fd);
+      return -1;
+    }
+  return fd;
+}
+
+rpcmux_t *
+rpcmux_new (loop_t *loop, const char *addr, const rpcmux_hooks_t *hooks)
+{
+  rpcmux_t *m = calloc (1, sizeof *m);
+
+  if (!m)
+    return NULL;
+  m->loop = loop;
+  m->hooks = *hooks;
+  m->next_xid = (uint32_t)clock_ms ();
+  m->listener = listen_on (addr);
+  if (m->listener < 0 || loop_watch (loop, m->listener, EPOLLIN, on_accept, m))
+    {
+      if (m->listener >= 0)
+        close (m->listener);
+      free (m);
+      return NULL;
+    }
+  return m;
+}
+
+void
+rpcmux_free (rpcmux_t *m)
+{
+  if (!m)
+    return;
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i])
+      {
+        m->conns[i]->peer[0] = 0;
+        conn_close (m, m->conns[i], GL_UNKNOWN);
+      }
+  loop_watch (m->loop, m->listener, 0, NULL, NULL);
+  close (m->listener);
+  free (m->calls);
+  free (m);
+}
+
+gl_ms_t
+rpcmux_due (const rpcmux_t *m)
+{
+  gl_ms_t due = UINT64_MAX;
+
+  for (size_t i = 0; i < m->ncalls; i++)
+    if (m->calls[i].by < due)
+      due = m->calls[i].by;
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i] && m->conns[i]->connecting
+        && m->conns[i]->since + CONNECT_MS < due)
+      due = m->conns[i]->since + CONNECT_MS;
+  return due;
+}
+
+void
+rpcmux_tick (rpcmux_t *m)
+{
+  gl_ms_t now = clock_ms ();
+
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i] && m->conns[i]->connecting
+        && m->conns[i]->since + CONNECT_MS <= now)
+      conn_close (m, m->conns[i], GL_RETRY);
+  for (size_t i = m->ncalls; i-- > 0;)
+    {
+      conn_t *c;
+
+      if (i >= m->ncalls || m->calls[i].by > now)
+        continue;
+      c = conn_by_id (m, m->calls[i].conn);
+      if (c && now - c->heard > SILENT_MS)
+        conn_close (m, c, GL_UNKNOWN);
+      else
+        end_call (m, i, GL_UNKNOWN, NULL, 0);
+    }
+}
--- a/src/settings.c
+++ b/src/settings.c
@@ -3,35 +3,12 @@
  */
 #include "settings.h"
 
-#include <errno.h>
-#include <ini.h>
 #include <netinet/in.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "httpd.h"
 
-typedef enum
-{
-  KIND_NAME,
-  KIND_ADDR,
-  KIND_URL,
-  KIND_INT
-} kind_t;
-
-typedef struct
-{
-  const char *section;
-  const char *key;
-  kind_t kind;
-  size_t offset;
-  size_t size;
-  int low;
-  int high;
-  int preset;
-} field_t;
-
 #define TEXT(section, key, kind, member)                                      \
   {                                                                           \
     section, key, kind, offsetof (settings_t, member),                        \
@@ -67,94 +44,25 @@
 };
 #define NFIELDS (sizeof fields / sizeof *fields)
 
-typedef struct
-{
-  settings_t *s;
-  char *err;
-} parse_t;
-
 static int
-name_ok (const char *v)
-{
-  size_t n = strlen (v);
-
-  return n && strspn (v, "abcdefghijklmnopqrstuvwxyz0123456789-") == n;
-}
-
-static int
-text_ok (const field_t *f, const char *v)
+add_peer (void *into, const char *section, const char *key, const char *v,
+          char *err)
 {
+  settings_t *s = into;
   struct sockaddr_in sa;
 
-  if (strlen (v) >= f->size)
+  if (strcmp (section, "peers"))
     return 0;
-  if (f->kind == KIND_NAME)
-    return name_ok (v);
-  if (f->kind == KIND_ADDR)
-    return !split_addr (v, &sa);
-  return !strncmp (v, "http://", 7) && !split_addr (v + 7, &sa);
-}
-
-static int
-set_field (parse_t *p, const field_t *f, const char *v)
-{
-  char *at = (char *)p->s + f->offset;
-  char *end;
-  long n;
-
-  if (f->kind != KIND_INT)
-    {
-      if (!text_ok (f, v))
-        {
-          snprintf (p->err, SETTINGS_ERROR_LEN, "[%s] %s = %.60s: refused",
-                    f->section, f->key, v);
-          return 0;
-        }
-      strcpy (at, v);
-      return 1;
-    }
-  errno = 0;
-  n = strtol (v, &end, 10);
-  if (errno || end == v || *end || n < f->low || n > f->high)
+  if (split_addr (v, &sa) || s->npeers == PEERS_MAX)
     {
-      snprintf (p->err, SETTINGS_ERROR_LEN, "[%s] %s = %.60s: not in %d to %d",
-                f->section, f->key, v, f->low, f->high);
+      snprintf (err, SETTINGS_ERROR_LEN, "[peers] %.40s = %.60s: refused", key,
+                v);
       return 0;
     }
-  *(int *)(void *)at = (int)n;
+  snprintf (s->peers[s->npeers++], sizeof s->peers[0], "%s", v);
   return 1;
 }
 
-static int
-add_peer (parse_t *p, const char *key, const char *v)
-{
-  struct sockaddr_in sa;
-
-  if (split_addr (v, &sa) || p->s->npeers == PEERS_MAX)
-    {
-      snprintf (p->err, SETTINGS_ERROR_LEN, "[peers] %.40s = %.60s: refused",
-                key, v);
-      return 0;
-    }
-  snprintf (p->s->peers[p->s->npeers++], sizeof p->s->peers[0], "%s", v);
-  return 1;
-}
-
-static int
-set_value (void *ctx, const char *section, const char *key, const char *v)
-{
-  parse_t *p = ctx;
-
-  if (!strcmp (section, "peers"))
-    return add_peer (p, key, v);
-  for (size_t i = 0; i < NFIELDS; i++)
-    if (!strcmp (fields[i].section, section) && !strcmp (fields[i].key, key))
-      return set_field (p, &fields[i], v);
-  snprintf (p->err, SETTINGS_ERROR_LEN, "[%.40s] %.40s: unknown setting",
-            section, key);
-  return 0;
-}
-
 static gl_code_t
 check_whole (const settings_t *s, char *err)
 {
@@ -181,26 +89,10 @@
 gl_code_t
 settings_load (settings_t *s, const char *path, char *err)
 {
-  parse_t p = { s, err };
-  int line;
+  inifile_t f = { fields, NFIELDS, s, add_peer, err };
+  gl_code_t rc;
 
   memset (s, 0, sizeof *s);
-  *err = 0;
-  for (size_t i = 0; i < NFIELDS; i++)
-    if (fields[i].kind == KIND_INT)
-      *(int *)(void *)((char *)s + fields[i].offset) = fields[i].preset;
-  line = ini_parse (path, set_value, &p);
-  if (line < 0)
-    {
-      snprintf (err, SETTINGS_ERROR_LEN, "cannot read %.120s", path);
-      return GL_INVALID;
-    }
-  if (line)
-    {
-      size_t n = strlen (err);
-      snprintf (err + n, SETTINGS_ERROR_LEN - n, "%s (line %d)",
-                n ? "" : "syntax error", line);
-      return GL_INVALID;
-    }
-  return check_whole (s, err);
+  rc = inifile_load (&f, path);
+  return rc ? rc : check_whole (s, err);
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -2,10 +2,9 @@
 #ifndef GL_SETTINGS_H
 #define GL_SETTINGS_H
 
-#include "gentianlatch.h"
+#include "inifile.h"
 
 #define PEERS_MAX 64
-#define SETTINGS_ERROR_LEN 200
 
 /**
  * struct settings_t - what a VM's daemons are told
