--- a/src/cell.c
+++ b/src/cell.c
@@ -187,6 +187,12 @@
   return n;
 }
 
+int
+cell_owner (const cell_t *c)
+{
+  return c->role == CR_OWNER;
+}
+
 int
 cell_ready (const cell_t *c)
 {
--- a/src/cell.h
+++ b/src/cell.h
@@ -339,6 +339,8 @@
 gl_ms_t cell_due (const cell_t *c);
 /** cell_ready - 1 while callers' requests can be served */
 int cell_ready (const cell_t *c);
+/** cell_owner - 1 while this VM owns the cell */
+int cell_owner (const cell_t *c);
 /** cell_waiting - accepted jobs of @queue of which nothing has begun */
 uint32_t cell_waiting (const cell_t *c, const char *queue);
 /** cell_queue - the queue that takes requests for @host and @path, with the
--- a/src/celld.c
+++ b/src/celld.c
@@ -70,6 +70,7 @@
   pool_t asks;
   pool_t consults;
   unsigned int ready;
+  unsigned int owner;
 };
 
 static void step (celld_t *d, cell_event_t *ev);
@@ -86,6 +87,12 @@
   return (int)ck_pr_load_uint (&d->ready);
 }
 
+int
+celld_owner (celld_t *d)
+{
+  return (int)ck_pr_load_uint (&d->owner);
+}
+
 static uint64_t
 wall_ms (void)
 {
@@ -430,6 +437,7 @@
     carry_out (d, &fx.v[i]);
   cell_effects_done (&fx);
   ck_pr_store_uint (&d->ready, (unsigned int)cell_ready (d->cell));
+  ck_pr_store_uint (&d->owner, (unsigned int)cell_owner (d->cell));
 }
 
 /* ---- the control thread ---- */
--- a/src/celld.h
+++ b/src/celld.h
@@ -59,6 +59,8 @@
 cell_t *celld_cell (celld_t *d);
 /** celld_ready - 1 while requests can be served; any thread */
 int celld_ready (celld_t *d);
+/** celld_owner - 1 while this VM owns the cell; any thread */
+int celld_owner (celld_t *d);
 /** celld_figures - counters and histograms, malloc'd; control thread only */
 char *celld_figures (celld_t *d);
 
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -48,6 +48,7 @@
   httpc_done_t done;
   void *ctx;
   gl_ms_t send_before;
+  gl_ms_t not_before;
   size_t max_body;
   int too_long;
   httpc_result_t res;
@@ -57,6 +58,7 @@
 struct httpc
 {
   transfer_t *open;
+  transfer_t *later;
   CURLM *multi;
   pthread_t thread;
   ck_ring_t ring;
@@ -223,6 +225,7 @@
   t->done = r->done;
   t->ctx = r->ctx;
   t->send_before = r->send_before;
+  t->not_before = r->not_before;
   t->max_body = r->max_body ? r->max_body : 2 * 1024 * 1024;
   curl_easy_setopt (t->easy, CURLOPT_URL, r->url);
   curl_easy_setopt (t->easy, CURLOPT_HTTPHEADER, t->headers);
@@ -329,6 +332,33 @@
   c->open = t;
 }
 
+/* Begin what had to wait and is due; the time until the next is, at most
+   POLL_MS. */
+static int
+begin_later (httpc_t *c)
+{
+  gl_ms_t now = clock_ms ();
+  gl_ms_t wait = POLL_MS;
+  transfer_t **at = &c->later;
+
+  while (*at)
+    {
+      transfer_t *t = *at;
+
+      if (t->not_before <= now)
+        {
+          *at = t->next;
+          t->next = NULL;
+          begin (c, t);
+          continue;
+        }
+      if (t->not_before - now < wait)
+        wait = t->not_before - now;
+      at = &t->next;
+    }
+  return (int)wait;
+}
+
 static void
 close_transfer (httpc_t *c, transfer_t *t, CURLcode code)
 {
@@ -370,15 +400,26 @@
 
   while (!ck_pr_load_uint (&c->quit))
     {
+      int wait;
+
       while (ck_ring_dequeue_mpsc (&c->ring, c->slots, &item))
         {
+          transfer_t *t = item;
+
           HANDOVER_IN (item);
-          begin (c, item);
+          if (t->not_before)
+            {
+              t->next = c->later;
+              c->later = t;
+            }
+          else
+            begin (c, t);
         }
+      wait = begin_later (c);
       curl_multi_perform (c->multi, &running);
       reap (c);
       if (!ck_ring_size (&c->ring))
-        curl_multi_poll (c->multi, NULL, 0, POLL_MS, NULL);
+        curl_multi_poll (c->multi, NULL, 0, wait, NULL);
     }
   return NULL;
 }
@@ -429,6 +470,13 @@
   pthread_join (c->thread, NULL);
   while (ck_ring_dequeue_mpsc (&c->ring, c->slots, &item))
     refuse (item);
+  while (c->later)
+    {
+      transfer_t *t = c->later;
+
+      c->later = t->next;
+      refuse (t);
+    }
   while (c->open)
     close_transfer (c, c->open, CURLE_ABORTED_BY_CALLBACK);
   curl_multi_cleanup (c->multi);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -49,6 +49,7 @@
  * @timeout: span after which it is given up
  * @first_byte: span without progress after which it is given up, 0 for none
  * @send_before: instant at or after which it must not leave, 0 for none
+ * @not_before: instant at which it leaves at the earliest, 0 for now
  * @max_body: longest answer that is taken
  * @fresh: use a new connection
  * @once: never send it twice, whatever becomes of its connection
@@ -62,6 +63,7 @@
   size_t len;
   gl_ms_t timeout;
   gl_ms_t first_byte;
+  gl_ms_t not_before;
   gl_ms_t send_before;
   size_t max_body;
   int fresh;
