--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -75,6 +75,7 @@
 	u_int step;
 	u_int index;
 	u_int run;
+	u_int ended;
 	u_int failed;
 	bool_t done;
 	gl_word_t saved;
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -49,12 +49,14 @@
   GL_PHASE_CANCELLED = 4
 };
 
-/* What must outlast the owner of one task. */
+/* What must outlast the owner of one task.  ended is the highest run whose
+   end is counted in failed and done. */
 struct gl_fact_t {
   unsigned int turn;
   unsigned int step;
   unsigned int index;
   unsigned int run;
+  unsigned int ended;
   unsigned int failed;
   bool done;
   gl_word_t saved;
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -201,7 +201,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->turn))
 				 return FALSE;
@@ -211,6 +211,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->run))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ended))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->failed))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->done))
@@ -221,6 +223,7 @@
 		IXDR_PUT_U_LONG(buf, objp->step);
 		IXDR_PUT_U_LONG(buf, objp->index);
 		IXDR_PUT_U_LONG(buf, objp->run);
+		IXDR_PUT_U_LONG(buf, objp->ended);
 		IXDR_PUT_U_LONG(buf, objp->failed);
 		IXDR_PUT_BOOL(buf, objp->done);
 		}
@@ -228,7 +231,7 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->turn))
 				 return FALSE;
@@ -238,6 +241,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->run))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ended))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->failed))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->done))
@@ -248,6 +253,7 @@
 		objp->step = IXDR_GET_U_LONG(buf);
 		objp->index = IXDR_GET_U_LONG(buf);
 		objp->run = IXDR_GET_U_LONG(buf);
+		objp->ended = IXDR_GET_U_LONG(buf);
 		objp->failed = IXDR_GET_U_LONG(buf);
 		objp->done = IXDR_GET_BOOL(buf);
 		}
@@ -264,6 +270,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->run))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ended))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->failed))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->done))
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -282,14 +282,16 @@
 
   if (!r)
     return;
-  if (ev->sent == GL_OK && ev->tell->code != GL_NOT_OWNER)
+  if (ev->sent == GL_OK && ev->tell->code != GL_NOT_OWNER
+      && ev->tell->code != GL_UNKNOWN)
     {
       cell_tell (c, r->tag, ev->tell->code, ev->tell->retry_ms,
                  ev->tell->phase, ev->tell->reason);
       return;
     }
   r->out = 0;
-  r->sent |= ev->sent == GL_UNKNOWN;
+  r->sent |= ev->sent == GL_UNKNOWN
+             || (ev->sent == GL_OK && ev->tell->code == GL_UNKNOWN);
   r->retry_at = c->now + AGAIN_MS;
 }
 
@@ -305,7 +307,10 @@
       if (r->out)
         r->sent = 1;
       r->out = 0;
-      route (c, r);
+      if (r->forwarded && r->sent)
+        cell_tell (c, r->tag, GL_UNKNOWN, 0, 0, "the owner has changed");
+      else
+        route (c, r);
     }
 }
 
--- a/src/celld.c
+++ b/src/celld.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
-#include <unistd.h>
+#include <xxhash.h>
 
 #include "codec.h"
 #include "line.h"
@@ -541,7 +541,7 @@
   pool_init (&d->consults, sizeof (consulted_t));
   d->loop = loop_new ();
   d->cell = cell_new (set->name, set->rpc, set->domain, &bounds,
-                      wall_ms () ^ (uint64_t)getpid ());
+                      wall_ms () ^ XXH3_64bits (set->name, strlen (set->name)));
   if (!d->loop || !d->cell)
     goto fail;
   d->rpc = rpcmux_new (d->loop, set->rpc, &hooks);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -64,6 +64,7 @@
  * @inherited: it may run somewhere on a start by an earlier owner
  * @fact: something of it is durable or has to be
  * @run: number of its last start
+ * @ended: highest run whose end was taken
  * @worker, @pos: worker that holds it and place in that worker's list; -1
  * @sent: when the order in force was sent
  * @fenced_at: when a stop of its run was taken, 0 if none was
@@ -76,6 +77,7 @@
   unsigned char fact;
   unsigned char percent;
   uint32_t run;
+  uint32_t ended;
   uint32_t failed;
   int worker;
   int pos;
@@ -515,8 +517,8 @@
 /** ctask_requeue - it waits again */
 void ctask_requeue (cell_t *c, cstep_t *s, uint32_t index);
 /** ctask_ended - run @run of it has ended so; returns the job's version */
-uint64_t ctask_ended (cell_t *c, cstep_t *s, uint32_t index, cell_how_t how,
-                      const char *saved);
+uint64_t ctask_ended (cell_t *c, cstep_t *s, uint32_t index, uint32_t run,
+                      cell_how_t how, const char *saved);
 /** cstep_list - wait in the order of planning */
 void cstep_list (cell_t *c, cstep_t *s);
 /** cjobs_tick - timer: open turns that are due, forget old jobs */
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -433,8 +433,8 @@
 }
 
 uint64_t
-ctask_ended (cell_t *c, cstep_t *s, uint32_t index, cell_how_t how,
-             const char *saved)
+ctask_ended (cell_t *c, cstep_t *s, uint32_t index, uint32_t run,
+             cell_how_t how, const char *saved)
 {
   ctask_t *t = &s->tasks[index];
   cjob_t *j = cstep_job (c, s);
@@ -444,7 +444,10 @@
       cell_set (t->saved, saved);
       t->fact = 1;
     }
-  t->inherited = 0;
+  /* An inherited task may have a later run elsewhere, so it stays one. */
+  if (run > t->ended)
+    t->ended = run;
+  t->fact = 1;
   j->version++;
   if (how == CELL_HOW_DONE && !s->def->lasting)
     {
@@ -508,6 +511,7 @@
           f->step = s->index;
           f->index = k;
           f->run = t->run;
+          f->ended = t->ended;
           f->failed = t->failed;
           f->done = t->state == CT_DONE;
           f->saved = strdup (t->saved);
@@ -536,6 +540,7 @@
       t = &s->tasks[f->index];
       t->fact = 1;
       t->run = f->run;
+      t->ended = f->ended;
       t->failed = f->failed;
       cell_set (t->saved, f->saved);
       j->begun = 1;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -140,7 +140,8 @@
       cstep_t *s = pool_get (&c->steps, ref.step);
 
       c->c.ends_lost++;
-      ctask_ended (c, s, ref.index, CELL_HOW_LAPSED, NULL);
+      ctask_ended (c, s, ref.index, s->tasks[ref.index].run, CELL_HOW_LAPSED,
+                   NULL);
       if (w->ntasks == n)
         break;
       n = w->ntasks;
@@ -399,7 +400,7 @@
   cjob_t *j = t ? cstep_job (c, s) : NULL;
 
   if (t && t->inherited && t->state == CT_WAITING && j->durable
-      && j->want < GL_PHASE_COMPLETED && row->run >= t->run)
+      && j->want < GL_PHASE_COMPLETED && row->run > t->ended)
     {
       if (ctask_bind (c, s, index, (int)(w - c->workers)))
         return;
@@ -421,8 +422,8 @@
     }
   if (here && row->run < t->run && t->sent > k->sent)
     return;
-  if (t && t->state == CT_DONE && t->run >= row->run && !s->def->gang
-      && t->sent > k->sent)
+  /* The other members of a gang that is done, or an end on its way. */
+  if (t && t->state == CT_DONE && t->run == row->run)
     return;
   c->c.strays++;
   cell_log (c, "stray task=%s run=%u worker=%s known_run=%u", row->task,
@@ -474,10 +475,11 @@
         w->fails++;
       else if (e->how == CELL_HOW_DONE)
         w->fails = 0;
-      t->run = e->run;
-      version = ctask_ended (c, s, index, e->how, e->saved);
+      if (e->run > t->run)
+        t->run = e->run;
+      version = ctask_ended (c, s, index, e->run, e->how, e->saved);
     }
-  else if (t && t->worker != (int)(w - c->workers) && e->how == CELL_HOW_DONE)
+  else if (t && t->state != CT_DONE && e->how == CELL_HOW_DONE)
     cell_log (c, "end_unexpected task=%s run=%u worker=%s known_run=%u",
               e->task, e->run, w->info.id, t->run);
   if (gate_add (w, e->number, j, version))
@@ -603,7 +605,7 @@
       t = &s->tasks[ref.index];
       if (t->state == CT_STOPPING && t->fenced_at && k->sent > t->fenced_at
           && t->row_at != k->tag)
-        ctask_ended (c, s, ref.index, CELL_HOW_STOPPED, NULL);
+        ctask_ended (c, s, ref.index, t->run, CELL_HOW_STOPPED, NULL);
     }
 }
 
