--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -169,6 +169,7 @@
 	u_quad_t generation;
 	gl_word_t vm;
 	gl_word_t addr;
+	u_int store_age_ms;
 	struct {
 		u_int queues_len;
 		gl_queue_count_t *queues_val;
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -125,5 +125,6 @@
   unsigned hyper generation;
   gl_word_t vm;
   gl_word_t addr;
+  unsigned int store_age_ms;
   gl_queue_count_t queues<GL_ROWS_MAX>;
 };
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -439,6 +439,8 @@
 		 return FALSE;
 	 if (!xdr_gl_word_t (xdrs, &objp->addr))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, GL_ROWS_MAX,
 		sizeof (gl_queue_count_t), (xdrproc_t) xdr_gl_queue_count_t))
 		 return FALSE;
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -30,8 +30,11 @@
 #define CELL_PROGRESS_MS 900
 /* Transactions in flight at once. */
 #define CELL_FLIGHTS 4
-/* A transaction without an answer is taken as unknown after this. */
+/* A transaction without an answer is taken as unknown after this, or after
+   so many times the usual time, at least CELL_TXN_MIN_MS. */
 #define CELL_TXN_MS 1500
+#define CELL_TXN_MIN_MS 250
+#define CELL_TXN_TIMES 6
 /* Lease of this VM's keys in the store, and how often it is renewed. */
 #define CELL_VM_LEASE_MS 1200
 #define CELL_VM_KEEP_MS 350
@@ -40,6 +43,12 @@
 #define CELL_BEACON_LOST_MS 700
 /* How long the owner's key may be missing although its beacons come. */
 #define CELL_KEY_LOST_MS 2500
+/* An owner without an answer from the store for this long, while a standby
+   has one, hands over. */
+#define CELL_OWNER_STORE_MS 700
+/* A standby's own contact with the store must have lasted this long, and the
+   refusal of the owner's address must be no older. */
+#define CELL_CONTACT_MS 400
 /* A VM that has lost a claim, or the cell, does not claim again so soon. */
 #define CELL_CLAIM_AGAIN_MS 1500
 /* Retry time told to callers while there is no owner or no store. */
@@ -200,6 +209,7 @@
  * @lease: latest instant of its clock that was sent to it
  * @seen, @cursor: ends taken, and ends that are durable
  * @look: tag of the look that is out
+ * @strays: runs in its last answer that nobody asked for; they hold room
  */
 typedef struct
 {
@@ -224,6 +234,8 @@
   size_t capgates;
   uint64_t look;
   gl_ms_t look_at;
+  int strays;
+  gl_ms_t strays_stopped;
   uint32_t misses;
   uint32_t fails;
   ctref_t *tasks;
@@ -378,7 +390,8 @@
   int owner_key;
   gl_ms_t owner_key_gone;
   gl_ms_t beacon_at;
-  int owner_refused;
+  gl_ms_t owner_refused;
+  gl_ms_t owner_store_bad;
   gl_ms_t claim_at;
   gl_ms_t claim_not_before;
   uint64_t claim_tag;
@@ -388,6 +401,7 @@
   int leased;
   int keys_lost;
   gl_ms_t leased_at;
+  gl_ms_t leased_since;
   gl_ms_t store_at;
   gl_ms_t beacon_due;
   gl_ms_t took_over;
@@ -426,6 +440,7 @@
   handles_t dirty;
   cflight_t flights[CELL_FLIGHTS];
   gl_ms_t save_after;
+  double txn_ms;
   int store_bad;
   cconsult_t consults[CELL_CONSULTS];
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -56,6 +56,7 @@
   if (!moved)
     return;
   c->owner_refused = 0;
+  c->owner_store_bad = 0;
   c->beacon_at = c->now;
   c->owner_key_gone = c->now;
   if ((c->role == CR_OWNER || c->role == CR_LOADING)
@@ -188,6 +189,8 @@
     {
       /* revision is 1 when the lease is a new one, without keys. */
       fresh = ev->revision == 1;
+      if (!c->leased)
+        c->leased_since = c->now;
       if (!c->leased)
         cell_log (c, "store_back away_ms=%llu",
                   (unsigned long long)(c->now - c->leased_at));
@@ -253,8 +256,14 @@
     return "released";
   if (!strcmp (c->tenure.vm, c->vm))
     return "restarted";
-  if (c->owner_refused && silent > CELL_BEACON_MS)
+  if (c->now - c->leased_since < CELL_CONTACT_MS)
+    return NULL;
+  if (c->owner_refused && c->now - c->owner_refused < CELL_CONTACT_MS
+      && silent > CELL_BEACON_MS)
     return "refused";
+  if (c->owner_store_bad && c->now - c->owner_store_bad < CELL_BEACON_LOST_MS
+      && c->now - c->leased_at < CELL_OWNER_STORE_MS)
+    return "owner_without_store";
   if (c->owner_key)
     return NULL;
   if (silent > CELL_BEACON_LOST_MS)
@@ -511,6 +520,8 @@
     {
       c->beacon_at = c->now;
       c->owner_refused = 0;
+      c->owner_store_bad
+          = ev->beacon->store_age_ms > CELL_OWNER_STORE_MS ? c->now : 0;
       c->nheard = 0;
       for (u_int i = 0;
            i < ev->beacon->queues.queues_len && c->nheard < CELL_NAME; i++)
@@ -527,7 +538,7 @@
 own_peer_down (cell_t *c, const char *addr)
 {
   if (c->tenure_known && c->tenure.addr && !strcmp (addr, c->tenure.addr))
-    c->owner_refused = 1;
+    c->owner_refused = c->now;
   for (int i = 0; i < c->nvms; i++)
     if (!strcmp (c->vms[i].addr, addr))
       c->vms[i].shy_until = c->now + 1000;
@@ -537,6 +548,7 @@
 fill_beacon (cell_t *c, gl_beacon_t *b)
 {
   b->generation = c->generation;
+  b->store_age_ms = (u_int)(c->now - c->store_at);
   b->vm = strdup (c->vm);
   b->addr = strdup (c->addr);
   b->queues.queues_val
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -20,6 +20,9 @@
 
 #include "codec.h"
 
+/* Weight of one answer in the usual time, and its growth by a lost one. */
+#define TXN_WEIGHT 0.2
+#define TXN_BACKOFF 1.5
 /* Pause after a transaction that was refused or lost. */
 #define AGAIN_MS 60
 /* Store entries that the largest item of a job needs. */
@@ -220,6 +223,17 @@
   return 0;
 }
 
+/* How long an answer may take: a multiple of what is usual now. */
+static gl_ms_t
+patience (const cell_t *c)
+{
+  double ms = c->txn_ms * CELL_TXN_TIMES;
+
+  if (ms < CELL_TXN_MIN_MS)
+    return CELL_TXN_MIN_MS;
+  return ms > CELL_TXN_MS ? CELL_TXN_MS : (gl_ms_t)ms;
+}
+
 void
 save_flush (cell_t *c)
 {
@@ -236,7 +250,7 @@
       memset (f, 0, sizeof *f);
       own_check (c, e->txn);
       gather (c, e->txn, f);
-      e->timeout = CELL_TXN_MS;
+      e->timeout = patience (c);
       f->tag = e->tag = cell_tag (c);
       f->sent = c->now;
       c->c.txns++;
@@ -405,6 +419,12 @@
 take_result (cell_t *c, const cflight_t *f, const cell_event_t *ev)
 {
   hist_add (&c->txn_time, (double)(c->now - f->sent));
+  if (ev->status == GL_ST_UNKNOWN)
+    c->txn_ms *= TXN_BACKOFF;
+  else
+    c->txn_ms += TXN_WEIGHT * ((double)(c->now - f->sent) - c->txn_ms);
+  if (c->txn_ms < 1)
+    c->txn_ms = 1;
   if (ev->status == GL_ST_OK)
     {
       c->store_bad = 0;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -33,6 +33,8 @@
 #define LOOK_AGAIN_MS 150
 /* A worker that refused a start for its own reasons is spared this long. */
 #define SHY_MS 1000
+/* Unknown runs are stopped again after this. */
+#define STRAY_AGAIN_MS 300
 /* Wait of the first look of an owner: none, it is the census. */
 #define CENSUS_WAIT_MS 0
 /* Leases of a worker that has left the list for so long have ended, whoever
@@ -57,6 +59,7 @@
 {
   return (w->listed || c->now - w->unlisted_at < RELISTED_MS) && w->heard
          && !w->gone && !w->silent && !w->info.leaving && w->clock
+         && !w->strays
          && c->now >= w->shy_until
          && c->now - c->store_at < CELL_RENEW_ALONE_MS;
 }
@@ -425,6 +428,9 @@
   /* The other members of a gang that is done, or an end on its way. */
   if (t && t->state == CT_DONE && t->run == row->run)
     return;
+  w->strays++;
+  if (c->now - w->strays_stopped < STRAY_AGAIN_MS)
+    return;
   c->c.strays++;
   cell_log (c, "stray task=%s run=%u worker=%s known_run=%u", row->task,
             row->run, w->info.id, t ? t->run : 0);
@@ -492,6 +498,8 @@
 static void
 looked (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
+  int strays;
+
   w->look = 0;
   w->look_at = c->now;
   if (k->code == CELL_W_OK)
@@ -499,8 +507,14 @@
       /* Ends first: what has ended is not running. */
       for (int i = 0; i < k->nends; i++)
         take_end (c, w, &k->ends[i]);
+      strays = w->strays;
+      w->strays = 0;
       for (int i = 0; i < k->nrows; i++)
         take_row (c, w, &k->rows[i], k);
+      if (w->strays && c->now - w->strays_stopped >= STRAY_AGAIN_MS)
+        w->strays_stopped = c->now;
+      if (strays && !w->strays)
+        plan_wake (c);
       if (k->nends < ENDS_PAGE)
         {
           heard_or_lost (c, w);
