Silent workers are not renewed; refusals hold for every owner asked

LOST: looks at a worker that had left carried a later lease each time, so its tasks never counted as ended. BUDGET: failures that a new owner heard of late were dropped. REFUSED: a refusal by the second owner was passed on although the first might have taken the job.

--- a/src/cellask.c
+++ b/src/cellask.c
@@ -38,6 +38,9 @@
 
   if (!r)
     return;
+  /* An earlier owner may have taken it: "not run" would not be certain. */
+  if (code == GL_RETRY && r->sent && r->ask.verb == GL_VERB_SUBMIT)
+    code = GL_UNKNOWN;
   e = cell_fx (c, CELL_FX_TELL);
   if (e)
     {
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -534,6 +534,10 @@
                      uint32_t *index);
 /** ctask_failed - run @run is counted as a failure already */
 int ctask_failed (const ctask_t *t, uint32_t run);
+/** ctask_failed_before - an earlier run of it has failed; returns the job's
+    version */
+uint64_t ctask_failed_before (cell_t *c, cstep_t *s, uint32_t index,
+                              uint32_t run);
 /** ctask_bind - count it on a worker */
 int ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker);
 /** ctask_unbind - it holds nothing there any more */
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -433,6 +433,19 @@
     cjob_finish (c, j, GL_PHASE_FAILED);
 }
 
+uint64_t
+ctask_failed_before (cell_t *c, cstep_t *s, uint32_t index, uint32_t run)
+{
+  cjob_t *j = cstep_job (c, s);
+
+  if (ctask_failed (&s->tasks[index], run))
+    return j->version;
+  j->version++;
+  take_failure (c, j, s, index, run);
+  save_job (c, j, j->want >= GL_PHASE_COMPLETED);
+  return j->version;
+}
+
 /* The other members of a gang of which one has ended badly run on for
    nothing; they are stopped, and the gang is started anew as a whole. */
 static void
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -416,7 +416,9 @@
   uint64_t until;
   gl_ms_t span = CELL_WORKER_LEASE_MS;
 
-  if (!w->clock || c->now - c->store_at > CELL_RENEW_ALONE_MS)
+  /* What is sent to a silent worker may arrive late and prolong a lease that
+     is waited for. */
+  if (!w->clock || w->silent || c->now - c->store_at > CELL_RENEW_ALONE_MS)
     return 0;
   if (span > c->bounds.worker_lease_max)
     span = c->bounds.worker_lease_max;
@@ -540,7 +542,7 @@
     {
       if (ctask_bind (c, s, index, (int)(w - c->workers)))
         return;
-      t->inherited = 0;
+      /* It stays inherited: earlier runs may have ended elsewhere. */
       t->run = row->run;
       t->state = CT_RUNNING;
       t->percent = (unsigned char)row->percent;
@@ -622,6 +624,11 @@
         t->run = e->run;
       version = ctask_ended (c, s, index, e->run, e->how, e->saved);
     }
+  else if (t && t->state != CT_DONE && e->how == CELL_HOW_FAILED)
+    {
+      j = cstep_job (c, s);
+      version = ctask_failed_before (c, s, index, e->run);
+    }
   else if (t && t->state != CT_DONE && e->how == CELL_HOW_DONE)
     cell_log (c, "end_unexpected task=%s run=%u worker=%s known_run=%u",
               e->task, e->run, w->info.id, t->run);
