Scripted runs and a fuzzer for the cell, in virtual time

A world of VMs, store, workers and advisor with every fault on command; its oracle sees what workers and callers see. It found a cancel that was forgotten when the acceptance before it had been settled by a conflict. An owner that is handing over renews and starts nothing, since a successor may be at work before the answer comes (TWICE).

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -Ibench -I/usr/include/tirpc \
 	$(shell pkg-config --cflags $(PKGS)) $(DEFS)
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(MODE)
-CXXFLAGS = -std=gnu++17 $(OPT) -Wall -Wextra -Wno-unused-parameter $(MODE)
+CXXFLAGS = -std=gnu++20 $(OPT) -Wall -Wextra -Wno-unused-parameter $(MODE)
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -ltirpc -lpthread -lm
 
 CORE = pool timer metrics place conf change codec fx jobs workers lease journal \
@@ -86,13 +86,16 @@
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
 $(BUILD)/fuzz_conf: $(TBUILD)/tests/fuzz_conf.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
+$(BUILD)/cell $(BUILD)/fuzz_cell: $(BUILD)/%: $(TBUILD)/tests/%.o \
+		$(TBUILD)/tests/cellworld.o $(T_CORE)
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
 $(BUILD)/policy: $(TBUILD)/tests/policy.o $(TBUILD)/bench/drive.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 $(BUILD)/unit: $(TBUILD)/tests/unit.o $(ROUTE:%=$(TBUILD)/src/%.o) \
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
-TESTS = unit policy fuzz_sched fuzz_route fuzz_conf
+TESTS = unit policy cell fuzz_sched fuzz_route fuzz_conf fuzz_cell
 
 tests: $(TESTS:%=$(BUILD)/%)
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -397,7 +397,7 @@
   gl_ms_t claim_at;
   gl_ms_t claim_not_before;
   uint64_t claim_tag;
-  uint64_t release_tag;
+  uint64_t release_tag; /* while it is out, nothing is renewed or started */
   gl_ms_t lease_sent;
   uint64_t lease_tag;
   int leased;
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -595,7 +595,7 @@
 void
 plan_run (cell_t *c)
 {
-  if (!c->plan_due || c->role != CR_OWNER)
+  if (!c->plan_due || c->role != CR_OWNER || c->release_tag)
     return;
   if (c->now < c->planned_at + PLAN_GAP_MS)
     {
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -409,7 +409,11 @@
       cjob_t *j = pool_get (&c->jobs, f->v[i].job);
 
       if (j && f->v[i].kind == SAVE_CREATE && settle_create (c, j, ev))
-        j->saving = 0;
+        {
+          j->saving = 0;
+          if (!is_clean (j))
+            save_job (c, j, 1);
+        }
       else
         put_back (c, &f->v[i], 0);
     }
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -869,7 +869,7 @@
 
   timer_arm (&c->timers, c->t_work, now + TICK_MS);
   /* What runs can be told from what is stray only once all is loaded. */
-  if (c->role != CR_OWNER)
+  if (c->role != CR_OWNER || c->release_tag)
     return;
   enrol (c);
   for (int i = 0; i < c->nworkers; i++)
--- /dev/null
+++ b/tests/cell.cc
@@ -0,0 +1,230 @@
+/* cell.cc -- scripted runs of the cell with expected output */
+#include "cellworld.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <memory>
+#include <sstream>
+
+#include "script.h"
+
+#ifdef GL_TEST_FAULTS
+extern "C"
+{
+#include "fault.h"
+  fault_t fault_on = FAULT_NONE;
+}
+#endif
+
+/* "3x2000", with g for a gang and @0,1 for the steps that come before. */
+static gl_step_t
+parse_step (const std::string &s)
+{
+  int count = atoi (s.c_str ());
+  int cpus = atoi (s.c_str () + s.find ('x') + 1);
+  std::vector<int> after;
+  size_t at = s.find ('@');
+
+  while (at != std::string::npos)
+    {
+      after.push_back (atoi (s.c_str () + at + 1));
+      at = s.find (',', at + 1);
+    }
+  return world_step (count, cpus, s.find ('g') != std::string::npos, after);
+}
+
+struct Script
+{
+  std::unique_ptr<World> w;
+  std::vector<std::string> out;
+  int was_owner = -1;
+
+  int
+  vm (const std::string &name)
+  {
+    if (name == "owner")
+      return was_owner = w->owner ();
+    if (name == "former")
+      return was_owner;
+    return atoi (name.c_str ());
+  }
+
+  void
+  worker (std::istringstream &in)
+  {
+    int i;
+    std::string what;
+    int arg = 0;
+
+    in >> i >> what >> arg;
+    Worker &x = w->workers[(size_t)i];
+    if (what == "crash")
+      w->crash_worker (i);
+    else if (what == "reachable")
+      x.reachable = arg;
+    else if (what == "listed")
+      w->set_listed (i, arg);
+    else if (what == "late")
+      x.late_ms = arg;
+    else if (what == "unanswered")
+      x.loses_answers = arg;
+    else if (what == "stops_in")
+      x.stop_ms = (gl_ms_t)arg;
+    else if (what == "show")
+      out.push_back (std::string (x.info.id) + " runs "
+                     + std::to_string (x.running.size ()));
+    else
+      out.push_back ("unknown worker command " + what);
+  }
+
+  void
+  line (const std::string &text)
+  {
+    std::istringstream in (text);
+    std::string cmd;
+    std::string a;
+    int n = 0;
+
+    in >> cmd;
+    if (cmd == "world")
+      {
+        int vms;
+        int workers;
+        in >> vms >> workers >> a;
+        w = std::make_unique<World> (vms, workers, 1, a == "advised");
+      }
+    else if (cmd == "run")
+      {
+        in >> n;
+        w->run ((gl_ms_t)n);
+      }
+    else if (cmd == "submit")
+      {
+        std::string queue;
+        std::string s;
+        std::vector<gl_step_t> steps;
+        in >> a >> queue;
+        while (in >> s)
+          steps.push_back (parse_step (s));
+        w->submit (a, queue, steps);
+      }
+    else if (cmd == "cancel")
+      {
+        in >> a;
+        w->cancel (a);
+      }
+    else if (cmd == "show")
+      {
+        in >> a;
+        w->ask (a);
+        w->run (50);
+        out.push_back (a + " " + w->jobs[a].shown);
+      }
+    else if (cmd == "kill" || cmd == "start" || cmd == "stop"
+             || cmd == "freeze" || cmd == "thaw" || cmd == "cut"
+             || cmd == "heal")
+      {
+        in >> a;
+        int i = vm (a);
+        if (cmd == "kill")
+          w->kill_vm (i);
+        else if (cmd == "start")
+          w->start_vm (i);
+        else if (cmd == "stop")
+          w->stop_vm (i);
+        else if (cmd == "cut" || cmd == "heal")
+          w->vms[(size_t)i].store_cut = cmd == "cut";
+        else
+          w->freeze_vm (i, cmd == "freeze");
+      }
+    else if (cmd == "killall")
+      for (size_t i = 0; i < w->vms.size (); i++)
+        w->kill_vm ((int)i);
+    else if (cmd == "startall")
+      for (size_t i = 0; i < w->vms.size (); i++)
+        w->start_vm ((int)i);
+    else if (cmd == "store")
+      {
+        in >> a;
+        w->store_mode = a == "fine"     ? StoreMode::fine
+                        : a == "down"   ? StoreMode::down
+                        : a == "silent" ? StoreMode::silent
+                                        : StoreMode::loses;
+      }
+    else if (cmd == "worker")
+      worker (in);
+    else if (cmd == "poison")
+      {
+        in >> a;
+        w->poison.insert (a);
+      }
+    else if (cmd == "work")
+      {
+        in >> n;
+        w->work_ms = (gl_ms_t)n;
+      }
+    else if (cmd == "settle")
+      {
+        in >> n;
+        w->settle ((gl_ms_t)n);
+      }
+    else if (cmd == "owners")
+      {
+        n = 0;
+        for (auto &v : w->vms)
+          n += v.alive && !v.frozen && cell_owner (v.cell);
+        out.push_back ("owners " + std::to_string (n));
+      }
+    else if (cmd == "accepted")
+      {
+        in >> a;
+        JobSeen &j = w->jobs[a];
+        out.push_back (a
+                       + (j.accepted   ? " accepted"
+                          : j.maybe    ? " unknown"
+                          : j.refusals ? " refused"
+                                       : " unanswered"));
+      }
+    else if (cmd == "broken")
+      {
+        for (auto &b : w->broken)
+          out.push_back ("broken " + b);
+        if (w->broken.empty ())
+          out.push_back ("none broken");
+      }
+    else
+      out.push_back ("unknown command " + cmd);
+  }
+};
+
+class CellScript : public testing::TestWithParam<std::string>
+{
+};
+
+TEST_P (CellScript, GivesTheExpectedOutput)
+{
+  std::ifstream in (GetParam ());
+  std::vector<std::string> expected;
+  std::string text;
+  Script s;
+
+  ASSERT_TRUE (in.good ());
+  while (std::getline (in, text))
+    if (text.rfind ("> ", 0) == 0)
+      expected.push_back (text.substr (2));
+    else if (!text.empty () && text[0] != '#')
+      s.line (text);
+  EXPECT_EQ (s.out, expected);
+}
+
+static std::string
+script_name (const testing::TestParamInfo<std::string> &i)
+{
+  std::string s = std::filesystem::path (i.param).stem ().string ();
+
+  std::replace (s.begin (), s.end (), '-', '_');
+  return s;
+}
+
+INSTANTIATE_TEST_SUITE_P (Scripts, CellScript, testing::ValuesIn (scripts_in ("tests/cell")),
+                          script_name);
--- /dev/null
+++ b/tests/cellworld.cc
@@ -0,0 +1,1261 @@
+/* cellworld.cc -- the world around the cell, in virtual time */
+#include "cellworld.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <memory>
+
+extern "C"
+{
+#include "codec.h"
+}
+
+static const gl_ms_t STORE_MS = 4;
+static const gl_ms_t NET_MS = 1;
+static const gl_ms_t TICK_MS = 5;
+static const gl_ms_t TICKET_MS = 1500;
+
+gl_step_t
+world_step (int count, int cpus_m, bool gang, std::vector<int> after)
+{
+  gl_step_t s{};
+
+  s.count = (u_int)count;
+  s.need = { cpus_m, 1024, 0 };
+  s.estimate_ms = 500;
+  s.gang = gang;
+  s.label = s.rack = s.image = (char *)"";
+  s.after.after_len = (u_int)after.size ();
+  s.after.after_val = (u_int *)calloc (after.size () + 1, sizeof (u_int));
+  for (size_t i = 0; i < after.size (); i++)
+    s.after.after_val[i] = (u_int)after[i];
+  return s;
+}
+
+uint64_t
+World::random ()
+{
+  rng_ = rng_ * 6364136223846793005ull + 1442695040888963407ull;
+  return rng_ >> 33;
+}
+
+World::World (int nvms, int nworkers, uint64_t seed, bool advised)
+    : advised_ (advised), rng_ (seed * 2 + 1)
+{
+  for (int i = 0; i < nvms; i++)
+    {
+      Vm v;
+      v.name = "vm" + std::to_string (i);
+      v.alive = false;
+      vms.push_back (v);
+    }
+  for (int i = 0; i < nworkers; i++)
+    add_worker (-1);
+  for (int i = 0; i < nvms; i++)
+    start_vm (i);
+}
+
+World::~World ()
+{
+  for (Vm &v : vms)
+    cell_free (v.cell);
+}
+
+void
+World::later (gl_ms_t ms, Fn fn)
+{
+  due_.push ({ now + ms, order_++, fn });
+}
+
+void
+World::break_promise (const std::string &what)
+{
+  broken.push_back (std::to_string (now) + " " + what);
+}
+
+int
+World::vm_at (const std::string &addr) const
+{
+  for (size_t i = 0; i < vms.size (); i++)
+    if (vms[i].name == addr)
+      return (int)i;
+  return -1;
+}
+
+int
+World::owner () const
+{
+  for (size_t i = 0; i < vms.size (); i++)
+    if (vms[i].alive && cell_owner (vms[i].cell))
+      return (int)i;
+  return -1;
+}
+
+/* ---- VMs ---- */
+
+void
+World::start_vm (int i)
+{
+  Vm &v = vms[(size_t)i];
+  cell_bounds_t b{};
+
+  if (v.alive)
+    return;
+  b.worker_lease_max = 10000;
+  b.stop_max = 200;
+  b.gang_wait = 3000;
+  b.kept = 120000;
+  b.far_factor = 3;
+  v.cell = cell_new (v.name.c_str (), v.name.c_str (), "a", &b, random ());
+  v.alive = true;
+  v.frozen = false;
+  v.lease = 0;
+  v.life++;
+  sync (i);
+}
+
+void
+World::kill_vm (int i)
+{
+  Vm &v = vms[(size_t)i];
+
+  if (!v.alive)
+    return;
+  cell_free (v.cell);
+  v.cell = nullptr;
+  v.alive = false;
+  v.life++;
+  for (size_t o = 0; o < vms.size (); o++)
+    if (vms[o].alive && !vms[o].frozen)
+      {
+        cell_event_t ev{};
+        ev.kind = CELL_EV_PEER_DOWN;
+        ev.vm = v.name.c_str ();
+        step ((int)o, ev);
+      }
+}
+
+void
+World::freeze_vm (int i, bool frozen)
+{
+  vms[(size_t)i].frozen = frozen;
+}
+
+void
+World::stop_vm (int i)
+{
+  cell_event_t ev{};
+
+  ev.kind = CELL_EV_STOP;
+  if (vms[(size_t)i].alive)
+    step (i, ev);
+}
+
+void
+World::sync (int i)
+{
+  uint64_t life = vms[(size_t)i].life;
+
+  later (STORE_MS, [=, this] {
+    Vm &v = vms[(size_t)i];
+    cell_event_t ev{};
+
+    if (!v.alive || v.life != life)
+      return;
+    if (v.frozen || v.store_cut || store_mode != StoreMode::fine)
+      {
+        later (100, [=, this] {
+          if (vms[(size_t)i].alive && vms[(size_t)i].life == life)
+            sync (i);
+        });
+        return;
+      }
+    cell_conf_t *conf = (cell_conf_t *)calloc (1, sizeof *conf);
+    conf->version = 1;
+    conf->nqueues = 2;
+    conf->queues = (cell_queue_t *)calloc (2, sizeof *conf->queues);
+    for (int q = 0; q < 2; q++)
+      {
+        cell_queue_t *p = &conf->queues[q];
+        snprintf (p->name, sizeof p->name, q ? "batch" : "urgent");
+        snprintf (p->host, sizeof p->host, "h");
+        snprintf (p->prefix, sizeof p->prefix, "/%s/", p->name);
+        snprintf (p->service, sizeof p->service, "svc");
+        p->priority = q;
+        p->attempts = (uint32_t)attempts;
+        p->stretch = 2;
+        p->aim_ms = 1000;
+        p->advised = advised_;
+        p->decide_ms = 10;
+        p->each_ms = 0.5;
+        p->valid_ms = (uint32_t)TICKET_MS;
+      }
+    ev.kind = CELL_EV_CONF;
+    ev.conf = conf;
+    step (i, ev);
+    for (auto &it : items_)
+      if (it.first.rfind ("gl/m/", 0) == 0)
+        report (i, it.first, false);
+    ev = {};
+    ev.kind = CELL_EV_MEMBERS_SYNC;
+    step (i, ev);
+    for (size_t w = 0; w < workers.size (); w++)
+      report_worker (i, (int)w);
+    ev = {};
+    ev.kind = CELL_EV_WORKERS_SYNC;
+    step (i, ev);
+  });
+}
+
+void
+World::step (int i, cell_event_t &ev)
+{
+  Vm &v = vms[(size_t)i];
+  cell_effects_t fx{};
+  uint64_t life = v.life;
+
+  ev.wall = 1000000 + now;
+  cell_step (v.cell, &ev, now, &fx);
+  for (size_t k = 0; k < fx.n; k++)
+    if (vms[(size_t)i].life == life)
+      carry_out (i, fx.v[k]);
+  cell_effects_done (&fx);
+}
+
+void
+World::carry_out (int i, cell_effect_t &e)
+{
+  switch (e.kind)
+    {
+    case CELL_FX_TXN:
+      txn (i, e.tag, *e.txn);
+      break;
+    case CELL_FX_PAGE:
+      page (i, e.tag, e.key, e.after);
+      break;
+    case CELL_FX_READ:
+      read (i, e.tag, e.key);
+      break;
+    case CELL_FX_LEASE:
+      lease (i, e.tag, e.timeout);
+      break;
+    case CELL_FX_WCALL:
+      order (i, *e.wcall);
+      break;
+    case CELL_FX_CONSULT:
+      consult (i, e.tag, *e.consult);
+      break;
+    case CELL_FX_TELL:
+      tell (i, e);
+      break;
+    case CELL_FX_FORWARD:
+      forward (i, e);
+      break;
+    case CELL_FX_BEACON:
+      {
+        int to = vm_at (e.key);
+        if (to < 0 || !vms[(size_t)to].alive || vms[(size_t)to].frozen)
+          break;
+        size_t len;
+        char *data
+            = codec_encode ((xdrproc_t)xdr_gl_beacon_t, e.beacon, &len);
+        std::string copy (data, len);
+        free (data);
+        later (NET_MS, [=, this] {
+          gl_beacon_t b{};
+          cell_event_t ev{};
+          if (!vms[(size_t)to].alive || vms[(size_t)to].frozen
+              || codec_decode ((xdrproc_t)xdr_gl_beacon_t, &b, copy.data (),
+                               copy.size ()))
+            return;
+          ev.kind = CELL_EV_BEACON;
+          ev.beacon = &b;
+          step (to, ev);
+          codec_free ((xdrproc_t)xdr_gl_beacon_t, &b);
+        });
+        break;
+      }
+    case CELL_FX_LOG:
+      log.push_back (std::to_string (now) + " " + vms[(size_t)i].name + " "
+                     + (e.line ? e.line : ""));
+      if (getenv ("GL_TRACE"))
+        printf ("%s\n", log.back ().c_str ());
+      break;
+    }
+}
+
+/* ---- the store ---- */
+
+void
+World::report (int i, const std::string &key, bool gone)
+{
+  cell_event_t ev{};
+  cell_item_t item{};
+  std::string value = gone ? "" : items_[key].value;
+
+  snprintf (item.key, sizeof item.key, "%s", key.c_str ());
+  item.value = value.data ();
+  item.len = value.size ();
+  item.revision = gone ? revision_ : items_[key].revision;
+  ev.kind = CELL_EV_MEMBER;
+  ev.items = &item;
+  ev.nitems = 1;
+  ev.gone = gone;
+  step (i, ev);
+}
+
+void
+World::changed (const std::string &key, bool gone)
+{
+  if (key.rfind ("gl/m/", 0) != 0)
+    return;
+  for (size_t i = 0; i < vms.size (); i++)
+    {
+      uint64_t life = vms[i].life;
+
+      later (STORE_MS, [=, this] {
+        if (!vms[i].alive || vms[i].life != life)
+          return;
+        if (vms[i].frozen || vms[i].store_cut)
+          {
+            later (200, [=, this] {
+              if (vms[i].alive && vms[i].life == life)
+                report ((int)i, key, !items_.count (key));
+            });
+            return;
+          }
+        report ((int)i, key, !items_.count (key));
+      });
+    }
+}
+
+/* Whether the answer of this call comes; done says whether it took effect. */
+static bool
+answers (StoreMode m, uint64_t dice)
+{
+  return m != StoreMode::loses || dice % 3;
+}
+
+void
+World::txn (int i, uint64_t tag, const cell_txn_t &x)
+{
+  struct Put
+  {
+    std::string key, value;
+    bool leased, remove;
+  };
+  std::vector<std::pair<std::string, uint64_t> > checks;
+  std::vector<Put> puts;
+  uint64_t life = vms[(size_t)i].life;
+  uint64_t lease = vms[(size_t)i].lease;
+
+  if (x.nchecks + x.nputs > CELL_PUTS)
+    break_promise ("a transaction with too many entries");
+  for (int k = 0; k < x.nchecks; k++)
+    checks.push_back ({ x.checks[k].key, x.checks[k].revision });
+  for (int k = 0; k < x.nputs; k++)
+    puts.push_back ({ x.puts[k].key,
+                      x.puts[k].value
+                          ? std::string (x.puts[k].value, x.puts[k].len)
+                          : "",
+                      x.puts[k].leased != 0, !x.puts[k].value });
+  later (STORE_MS, [=, this] {
+    cell_event_t ev{};
+    std::vector<cell_item_t> items;
+    std::vector<std::string> values;
+    bool cut = vms[(size_t)i].store_cut;
+    bool refused = store_mode == StoreMode::down;
+    bool lost = cut || store_mode == StoreMode::silent;
+    bool conflict = false;
+
+    ev.kind = CELL_EV_WROTE;
+    ev.tag = tag;
+    if (!refused && !lost)
+      {
+        for (auto &c : checks)
+          conflict |= (items_.count (c.first) ? items_[c.first].revision : 0)
+                      != c.second;
+        for (auto &p : puts)
+          refused |= p.leased && !leases_.count (lease);
+      }
+    if (!refused && !lost && !conflict)
+      {
+        revision_++;
+        for (auto &p : puts)
+          if (p.remove)
+            {
+              if (items_.erase (p.key))
+                changed (p.key, true);
+            }
+          else
+            {
+              items_[p.key] = { p.value, revision_, p.leased ? lease : 0 };
+              changed (p.key, false);
+            }
+        ev.revision = revision_;
+        lost = !answers (store_mode, random ());
+      }
+    ev.status = refused    ? GL_ST_REFUSED
+                : lost     ? GL_ST_UNKNOWN
+                : conflict ? GL_ST_CONFLICT
+                           : GL_ST_OK;
+    if (conflict)
+      {
+        values.reserve (checks.size ());
+        for (auto &c : checks)
+          {
+            cell_item_t it{};
+            snprintf (it.key, sizeof it.key, "%s", c.first.c_str ());
+            if (items_.count (c.first))
+              {
+                values.push_back (items_[c.first].value);
+                it.value = values.back ().data ();
+                it.len = values.back ().size ();
+                it.revision = items_[c.first].revision;
+              }
+            items.push_back (it);
+          }
+        ev.items = items.data ();
+        ev.nitems = (int)items.size ();
+      }
+    auto deliver = [=, this] (cell_event_t e) {
+      if (vms[(size_t)i].alive && vms[(size_t)i].life == life)
+        step (i, e);
+    };
+    if (vms[(size_t)i].frozen || lost)
+      {
+        cell_event_t e = ev;
+        if (vms[(size_t)i].frozen && !lost)
+          e.status = GL_ST_UNKNOWN;
+        e.items = nullptr;
+        e.nitems = 0;
+        later (400, [=] { deliver (e); });
+        return;
+      }
+    deliver (ev);
+  });
+}
+
+void
+World::page (int i, uint64_t tag, const std::string &prefix,
+             const std::string &after)
+{
+  uint64_t life = vms[(size_t)i].life;
+
+  later (STORE_MS, [=, this] {
+    cell_event_t ev{};
+    std::vector<cell_item_t> items;
+    std::vector<std::string> values;
+
+    if (!vms[(size_t)i].alive || vms[(size_t)i].life != life)
+      return;
+    ev.kind = CELL_EV_PAGE;
+    ev.tag = tag;
+    ev.status = store_mode == StoreMode::fine && !vms[(size_t)i].store_cut
+                    ? GL_ST_OK
+                    : GL_ST_REFUSED;
+    values.reserve (8);
+    if (ev.status == GL_ST_OK)
+      for (auto it = items_.lower_bound (after.empty () ? prefix : after);
+           it != items_.end () && it->first.rfind (prefix, 0) == 0; ++it)
+        {
+          cell_item_t o{};
+          if (it->first == after)
+            continue;
+          if (items.size () == 8)
+            {
+              ev.more = 1;
+              break;
+            }
+          snprintf (o.key, sizeof o.key, "%s", it->first.c_str ());
+          values.push_back (it->second.value);
+          o.value = values.back ().data ();
+          o.len = values.back ().size ();
+          o.revision = it->second.revision;
+          items.push_back (o);
+        }
+    ev.items = items.data ();
+    ev.nitems = (int)items.size ();
+    if (ev.status != GL_ST_OK)
+      {
+        cell_event_t e = ev;
+        later (100, [=, this] {
+          cell_event_t f = e;
+          if (vms[(size_t)i].alive && vms[(size_t)i].life == life)
+            step (i, f);
+        });
+        return;
+      }
+    step (i, ev);
+  });
+}
+
+void
+World::read (int i, uint64_t tag, const std::string &key)
+{
+  uint64_t life = vms[(size_t)i].life;
+
+  later (STORE_MS, [=, this] {
+    cell_event_t ev{};
+    cell_item_t item{};
+
+    if (!vms[(size_t)i].alive || vms[(size_t)i].life != life)
+      return;
+    ev.kind = CELL_EV_READ;
+    ev.tag = tag;
+    ev.status = store_mode != StoreMode::fine || vms[(size_t)i].store_cut
+                    ? GL_ST_REFUSED
+                : items_.count (key) ? GL_ST_OK
+                                     : GL_ST_ABSENT;
+    std::string value = items_.count (key) ? items_[key].value : "";
+    item.value = value.data ();
+    item.len = value.size ();
+    item.revision = 1;
+    ev.items = &item;
+    ev.nitems = 1;
+    step (i, ev);
+  });
+}
+
+void
+World::lease (int i, uint64_t tag, gl_ms_t ttl)
+{
+  uint64_t life = vms[(size_t)i].life;
+
+  later (STORE_MS, [=, this] {
+    cell_event_t ev{};
+    Vm &v = vms[(size_t)i];
+
+    if (!v.alive || v.life != life)
+      return;
+    ev.kind = CELL_EV_LEASE;
+    ev.tag = tag;
+    ev.status = GL_ST_REFUSED;
+    if (store_mode != StoreMode::down && store_mode != StoreMode::silent
+        && !v.store_cut && !v.frozen)
+      {
+        ev.status = GL_ST_OK;
+        if (!leases_.count (v.lease))
+          {
+            v.lease = ++next_lease_;
+            ev.revision = 1;
+          }
+        leases_[v.lease] = { ttl, now + ttl };
+      }
+    step (i, ev);
+  });
+}
+
+void
+World::end_leases ()
+{
+  for (auto it = leases_.begin (); it != leases_.end ();)
+    {
+      if (it->second.ends > now || store_mode != StoreMode::fine)
+        {
+          ++it;
+          continue;
+        }
+      uint64_t id = it->first;
+      it = leases_.erase (it);
+      for (auto k = items_.begin (); k != items_.end ();)
+        if (k->second.lease == id)
+          {
+            std::string key = k->first;
+            k = items_.erase (k);
+            revision_++;
+            changed (key, true);
+          }
+        else
+          ++k;
+    }
+}
+
+/* ---- workers ---- */
+
+void
+World::add_worker (int like)
+{
+  Worker w;
+  cell_worker_t &f = w.info;
+
+  snprintf (f.id, sizeof f.id, "w%d", lives_++);
+  snprintf (f.addr, sizeof f.addr, "%s",
+            like >= 0 ? workers[(size_t)like].info.addr : f.id);
+  snprintf (f.domain, sizeof f.domain, "a");
+  snprintf (f.service, sizeof f.service, "svc");
+  snprintf (f.labels[0], sizeof f.labels[0], "kind");
+  snprintf (f.labels[1], sizeof f.labels[1], "r%d", lives_ / 4);
+  f.nlabels = 2;
+  f.total = { 8000, 32768, 0 };
+  workers.push_back (w);
+  for (size_t i = 0; i < vms.size (); i++)
+    if (vms[i].alive && !vms[i].frozen && !vms[i].store_cut)
+      report_worker ((int)i, (int)workers.size () - 1);
+}
+
+void
+World::report_worker (int i, int w)
+{
+  cell_event_t ev{};
+
+  if (!workers[(size_t)w].alive && workers[(size_t)w].listed)
+    workers[(size_t)w].listed = false;
+  ev.kind = CELL_EV_WORKER;
+  ev.worker = &workers[(size_t)w].info;
+  ev.gone = !workers[(size_t)w].listed;
+  step (i, ev);
+}
+
+void
+World::set_listed (int w, bool listed)
+{
+  workers[(size_t)w].listed = listed && workers[(size_t)w].alive;
+  for (size_t i = 0; i < vms.size (); i++)
+    if (vms[i].alive && !vms[i].frozen && !vms[i].store_cut)
+      report_worker ((int)i, w);
+}
+
+void
+World::crash_worker (int i)
+{
+  if (!workers[(size_t)i].alive)
+    return;
+  workers[(size_t)i].alive = false;
+  workers[(size_t)i].running.clear ();
+  add_worker (i);
+  set_listed (i, false);
+}
+
+void
+World::end_run (Worker &w, const std::string &task, cell_how_t how)
+{
+  auto it = w.running.find (task);
+
+  if (it == w.running.end ())
+    return;
+  w.ends.push_back ({ ++w.ends_made, task, it->second.run, how });
+  w.fenced[task] = std::max (w.fenced[task], it->second.run);
+  w.running.erase (it);
+  auto waiting = w.waiting;
+  w.waiting.clear ();
+  for (auto &fn : waiting)
+    later (0, fn);
+}
+
+static std::string
+step_of (const std::string &task)
+{
+  return task.substr (0, task.rfind ('.') + 1);
+}
+
+/* How many members of the gang run; @last is when the last one began. */
+int
+World::members (const std::string &task, uint32_t run, gl_ms_t *last)
+{
+  int n = 0;
+
+  *last = 0;
+  for (Worker &w : workers)
+    for (auto &r : w.running)
+      if (w.alive && r.second.run == run && step_of (r.first) == step_of (task))
+        {
+          n++;
+          *last = std::max (*last, r.second.began);
+        }
+  return n;
+}
+
+void
+World::end_gang (const std::string &task, uint32_t run, bool fails)
+{
+  for (Worker &w : workers)
+    {
+      std::vector<std::string> names;
+
+      for (auto &r : w.running)
+        if (w.alive && r.second.run == run
+            && step_of (r.first) == step_of (task))
+          names.push_back (r.first);
+      for (auto &n : names)
+        {
+          if (!fails)
+            done_[n].insert ((int)run);
+          end_run (w, n,
+                   !fails      ? CELL_HOW_DONE
+                   : n == task ? CELL_HOW_FAILED
+                               : CELL_HOW_BROKEN);
+        }
+    }
+}
+
+void
+World::end_member (Worker &w, const std::string &task)
+{
+  Run &r = w.running[task];
+  gl_ms_t last;
+  bool all = members (task, r.run, &last) == r.gang;
+
+  r.together |= all;
+  if (!all && r.together)
+    end_run (w, task, CELL_HOW_BROKEN);
+  else if (!all && now - r.began > 3000)
+    end_run (w, task, CELL_HOW_ALONE);
+  else if (all && now >= last + (r.ends - r.began))
+    end_gang (task, r.run, r.fails || poison.count (task));
+}
+
+void
+World::end_runs (Worker &w)
+{
+  std::vector<std::string> names;
+
+  if (!w.alive)
+    return;
+  for (auto &r : w.running)
+    names.push_back (r.first);
+  for (auto &n : names)
+    if (!w.running.count (n))
+      continue;
+    else if (now >= w.lease)
+      end_run (w, n, CELL_HOW_LAPSED);
+    else if (w.running[n].gang)
+      end_member (w, n);
+    else if (now >= w.running[n].ends)
+      {
+        bool fails = w.running[n].fails || poison.count (n);
+        if (!fails)
+          done_[n].insert ((int)w.running[n].run);
+        end_run (w, n, fails ? CELL_HOW_FAILED : CELL_HOW_DONE);
+      }
+}
+
+void
+World::check_start (Worker &w, const std::string &task, const Run &r)
+{
+  std::string id = task.substr (0, task.find ('.'));
+  int cpus = r.need.cpus_m;
+  int memory = r.need.memory_mb;
+
+  starts++;
+  for (auto &o : w.running)
+    {
+      cpus += o.second.need.cpus_m;
+      memory += o.second.need.memory_mb;
+    }
+  if (cpus > w.info.total.cpus_m || memory > w.info.total.memory_mb)
+    break_promise ("limit " + task + " on " + w.info.id);
+  for (auto &o : workers)
+    if (o.alive && o.running.count (task) && &o != &w)
+      break_promise ("twice " + task + " on " + w.info.id + " and "
+                     + o.info.id);
+  if (done_acked_.count (task))
+    break_promise ("again after its end: " + task);
+  if ((int)failed_acked_[task].size () >= attempts)
+    break_promise ("budget " + task);
+  if (!jobs.count (id))
+    break_promise ("unasked " + task);
+  else if (jobs[id].cancelled && now > jobs[id].cancelled_at + 1000)
+    break_promise ("started after its cancel " + task);
+  else
+    {
+      int step = atoi (task.substr (task.find ('.', task.find ('.') + 1) + 1)
+                           .c_str ());
+      for (int p : jobs[id].after[(size_t)step])
+        for (int k = 0; k < jobs[id].widths[(size_t)p]; k++)
+          {
+            std::string n
+                = id + ".0." + std::to_string (p) + "." + std::to_string (k);
+            if (!jobs[id].gangs[(size_t)p] && done_[n].empty ())
+              break_promise ("order " + task + " before " + n);
+          }
+    }
+}
+
+void
+World::do_start (Worker &w, const cell_wcall_t &k, cell_wcode_t &code)
+{
+  std::string task = k.task;
+  std::string id = task.substr (0, task.find ('.'));
+  Run r;
+
+  if (k.token < w.token)
+    code = CELL_W_FENCED;
+  else if (k.until <= now)
+    code = CELL_W_LATE;
+  else if (w.running.count (task) && w.running[task].run == k.run)
+    code = CELL_W_OK;
+  else if (w.running.count (task) || k.run <= w.fenced[task])
+    code = CELL_W_OLD;
+  else if (advised_
+           && !approves (task.substr (0, task.rfind ('.')), w.info.id))
+    code = CELL_W_TICKET;
+  else
+    code = CELL_W_OK;
+  w.token = std::max (w.token, k.token);
+  if (code == CELL_W_OLD || code == CELL_W_OK)
+    w.lease = std::max (w.lease, (gl_ms_t)k.until);
+  if (code != CELL_W_OK || w.running.count (task))
+    return;
+  int step = atoi (
+      task.substr (task.find ('.', task.find ('.') + 1) + 1).c_str ());
+  r.run = k.run;
+  r.began = now;
+  r.ends = now + work_ms / 2 + random () % work_ms;
+  r.fails = random () % 12 == 0;
+  if (jobs.count (id))
+    {
+      r.need = jobs[id].needs[(size_t)step];
+      r.gang = jobs[id].gangs[(size_t)step] ? jobs[id].widths[(size_t)step]
+                                            : 0;
+    }
+  check_start (w, task, r);
+  w.running[task] = r;
+}
+
+void
+World::do_stop (Worker &w, const cell_wcall_t &k)
+{
+  std::string task = k.task;
+  uint32_t run = k.run;
+  std::string wid = w.info.id;
+
+  if (k.token < w.token)
+    return;
+  w.token = k.token;
+  w.fenced[task] = std::max (w.fenced[task], run);
+  if (w.running.count (task) && w.running[task].run <= run)
+    later (w.stop_ms, [=, this] {
+      for (Worker &x : workers)
+        if (x.alive && wid == x.info.id && x.running.count (task)
+            && x.running[task].run <= run)
+          end_run (x, task, CELL_HOW_STOPPED);
+    });
+}
+
+void
+World::order (int i, const cell_wcall_t &call)
+{
+  struct Copy
+  {
+    cell_wcall_t k;
+    std::vector<cell_run_t> rows;
+    std::vector<cell_end_t> ends;
+    bool done = false;
+  };
+  auto c = std::make_shared<Copy> ();
+  uint64_t life = vms[(size_t)i].life;
+  auto answer = [=, this] {
+    cell_event_t ev{};
+
+    if (c->done || !vms[(size_t)i].alive || vms[(size_t)i].life != life)
+      return;
+    if (vms[(size_t)i].frozen)
+      c->k.code = CELL_W_UNKNOWN;
+    c->done = true;
+    c->k.rows = c->rows.data ();
+    c->k.nrows = (int)c->rows.size ();
+    c->k.ends = c->ends.data ();
+    c->k.nends = (int)c->ends.size ();
+    ev.kind = CELL_EV_WCALL;
+    ev.tag = c->k.tag;
+    ev.wcall = &c->k;
+    step (i, ev);
+  };
+
+  c->k = call;
+  c->k.payload = nullptr;
+  c->k.code = CELL_W_UNKNOWN;
+  later (call.timeout, answer);
+  auto find = [=, this] () -> Worker * {
+    for (Worker &w : workers)
+      if (w.alive && !strcmp (w.info.addr, c->k.addr))
+        return &w;
+    return nullptr;
+  };
+  auto look = [=, this] {
+    Worker *w = find ();
+
+    if (!w || !w->reachable || c->done || strcmp (w->info.id, c->k.life))
+      return;
+    end_runs (*w);
+    c->k.code = CELL_W_OK;
+    c->k.clock = now;
+    for (auto &r : w->running)
+      {
+        cell_run_t row{};
+        snprintf (row.task, sizeof row.task, "%s", r.first.c_str ());
+        row.run = r.second.run;
+        c->rows.push_back (row);
+      }
+    for (auto &e : w->ends)
+      {
+        cell_end_t row{};
+        row.number = e.number;
+        snprintf (row.task, sizeof row.task, "%s", e.task.c_str ());
+        row.run = e.run;
+        row.how = e.how;
+        c->ends.push_back (row);
+      }
+    later (NET_MS, answer);
+  };
+  auto arrive = [=, this] (bool answered) {
+    Worker *w = find ();
+
+    if (!w || !w->reachable)
+      return;
+    if (strcmp (w->info.id, c->k.life))
+      {
+        c->k.code = CELL_W_REBORN;
+        later (NET_MS, answer);
+        return;
+      }
+    end_runs (*w);
+    if (c->k.op == CELL_OP_HOLD)
+      {
+        if (c->k.token < w->token)
+          {
+            c->k.code = CELL_W_FENCED;
+            later (NET_MS, answer);
+            return;
+          }
+        w->token = c->k.token;
+        w->lease = std::max (w->lease, (gl_ms_t)c->k.until);
+        for (auto &e : w->ends)
+          if (e.number <= c->k.cursor)
+            {
+              if (e.how == CELL_HOW_DONE)
+                done_acked_.insert (e.task);
+              if (e.how == CELL_HOW_FAILED)
+                failed_acked_[e.task].insert (e.run);
+            }
+        w->ends.erase (std::remove_if (w->ends.begin (), w->ends.end (),
+                                       [=] (const End &e) {
+                                         return e.number <= c->k.cursor;
+                                       }),
+                       w->ends.end ());
+        if (c->k.wait && w->ends.empty ())
+          {
+            w->waiting.push_back (look);
+            later (c->k.wait, look);
+          }
+        else
+          look ();
+        return;
+      }
+    cell_wcode_t code = CELL_W_OK;
+    if (c->k.op == CELL_OP_START)
+      do_start (*w, c->k, code);
+    else
+      do_stop (*w, c->k);
+    if (!answered || w->loses_answers)
+      return;
+    c->k.code = code;
+    c->k.clock = now;
+    later (NET_MS, answer);
+  };
+  Worker *w = find ();
+  int late = w && c->k.op != CELL_OP_HOLD && w->late_ms && random () % 2
+                 ? w->late_ms
+                 : 0;
+  later (NET_MS + (gl_ms_t)late, [=] { arrive (!late); });
+}
+
+/* ---- advisor ---- */
+
+bool
+World::approves (const std::string &step, const std::string &worker) const
+{
+  size_t h = std::hash<std::string> () (step + "/" + worker);
+
+  return h % 100 < 85;
+}
+
+void
+World::consult (int i, uint64_t tag, const gl_consult_t &q)
+{
+  uint64_t life = vms[(size_t)i].life;
+  std::string step_name = q.step;
+  std::vector<std::string> names;
+
+  for (u_int k = 0; k < q.workers.workers_len; k++)
+    names.push_back (q.workers.workers_val[k]);
+  later (10 + names.size () / 2, [=, this] {
+    cell_event_t ev{};
+    gl_counsel_t c{};
+    std::vector<gl_ticket_t> rows;
+
+    if (!vms[(size_t)i].alive || vms[(size_t)i].life != life)
+      return;
+    for (auto &n : names)
+      if (approves (step_name, n))
+        rows.push_back ({ (char *)n.c_str (), (char *)"t" });
+    c.valid_ms = (u_int)TICKET_MS;
+    c.tickets.tickets_len = (u_int)rows.size ();
+    c.tickets.tickets_val = rows.data ();
+    ev.kind = CELL_EV_COUNSEL;
+    ev.tag = tag;
+    ev.counsel = &c;
+    step (i, ev);
+  });
+}
+
+/* ---- callers ---- */
+
+void
+World::forward (int i, cell_effect_t &e)
+{
+  size_t len;
+  char *data = codec_encode ((xdrproc_t)xdr_gl_ask_t, e.ask, &len);
+  std::string copy (data, len);
+  uint64_t tag = e.tag;
+  uint64_t life = vms[(size_t)i].life;
+  int to = vm_at (e.key);
+  auto back = std::make_shared<bool> (false);
+  auto told = [=, this] (gl_code_t sent, const gl_tell_t *t) {
+    cell_event_t ev{};
+
+    if (*back || !vms[(size_t)i].alive || vms[(size_t)i].life != life)
+      return;
+    *back = true;
+    ev.kind = CELL_EV_TOLD;
+    ev.tag = tag;
+    ev.sent = sent;
+    ev.tell = t;
+    step (i, ev);
+  };
+
+  free (data);
+  later (e.timeout, [=] { told (GL_UNKNOWN, nullptr); });
+  later (NET_MS, [=, this] {
+    gl_ask_t ask{};
+    cell_event_t ev{};
+
+    if (to < 0 || !vms[(size_t)to].alive)
+      {
+        told (GL_RETRY, nullptr);
+        return;
+      }
+    if (vms[(size_t)to].frozen
+        || codec_decode ((xdrproc_t)xdr_gl_ask_t, &ask, copy.data (),
+                         copy.size ()))
+      return;
+    ev.kind = CELL_EV_ASK;
+    ev.ask = &ask;
+    ev.forwarded = 1;
+    ev.tag = ++next_ask_;
+    ev.deadline = now + 2500;
+    asks_[ev.tag] = [=, this] (const gl_tell_t &t) {
+      gl_tell_t copy_of = t;
+      std::string why = t.reason ? t.reason : "";
+      later (NET_MS, [=] {
+        gl_tell_t u = copy_of;
+        u.reason = (char *)why.c_str ();
+        told (GL_OK, &u);
+      });
+    };
+    step (to, ev);
+    codec_free ((xdrproc_t)xdr_gl_ask_t, &ask);
+  });
+}
+
+void
+World::tell (int i, const cell_effect_t &e)
+{
+  auto it = asks_.find (e.tag);
+
+  (void)i;
+  if (it == asks_.end ())
+    return;
+  auto fn = it->second;
+  asks_.erase (it);
+  fn (e.tell);
+}
+
+void
+World::submit (const std::string &id, const std::string &queue,
+               const std::vector<gl_step_t> &steps, int vm)
+{
+  gl_work_t work{};
+  gl_ask_t ask{};
+  cell_event_t ev{};
+  JobSeen &j = jobs[id];
+  std::vector<gl_step_t> copy = steps;
+
+  for (size_t k = 0; vm < 0 && k < vms.size (); k++)
+    {
+      size_t at = (random () + k) % vms.size ();
+      if (vms[at].alive && !vms[at].frozen)
+        vm = (int)at;
+    }
+  if (vm < 0 || !vms[(size_t)vm].alive || vms[(size_t)vm].frozen)
+    return;
+  if (j.widths.empty ())
+    for (auto &s : steps)
+      {
+        j.widths.push_back ((int)s.count);
+        j.needs.push_back (s.need);
+        j.gangs.push_back (s.gang);
+        j.after.push_back ({ s.after.after_val,
+                             s.after.after_val + s.after.after_len });
+      }
+  j.attempts_made++;
+  work.id = (char *)id.c_str ();
+  work.queue = (char *)queue.c_str ();
+  work.payload = (char *)"x";
+  work.steps.steps_len = (u_int)copy.size ();
+  work.steps.steps_val = copy.data ();
+  ask.verb = GL_VERB_SUBMIT;
+  ask.id = (char *)id.c_str ();
+  ask.work = &work;
+  ev.kind = CELL_EV_ASK;
+  ev.ask = &ask;
+  ev.tag = ++next_ask_;
+  ev.deadline = now + 3000;
+  asks_[ev.tag] = [=, this] (const gl_tell_t &t) {
+    JobSeen &k = jobs[id];
+    if (t.code == GL_OK)
+      k.accepted = true;
+    else if (t.code == GL_RETRY)
+      k.refusals++;
+    else
+      k.maybe = true;
+  };
+  step (vm, ev);
+}
+
+void
+World::cancel (const std::string &id)
+{
+  gl_ask_t ask{};
+  cell_event_t ev{};
+
+  for (size_t k = 0; k < vms.size (); k++)
+    {
+      if (!vms[k].alive || vms[k].frozen)
+        continue;
+      ask.verb = GL_VERB_CANCEL;
+      ask.id = (char *)id.c_str ();
+      ev.kind = CELL_EV_ASK;
+      ev.ask = &ask;
+      ev.tag = ++next_ask_;
+      ev.deadline = now + 3000;
+      asks_[ev.tag] = [=, this] (const gl_tell_t &t) {
+        if (t.code == GL_OK && !jobs[id].cancelled)
+          {
+            jobs[id].cancelled = true;
+            jobs[id].cancelled_at = now;
+          }
+      };
+      jobs[id].cancel_sent = true;
+      step ((int)k, ev);
+      return;
+    }
+}
+
+void
+World::ask (const std::string &id)
+{
+  static const char *const names[]
+      = { "pending", "running", "completed", "failed", "cancelled" };
+  gl_ask_t ask{};
+  cell_event_t ev{};
+
+  for (size_t k = 0; k < vms.size (); k++)
+    {
+      if (!vms[k].alive || vms[k].frozen)
+        continue;
+      ask.verb = GL_VERB_STATE;
+      ask.id = (char *)id.c_str ();
+      ev.kind = CELL_EV_ASK;
+      ev.ask = &ask;
+      ev.tag = ++next_ask_;
+      ev.deadline = now + 3000;
+      asks_[ev.tag] = [=, this] (const gl_tell_t &t) {
+        JobSeen &j = jobs[id];
+        j.shown = t.code == GL_OK          ? names[t.phase]
+                  : t.code == GL_NOT_FOUND ? "none"
+                                           : "unknown";
+        if (j.shown == "none" && j.accepted && !j.cancel_sent)
+          break_promise ("lost " + id);
+        if (j.shown != "completed")
+          return;
+        for (size_t s = 0; s < j.widths.size (); s++)
+          for (int n = 0; n < j.widths[s] && !j.gangs[s]; n++)
+            if (done_[id + ".0." + std::to_string (s) + "."
+                      + std::to_string (n)]
+                    .empty ())
+              break_promise ("completed without its tasks: " + id);
+      };
+      step ((int)k, ev);
+      return;
+    }
+}
+
+/* ---- time ---- */
+
+void
+World::run (gl_ms_t ms)
+{
+  gl_ms_t end = now + ms;
+
+  while (now < end)
+    {
+      now++;
+      end_leases ();
+      for (Worker &w : workers)
+        end_runs (w);
+      while (!due_.empty () && due_.top ().at <= now)
+        {
+          Fn fn = due_.top ().fn;
+          due_.pop ();
+          fn ();
+        }
+      for (size_t i = 0; i < vms.size (); i++)
+        if (vms[i].alive && !vms[i].frozen && cell_due (vms[i].cell) <= now
+            && now % TICK_MS == 0)
+          {
+            cell_event_t ev{};
+            ev.kind = CELL_EV_TICK;
+            step ((int)i, ev);
+          }
+    }
+}
+
+void
+World::settle (gl_ms_t ms)
+{
+  store_mode = StoreMode::fine;
+  for (Worker &w : workers)
+    {
+      w.reachable = true;
+      w.loses_answers = false;
+      w.late_ms = 0;
+    }
+  for (size_t i = 0; i < vms.size (); i++)
+    {
+      vms[i].frozen = false;
+      vms[i].store_cut = false;
+      start_vm ((int)i);
+    }
+  for (size_t w = 0; w < workers.size (); w++)
+    set_listed ((int)w, true);
+  run (ms);
+  for (auto &j : jobs)
+    if (j.second.accepted)
+      ask (j.first);
+  run (500);
+  for (auto &j : jobs)
+    if (j.second.accepted && !j.second.cancelled
+        && !(j.second.cancel_sent && j.second.shown == "cancelled")
+        && j.second.shown != "completed" && j.second.shown != "failed")
+      break_promise ("not ended: " + j.first + " is " + j.second.shown);
+  for (auto &j : jobs)
+    if (j.second.attempts_made && j.second.refusals == j.second.attempts_made
+        && !j.second.accepted && !j.second.maybe)
+      for (auto &d : done_)
+        if (d.first.rfind (j.first, 0) == 0)
+          break_promise ("refused and run: " + j.first);
+}
--- a/tests/fuzz_sched.cc
+++ b/tests/fuzz_sched.cc
@@ -71,28 +71,6 @@
   return sim.violation ();
 }
 
-/* A script from a file: "world N", then lines "kind,argument,gap". */
-static bool
-read_script (const char *path, std::vector<Step> *script, uint64_t *world)
-{
-  FILE *f = fopen (path, "r");
-  char line[128];
-
-  if (!f)
-    return false;
-  while (fgets (line, sizeof line, f))
-    {
-      Step s;
-      unsigned long long w;
-      if (sscanf (line, "world %llu", &w) == 1)
-        *world = w;
-      else if (sscanf (line, "%d,%u,%d", &s.kind, &s.arg, &s.gap) == 3)
-        script->push_back (s);
-    }
-  fclose (f);
-  return true;
-}
-
 /* Scripts that once broke a promise; each must pass for ever after. */
 class Script : public testing::TestWithParam<const char *>
 {
--- a/tests/script.h
+++ b/tests/script.h
@@ -2,10 +2,14 @@
 #ifndef SCRIPT_H
 #define SCRIPT_H
 
+#include <algorithm>
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <ostream>
 #include <rapidcheck.h>
+#include <string>
 #include <vector>
 
 /* One step: what, with which argument, and how long after it, ms. */
@@ -55,4 +59,38 @@
   return v ? atoi (v) : preset;
 }
 
+/* A script from a file: "world N", then lines "kind,argument,gap". */
+inline bool
+read_script (const char *path, std::vector<Step> *script, uint64_t *world)
+{
+  FILE *f = fopen (path, "r");
+  char line[128];
+
+  if (!f)
+    return false;
+  while (fgets (line, sizeof line, f))
+    {
+      Step s;
+      unsigned long long w;
+      if (sscanf (line, "world %llu", &w) == 1)
+        *world = w;
+      else if (sscanf (line, "%d,%u,%d", &s.kind, &s.arg, &s.gap) == 3)
+        script->push_back (s);
+    }
+  fclose (f);
+  return true;
+}
+
+/* The files of a folder, in order. */
+inline std::vector<std::string>
+scripts_in (const char *folder)
+{
+  std::vector<std::string> v;
+
+  for (auto &f : std::filesystem::directory_iterator (folder))
+    v.push_back (f.path ().string ());
+  std::sort (v.begin (), v.end ());
+  return v;
+}
+
 #endif
