A stop that is sent again does not put off its settlement

Cause (LOST): each acknowledged copy of a stop moved the moment after which a look counts, so a run that had never begun held its task for ever.

--- a/src/cell.c
+++ b/src/cell.c
@@ -93,6 +93,23 @@
   return NULL;
 }
 
+/* A job may have been loaded before its queue was known here. */
+static void
+renew_queues (cell_t *c)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  while ((h = pool_next (&c->jobs, &pos)))
+    {
+      cjob_t *j = pool_get (&c->jobs, h);
+
+      for (int i = 0; j->queue < 0 && i < c->conf.nqueues; i++)
+        if (!strcmp (c->conf.queues[i].name, j->work.queue))
+          j->queue = i;
+    }
+}
+
 /* Queues keep their places, since jobs refer to them; one that is no longer
    in the configuration takes no new jobs. */
 static void
@@ -125,6 +142,7 @@
       v[c->conf.nqueues++] = conf->queues[i];
       added++;
     }
+  renew_queues (c);
   cell_log (c, "config version=%llu was=%llu queues=%d added=%d",
             (unsigned long long)conf->version,
             (unsigned long long)c->conf.version, conf->nqueues, added);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -76,7 +76,7 @@
  * @failures, @failed: runs that have failed, and how many
  * @worker, @pos: worker that holds it and place in that worker's list; -1
  * @sent: when the order in force was sent
- * @fenced_at: when a stop of its run was taken, 0 if none was
+ * @fenced: last call made before a stop of its run was taken, 0 if none was
  * @row_at: the look that listed it last
  */
 typedef struct
@@ -91,7 +91,7 @@
   int worker;
   int pos;
   gl_ms_t sent;
-  gl_ms_t fenced_at;
+  uint64_t fenced;
   uint64_t row_at;
   char saved[64];
 } ctask_t;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -309,7 +309,7 @@
       w->captasks = cap;
     }
   t->worker = worker;
-  t->fenced_at = 0;
+  t->fenced = 0;
   t->pos = w->ntasks;
   w->tasks[w->ntasks++] = (ctref_t){ s->self, index };
   if (!s->def->filler)
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -739,7 +739,8 @@
   if (k->code != CELL_W_OK)
     return;
   /* A look that begins now shows whether the run was there at all. */
-  t->fenced_at = c->now;
+  if (!t->fenced)
+    t->fenced = c->next_tag;
   if (t->state != CT_UNSURE)
     return;
   t->state = CT_STOPPING;
@@ -761,7 +762,7 @@
       ref = w->tasks[i];
       s = pool_get (&c->steps, ref.step);
       t = &s->tasks[ref.index];
-      if (t->state == CT_STOPPING && t->fenced_at && k->sent > t->fenced_at
+      if (t->state == CT_STOPPING && t->fenced && k->tag > t->fenced
           && t->row_at != k->tag)
         ctask_ended (c, s, ref.index, t->run, CELL_HOW_STOPPED, NULL);
     }
