--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -606,7 +606,8 @@
   ours = t && t->state != CT_DONE
          && ((t->worker == (int)(w - c->workers) && t->run == e->run)
              || (t->inherited && t->state == CT_WAITING
-                 && !ctask_failed (t, e->run)));
+                 && !ctask_failed (t, e->run))
+             || (t->state == CT_WAITING && e->how == CELL_HOW_DONE));
   if (ours)
     {
       j = cstep_job (c, s);
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -714,6 +714,9 @@
 
   if (!w.alive)
     return;
+  if (now >= w.lease)
+    for (End &e : w.ends)
+      e.lapsed = true;
   for (auto &r : w.running)
     names.push_back (r.first);
   for (auto &n : names)
@@ -926,6 +929,9 @@
         for (auto &e : w->ends)
           if (e.number <= c->k.cursor)
             {
+              /* A lease that ended in between voids what was listed. */
+              if (e.lapsed)
+                continue;
               if (e.how == CELL_HOW_DONE)
                 done_acked_.insert (e.task);
               if (e.how == CELL_HOW_FAILED)
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -41,6 +41,7 @@
   std::string task;
   uint32_t run;
   cell_how_t how;
+  bool lapsed = false; /* the lease has ended since */
 };
 
 struct Worker
