--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -520,6 +520,10 @@
                 s->index, vm->vm, (unsigned long long)(c->now - k->sent));
       return;
     }
+  cell_log (c, "counsel id=%s turn=%u step=%u named=%d approved=%u vm=%s ms=%llu",
+            j->id, s->turn, s->index, k->nworkers,
+            counsel->tickets.tickets_len, vm->vm,
+            (unsigned long long)(c->now - k->sent));
   learn (c, j, k, counsel->tickets.tickets_len);
   if (grow_verdicts (s, c->nworkers))
     return;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -633,6 +633,12 @@
   else if (t && t->state != CT_DONE && e->how == CELL_HOW_DONE)
     cell_log (c, "end_unexpected task=%s run=%u worker=%s known_run=%u",
               e->task, e->run, w->info.id, t->run);
+  /* What another end has made known, as for a gang, has to be written too. */
+  if (t && !j)
+    {
+      j = cstep_job (c, s);
+      version = j->version;
+    }
   if (gate_add (w, e->number, j, version))
     return;
   w->seen = e->number;
