Room is held for gangs; the advisor is asked once about all workers

Cause: gangs of large tasks that may use a quarter of the workers never found their room at one moment, and their tickets came and ran out one by one; some did not start in 20 s with half of the cell free (LOST), most were late.

Ruled out: asking more often, which the advisor's lines do not bear.

--- a/src/cell.c
+++ b/src/cell.c
@@ -260,7 +260,7 @@
       cworker_answer (c, ev);
       break;
     case CELL_EV_COUNSEL:
-      plan_counsel (c, ev);
+      consult_answer (c, ev);
       break;
     case CELL_EV_ASK:
       ask_take (c, ev);
--- /dev/null
+++ b/src/cellconsult.c
@@ -0,0 +1,405 @@
+/*
+ * cellconsult.c -- what to ask the advisor, when, and from which VM
+ *
+ * The advisor serves one consultation at a time for each VM, so its lines
+ * are the scarce resource.  A consultation goes to the VM whose line is free
+ * soonest; long ones leave one line to urgent questions.
+ *
+ * Where a consultation is cheap it names workers that have room now, as many
+ * as the learned share of approvals makes necessary.  Where it is dear, the
+ * first one of a step names every worker that could ever run it, since its
+ * verdicts last; later ones only renew the tickets of workers that it will
+ * use.
+ */
+#include "cellint.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A ticket is not used in its last moments. */
+#define TICKET_MARGIN_MS 60
+/* Share of approvals assumed of a queue before any answer. */
+#define SHARE_FIRST 0.5
+/* Weight of one answer in the learned share. */
+#define SHARE_WEIGHT 0.1
+/* More approvals are sought than are needed by this factor. */
+#define SURPLUS 1.3
+/* Workers named at least, when so many have room. */
+#define NAMED_MIN 6
+#define NAMED_MAX 100
+/* A consultation of this length is a long one. */
+#define LONG_MS 300
+/* A queue is dear to consult about if one decision takes this long. */
+#define DEAR_MS 200
+/* Share of new workers that makes another survey worth while. */
+#define NEW_SHARE 0.25
+/* Grace for an answer beyond the advisor's own time. */
+#define CONSULT_GRACE_MS 600
+/* Pause after a failed consultation, and of the VM that it went through. */
+#define CONSULT_AGAIN_MS 40
+#define VM_SHY_MS 500
+/* Time that a line may be busy ahead of an urgent and another question. */
+#define LINE_URGENT_MS 60
+#define LINE_OTHER_MS 10
+
+/* ---- tickets ---- */
+
+void
+consult_drop_stale (const cell_t *c, cstep_t *s)
+{
+  int n = 0;
+
+  for (int i = 0; i < s->npasses; i++)
+    if (s->passes[i].until > c->now && !c->workers[s->passes[i].worker].gone)
+      s->passes[n++] = s->passes[i];
+  s->npasses = n;
+}
+
+const char *
+consult_ticket (const cstep_t *s, int worker)
+{
+  for (int i = 0; i < s->npasses; i++)
+    if (s->passes[i].worker == worker)
+      return s->passes[i].ticket;
+  return NULL;
+}
+
+/* ---- whom to name ---- */
+
+int
+consult_verdict (const cstep_t *s, int worker)
+{
+  return worker < s->nverdicts ? s->verdicts[worker] : 0;
+}
+
+typedef struct
+{
+  int worker;
+  int room;
+  int approved;
+} candidate_t;
+
+static int
+candidate_cmp (const void *a, const void *b)
+{
+  const candidate_t *x = a;
+  const candidate_t *y = b;
+
+  if (x->approved != y->approved)
+    return y->approved - x->approved;
+  return y->room - x->room;
+}
+
+/* Workers worth naming: room now, not refused before, no ticket yet. */
+static int
+candidates (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+            candidate_t *out)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      int room;
+
+      if (consult_verdict (s, i) == 2 || consult_ticket (s, i))
+        continue;
+      room = room_for (c, s, q, i);
+      if (room
+          && (room_is_near (&c->workers[i], s) || !room_is_patient (c, s)))
+        out[n++] = (candidate_t){ i, room, consult_verdict (s, i) == 1 };
+    }
+  qsort (out, (size_t)n, sizeof *out, candidate_cmp);
+  return n;
+}
+
+int
+consult_is_dear (const cell_queue_t *q)
+{
+  return q->decide_ms >= DEAR_MS;
+}
+
+/* The first dear consultation names all workers, and so does a later one
+   when many of them are new. */
+static int
+needs_survey (const cell_t *c, const cstep_t *s, const cell_queue_t *q)
+{
+  return consult_is_dear (q)
+         && (!s->surveyed
+             || c->nworkers - s->surveyed > s->surveyed * NEW_SHARE);
+}
+
+static int
+unasked (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+         candidate_t *out)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nworkers && n < NAMED_MAX; i++)
+    if (!consult_verdict (s, i) && room_ever (c, s, q, i))
+      out[n++] = (candidate_t){ i, 1, 0 };
+  return n;
+}
+
+/* Workers on which a gang's room is, or will be when the answer comes; all
+   together, so that their tickets hold at one moment. */
+static int
+held (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+      candidate_t *out)
+{
+  int n = 0;
+
+  if (!s->nholds
+      || (double)s->shadow
+             > (double)c->now + q->decide_ms + s->nholds * q->each_ms)
+    return 0;
+  for (int i = 0; i < s->nholds; i++)
+    out[n++] = (candidate_t){ s->holds[i].worker, 1, 1 };
+  return n;
+}
+
+static double
+share_of (const cell_t *c, const cjob_t *j)
+{
+  double p = j->queue < CELL_NAME ? c->share[j->queue] : 0;
+
+  return p > 0 ? p : SHARE_FIRST;
+}
+
+static int
+names_needed (const cell_t *c, const cstep_t *s, const cjob_t *j,
+              const candidate_t *v, int n)
+{
+  double want = s->nwaiting * SURPLUS;
+  double have = 0;
+  int k = 0;
+
+  while (k < n && k < NAMED_MAX && (have < want || k < NAMED_MIN))
+    {
+      double room
+          = v[k].room < (int)s->nwaiting ? v[k].room : (int)s->nwaiting;
+
+      have += room * (v[k].approved ? 1 : share_of (c, j));
+      k++;
+    }
+  return k;
+}
+
+static cconsult_t *
+free_consult (cell_t *c)
+{
+  for (int i = 0; i < CELL_CONSULTS; i++)
+    if (!c->consults[i].tag)
+      return &c->consults[i];
+  return NULL;
+}
+
+/* The VM whose line is free soonest, or -1 when none is free soon enough. */
+static int
+choose_line (const cell_t *c, int priority, double cost)
+{
+  double limit = priority == 0 ? LINE_URGENT_MS : LINE_OTHER_MS;
+  int best = -1;
+  int idle = 0;
+
+  for (int i = 0; i < c->nvms; i++)
+    {
+      const cvm_t *v = &c->vms[i];
+
+      if (!v->listed || c->now < v->shy_until)
+        continue;
+      if (v->busy_ms <= LINE_URGENT_MS)
+        idle++;
+      if (v->busy_ms <= limit
+          && (best < 0 || v->busy_ms < c->vms[best].busy_ms))
+        best = i;
+    }
+  if (cost > LONG_MS && idle < 2)
+    return -1;
+  return best;
+}
+
+static void
+send_consult (cell_t *c, cstep_t *s, const cell_queue_t *q,
+              const candidate_t *v, int n, int vm, double cost)
+{
+  cconsult_t *k = free_consult (c);
+  cell_effect_t *e = k ? cell_fx (c, CELL_FX_CONSULT) : NULL;
+  const cjob_t *j = cstep_job (c, s);
+  char name[CELL_NAME];
+
+  if (!e || !(e->consult = calloc (1, sizeof *e->consult)))
+    return;
+  memset (k, 0, sizeof *k);
+  k->tag = e->tag = cell_tag (c);
+  k->step = s->self;
+  k->vm = vm;
+  k->cost = cost;
+  k->sent = c->now;
+  cell_set (e->key, c->vms[vm].addr);
+  e->timeout = (gl_ms_t)(cost + c->vms[vm].busy_ms) + CONSULT_GRACE_MS;
+  snprintf (name, sizeof name, "%s.%u.%u", j->id, s->turn, s->index);
+  e->consult->priority = (u_int)q->priority;
+  e->consult->step = strdup (name);
+  e->consult->workers.workers_val
+      = calloc ((size_t)n, sizeof *e->consult->workers.workers_val);
+  for (int i = 0; i < n && e->consult->workers.workers_val; i++)
+    {
+      k->workers[k->nworkers++] = v[i].worker;
+      e->consult->workers.workers_val[e->consult->workers.workers_len++]
+          = strdup (c->workers[v[i].worker].info.id);
+    }
+  s->asked = k->tag;
+  c->vms[vm].busy_ms += cost;
+  c->c.consults++;
+  c->c.consulted += (uint64_t)n;
+}
+
+void
+consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q)
+{
+  candidate_t *v;
+  double cost;
+  int survey;
+  int n;
+  int vm;
+
+  if (s->asked || c->now < s->ask_after)
+    return;
+  v = calloc ((size_t)c->nworkers + 1, sizeof *v);
+  if (!v)
+    return;
+  survey = needs_survey (c, s, q);
+  if (survey)
+    n = unasked (c, s, q, v);
+  else if (consult_is_dear (q) && s->def->gang)
+    n = held (c, s, q, v);
+  else
+    {
+      n = candidates (c, s, q, v);
+      n = names_needed (c, s, cstep_job (c, s), v, n);
+    }
+  cost = q->decide_ms + n * q->each_ms;
+  vm = n ? choose_line (c, q->priority, cost) : -1;
+  if (vm >= 0)
+    {
+      send_consult (c, s, q, v, n, vm, cost);
+      s->surveyed = survey ? c->nworkers : s->surveyed;
+    }
+  free (v);
+}
+
+static void
+learn (cell_t *c, const cjob_t *j, const cconsult_t *k, u_int approved)
+{
+  double *p;
+
+  if (j->queue < 0 || j->queue >= CELL_NAME || !k->nworkers)
+    return;
+  p = &c->share[j->queue];
+  if (*p <= 0)
+    *p = SHARE_FIRST;
+  *p += SHARE_WEIGHT * ((double)approved / k->nworkers - *p);
+  if (*p < 0.05)
+    *p = 0.05;
+}
+
+static int
+grow_verdicts (cstep_t *s, int n)
+{
+  unsigned char *v;
+
+  if (n <= s->nverdicts)
+    return 0;
+  v = realloc (s->verdicts, (size_t)n);
+  if (!v)
+    return -1;
+  memset (v + s->nverdicts, 0, (size_t)(n - s->nverdicts));
+  s->verdicts = v;
+  s->nverdicts = n;
+  return 0;
+}
+
+static void
+drop_pass (cstep_t *s, int worker)
+{
+  for (int i = 0; i < s->npasses; i++)
+    if (s->passes[i].worker == worker)
+      {
+        s->passes[i] = s->passes[--s->npasses];
+        return;
+      }
+}
+
+static void
+add_pass (cell_t *c, cstep_t *s, const gl_ticket_t *ticket, uint32_t valid_ms)
+{
+  cworker_t *w = worker_named (c, ticket->worker);
+  cpass_t *v;
+  int i = w ? (int)(w - c->workers) : -1;
+
+  if (i < 0 || valid_ms <= TICKET_MARGIN_MS
+      || strlen (ticket->ticket) >= sizeof v->ticket)
+    return;
+  s->verdicts[i] = 1;
+  drop_pass (s, i);
+  v = realloc (s->passes, (size_t)(s->npasses + 1) * sizeof *v);
+  if (!v)
+    return;
+  s->passes = v;
+  v[s->npasses].worker = i;
+  v[s->npasses].until = c->now + valid_ms - TICKET_MARGIN_MS;
+  cell_set (v[s->npasses].ticket, ticket->ticket);
+  s->npasses++;
+  c->c.approved++;
+}
+
+static void
+take_counsel (cell_t *c, const cconsult_t *k, const gl_counsel_t *counsel)
+{
+  cstep_t *s = pool_get (&c->steps, k->step);
+  cjob_t *j = s ? cstep_job (c, s) : NULL;
+  cvm_t *vm = &c->vms[k->vm];
+
+  vm->busy_ms -= k->cost;
+  if (vm->busy_ms < 0)
+    vm->busy_ms = 0;
+  plan_wake (c);
+  if (!s)
+    return;
+  s->asked = 0;
+  if (!counsel || counsel->code != GL_OK)
+    {
+      c->c.consults_failed++;
+      s->ask_after = c->now + CONSULT_AGAIN_MS;
+      vm->shy_until = c->now + VM_SHY_MS;
+      cell_log (c, "consult_failed id=%s step=%u vm=%s ms=%llu", j->id,
+                s->index, vm->vm, (unsigned long long)(c->now - k->sent));
+      return;
+    }
+  cell_log (
+      c, "counsel id=%s turn=%u step=%u named=%d approved=%u vm=%s ms=%llu",
+      j->id, s->turn, s->index, k->nworkers, counsel->tickets.tickets_len,
+      vm->vm, (unsigned long long)(c->now - k->sent));
+  learn (c, j, k, counsel->tickets.tickets_len);
+  if (grow_verdicts (s, c->nworkers))
+    return;
+  for (int i = 0; i < k->nworkers; i++)
+    s->verdicts[k->workers[i]] = 2;
+  for (u_int i = 0; i < counsel->tickets.tickets_len; i++)
+    add_pass (c, s, &counsel->tickets.tickets_val[i], counsel->valid_ms);
+}
+
+void
+consult_answer (cell_t *c, const cell_event_t *ev)
+{
+  for (int i = 0; i < CELL_CONSULTS; i++)
+    if (c->consults[i].tag == ev->tag && ev->tag)
+      {
+        cconsult_t k = c->consults[i];
+
+        c->consults[i].tag = 0;
+        take_counsel (c, &k, ev->counsel);
+        return;
+      }
+}
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -55,6 +55,8 @@
 #define CELL_RETRY_MS 1000
 /* A caller's request without an owner is refused after this. */
 #define CELL_OWNERLESS_MS 1500
+/* Reservations that may share a worker. */
+#define CELL_HOLDS 8
 /* Time kept back from a caller's deadline for the answer's way. */
 #define CELL_ANSWER_SLACK_MS 60
 
@@ -78,6 +80,7 @@
  * @sent: when the order in force was sent
  * @fenced: last call made before a stop of its run was taken, 0 if none was
  * @row_at: the look that listed it last
+ * @expect_end: when its run is expected to end
  */
 typedef struct
 {
@@ -93,6 +96,7 @@
   gl_ms_t sent;
   uint64_t fenced;
   uint64_t row_at;
+  gl_ms_t expect_end;
   char saved[64];
 } ctask_t;
 
@@ -104,12 +108,27 @@
   char ticket[48];
 } cpass_t;
 
+/**
+ * struct chold_t - room set aside for tasks of a gang on one worker
+ * @shadow: when the gang is expected to begin
+ */
+typedef struct
+{
+  handle_t step;
+  int worker;
+  int n;
+  gl_ms_t shadow;
+  gl_res_t need;
+} chold_t;
+
 /**
  * struct cstep_t - one step in one turn of a job
  * @ready: its predecessors are done and its time has come
  * @since: when it became ready
  * @verdicts: what the advisor said of each worker
  * @asked: consultation that is out, 0 for none
+ * @surveyed: number of workers when all of them were asked about, 0 before
+ * @holds: room set aside for it, since @held_at, for a start at @shadow
  */
 typedef struct
 {
@@ -130,6 +149,11 @@
   int npasses;
   uint64_t asked;
   gl_ms_t ask_after;
+  int surveyed;
+  chold_t *holds;
+  int nholds;
+  gl_ms_t held_at;
+  gl_ms_t shadow;
 } cstep_t;
 
 typedef struct
@@ -243,6 +267,8 @@
   ctref_t *tasks;
   int ntasks;
   int captasks;
+  chold_t holds[CELL_HOLDS];
+  int nholds;
 } cworker_t;
 
 /** struct cvm_t - another VM of the cell */
@@ -440,6 +466,7 @@
   names_t job_names;
   handles_t waiting;
   handles_t timed;
+  int64_t held_cpus;
   int plan_due;
   gl_ms_t planned_at;
   double share[CELL_NAME];
@@ -572,12 +599,53 @@
 /** cworker_usable - new tasks may be started on it */
 int cworker_usable (const cell_t *c, const cworker_t *w);
 
+/* cellroom.c */
+
+/** room_for - how many tasks of the step the worker can take now */
+int room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+              int worker);
+/** room_ever - how many it could take if it were empty */
+int room_ever (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+               int worker);
+int room_has_label (const cworker_t *w, const char *label);
+/** room_is_near - its rack is the one that the step wants, or it wants none */
+int room_is_near (const cworker_t *w, const cstep_t *s);
+/** room_is_patient - it should go on waiting for the rack that it wants */
+int room_is_patient (const cell_t *c, const cstep_t *s);
+
+/* cellhold.c */
+
+/** hold_room - set room aside for a waiting gang, or renew what was */
+void hold_room (cell_t *c, cstep_t *s, const cell_queue_t *q);
+/** hold_drop - give it back */
+void hold_drop (cell_t *c, cstep_t *s);
+/** hold_on - tasks of the step that room is held for on the worker */
+int hold_on (const cstep_t *s, int worker);
+/** hold_others - what is held there for other steps, as far as @s has to
+    leave it alone */
+gl_res_t hold_others (const cell_t *c, const cstep_t *s, int worker);
+
+/* cellconsult.c */
+
+/** consult_step - ask the advisor for what the step lacks */
+void consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q);
+void consult_answer (cell_t *c, const cell_event_t *ev);
+/** consult_ticket - a ticket of the step for the worker, or NULL */
+const char *consult_ticket (const cstep_t *s, int worker);
+/** consult_drop_stale - forget tickets that have run out */
+void consult_drop_stale (const cell_t *c, cstep_t *s);
+/** consult_verdict - 0 not asked, 1 approved, 2 refused */
+int consult_verdict (const cstep_t *s, int worker);
+/** consult_is_dear - asking about one worker costs much already */
+int consult_is_dear (const cell_queue_t *q);
+
 /* cellplan.c */
 
 /** plan_wake - plan at the end of this event */
 void plan_wake (cell_t *c);
+/** plan_queue - the job's queue, or NULL when it is not known here */
+const cell_queue_t *plan_queue (const cell_t *c, const cjob_t *j);
 void plan_run (cell_t *c);
-void plan_counsel (cell_t *c, const cell_event_t *ev);
 void plan_tick (void *ctx, gl_ms_t now);
 void plan_reset (cell_t *c);
 
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -78,6 +78,8 @@
   for (uint32_t i = 0; i < s->def->count; i++)
     if (s->tasks[i].worker >= 0)
       ctask_unbind (c, s, i);
+  hold_drop (c, s);
+  free (s->holds);
   free (s->tasks);
   free (s->verdicts);
   free (s->passes);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -35,6 +35,8 @@
 #define LOOK_AGAIN_MS 150
 /* A worker that refused a start for its own reasons is spared this long. */
 #define SHY_MS 1000
+/* Progress from which on it tells when a run will end. */
+#define PERCENT_TELLING 5
 /* Unknown runs are stopped again after this. */
 #define STRAY_AGAIN_MS 300
 /* Wait of the first look of an owner: none, it is the census. */
@@ -441,6 +443,7 @@
   t->state = CT_STARTING;
   t->inherited = 0;
   t->sent = c->now;
+  t->expect_end = c->now + s->def->estimate_ms;
   if (!k)
     return;
   ctask_name (c, s, index, k->task);
@@ -551,6 +554,10 @@
   if (here && row->run == t->run)
     {
       t->percent = (unsigned char)row->percent;
+      if (row->percent >= PERCENT_TELLING && c->now > t->sent)
+        t->expect_end = c->now
+                        + (c->now - t->sent) * (gl_ms_t)(100 - row->percent)
+                              / (gl_ms_t)row->percent;
       t->row_at = k->tag;
       if (row->saved[0] && strcmp (row->saved, t->saved))
         cell_set (t->saved, row->saved);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -226,5 +226,6 @@
   return s;
 }
 
-INSTANTIATE_TEST_SUITE_P (Scripts, CellScript, testing::ValuesIn (scripts_in ("tests/cell")),
+INSTANTIATE_TEST_SUITE_P (Scripts, CellScript,
+                          testing::ValuesIn (scripts_in ("tests/cell")),
                           script_name);
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -259,8 +259,7 @@
         if (to < 0 || !vms[(size_t)to].alive || vms[(size_t)to].frozen)
           break;
         size_t len;
-        char *data
-            = codec_encode ((xdrproc_t)xdr_gl_beacon_t, e.beacon, &len);
+        char *data = codec_encode ((xdrproc_t)xdr_gl_beacon_t, e.beacon, &len);
         std::string copy (data, len);
         free (data);
         later (NET_MS, [=, this] {
@@ -356,11 +355,10 @@
   for (int k = 0; k < x.nchecks; k++)
     checks.push_back ({ x.checks[k].key, x.checks[k].revision });
   for (int k = 0; k < x.nputs; k++)
-    puts.push_back ({ x.puts[k].key,
-                      x.puts[k].value
-                          ? std::string (x.puts[k].value, x.puts[k].len)
-                          : "",
-                      x.puts[k].leased != 0, !x.puts[k].value });
+    puts.push_back (
+        { x.puts[k].key,
+          x.puts[k].value ? std::string (x.puts[k].value, x.puts[k].len) : "",
+          x.puts[k].leased != 0, !x.puts[k].value });
   later (STORE_MS, [=, this] {
     cell_event_t ev{};
     std::vector<cell_item_t> items;
@@ -660,7 +658,8 @@
   *last = 0;
   for (Worker &w : workers)
     for (auto &r : w.running)
-      if (w.alive && r.second.run == run && step_of (r.first) == step_of (task))
+      if (w.alive && r.second.run == run
+          && step_of (r.first) == step_of (task))
         {
           n++;
           *last = std::max (*last, r.second.began);
@@ -765,8 +764,8 @@
     break_promise ("started after its cancel " + task);
   else
     {
-      int step = atoi (task.substr (task.find ('.', task.find ('.') + 1) + 1)
-                           .c_str ());
+      int step = atoi (
+          task.substr (task.find ('.', task.find ('.') + 1) + 1).c_str ());
       for (int p : jobs[id].after[(size_t)step])
         for (int k = 0; k < jobs[id].widths[(size_t)p]; k++)
           {
@@ -804,8 +803,8 @@
     w.lease = std::max (w.lease, (gl_ms_t)k.until);
   if (code != CELL_W_OK || w.running.count (task))
     return;
-  int step = atoi (
-      task.substr (task.find ('.', task.find ('.') + 1) + 1).c_str ());
+  int step
+      = atoi (task.substr (task.find ('.', task.find ('.') + 1) + 1).c_str ());
   r.run = k.run;
   r.began = now;
   r.ends = now + work_ms / 2 + random () % work_ms;
@@ -813,8 +812,8 @@
   if (jobs.count (id))
     {
       r.need = jobs[id].needs[(size_t)step];
-      r.gang = jobs[id].gangs[(size_t)step] ? jobs[id].widths[(size_t)step]
-                                            : 0;
+      r.gang
+          = jobs[id].gangs[(size_t)step] ? jobs[id].widths[(size_t)step] : 0;
     }
   check_start (w, task, r, late);
   w.running[task] = r;
@@ -1106,8 +1105,8 @@
         j.widths.push_back ((int)s.count);
         j.needs.push_back (s.need);
         j.gangs.push_back (s.gang);
-        j.after.push_back ({ s.after.after_val,
-                             s.after.after_val + s.after.after_len });
+        j.after.push_back (
+            { s.after.after_val, s.after.after_val + s.after.after_len });
       }
   j.attempts_made++;
   work.id = (char *)id.c_str ();
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -19,9 +19,9 @@
 enum class StoreMode
 {
   fine,
-  down,    /* refuses everything */
-  silent,  /* takes nothing, answers nothing */
-  loses    /* does it and does not answer */
+  down,   /* refuses everything */
+  silent, /* takes nothing, answers nothing */
+  loses   /* does it and does not answer */
 };
 
 struct Run
@@ -144,7 +144,8 @@
     gl_ms_t at;
     uint64_t order;
     Fn fn;
-    bool operator< (const Due &o) const
+    bool
+    operator<(const Due &o) const
     {
       return at != o.at ? at > o.at : order > o.order;
     }
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -49,8 +49,8 @@
 
     steps.push_back (world_step (width, cpus, gang));
     if (arg / 256 % 2)
-      steps.push_back (world_step (1 + (int)(arg / 512 % 3), 700, false,
-                                   { 0 }));
+      steps.push_back (
+          world_step (1 + (int)(arg / 512 % 3), 700, false, { 0 }));
     w.submit (job_id (++submitted), arg / 2048 % 2 ? "urgent" : "batch",
               steps);
   }
@@ -65,8 +65,8 @@
       return;
     JobSeen &j = w.jobs[id];
     for (size_t i = 0; i < j.widths.size (); i++)
-      steps.push_back (world_step (j.widths[i], j.needs[i].cpus_m,
-                                   j.gangs[i], j.after[i]));
+      steps.push_back (
+          world_step (j.widths[i], j.needs[i].cpus_m, j.gangs[i], j.after[i]));
     w.submit (id, "batch", steps);
   }
 
@@ -144,9 +144,8 @@
   EXPECT_EQ ("", play_all (world, script, &starts));
 }
 
-INSTANTIATE_TEST_SUITE_P (Found, Script,
-                          testing::ValuesIn (scripts_in (
-                              "tests/cell-scripts")));
+INSTANTIATE_TEST_SUITE_P (
+    Found, Script, testing::ValuesIn (scripts_in ("tests/cell-scripts")));
 
 /* SCRIPT=file looks into another failure. */
 TEST (Replay, FromEnvironment)
