An owner's word is bounded by the last check that its tenure passed

The record 'settled' now says which owner has heard all. Found beside it by the scripted run: an owner without the store gave up a silent worker that its successor was renewing; it now waits until its own tenure has stood since, and an idle owner confirms it. VMs that the store does not serve learn the owner from its beacons.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -19,6 +19,8 @@
 /* An owner that has not heard from the store for this long stops renewing
    leases, which bounds what a successor must wait for. */
 #define CELL_RENEW_ALONE_MS 5000
+/* An owner confirms its tenure when no write has for so long. */
+#define CELL_CONFIRM_MS 400
 /* A worker keeps the answer to a look back for so long; the platform's bound
    is 2000. */
 #define CELL_LOOK_MS 1900
@@ -228,6 +230,7 @@
  * @heard: it has answered this owner
  * @enrolled: its key is in the store, so that a successor will know it
  * @gone: this life is over, nothing of it runs
+ * @over_at: when its leases were found to have ended, 0 if not
  * @lost_at: instant by which every lease that it can hold has ended, when
  *   it is silent and this owner has never heard it
  * @clock, @clock_at: its clock in an answer, and when that arrived
@@ -246,6 +249,7 @@
   int heard;
   int gone;
   int silent;
+  gl_ms_t over_at;
   gl_ms_t unlisted_at;
   gl_ms_t lost_at;
   gl_ms_t shy_until;
@@ -278,8 +282,7 @@
   char addr[64];
   char domain[32];
   int listed;
-  uint64_t revision;
-  int lines;
+  gl_ms_t unlisted_at;
   double busy_ms;
   gl_ms_t shy_until;
 } cvm_t;
@@ -414,6 +417,7 @@
   uint64_t generation;
   gl_tenure_t tenure;
   uint64_t tenure_rev;
+  uint64_t settled;
   int tenure_known;
   int owner_key;
   gl_ms_t owner_key_gone;
@@ -430,7 +434,11 @@
   int keys_lost;
   gl_ms_t leased_at;
   gl_ms_t leased_since;
-  gl_ms_t store_at;
+  gl_ms_t store_at; /* latest moment at which the tenure is known to stand */
+  gl_ms_t store_heard;
+  gl_ms_t claim_sent;
+  uint64_t confirm_tag;
+  gl_ms_t confirm_sent;
   gl_ms_t beacon_due;
   gl_ms_t took_over;
   int members_synced;
@@ -518,6 +526,11 @@
 void own_peer_down (cell_t *c, const char *addr);
 void own_tick (void *ctx, gl_ms_t now);
 void own_stop (cell_t *c);
+/** own_stands - a write that was sent at @sent has passed the check */
+void own_stands (cell_t *c, gl_ms_t sent);
+/** own_settled - every worker has been heard or its leases have ended; tell
+    a successor that no owner before this one need be waited for */
+void own_settled (cell_t *c);
 /** own_deposed - another VM owns the cell: forget its state */
 void own_deposed (cell_t *c, const char *why);
 /** own_check - the check that fences a transaction by our ownership */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -22,11 +22,15 @@
 
 #define KEY_TENURE "gl/m/tenure"
 #define KEY_OWNER "gl/m/owner"
+#define KEY_SETTLED "gl/m/settled"
 #define KEY_VM "gl/m/vm/"
 /* Standbys claim at different moments, to save all but one the attempt. */
 #define CLAIM_SPREAD_MS 60
 #define CLAIM_TIMEOUT_MS 1500
 #define TICK_MS 50
+/* A VM whose key is gone may be without the store only; it is told who owns
+   the cell for so long. */
+#define MISSED_MS 30000
 #define PAGE_TIMEOUT_MS 1500
 
 /* What a new owner reads, in this order. */
@@ -81,8 +85,11 @@
 
   if (gone)
     {
-      if (i)
-        c->vms[i - 1].listed = 0;
+      if (i && c->vms[i - 1].listed)
+        {
+          c->vms[i - 1].listed = 0;
+          c->vms[i - 1].unlisted_at = c->now;
+        }
       if (!strcmp (name, c->vm))
         c->keys_lost = 1;
       return;
@@ -119,6 +126,8 @@
 
   if (!strcmp (item->key, KEY_TENURE) && !ev->gone)
     take_tenure (c, item);
+  else if (!strcmp (item->key, KEY_SETTLED) && !ev->gone && item->value)
+    c->settled = strtoull (item->value, NULL, 10);
   else if (!strcmp (item->key, KEY_OWNER))
     {
       if (c->owner_key && ev->gone)
@@ -199,7 +208,7 @@
                   (unsigned long long)(c->now - c->leased_at));
       c->leased = 1;
       c->leased_at = c->now;
-      c->store_at = c->now;
+      c->store_heard = c->now;
       if (fresh || c->keys_lost)
         put_keys (c);
       c->keys_lost = 0;
@@ -300,6 +309,7 @@
   cell_log (c, "claim why=%s generation=%llu silent_ms=%llu", why,
             (unsigned long long)c->generation,
             (unsigned long long)(c->now - c->beacon_at));
+  c->claim_sent = c->now;
   if (!write_tenure (c, c->generation, 0, &c->claim_tag))
     c->role = CR_CLAIMING;
 }
@@ -308,9 +318,11 @@
 claimed (cell_t *c, uint64_t revision)
 {
   /* An owner that handed over, and a former process of this VM, renew
-     nothing any more. */
-  int alone
-      = c->tenure_known && !c->tenure.released && strcmp (c->tenure.vm, c->vm);
+     nothing any more; nor do those before it, once it had heard all. */
+  int quiet = c->tenure_known
+              && (c->tenure.released || !strcmp (c->tenure.vm, c->vm))
+              && c->settled == c->tenure.generation;
+  int alone = c->tenure_known && !quiet;
 
   codec_free ((xdrproc_t)xdr_gl_tenure_t, &c->tenure);
   c->tenure.generation = c->generation;
@@ -321,7 +333,8 @@
   c->tenure_known = 1;
   c->role = CR_LOADING;
   c->took_over = c->now;
-  c->store_at = c->now;
+  c->store_at = c->claim_sent;
+  c->store_heard = c->now;
   c->c.takeovers++;
   cell_log (c, "claimed generation=%llu revision=%llu",
             (unsigned long long)c->generation, (unsigned long long)revision);
@@ -329,6 +342,38 @@
   load_begin (c);
 }
 
+/* What this owner may do without asking depends on how long ago its tenure
+   was known to stand; a check without writes tells when nothing else does. */
+static void
+confirm (cell_t *c)
+{
+  cell_effect_t *e = cell_fx (c, CELL_FX_TXN);
+
+  if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
+    return;
+  c->confirm_tag = e->tag = cell_tag (c);
+  c->confirm_sent = c->now;
+  e->timeout = CELL_CONFIRM_MS;
+  own_check (c, e->txn);
+}
+
+static void
+confirmed (cell_t *c, const cell_event_t *ev)
+{
+  c->confirm_tag = 0;
+  if (ev->status == GL_ST_OK)
+    own_stands (c, c->confirm_sent);
+  else if (ev->status == GL_ST_CONFLICT && c->role == CR_OWNER)
+    own_deposed (c, "fenced by the store");
+}
+
+void
+own_stands (cell_t *c, gl_ms_t sent)
+{
+  if (sent > c->store_at)
+    c->store_at = sent;
+}
+
 /* The write may have been delivered twice; the second copy finds the first.
    Returns the revision of our own claim, or 0. */
 static uint64_t
@@ -359,7 +404,12 @@
   uint64_t revision = 0;
 
   if (ev->status == GL_ST_OK)
-    c->store_at = c->now;
+    c->store_heard = c->now;
+  if (ev->tag == c->confirm_tag && c->confirm_tag)
+    {
+      confirmed (c, ev);
+      return;
+    }
   if (save_wrote (c, ev) || cworkers_wrote (c, ev))
     return;
   if (ev->tag == c->release_tag && c->release_tag)
@@ -510,6 +560,24 @@
     loaded (c);
 }
 
+void
+own_settled (cell_t *c)
+{
+  cell_effect_t *e = cell_fx (c, CELL_FX_TXN);
+  cell_put_t *p;
+
+  if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
+    return;
+  e->tag = cell_tag (c);
+  e->timeout = CELL_TXN_MS;
+  own_check (c, e->txn);
+  p = &e->txn->puts[e->txn->nputs++];
+  cell_set (p->key, KEY_SETTLED);
+  if (asprintf (&p->value, "%llu", (unsigned long long)c->generation) < 0)
+    p->value = NULL;
+  p->len = p->value ? strlen (p->value) : 0;
+}
+
 void
 own_deposed (cell_t *c, const char *why)
 {
@@ -521,6 +589,7 @@
   c->c.deposed++;
   c->role = CR_STANDBY;
   c->claim_not_before = c->now + CELL_CLAIM_AGAIN_MS;
+  c->confirm_tag = 0;
   save_reset (c);
   plan_reset (c);
   while ((h = pool_next (&c->jobs, &pos)))
@@ -531,9 +600,30 @@
 
 /* ---- beacons and time ---- */
 
+/* A VM that the store does not serve learns from the beacon who owns the
+   cell; its own record keeps its revision, so it cannot claim by it. */
+static void
+learn_owner (cell_t *c, const gl_beacon_t *b)
+{
+  codec_free ((xdrproc_t)xdr_gl_tenure_t, &c->tenure);
+  c->tenure.generation = b->generation;
+  c->tenure.vm = strdup (b->vm);
+  c->tenure.addr = strdup (b->addr);
+  c->tenure.released = 0;
+  c->tenure_known = 1;
+  cell_log (c, "owner_is vm=%s generation=%llu by=beacon", b->vm,
+            (unsigned long long)b->generation);
+  if ((c->role == CR_OWNER || c->role == CR_LOADING)
+      && b->generation > c->generation)
+    own_deposed (c, "beacon of another owner");
+  ask_owner_changed (c);
+}
+
 void
 own_beacon (cell_t *c, const cell_event_t *ev)
 {
+  if (ev->beacon->generation > c->tenure.generation)
+    learn_owner (c, ev->beacon);
   if (ev->beacon->generation >= c->tenure.generation)
     {
       c->beacon_at = c->now;
@@ -566,7 +656,7 @@
 fill_beacon (cell_t *c, gl_beacon_t *b)
 {
   b->generation = c->generation;
-  b->store_age_ms = (u_int)(c->now - c->store_at);
+  b->store_age_ms = (u_int)(c->now - c->store_heard);
   b->vm = strdup (c->vm);
   b->addr = strdup (c->addr);
   b->queues.queues_val
@@ -595,7 +685,8 @@
     {
       cell_effect_t *e;
 
-      if (!c->vms[i].listed || !strcmp (c->vms[i].vm, c->vm))
+      if ((!c->vms[i].listed && c->now > c->vms[i].unlisted_at + MISSED_MS)
+          || !strcmp (c->vms[i].vm, c->vm))
         continue;
       e = cell_fx (c, CELL_FX_BEACON);
       if (!e || !(e->beacon = calloc (1, sizeof *e->beacon))
@@ -629,6 +720,9 @@
     ask_lease (c);
   if (c->role == CR_OWNER && now >= c->beacon_due)
     send_beacons (c);
+  if (c->role == CR_OWNER && !c->confirm_tag
+      && now >= c->store_at + CELL_CONFIRM_MS)
+    confirm (c);
   if (c->stopping)
     finish_stop (c);
   try_claim (c);
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -432,6 +432,7 @@
   if (ev->status == GL_ST_OK)
     {
       c->store_bad = 0;
+      own_stands (c, f->sent);
       for (int i = 0; i < f->n; i++)
         saved (c, &f->v[i]);
       return;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -126,6 +126,7 @@
       c->census_whole = 1;
       cell_log (c, "census_whole ms=%llu",
                 (unsigned long long)(c->now - c->took_over));
+      own_settled (c);
     }
   plan_wake (c);
 }
@@ -241,6 +242,7 @@
       w->ngates = 0;
       w->misses = 0;
       w->enrolled = 0;
+      w->over_at = 0;
       w->strays = 0;
       w->lost_at = c->now + c->lost_bound;
       c->unheard++;
@@ -521,6 +523,7 @@
       w->clock_at = c->now;
     }
   w->misses = 0;
+  w->over_at = 0;
   if (w->silent)
     {
       w->silent = 0;
@@ -847,7 +850,10 @@
 {
   if (w->gone)
     return;
-  if (w->silent && lease_over (c, w))
+  /* A successor might have renewed it, unless our tenure has stood since. */
+  if (w->silent && lease_over (c, w) && !w->over_at)
+    w->over_at = c->now;
+  if (w->silent && w->over_at && c->store_at >= w->over_at)
     {
       worker_gone (c, w, "lease_over");
       return;
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -137,6 +137,17 @@
         else
           w->freeze_vm (i, cmd == "freeze");
       }
+    else if (cmd == "part" || cmd == "join")
+      {
+        /* part VM WORKER: the VM does not reach the worker. */
+        in >> a >> n;
+        std::string addr = w->workers[(size_t)n].info.addr;
+        auto &cut = w->vms[(size_t)vm (a)].cut_from;
+        if (cmd == "part")
+          cut.insert (addr);
+        else
+          cut.erase (addr);
+      }
     else if (cmd == "killall")
       for (size_t i = 0; i < w->vms.size (); i++)
         w->kill_vm ((int)i);
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -69,6 +69,7 @@
   bool alive = true;
   bool frozen = false;
   bool store_cut = false;
+  std::set<std::string> cut_from; /* workers that it does not reach */
   uint64_t lease = 0;
   uint64_t life = 0;
 };
@@ -163,6 +164,7 @@
   void consult (int vm, uint64_t tag, const gl_consult_t &c);
   void forward (int vm, cell_effect_t &e);
   void tell (int vm, const cell_effect_t &e);
+  void notify (size_t i, const std::string &key, uint64_t life);
   void changed (const std::string &key, bool gone);
   void report (int vm, const std::string &key, bool gone);
   void report_worker (int vm, int w);
