--- a/src/cellask.c
+++ b/src/cellask.c
@@ -116,6 +116,13 @@
       tags_add (&j->waiters, r->tag);
       return;
     }
+  if (save_away (c))
+    {
+      c->c.refused++;
+      cell_tell (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0,
+                 "the store takes no writes");
+      return;
+    }
   why = r->ask.work ? why_invalid (c, r->ask.work) : "malformed";
   if (why)
     {
--- a/src/celld.c
+++ b/src/celld.c
@@ -27,6 +27,8 @@
 #define PROC_BEACON 3
 /* Bound on a beacon's answer. */
 #define BEACON_MS 400
+/* Log lines are written this often, in batches. */
+#define FLUSH_MS 100
 /* A peer's request is answered within this. */
 #define PEER_WAIT_MS 2500
 /* Tags of asks, apart from those of the reducer's calls. */
@@ -71,6 +73,7 @@
   pool_t consults;
   unsigned int ready;
   unsigned int owner;
+  gl_ms_t flushed;
 };
 
 static void step (celld_t *d, cell_event_t *ev);
@@ -467,6 +470,11 @@
 
   rpcmux_tick (d->rpc);
   step (d, &ev);
+  if (clock_ms () >= d->flushed + FLUSH_MS)
+    {
+      d->flushed = clock_ms ();
+      logs_flush ();
+    }
 }
 
 static gl_ms_t
@@ -522,7 +530,8 @@
   text_t t = { 0 };
 
   cell_metrics (d->cell, &t);
-  text_add (&t, "line_waiting %zu\n", d->line.n);
+  text_add (&t, "line_waiting %zu\nlog_lines_dropped %lu\n", d->line.n,
+            logs_dropped ());
   return t.s;
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -53,6 +53,8 @@
 #define CELL_CONTACT_MS 400
 /* A VM that has lost a claim, or the cell, does not claim again so soon. */
 #define CELL_CLAIM_AGAIN_MS 1500
+/* The store counts as away after this long without an answer. */
+#define CELL_STORE_AWAY_MS 300
 /* Retry time told to callers while there is no owner or no store. */
 #define CELL_RETRY_MS 1000
 /* A caller's request without an owner is refused after this. */
@@ -545,6 +547,9 @@
 void save_tick (void *ctx, gl_ms_t now);
 /** save_wrote - 1 if the result was for a transaction of this module */
 int save_wrote (cell_t *c, const cell_event_t *ev);
+/** save_away - the store has answered nothing for a while, and the last call
+    failed: what is new cannot be accepted now */
+int save_away (const cell_t *c);
 /** save_idle - nothing is dirty or in flight */
 int save_idle (const cell_t *c);
 void save_reset (cell_t *c);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -31,7 +31,7 @@
 /* A VM whose key is gone may be without the store only; it is told who owns
    the cell for so long. */
 #define MISSED_MS 30000
-#define PAGE_TIMEOUT_MS 1500
+#define PAGE_TIMEOUT_MS 500
 
 /* What a new owner reads, in this order. */
 static const char *const load_order[] = { "gl/w/", "gl/j/", "gl/p/", NULL };
@@ -362,9 +362,14 @@
 {
   c->confirm_tag = 0;
   if (ev->status == GL_ST_OK)
-    own_stands (c, c->confirm_sent);
+    {
+      c->store_bad = 0;
+      own_stands (c, c->confirm_sent);
+    }
   else if (ev->status == GL_ST_CONFLICT && c->role == CR_OWNER)
     own_deposed (c, "fenced by the store");
+  else
+    c->store_bad++;
 }
 
 void
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -61,6 +61,12 @@
                                              : c->now + CELL_PROGRESS_MS);
 }
 
+int
+save_away (const cell_t *c)
+{
+  return c->store_bad && c->now > c->store_heard + CELL_STORE_AWAY_MS;
+}
+
 int
 save_idle (const cell_t *c)
 {
--- a/src/logs.c
+++ b/src/logs.c
@@ -1,15 +1,38 @@
 /*
- * logs.c -- one line per change of state, through log4c
+ * logs.c -- one structured line per event, on standard output
+ *
+ * A line is formatted through log4c and goes into a buffer, which is written
+ * at once, or in batches where the caller flushes, and after an error.  Nothing waits for a reader: only what the descriptor takes at once
+ * is written, and a line that finds the buffer full, or the second's
+ * allowance used up, is dropped and counted.
  */
 #include "logs.h"
 
 #include <log4c.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
+
+#define BUFFER_BYTES 65536
+/* A pipe that polls as writable takes this much without blocking. */
+#define WRITE_BYTES 4096
+/* Lines of one second; a burst beyond it tells nothing new. */
+#define LINES_A_SECOND 3000
 
 static log4c_category_t *category;
 static char who[128];
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static char buffer[BUFFER_BYTES];
+static size_t buffered;
+static unsigned long dropped;
+static unsigned long dropped_told;
+static int batching;
+static time_t second;
+static unsigned int lines;
 
 static const char *
 format_line (const log4c_layout_t *layout, const log4c_logging_event_t *ev)
@@ -29,15 +52,98 @@
   return line;
 }
 
-static const log4c_layout_type_t layout_type = { "gentianlatch", format_line };
+static void
+write_out (void)
+{
+  struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  while (buffered && poll (&p, 1, 0) == 1 && (p.revents & POLLOUT))
+    {
+      size_t len = buffered < WRITE_BYTES ? buffered : WRITE_BYTES;
+      ssize_t n = write (STDOUT_FILENO, buffer, len);
+
+      if (n <= 0)
+        return;
+      buffered -= (size_t)n;
+      memmove (buffer, buffer + n, buffered);
+    }
+}
+
+static int
+add (const char *line)
+{
+  size_t len = strlen (line);
+
+  if (len > BUFFER_BYTES - buffered)
+    return -1;
+  memcpy (buffer + buffered, line, len);
+  buffered += len;
+  return 0;
+}
+
+/* Say how many lines are missing, once there is room again. */
+static void
+tell_dropped (void)
+{
+  char line[200];
+
+  if (dropped == dropped_told)
+    return;
+  snprintf (line, sizeof line, "- info %s: lines_dropped n=%lu all=%lu\n", who,
+            dropped - dropped_told, dropped);
+  if (!add (line))
+    dropped_told = dropped;
+}
 
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *ev)
 {
   (void)appender;
-  return fputs (ev->evt_rendered_msg, stderr) < 0;
+  pthread_mutex_lock (&lock);
+  if (ev->evt_timestamp.tv_sec != second)
+    {
+      second = ev->evt_timestamp.tv_sec;
+      lines = 0;
+      tell_dropped ();
+    }
+  if (buffered > BUFFER_BYTES / 2)
+    write_out ();
+  if (++lines > LINES_A_SECOND || add (ev->evt_rendered_msg))
+    dropped++;
+  if (!batching || buffered >= WRITE_BYTES || ev->evt_priority <= LOG4C_PRIORITY_ERROR)
+    write_out ();
+  pthread_mutex_unlock (&lock);
+  return 0;
+}
+
+void
+logs_flush (void)
+{
+  pthread_mutex_lock (&lock);
+  write_out ();
+  pthread_mutex_unlock (&lock);
 }
 
+void
+logs_batch (int on)
+{
+  pthread_mutex_lock (&lock);
+  batching = on;
+  pthread_mutex_unlock (&lock);
+}
+
+unsigned long
+logs_dropped (void)
+{
+  unsigned long n;
+
+  pthread_mutex_lock (&lock);
+  n = dropped;
+  pthread_mutex_unlock (&lock);
+  return n;
+}
+
+static const log4c_layout_type_t layout_type = { "gentianlatch", format_line };
 static const log4c_appender_type_t appender_type
     = { "gentianlatch", NULL, append_line, NULL };
 
@@ -68,6 +174,7 @@
 void
 logs_close (void)
 {
+  logs_flush ();
   category = NULL;
   log4c_fini ();
 }
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -22,6 +22,7 @@
 #include "gl_rpc.h"
 #include "httpc.h"
 #include "httpd.h"
+#include "logs.h"
 #include "loop.h"
 #include "metrics.h"
 #include "place.h"
@@ -529,6 +530,32 @@
   return UINT64_MAX;
 }
 
+/* A reader that stops reading costs lines, which are counted, and no time. */
+TEST (Logs, AFullPipeDropsLinesAndCountsThem)
+{
+  int fds[2];
+  int out = dup (STDOUT_FILENO);
+  unsigned long before = logs_dropped ();
+  unsigned long after;
+  gl_ms_t begun;
+
+  ASSERT_EQ (0, pipe (fds));
+  ASSERT_EQ (0, logs_open ("unit", "vm"));
+  fflush (stdout);
+  dup2 (fds[1], STDOUT_FILENO);
+  begun = clock_ms ();
+  for (int i = 0; i < 20000; i++)
+    log_info ("filled number=%d", i);
+  after = logs_dropped ();
+  dup2 (out, STDOUT_FILENO);
+  EXPECT_GT (after, before);
+  EXPECT_LT (clock_ms () - begun, 5000u);
+  close (fds[0]);
+  close (fds[1]);
+  close (out);
+  logs_close ();
+}
+
 TEST (Threads, EveryPostArrives)
 {
   loop_t *l = loop_new ();
