--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -125,7 +125,7 @@
 needs_survey (const cell_t *c, const cstep_t *s, const cell_queue_t *q)
 {
   return consult_is_dear (q)
-         && (!s->surveyed
+         && (!s->surveyed || s->scarce
              || c->nworkers - s->surveyed > s->surveyed * NEW_SHARE);
 }
 
@@ -141,17 +141,34 @@
   return n;
 }
 
+/* Every worker that is held has a ticket that lasts until @when. */
+static int
+holds_tickets (const cstep_t *s, gl_ms_t when)
+{
+  for (int i = 0; i < s->nholds; i++)
+    {
+      int found = 0;
+
+      for (int k = 0; k < s->npasses; k++)
+        found |= s->passes[k].worker == s->holds[i].worker
+                 && s->passes[k].until > when;
+      if (!found)
+        return 0;
+    }
+  return s->nholds > 0;
+}
+
 /* Workers on which a gang's room is, or will be when the answer comes; all
    together, so that their tickets hold at one moment. */
 static int
 held (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
       candidate_t *out)
 {
+  gl_ms_t cost = (gl_ms_t)(q->decide_ms + s->nholds * q->each_ms);
   int n = 0;
 
-  if (!s->nholds
-      || (double)s->shadow
-             > (double)c->now + q->decide_ms + s->nholds * q->each_ms)
+  if (!s->nholds || s->shadow > c->now + cost
+      || holds_tickets (s, c->now + cost))
     return 0;
   for (int i = 0; i < s->nholds; i++)
     out[n++] = (candidate_t){ s->holds[i].worker, 1, 1 };
@@ -255,6 +272,16 @@
   c->c.consulted += (uint64_t)n;
 }
 
+static void
+begin_survey (cell_t *c, cstep_t *s)
+{
+  for (int i = 0; i < CELL_CONSULTS; i++)
+    if (c->consults[i].tag == s->asked)
+      c->consults[i].survey = 1;
+  s->surveyed = c->nworkers;
+  s->scarce = 0;
+}
+
 void
 consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q)
 {
@@ -269,12 +296,11 @@
   v = calloc ((size_t)c->nworkers + 1, sizeof *v);
   if (!v)
     return;
-  survey = needs_survey (c, s, q);
-  if (survey)
-    n = unasked (c, s, q, v);
-  else if (consult_is_dear (q) && s->def->gang)
+  n = needs_survey (c, s, q) ? unasked (c, s, q, v) : 0;
+  survey = n > 0;
+  if (!survey && consult_is_dear (q) && s->def->gang)
     n = held (c, s, q, v);
-  else
+  else if (!survey)
     {
       n = candidates (c, s, q, v);
       n = names_needed (c, s, cstep_job (c, s), v, n);
@@ -284,7 +310,8 @@
   if (vm >= 0)
     {
       send_consult (c, s, q, v, n, vm, cost);
-      s->surveyed = survey ? c->nworkers : s->surveyed;
+      if (survey)
+        begin_survey (c, s);
     }
   free (v);
 }
@@ -371,6 +398,8 @@
   if (!counsel || counsel->code != GL_OK)
     {
       c->c.consults_failed++;
+      if (k->survey)
+        s->surveyed = 0;
       s->ask_after = c->now + CONSULT_AGAIN_MS;
       vm->shy_until = c->now + VM_SHY_MS;
       cell_log (c, "consult_failed id=%s step=%u vm=%s ms=%llu", j->id,
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -276,5 +276,7 @@
   qsort (v, n, sizeof *v, offer_cmp);
   if (n >= s->def->count)
     take_offers (c, s, v);
+  else
+    s->scarce = 1;
   free (v);
 }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -132,6 +132,7 @@
  * @verdicts: what the advisor said of each worker
  * @asked: consultation that is out, 0 for none
  * @surveyed: number of workers when all of them were asked about, 0 before
+ * @scarce: what was approved cannot hold it
  * @holds: room set aside for it, since @held_at, for a start at @shadow
  */
 typedef struct
@@ -154,6 +155,7 @@
   uint64_t asked;
   gl_ms_t ask_after;
   int surveyed;
+  int scarce;
   chold_t *holds;
   int nholds;
   gl_ms_t held_at;
@@ -320,6 +322,7 @@
   handle_t step;
   int vm;
   double cost;
+  int survey;
   gl_ms_t sent;
   int nworkers;
   int workers[CELL_NAME];
--- a/src/logs.c
+++ b/src/logs.c
@@ -2,9 +2,10 @@
  * logs.c -- one structured line per event, on standard output
  *
  * A line is formatted through log4c and goes into a buffer, which is written
- * at once, or in batches where the caller flushes, and after an error.  Nothing waits for a reader: only what the descriptor takes at once
- * is written, and a line that finds the buffer full, or the second's
- * allowance used up, is dropped and counted.
+ * at once, or in batches where the caller flushes, and after an error. Nothing
+ * waits for a reader: only what the descriptor takes at once is written, and a
+ * line that finds the buffer full, or the second's allowance used up, is
+ * dropped and counted.
  */
 #include "logs.h"
 
@@ -110,7 +111,8 @@
     write_out ();
   if (++lines > LINES_A_SECOND || add (ev->evt_rendered_msg))
     dropped++;
-  if (!batching || buffered >= WRITE_BYTES || ev->evt_priority <= LOG4C_PRIORITY_ERROR)
+  if (!batching || buffered >= WRITE_BYTES
+      || ev->evt_priority <= LOG4C_PRIORITY_ERROR)
     write_out ();
   pthread_mutex_unlock (&lock);
   return 0;
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -169,6 +169,14 @@
         in >> a;
         w->poison.insert (a);
       }
+    else if (cmd == "advisor")
+      {
+        in >> a >> n;
+        if (a == "fails")
+          w->advisor_fails = n;
+        else
+          w->decide_ms = n;
+      }
     else if (cmd == "work")
       {
         in >> n;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -188,7 +188,7 @@
         p->stretch = 2;
         p->aim_ms = 1000;
         p->advised = advised_;
-        p->decide_ms = 10;
+        p->decide_ms = q ? decide_ms : 10;
         p->each_ms = 0.5;
         p->valid_ms = (uint32_t)TICKET_MS;
       }
@@ -992,7 +992,9 @@
 
   for (u_int k = 0; k < q.workers.workers_len; k++)
     names.push_back (q.workers.workers_val[k]);
-  later (10 + names.size () / 2, [=, this] {
+  bool fails = advisor_fails > 0;
+  advisor_fails -= fails;
+  later ((gl_ms_t)decide_ms + names.size () / 2, [=, this] {
     cell_event_t ev{};
     gl_counsel_t c{};
     std::vector<gl_ticket_t> rows;
@@ -1007,7 +1009,7 @@
     c.tickets.tickets_val = rows.data ();
     ev.kind = CELL_EV_COUNSEL;
     ev.tag = tag;
-    ev.counsel = &c;
+    ev.counsel = fails ? nullptr : &c;
     step (i, ev);
   });
 }
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -121,6 +121,8 @@
   std::map<std::string, JobSeen> jobs;
   std::vector<std::string> broken; /* promises that were broken */
   std::set<std::string> poison;    /* tasks that always fail */
+  int advisor_fails = 0;           /* so many consultations get no answer */
+  double decide_ms = 10;
   gl_ms_t now = 1000;
   gl_ms_t work_ms = 500;
   int attempts = 3;
