--- a/src/cell.c
+++ b/src/cell.c
@@ -184,25 +184,20 @@
 uint32_t
 cell_waiting (const cell_t *c, const char *queue)
 {
-  size_t pos = 0;
-  handle_t h;
-  uint32_t n = 0;
-
-  if (c->role != CR_OWNER)
-    {
-      for (int i = 0; i < c->nheard; i++)
-        if (!strcmp (c->heard[i].queue, queue))
-          return c->heard[i].waiting;
-      return 0;
-    }
-  while ((h = pool_next (&c->jobs, &pos)))
+  if (c->role == CR_OWNER)
     {
-      const cjob_t *j = pool_get (&c->jobs, h);
+      cqcount_t v[CELL_NAME];
+      int n = jobs_waiting (c, v);
 
-      n += j->durable && !j->begun && j->want < GL_PHASE_COMPLETED
-           && !strcmp (j->work.queue, queue);
+      for (int i = 0; i < n; i++)
+        if (!strcmp (v[i].queue, queue))
+          return v[i].waiting;
+      return 0;
     }
-  return n;
+  for (int i = 0; i < c->nheard; i++)
+    if (!strcmp (c->heard[i].queue, queue))
+      return c->heard[i].waiting;
+  return 0;
 }
 
 int
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -28,8 +28,11 @@
 #define CELL_ANSWER_MS 500
 /* A start or stop without an answer is taken as unknown after this. */
 #define CELL_ORDER_MS 300
-/* Facts of running jobs are written so long after they became known. */
-#define CELL_PROGRESS_MS 900
+/* Facts of running jobs are written so long after they became known, and a
+   worker that lists ends which are not written yet is looked at again only
+   then, since it would answer at once. */
+#define CELL_PROGRESS_MS 60
+#define CELL_UNWRITTEN_MS 150
 /* Transactions in flight at once. */
 #define CELL_FLIGHTS 4
 /* A transaction without an answer is taken as unknown after this, or after
@@ -560,6 +563,9 @@
 /* celljob.c */
 
 cjob_t *job_named (cell_t *c, const char *id);
+/** jobs_waiting - accepted jobs of which nothing has begun, by queue; queues
+    without any are left out; returns the number of rows */
+int jobs_waiting (const cell_t *c, cqcount_t v[CELL_NAME]);
 /** cjob_new - a job of @work, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_work_t *work);
 void cjob_free (cell_t *c, cjob_t *j);
@@ -613,6 +619,8 @@
 void cworkers_reset (cell_t *c);
 /** cworker_load - a worker that an earlier owner has enrolled */
 void cworker_load (cell_t *c, const cell_item_t *item);
+/** cworkers_saved - facts were written: ends may be acknowledged */
+void cworkers_saved (cell_t *c);
 /** cworkers_wrote - 1 if the result was for an enrolment */
 int cworkers_wrote (cell_t *c, const cell_event_t *ev);
 void cworker_start (cell_t *c, cstep_t *s, uint32_t index, const char *ticket);
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -581,6 +581,34 @@
   j->version = j->written = 1;
 }
 
+int
+jobs_waiting (const cell_t *c, cqcount_t v[CELL_NAME])
+{
+  uint32_t *counts = calloc ((size_t)c->conf.nqueues + 1, sizeof *counts);
+  size_t pos = 0;
+  handle_t h;
+  int n = 0;
+
+  if (!counts)
+    return 0;
+  while ((h = pool_next (&c->jobs, &pos)))
+    {
+      const cjob_t *j = pool_get (&c->jobs, h);
+
+      if (j->durable && !j->begun && j->want < GL_PHASE_COMPLETED
+          && j->queue >= 0)
+        counts[j->queue]++;
+    }
+  for (int i = 0; i < c->conf.nqueues && n < CELL_NAME; i++)
+    if (counts[i])
+      {
+        cell_set (v[n].queue, c->conf.queues[i].name);
+        v[n++].waiting = counts[i];
+      }
+  free (counts);
+  return n;
+}
+
 /* ---- time ---- */
 
 static void
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -658,26 +658,21 @@
 }
 
 static int
-fill_beacon (cell_t *c, gl_beacon_t *b)
+fill_beacon (cell_t *c, const cqcount_t *v, int n, gl_beacon_t *b)
 {
   b->generation = c->generation;
   b->store_age_ms = (u_int)(c->now - c->store_heard);
   b->vm = strdup (c->vm);
   b->addr = strdup (c->addr);
-  b->queues.queues_val
-      = calloc ((size_t)c->conf.nqueues + 1, sizeof (gl_queue_count_t));
+  b->queues.queues_val = calloc ((size_t)n + 1, sizeof (gl_queue_count_t));
   if (!b->vm || !b->addr || !b->queues.queues_val)
     return -1;
-  for (int i = 0; i < c->conf.nqueues; i++)
+  for (int i = 0; i < n; i++)
     {
-      uint32_t n = cell_waiting (c, c->conf.queues[i].name);
-      gl_queue_count_t *q;
+      gl_queue_count_t *q = &b->queues.queues_val[b->queues.queues_len++];
 
-      if (!n)
-        continue;
-      q = &b->queues.queues_val[b->queues.queues_len++];
-      q->queue = strdup (c->conf.queues[i].name);
-      q->waiting = n;
+      q->queue = strdup (v[i].queue);
+      q->waiting = v[i].waiting;
     }
   return 0;
 }
@@ -685,6 +680,9 @@
 static void
 send_beacons (cell_t *c)
 {
+  cqcount_t v[CELL_NAME];
+  int n = jobs_waiting (c, v);
+
   c->beacon_due = c->now + CELL_BEACON_MS;
   for (int i = 0; i < c->nvms; i++)
     {
@@ -695,7 +693,7 @@
         continue;
       e = cell_fx (c, CELL_FX_BEACON);
       if (!e || !(e->beacon = calloc (1, sizeof *e->beacon))
-          || fill_beacon (c, e->beacon))
+          || fill_beacon (c, v, n, e->beacon))
         return;
       cell_set (e->key, c->vms[i].addr);
     }
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -441,6 +441,7 @@
       own_stands (c, f->sent);
       for (int i = 0; i < f->n; i++)
         saved (c, &f->v[i]);
+      cworkers_saved (c);
       return;
     }
   if (ev->status == GL_ST_CONFLICT)
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -482,14 +482,12 @@
   send_stop (c, &c->workers[t->worker], name, t->run);
 }
 
+/* Ends that are in the store by now may be forgotten. */
 static void
-look (cell_t *c, cworker_t *w, uint32_t wait)
+pass_gates (cell_t *c, cworker_t *w)
 {
-  cell_wcall_t *k = order (c, w, CELL_OP_HOLD);
   size_t n = 0;
 
-  if (!k)
-    return;
   while (n < w->ngates)
     {
       cjob_t *j = pool_get (&c->jobs, w->gates[n].job);
@@ -501,6 +499,33 @@
     }
   memmove (w->gates, w->gates + n, (w->ngates - n) * sizeof *w->gates);
   w->ngates -= n;
+}
+
+void
+cworkers_saved (cell_t *c)
+{
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      cworker_t *w = &c->workers[i];
+
+      if (!w->ngates || w->look || w->silent || w->gone)
+        continue;
+      pass_gates (c, w);
+      if (w->ngates)
+        continue;
+      w->look_at = c->now;
+      timer_arm_before (&c->timers, c->t_work, c->now);
+    }
+}
+
+static void
+look (cell_t *c, cworker_t *w, uint32_t wait)
+{
+  cell_wcall_t *k = order (c, w, CELL_OP_HOLD);
+
+  if (!k)
+    return;
+  pass_gates (c, w);
   k->cursor = w->cursor;
   k->until = lease_until (c, w);
   k->wait = wait;
@@ -681,6 +706,9 @@
           heard_or_lost (c, w);
           settle_stopped (c, w, k);
         }
+      pass_gates (c, w);
+      if (w->ngates)
+        w->look_at = c->now + CELL_UNWRITTEN_MS;
       return;
     }
   c->c.looks_failed++;
