Workers are judged by their own record

Cause (who waits): after a crash orders went on to the dead worker until a look of 2.4 s had run out; workers that fail or stall everything took work for as long as they did so; slow ones were filled like others. An unanswered order now stops new ones until the worker is heard; failures of two jobs in a row and runs that stand still spare it; faster workers come first.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -22,8 +22,8 @@
 /* An owner confirms its tenure when no write has for so long. */
 #define CELL_CONFIRM_MS 400
 /* A worker keeps the answer to a look back for so long; the platform's bound
-   is 2000. */
-#define CELL_LOOK_MS 1900
+   is 2000.  Progress is seen this often at least. */
+#define CELL_LOOK_MS 900
 /* Grace for an answer beyond what the worker may hold it back. */
 #define CELL_ANSWER_MS 500
 /* A start or stop without an answer is taken as unknown after this. */
@@ -88,6 +88,8 @@
  * @fenced: last call made before a stop of its run was taken, 0 if none was
  * @row_at: the look that listed it last
  * @expect_end: when its run is expected to end
+ * @moved_at: when its run was last seen to have made progress
+ * @failed_on: worker on which a run of it failed, -1 for none
  */
 typedef struct
 {
@@ -104,6 +106,8 @@
   uint64_t fenced;
   uint64_t row_at;
   gl_ms_t expect_end;
+  gl_ms_t moved_at;
+  int failed_on;
   char saved[64];
 } ctask_t;
 
@@ -244,6 +248,9 @@
  * @lease: latest instant of its clock that was sent to it
  * @seen, @cursor: ends taken, and ends that are durable
  * @look: tag of the look that is out
+ * @doubted: an order got no answer; a look is out to see whether it is there
+ * @fails, @fail_job: jobs in a row whose runs failed, and the last of them
+ * @slow: how long its runs take against those of others
  * @strays: runs in its last answer that nobody asked for; they hold room
  */
 typedef struct
@@ -274,7 +281,11 @@
   int strays;
   gl_ms_t strays_stopped;
   uint32_t misses;
+  int doubted;
   uint32_t fails;
+  handle_t fail_job;
+  uint32_t spared;
+  double slow;
   ctref_t *tasks;
   int ntasks;
   int captasks;
@@ -483,6 +494,7 @@
   handles_t waiting;
   handles_t timed;
   int64_t held_cpus;
+  double usual;
   int plan_due;
   gl_ms_t planned_at;
   double share[CELL_NAME];
@@ -628,6 +640,17 @@
 /** cworker_usable - new tasks may be started on it */
 int cworker_usable (const cell_t *c, const cworker_t *w);
 
+/* cellhealth.c */
+
+/** health_ended - a run has ended so on the worker */
+void health_ended (cell_t *c, cworker_t *w, const cstep_t *s, const ctask_t *t,
+                   cell_how_t how);
+/** health_stalled - 1 if the run stands still and should be stopped */
+int health_stalled (cell_t *c, cworker_t *w, const cstep_t *s, ctask_t *t,
+                    int percent);
+/** health_rank - 0 for a worker as fast as most, more for slower ones */
+int health_rank (const cworker_t *w);
+
 /* cellroom.c */
 
 /** room_for - how many tasks of the step the worker can take now */
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -66,6 +66,7 @@
   for (uint32_t i = 0; i < s->def->count; i++)
     {
       s->tasks[i].worker = -1;
+      s->tasks[i].failed_on = -1;
       s->tasks[i].inherited = j->inherited && !c->census_whole;
     }
   s->nwaiting = s->def->count;
@@ -312,6 +313,8 @@
     }
   t->worker = worker;
   t->fenced = 0;
+  t->moved_at = 0;
+  t->percent = 0;
   t->pos = w->ntasks;
   w->tasks[w->ntasks++] = (ctref_t){ s->self, index };
   if (!s->def->filler)
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -31,22 +31,28 @@
 
 /* ---- placing ---- */
 
+/* Near before far, fast before slow, full before empty. */
 static int
 better (const cell_t *c, const cstep_t *s, int a, int b)
 {
   const cworker_t *x = &c->workers[a];
   const cworker_t *y = &c->workers[b];
   int near = room_is_near (x, s) - room_is_near (y, s);
+  int rank = health_rank (x) - health_rank (y);
 
   if (near)
     return near > 0;
+  if (rank)
+    return rank < 0;
   return x->info.total.cpus_m - x->used.cpus_m
          < y->info.total.cpus_m - y->used.cpus_m;
 }
 
-/* The best worker with room for one more task; @rack -1 for any rack. */
+/* The best worker with room for one more task; @rack -1 for any rack, @avoid
+   a worker that is taken only if there is no other. */
 static int
-choose (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int rack)
+choose (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int rack,
+        int avoid)
 {
   int n = q->advised ? s->npasses : c->nworkers;
   int best = -1;
@@ -56,7 +62,9 @@
       int w = q->advised ? s->passes[i].worker : i;
 
       if ((rack >= 0 && c->workers[w].rack != rack)
-          || (best >= 0 && !better (c, s, w, best)) || !room_for (c, s, q, w))
+          || (best >= 0 && best != avoid && w == avoid)
+          || (best >= 0 && best != avoid && !better (c, s, w, best))
+          || !room_for (c, s, q, w))
         continue;
       if (!room_is_near (&c->workers[w], s) && room_is_patient (c, s))
         continue;
@@ -91,7 +99,7 @@
 
       if (!may_start (c, t))
         continue;
-      w = choose (c, s, q, -1);
+      w = choose (c, s, q, -1, t->failed_on);
       if (w < 0)
         return;
       next_run (c, t);
@@ -110,7 +118,7 @@
 
   for (n = 0; n < s->def->count; n++)
     {
-      int w = choose (c, s, q, rack);
+      int w = choose (c, s, q, rack, s->tasks[n].failed_on);
 
       if (w < 0 || ctask_bind (c, s, n, w))
         break;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -235,6 +235,7 @@
       if (w->gone)
         continue;
       w->silent = 0;
+      w->doubted = 0;
       w->look = 0;
       w->look_at = c->now;
       w->lease = 0;
@@ -529,7 +530,7 @@
   k->cursor = w->cursor;
   k->until = lease_until (c, w);
   k->wait = wait;
-  k->timeout = k->wait + CELL_ANSWER_MS;
+  k->timeout = k->wait + (k->wait ? CELL_ANSWER_MS : CELL_ORDER_MS);
   w->look = k->tag;
   w->clock_sent = c->now;
   c->c.looks++;
@@ -549,6 +550,7 @@
     }
   w->misses = 0;
   w->over_at = 0;
+  w->doubted = 0;
   if (w->silent)
     {
       w->silent = 0;
@@ -581,6 +583,9 @@
     }
   if (here && row->run == t->run)
     {
+      if (j->want < GL_PHASE_COMPLETED
+          && health_stalled (c, w, s, t, row->percent))
+        cworker_stop (c, s, index);
       t->percent = (unsigned char)row->percent;
       if (row->percent >= PERCENT_TELLING && c->now > t->sent)
         t->expect_end = c->now
@@ -652,10 +657,10 @@
                   "inherited=%d",
                   e->task, e->run, w->info.id, e->how,
                   (unsigned long long)e->number, t->failed, t->inherited);
+      if (t->worker >= 0)
+        health_ended (c, w, s, t, e->how);
       if (e->how == CELL_HOW_FAILED)
-        w->fails++;
-      else if (e->how == CELL_HOW_DONE)
-        w->fails = 0;
+        t->failed_on = (int)(w - c->workers);
       if (e->run > t->run)
         t->run = e->run;
       version = ctask_ended (c, s, index, e->run, e->how, e->saved);
@@ -725,6 +730,16 @@
     }
 }
 
+/* It may be gone: nothing new goes there until it has answered. */
+static void
+doubt (cell_t *c, cworker_t *w)
+{
+  if (w->doubted || w->silent || w->gone)
+    return;
+  w->doubted = 1;
+  look (c, w, 0);
+}
+
 static void
 started (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
@@ -746,6 +761,7 @@
   if (k->code == CELL_W_UNKNOWN)
     {
       c->c.start_unsure++;
+      doubt (c, w);
       if (ours && t->state == CT_STARTING)
         {
           t->state = CT_UNSURE;
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -68,6 +68,12 @@
       x.late_ms = arg;
     else if (what == "unanswered")
       x.loses_answers = arg;
+    else if (what == "fails_all")
+      x.fails_all = arg;
+    else if (what == "hangs")
+      x.hangs = arg;
+    else if (what == "slow")
+      x.slow = arg;
     else if (what == "stops_in")
       x.stop_ms = (gl_ms_t)arg;
     else if (what == "show")
@@ -177,6 +183,11 @@
         else
           w->decide_ms = n;
       }
+    else if (cmd == "luck")
+      {
+        in >> n;
+        w->luck = n;
+      }
     else if (cmd == "work")
       {
         in >> n;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -808,8 +808,9 @@
       = atoi (task.substr (task.find ('.', task.find ('.') + 1) + 1).c_str ());
   r.run = k.run;
   r.began = now;
-  r.ends = now + work_ms / 2 + random () % work_ms;
-  r.fails = random () % 12 == 0;
+  r.ends = now + (work_ms / 2 + random () % work_ms) * (gl_ms_t)w.slow
+           + (w.hangs ? 1000000 : 0);
+  r.fails = (luck && random () % (uint64_t)luck == 0) || w.fails_all;
   if (jobs.count (id))
     {
       r.need = jobs[id].needs[(size_t)step];
@@ -894,6 +895,10 @@
         cell_run_t row{};
         snprintf (row.task, sizeof row.task, "%s", r.first.c_str ());
         row.run = r.second.run;
+        if (r.second.ends > r.second.began && !w->hangs)
+          row.percent = (int)std::min<gl_ms_t> (
+              99,
+              (now - r.second.began) * 100 / (r.second.ends - r.second.began));
         c->rows.push_back (row);
       }
     for (auto &e : w->ends)
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -52,6 +52,9 @@
   bool listed = true;
   bool loses_answers = false; /* orders are carried out, not answered */
   int late_ms = 0;            /* orders are carried out so late, unanswered */
+  bool fails_all = false;
+  bool hangs = false;
+  int slow = 1; /* runs take so many times as long */
   gl_ms_t stop_ms = 100;
   uint64_t token = 0;
   gl_ms_t lease = 0;
@@ -124,6 +127,7 @@
   int advisor_fails = 0;           /* so many consultations get no answer */
   double decide_ms = 10;
   gl_ms_t now = 1000;
+  int luck = 12; /* one run in so many fails by itself; 0 for none */
   gl_ms_t work_ms = 500;
   int attempts = 3;
   std::vector<std::string> log;
