--- a/src/cellask.c
+++ b/src/cellask.c
@@ -99,6 +99,20 @@
   return NULL;
 }
 
+/* An outage that has lasted for some time is likely to last as long again;
+   callers come back spread over a second. */
+static uint32_t
+store_retry_ms (cell_t *c)
+{
+  gl_ms_t age = c->now - c->store_heard;
+
+  if (age < CELL_RETRY_MS)
+    age = CELL_RETRY_MS;
+  if (age > CELL_RETRY_MAX_MS)
+    age = CELL_RETRY_MAX_MS;
+  return (uint32_t)age + (uint32_t)gsl_rng_uniform_int (c->rng, CELL_RETRY_MS);
+}
+
 static void
 submit (cell_t *c, crequest_t *r)
 {
@@ -119,7 +133,7 @@
   if (save_away (c))
     {
       c->c.refused++;
-      cell_tell (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0,
+      cell_tell (c, r->tag, GL_RETRY, store_retry_ms (c), 0,
                  "the store takes no writes");
       return;
     }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -60,6 +60,7 @@
 #define CELL_STORE_AWAY_MS 300
 /* Retry time told to callers while there is no owner or no store. */
 #define CELL_RETRY_MS 1000
+#define CELL_RETRY_MAX_MS 3000
 /* A caller's request without an owner is refused after this. */
 #define CELL_OWNERLESS_MS 1500
 /* Reservations that may share a worker. */
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -156,14 +156,21 @@
     }
 }
 
-/* Another life at the same address: the one before it is over. */
+/* A registration with the address of a life that we know: that life may be
+   over.  Any writer can claim an address, so the worker itself is asked. */
 static void
-retire_same_address (cell_t *c, const cworker_t *fresh)
+ask_same_address (cell_t *c, const cworker_t *fresh)
 {
   for (int i = 0; i < c->nworkers; i++)
-    if (&c->workers[i] != fresh && !c->workers[i].gone
-        && !strcmp (c->workers[i].info.addr, fresh->info.addr))
-      worker_gone (c, &c->workers[i], "reborn");
+    {
+      cworker_t *w = &c->workers[i];
+
+      if (w == fresh || w->gone || strcmp (w->info.addr, fresh->info.addr))
+        continue;
+      w->doubted = 1;
+      w->look = 0;
+      w->look_at = c->now;
+    }
 }
 
 static cworker_t *
@@ -197,7 +204,7 @@
       w = worker_join (c, ev->worker);
       if (!w)
         return;
-      retire_same_address (c, w);
+      ask_same_address (c, w);
     }
   if (ev->worker->leaving && !w->info.leaving)
     cell_log (c, "worker_leaving id=%s left_ms=%u tasks=%d", w->info.id,
@@ -909,7 +916,8 @@
   if (!w->look && c->now >= w->look_at
       && (w->listed || w->ntasks || !w->heard))
     look (c, w,
-          w->heard && !w->silent && w->lease ? CELL_LOOK_MS : CENSUS_WAIT_MS);
+          w->heard && !w->silent && !w->doubted && w->lease ? CELL_LOOK_MS
+                                                            : CENSUS_WAIT_MS);
 }
 
 /* A life that was given up and answers again is heard anew. */
