--- a/src/httpc.c
+++ b/src/httpc.c
@@ -1,8 +1,10 @@
 /*
  * httpc.c -- HTTP client: one thread, many requests
  *
- * All transfers run on one curl multi handle.  Other threads hand requests
- * over through a ring and wake the handle.  The instant past which a
+ * All transfers run on one curl multi handle, driven by the sockets that are
+ * ready, so that transfers which wait for an answer cost nothing.  Other
+ * threads hand requests over through a ring and wake the thread if it waits.
+ * Handles of ended transfers are used again.  The instant past which a
  * request must not leave is checked here, immediately before the transfer
  * begins, since any earlier check could be followed by a pause.
  *
@@ -21,6 +23,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include "handover.h"
 #include "loop.h"
@@ -34,8 +39,13 @@
 #define BUFFER_BYTES 8192
 /* After this long no connection from before a retirement is left. */
 #define RETIRED_KEPT_S 120
+#define TIMER_NONE UINT64_MAX
 /* Idle connections kept. */
-#define CACHE_MAX 256
+#define CACHE_MAX 2048
+/* Handles kept for further transfers. */
+#define SPARE_MAX 256
+/* Sockets served between two looks at the ring. */
+#define EVENTS_MAX 64
 
 typedef struct transfer
 {
@@ -55,11 +65,25 @@
   size_t cap;
 } transfer_t;
 
+/**
+ * struct httpc - the client
+ * @wake: event descriptor that ends the thread's wait
+ * @asleep: the thread waits, so a request must wake it
+ * @timer: when the library wants to be called, TIMER_NONE if not
+ * @spare: handles for further transfers, under @lock
+ */
 struct httpc
 {
   transfer_t *open;
   transfer_t *later;
   CURLM *multi;
+  int epoll;
+  int wake;
+  unsigned int asleep;
+  gl_ms_t timer;
+  pthread_mutex_t lock;
+  CURL *spare[SPARE_MAX];
+  size_t nspare;
   pthread_t thread;
   ck_ring_t ring;
   ck_ring_buffer_t slots[SLOTS];
@@ -128,11 +152,38 @@
   return len;
 }
 
+static CURL *
+take_spare (httpc_t *c)
+{
+  CURL *e = NULL;
+
+  pthread_mutex_lock (&c->lock);
+  if (c->nspare)
+    e = c->spare[--c->nspare];
+  pthread_mutex_unlock (&c->lock);
+  return e ? e : curl_easy_init ();
+}
+
 static void
-transfer_free (transfer_t *t)
+give_spare (httpc_t *c, CURL *e)
+{
+  curl_easy_reset (e);
+  pthread_mutex_lock (&c->lock);
+  if (c->nspare < SPARE_MAX)
+    {
+      c->spare[c->nspare++] = e;
+      e = NULL;
+    }
+  pthread_mutex_unlock (&c->lock);
+  if (e)
+    curl_easy_cleanup (e);
+}
+
+static void
+transfer_free (httpc_t *c, transfer_t *t)
 {
   if (t->easy)
-    curl_easy_cleanup (t->easy);
+    give_spare (c, t->easy);
   curl_slist_free_all (t->headers);
   free (t->body);
   free (t->res.body);
@@ -205,13 +256,13 @@
 }
 
 static transfer_t *
-transfer_new (const httpc_request_t *r)
+transfer_new (httpc_t *c, const httpc_request_t *r)
 {
   transfer_t *t = calloc (1, sizeof *t);
 
   if (!t)
     return NULL;
-  t->easy = curl_easy_init ();
+  t->easy = take_spare (c);
   if (!t->easy || set_headers (t, r))
     goto fail;
   if (r->len)
@@ -241,7 +292,7 @@
   return t;
 
 fail:
-  transfer_free (t);
+  transfer_free (c, t);
   return NULL;
 }
 
@@ -286,15 +337,15 @@
   t->res.status = (int)status;
   t->res.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   t->done (t->ctx, &t->res);
-  transfer_free (t);
+  transfer_free (c, t);
 }
 
 static void
-refuse (transfer_t *t)
+refuse (httpc_t *c, transfer_t *t)
 {
   t->res.outcome = HTTPC_NOT_SENT;
   t->done (t->ctx, &t->res);
-  transfer_free (t);
+  transfer_free (c, t);
 }
 
 /* Connections made before the last retirement are not used again. */
@@ -316,14 +367,14 @@
 {
   if (t->send_before && clock_ms () >= t->send_before)
     {
-      refuse (t);
+      refuse (c, t);
       return;
     }
   if (ck_pr_load_64 (&c->retired_at))
     avoid_retired (c, t);
   if (curl_multi_add_handle (c->multi, t->easy))
     {
-      refuse (t);
+      refuse (c, t);
       return;
     }
   t->next = c->open;
@@ -391,35 +442,123 @@
     }
 }
 
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *known)
+{
+  httpc_t *c = ctx;
+  struct epoll_event ev = { .data.fd = fd };
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      epoll_ctl (c->epoll, EPOLL_CTL_DEL, fd, NULL);
+      return 0;
+    }
+  ev.events = (what & CURL_POLL_IN ? EPOLLIN : 0u)
+              | (what & CURL_POLL_OUT ? EPOLLOUT : 0u);
+  if (epoll_ctl (c->epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &ev))
+    epoll_ctl (c->epoll, known ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd, &ev);
+  curl_multi_assign (c->multi, fd, c);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long wait, void *ctx)
+{
+  httpc_t *c = ctx;
+
+  (void)multi;
+  c->timer = wait < 0 ? TIMER_NONE : clock_ms () + (gl_ms_t)wait;
+  return 0;
+}
+
+static void
+wake_up (httpc_t *c)
+{
+  uint64_t one = 1;
+
+  /* A full counter wakes the thread as well. */
+  if (write (c->wake, &one, sizeof one) < 0)
+    return;
+}
+
+static void
+serve_timer (httpc_t *c)
+{
+  int running;
+
+  if (c->timer > clock_ms ())
+    return;
+  c->timer = TIMER_NONE;
+  curl_multi_socket_action (c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
+static void
+serve_sockets (httpc_t *c, int wait)
+{
+  struct epoll_event ev[EVENTS_MAX];
+  gl_ms_t now = clock_ms ();
+  uint64_t count;
+  int running;
+  int n;
+
+  if (c->timer != TIMER_NONE && c->timer < now + (gl_ms_t)wait)
+    wait = c->timer > now ? (int)(c->timer - now) : 0;
+  ck_pr_store_uint (&c->asleep, 1);
+  ck_pr_fence_memory ();
+  n = epoll_wait (c->epoll, ev, EVENTS_MAX,
+                  ck_ring_size (&c->ring) ? 0 : wait);
+  ck_pr_store_uint (&c->asleep, 0);
+  for (int i = 0; i < n; i++)
+    if (ev[i].data.fd == c->wake)
+      {
+        if (read (c->wake, &count, sizeof count) < 0)
+          continue;
+      }
+    else
+      curl_multi_socket_action (
+          c->multi, ev[i].data.fd,
+          (ev[i].events & EPOLLIN ? CURL_CSELECT_IN : 0)
+              | (ev[i].events & EPOLLOUT ? CURL_CSELECT_OUT : 0)
+              | (ev[i].events & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0),
+          &running);
+}
+
+static void
+take_requests (httpc_t *c)
+{
+  void *item;
+
+  while (ck_ring_dequeue_mpsc (&c->ring, c->slots, &item))
+    {
+      transfer_t *t = item;
+
+      HANDOVER_IN (item);
+      if (t->not_before)
+        {
+          t->next = c->later;
+          c->later = t;
+        }
+      else
+        begin (c, t);
+    }
+}
+
 static void *
 run (void *ctx)
 {
   httpc_t *c = ctx;
-  void *item;
-  int running;
 
   while (!ck_pr_load_uint (&c->quit))
     {
       int wait;
 
-      while (ck_ring_dequeue_mpsc (&c->ring, c->slots, &item))
-        {
-          transfer_t *t = item;
-
-          HANDOVER_IN (item);
-          if (t->not_before)
-            {
-              t->next = c->later;
-              c->later = t;
-            }
-          else
-            begin (c, t);
-        }
+      take_requests (c);
       wait = begin_later (c);
-      curl_multi_perform (c->multi, &running);
+      serve_timer (c);
+      reap (c);
+      serve_sockets (c, wait);
       reap (c);
-      if (!ck_ring_size (&c->ring))
-        curl_multi_poll (c->multi, NULL, 0, wait, NULL);
     }
   return NULL;
 }
@@ -437,14 +576,25 @@
 {
   static pthread_once_t once = PTHREAD_ONCE_INIT;
   httpc_t *c = calloc (1, sizeof *c);
+  struct epoll_event ev = { .events = EPOLLIN };
 
   if (!c)
     return NULL;
   pthread_once (&once, init_library);
   ck_ring_init (&c->ring, SLOTS);
   c->multi = curl_multi_init ();
-  if (!c->multi)
+  c->timer = TIMER_NONE;
+  pthread_mutex_init (&c->lock, NULL);
+  c->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  c->wake = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  ev.data.fd = c->wake;
+  if (!c->multi || c->epoll < 0 || c->wake < 0
+      || epoll_ctl (c->epoll, EPOLL_CTL_ADD, c->wake, &ev))
     goto fail;
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
   curl_multi_setopt (c->multi, CURLMOPT_MAX_HOST_CONNECTIONS, max_per_host);
   curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, (long)CACHE_MAX);
   if (pthread_create (&c->thread, NULL, run, c))
@@ -454,6 +604,10 @@
 fail:
   if (c->multi)
     curl_multi_cleanup (c->multi);
+  if (c->epoll >= 0)
+    close (c->epoll);
+  if (c->wake >= 0)
+    close (c->wake);
   free (c);
   return NULL;
 }
@@ -466,37 +620,43 @@
   if (!c)
     return;
   ck_pr_store_uint (&c->quit, 1);
-  curl_multi_wakeup (c->multi);
+  wake_up (c);
   pthread_join (c->thread, NULL);
   while (ck_ring_dequeue_mpsc (&c->ring, c->slots, &item))
-    refuse (item);
+    refuse (c, item);
   while (c->later)
     {
       transfer_t *t = c->later;
 
       c->later = t->next;
-      refuse (t);
+      refuse (c, t);
     }
   while (c->open)
     close_transfer (c, c->open, CURLE_ABORTED_BY_CALLBACK);
   curl_multi_cleanup (c->multi);
+  while (c->nspare)
+    curl_easy_cleanup (c->spare[--c->nspare]);
+  close (c->epoll);
+  close (c->wake);
   free (c);
 }
 
 int
 httpc_send (httpc_t *c, const httpc_request_t *r)
 {
-  transfer_t *t = transfer_new (r);
+  transfer_t *t = transfer_new (c, r);
 
   if (!t)
     return -1;
   HANDOVER_OUT (t);
   if (!ck_ring_enqueue_mpsc (&c->ring, c->slots, t))
     {
-      transfer_free (t);
+      transfer_free (c, t);
       return -1;
     }
-  curl_multi_wakeup (c->multi);
+  ck_pr_fence_memory ();
+  if (ck_pr_load_uint (&c->asleep))
+    wake_up (c);
   return 0;
 }
 
