Planning costs less where little can change

Cause: on 350 workers a gang that found no room was bound and given back every 3 ms, which asked for the next pass; each pass compared every worker with every ticket.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -39,6 +39,9 @@
 /* Pause after a failed consultation, and of the VM that it went through. */
 #define CONSULT_AGAIN_MS 40
 #define VM_SHY_MS 500
+/* Pause before a step looks again for a line, or for workers to name. */
+#define LINE_WAIT_MS 8
+#define NOTHING_WAIT_MS 25
 /* Time that a line may be busy ahead of an urgent and another question. */
 #define LINE_URGENT_MS 60
 #define LINE_OTHER_MS 10
@@ -96,19 +99,25 @@
 candidates (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
             candidate_t *out)
 {
+  unsigned char *ticketed = calloc ((size_t)c->nworkers + 1, 1);
   int n = 0;
 
+  if (!ticketed)
+    return 0;
+  for (int i = 0; i < s->npasses; i++)
+    ticketed[s->passes[i].worker] = 1;
   for (int i = 0; i < c->nworkers; i++)
     {
       int room;
 
-      if (consult_verdict (s, i) == 2 || consult_ticket (s, i))
+      if (ticketed[i] || consult_verdict (s, i) == 2)
         continue;
       room = room_for (c, s, q, i);
       if (room
           && (room_is_near (&c->workers[i], s) || !room_is_patient (c, s)))
         out[n++] = (candidate_t){ i, room, consult_verdict (s, i) == 1 };
     }
+  free (ticketed);
   qsort (out, (size_t)n, sizeof *out, candidate_cmp);
   return n;
 }
@@ -313,6 +322,8 @@
       if (survey)
         begin_survey (c, s);
     }
+  else
+    s->ask_after = c->now + (n ? LINE_WAIT_MS : NOTHING_WAIT_MS);
   free (v);
 }
 
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -19,6 +19,8 @@
 
 /* Reservations are made anew after this time, with fresh estimates. */
 #define RENEW_MS 150
+/* The cell's processors are counted this often. */
+#define COUNT_MS 500
 /* Largest share of the cell's processors that is held at once. */
 #define HELD_SHARE 0.35
 /* Tasks are expected to run longer than estimated by this factor. */
@@ -205,8 +207,8 @@
 static int
 may_use (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int worker)
 {
-  return room_ever (c, s, q, worker)
-         && (!q->advised || consult_verdict (s, worker) == 1);
+  return (!q->advised || consult_verdict (s, worker) == 1)
+         && room_ever (c, s, q, worker);
 }
 
 /* 1 while everything that is held is still of use. */
@@ -219,15 +221,18 @@
   return s->nholds && c->now < s->held_at + RENEW_MS;
 }
 
+/* All processors in use now; counted anew from time to time. */
 static int64_t
-cell_cpus (const cell_t *c)
+cell_cpus (cell_t *c)
 {
-  int64_t sum = 0;
-
+  if (c->now < c->cpus_at + COUNT_MS && c->cpus)
+    return c->cpus;
+  c->cpus = 0;
+  c->cpus_at = c->now;
   for (int i = 0; i < c->nworkers; i++)
     if (cworker_usable (c, &c->workers[i]))
-      sum += c->workers[i].info.total.cpus_m;
-  return sum;
+      c->cpus += c->workers[i].info.total.cpus_m;
+  return c->cpus;
 }
 
 static void
@@ -259,6 +264,7 @@
 {
   int64_t want = (int64_t)s->def->count * s->def->need.cpus_m;
   offer_t *v;
+  size_t allowed = 0;
   size_t n = 0;
 
   if (is_good (c, s))
@@ -267,7 +273,9 @@
   s->held_at = c->now;
   if ((double)(c->held_cpus + want) > HELD_SHARE * (double)cell_cpus (c))
     return;
-  v = calloc ((size_t)c->nworkers * s->def->count + 1, sizeof *v);
+  for (int i = 0; i < c->nworkers; i++)
+    allowed += (size_t)may_use (c, s, q, i);
+  v = calloc (allowed * s->def->count + 1, sizeof *v);
   if (!v)
     return;
   for (int i = 0; i < c->nworkers; i++)
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -496,6 +496,8 @@
   handles_t waiting;
   handles_t timed;
   int64_t held_cpus;
+  int64_t cpus;
+  gl_ms_t cpus_at;
   double usual;
   int plan_due;
   gl_ms_t planned_at;
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -109,6 +109,23 @@
     }
 }
 
+/* Whether the workers that it may use can take all of a gang together. */
+static int
+has_room (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int rack)
+{
+  int n = q->advised ? s->npasses : c->nworkers;
+  int sum = 0;
+
+  for (int i = 0; i < n && sum < (int)s->def->count; i++)
+    {
+      int w = q->advised ? s->passes[i].worker : i;
+
+      if (rack < 0 || c->workers[w].rack == rack)
+        sum += room_for (c, s, q, w);
+    }
+  return sum >= (int)s->def->count;
+}
+
 /* Workers for all tasks of a gang, bound one by one as they are chosen;
    all are given back when one finds none. */
 static int
@@ -116,6 +133,8 @@
 {
   uint32_t n;
 
+  if (!has_room (c, s, q, rack))
+    return 0;
   for (n = 0; n < s->def->count; n++)
     {
       int w = choose (c, s, q, rack, s->tasks[n].failed_on);
@@ -179,6 +198,8 @@
     return;
   if (q->advised)
     consult_drop_stale (c, s);
+  if (q->advised && s->asked && !s->npasses)
+    return;
   if (j->durable)
     {
       if (s->def->gang)
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -710,6 +710,8 @@
     }
 }
 
+static void worker_tick (cell_t *c, cworker_t *w);
+
 void
 cworker_answer (cell_t *c, const cell_event_t *ev)
 {
@@ -734,7 +736,8 @@
     started (c, w, k);
   else
     stopped (c, w, k);
-  timer_arm_before (&c->timers, c->t_work, c->now);
+  if (c->role == CR_OWNER && !c->release_tag)
+    worker_tick (c, w);
 }
 
 /* ---- time ---- */
