Urgent tasks leave held room alone where they can

Cause (grown dlw: large gangs late or never): about one urgent task a second went to every worker, so a gang that needs seven nearly empty workers lost one of them while its tickets were renewed.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -81,6 +81,7 @@
   int worker;
   int room;
   int approved;
+  int clear;
 } candidate_t;
 
 static int
@@ -91,6 +92,8 @@
 
   if (x->approved != y->approved)
     return y->approved - x->approved;
+  if (x->clear != y->clear)
+    return y->clear - x->clear;
   return y->room - x->room;
 }
 
@@ -115,7 +118,8 @@
       room = room_for (c, s, q, i);
       if (room
           && (room_is_near (&c->workers[i], s) || !room_is_patient (c, s)))
-        out[n++] = (candidate_t){ i, room, consult_verdict (s, i) == 1 };
+        out[n++] = (candidate_t){ i, room, consult_verdict (s, i) == 1,
+                                  room_is_clear (c, s, i) };
     }
   free (ticketed);
   qsort (out, (size_t)n, sizeof *out, candidate_cmp);
@@ -146,7 +150,7 @@
 
   for (int i = 0; i < c->nworkers && n < NAMED_MAX; i++)
     if (!consult_verdict (s, i) && room_ever (c, s, q, i))
-      out[n++] = (candidate_t){ i, 1, 0 };
+      out[n++] = (candidate_t){ i, 1, 0, 1 };
   return n;
 }
 
@@ -180,7 +184,7 @@
       || holds_tickets (s, c->now + cost))
     return 0;
   for (int i = 0; i < s->nholds; i++)
-    out[n++] = (candidate_t){ s->holds[i].worker, 1, 1 };
+    out[n++] = (candidate_t){ s->holds[i].worker, 1, 1, 1 };
   return n;
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -672,6 +672,9 @@
 int room_ever (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
                int worker);
 int room_has_label (const cworker_t *w, const char *label);
+/** room_is_clear - one more task of the step leaves alone what is held there
+    for others */
+int room_is_clear (const cell_t *c, const cstep_t *s, int worker);
 /** room_is_near - its rack is the one that the step wants, or it wants none */
 int room_is_near (const cworker_t *w, const cstep_t *s);
 /** room_is_patient - it should go on waiting for the rack that it wants */
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -31,7 +31,8 @@
 
 /* ---- placing ---- */
 
-/* Near before far, fast before slow, full before empty. */
+/* Near before far, then what is held for nobody else, fast before slow, full
+   before empty. */
 static int
 better (const cell_t *c, const cstep_t *s, int a, int b)
 {
@@ -42,6 +43,13 @@
 
   if (near)
     return near > 0;
+  if (x->nholds || y->nholds)
+    {
+      int clear = room_is_clear (c, s, a) - room_is_clear (c, s, b);
+
+      if (clear)
+        return clear > 0;
+    }
   if (rank)
     return rank < 0;
   return x->info.total.cpus_m - x->used.cpus_m
--- a/src/cellroom.c
+++ b/src/cellroom.c
@@ -71,6 +71,23 @@
   return is_fit (c, s, q, w) ? times (s, &w->info.total) : 0;
 }
 
+int
+room_is_clear (const cell_t *c, const cstep_t *s, int worker)
+{
+  const cworker_t *w = &c->workers[worker];
+  gl_res_t held;
+
+  if (!w->nholds)
+    return 1;
+  held = hold_others (c, s, worker);
+  return w->info.total.cpus_m - w->used.cpus_m - held.cpus_m
+             >= s->def->need.cpus_m
+         && w->info.total.memory_mb - w->used.memory_mb - held.memory_mb
+                >= s->def->need.memory_mb
+         && w->info.total.accels - w->used.accels - held.accels
+                >= s->def->need.accels;
+}
+
 int
 room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int worker)
 {
