--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -218,7 +218,8 @@
   if (s->def->gang && s->def->count > 1 && s->nwaiting == s->def->count
       && (!q->advised || (consult_is_dear (q) && s->surveyed && !s->asked)))
     hold_room (c, s, q);
-  if (q->advised && s->nwaiting)
+  /* A job that is not written yet uses no tickets, so a few will do. */
+  if (q->advised && s->nwaiting && (j->durable || !s->npasses))
     consult_step (c, s, q);
 }
 
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -130,6 +130,16 @@
   plan_wake (c);
 }
 
+static void
+log_lost (cell_t *c, const cworker_t *w, const cstep_t *s, uint32_t index)
+{
+  char name[CELL_NAME];
+
+  ctask_name (c, s, index, name);
+  cell_log (c, "run_lost task=%s run=%u worker=%s", name, s->tasks[index].run,
+            w->info.id);
+}
+
 /* Nothing of this life runs any more. */
 static void
 worker_gone (cell_t *c, cworker_t *w, const char *why)
@@ -147,6 +157,7 @@
       cstep_t *s = pool_get (&c->steps, ref.step);
 
       c->c.ends_lost++;
+      log_lost (c, w, s, ref.index);
       ctask_ended (c, s, ref.index, s->tasks[ref.index].run, CELL_HOW_LAPSED,
                    NULL);
       if (w->ntasks == n)
