--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -19,6 +19,8 @@
 
 /* Reservations are made anew after this time, with fresh estimates. */
 #define RENEW_MS 150
+/* A gang that waits is told of this often. */
+#define TELL_MS 2000
 /* The cell's processors are counted this often. */
 #define COUNT_MS 500
 /* Largest share of the cell's processors that is held at once. */
@@ -259,6 +261,23 @@
     }
 }
 
+/* How a waiting gang stands, from time to time. */
+static void
+tell (cell_t *c, cstep_t *s, const char *how)
+{
+  const cjob_t *j = cstep_job (c, s);
+
+  if (c->now < s->held_told + TELL_MS)
+    return;
+  s->held_told = c->now;
+  cell_log (c,
+            "gang_waits id=%s step=%u tasks=%u age_ms=%llu workers=%d "
+            "tickets=%d in_ms=%lld how=%s",
+            j->id, s->index, s->def->count,
+            (unsigned long long)(c->now - s->since), s->nholds, s->npasses,
+            s->nholds ? (long long)s->shadow - (long long)c->now : -1, how);
+}
+
 void
 hold_room (cell_t *c, cstep_t *s, const cell_queue_t *q)
 {
@@ -272,7 +291,10 @@
   hold_drop (c, s);
   s->held_at = c->now;
   if ((double)(c->held_cpus + want) > HELD_SHARE * (double)cell_cpus (c))
-    return;
+    {
+      tell (c, s, "too much is held already");
+      return;
+    }
   for (int i = 0; i < c->nworkers; i++)
     allowed += (size_t)may_use (c, s, q, i);
   v = calloc (allowed * s->def->count + 1, sizeof *v);
@@ -286,5 +308,6 @@
     take_offers (c, s, v);
   else
     s->scarce = 1;
+  tell (c, s, s->nholds ? "held" : "too few workers");
   free (v);
 }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -167,6 +167,7 @@
   chold_t *holds;
   int nholds;
   gl_ms_t held_at;
+  gl_ms_t held_told;
   gl_ms_t shadow;
 } cstep_t;
 
