--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -19,12 +19,14 @@
 
 /* Reservations are made anew after this time, with fresh estimates. */
 #define RENEW_MS 150
+#define OVERDUE_MIN_MS 50
+#define OVERDUE_PART 0.2
 /* A gang that waits is told of this often. */
 #define TELL_MS 2000
 /* The cell's processors are counted this often. */
 #define COUNT_MS 500
 /* Largest share of the cell's processors that is held at once. */
-#define HELD_SHARE 0.35
+#define HELD_SHARE 0.55
 /* Tasks are expected to run longer than estimated by this factor. */
 #define ESTIMATE_MARGIN 1.2
 /* Running tasks of a worker that are looked at. */
@@ -153,6 +155,17 @@
   return n > 0 ? n : 0;
 }
 
+/* One that runs past its expected end is expected to run on for a part of
+   the time that it has run. */
+static gl_ms_t
+expected_end (const cell_t *c, const ctask_t *t)
+{
+  if (t->expect_end > c->now)
+    return t->expect_end;
+  return c->now + OVERDUE_MIN_MS
+         + (gl_ms_t)((double)(c->now - t->sent) * OVERDUE_PART);
+}
+
 /* The worker's running tasks in the order of their expected ends. */
 static int
 endings_of (const cell_t *c, const cworker_t *w, ending_t *out)
@@ -166,7 +179,7 @@
 
       if (s->def->lasting)
         continue;
-      out[n].when = t->expect_end > c->now ? t->expect_end : c->now + 1;
+      out[n].when = expected_end (c, t);
       out[n++].need = s->def->need;
     }
   qsort (out, (size_t)n, sizeof *out, ending_cmp);
