Deliberate faults in the cell; doubted workers take nothing

Each fault is found, by the fuzzer or by a scripted run. 'failed' without cause is now checked by the oracle. A check keeps the platform's names inside platform/.

--- a/Makefile
+++ b/Makefile
@@ -119,6 +119,7 @@
 	@$(MAKE) --no-print-directory asan
 	@$(MAKE) --no-print-directory tsan
 	@$(MAKE) --no-print-directory bounds
+	tests/words.sh
 	tests/system.sh
 
 # Fuzz for longer: make fuzz SECONDS=600 SEED=7
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -153,6 +153,8 @@
     }
   j->work.accepted_ms = c->wall;
   tags_add (&j->waiters, r->tag);
+  if (FAULT (FAULT_CELL_ACCEPT_EARLY))
+    cell_tell (c, r->tag, GL_OK, 0, j->phase, NULL);
   save_job (c, j, 1);
   /* Consulting the advisor need not wait for the store; starting does. */
   cjob_open (c, j);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -6,6 +6,7 @@
 
 #include <gsl/gsl_rng.h>
 
+#include "fault.h"
 #include "metrics.h"
 #include "names.h"
 #include "pool.h"
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -419,7 +419,7 @@
 ctask_failed (const ctask_t *t, uint32_t run)
 {
   for (uint32_t i = 0; i < t->failed; i++)
-    if (t->failures[i] == run)
+    if (t->failures[i] == run && !FAULT (FAULT_CELL_FAILURE_TWICE))
       return 1;
   return 0;
 }
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -229,6 +229,11 @@
 {
   cell_item_t *i = &txn->checks[txn->nchecks++];
 
+  if (FAULT (FAULT_CELL_NO_FENCE) && c->role == CR_OWNER)
+    {
+      txn->nchecks--;
+      return;
+    }
   cell_set (i->key, KEY_TENURE);
   i->revision = c->tenure_rev;
 }
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -84,7 +84,8 @@
 static int
 may_start (const cell_t *c, const ctask_t *t)
 {
-  return t->state == CT_WAITING && (!t->inherited || c->census_whole);
+  return t->state == CT_WAITING
+         && (!t->inherited || c->census_whole || FAULT (FAULT_CELL_NO_CENSUS));
 }
 
 /* Runs of an earlier owner that nobody has seen have lower numbers. */
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -61,7 +61,8 @@
 {
   return w->enrolled && (w->listed || c->now - w->unlisted_at < RELISTED_MS)
          && w->heard && !w->gone && !w->silent && !w->info.leaving && w->clock
-         && !w->strays && c->now >= w->shy_until
+         && (!w->strays || FAULT (FAULT_CELL_STRAYS_FREE)) && !w->doubted
+         && c->now >= w->shy_until
          && c->now - c->store_at < CELL_RENEW_ALONE_MS;
 }
 
@@ -386,7 +387,8 @@
       cjob_t *j = pool_get (&c->jobs, w->gates[n].job);
 
       if (j && j->phase < GL_PHASE_COMPLETED
-          && j->written < w->gates[n].version)
+          && j->written < w->gates[n].version
+          && !FAULT (FAULT_CELL_FORGET_EARLY))
         break;
       w->cursor = w->gates[n++].number;
     }
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -635,6 +635,8 @@
 
   if (it == w.running.end ())
     return;
+  if (how == CELL_HOW_FAILED)
+    failed_[task].insert (it->second.run);
   w.ends.push_back ({ ++w.ends_made, task, it->second.run, how });
   w.fenced[task] = std::max (w.fenced[task], it->second.run);
   w.running.erase (it);
@@ -1172,6 +1174,15 @@
     }
 }
 
+bool
+World::failed_enough (const std::string &id) const
+{
+  for (auto &f : failed_)
+    if (f.first.rfind (id, 0) == 0 && (int)f.second.size () >= attempts)
+      return true;
+  return false;
+}
+
 void
 World::ask (const std::string &id)
 {
@@ -1197,6 +1208,8 @@
                                            : "unknown";
         if (j.shown == "none" && j.accepted && !j.cancel_sent)
           break_promise ("lost " + id);
+        if (j.shown == "failed" && !failed_enough (id))
+          break_promise ("failed without cause: " + id);
         if (j.shown != "completed")
           return;
         for (size_t s = 0; s < j.widths.size (); s++)
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -203,6 +203,8 @@
   std::set<std::string> done_acked_;
   std::map<std::string, std::set<uint32_t> > failed_acked_;
   std::map<std::string, std::set<int> > done_;
+  std::map<std::string, std::set<uint32_t> > failed_;
+  bool failed_enough (const std::string &id) const;
   uint64_t rng_;
   uint64_t random ();
 };
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -36,6 +36,9 @@
 
   explicit Player (uint64_t seed, bool advised) : w (3, 5, seed, advised)
   {
+    /* Stops take long on some workers. */
+    for (size_t i = 0; i < w.workers.size (); i += 2)
+      w.workers[i].stop_ms = 900;
     w.run (800);
   }
 
@@ -187,3 +190,38 @@
   printf ("%llu starts\n", (unsigned long long)starts);
   EXPECT_GT (starts, (uint64_t)params.maxSuccess);
 }
+
+#ifdef GL_TEST_FAULTS
+/* The checks bite: every deliberate fault is found. */
+class FuzzCellFault : public testing::TestWithParam<fault_t>
+{
+};
+
+TEST_P (FuzzCellFault, IsCaught)
+{
+  static const int SCRIPTS = 2000;
+  uint64_t starts = 0;
+  std::string v;
+  rc::Random random (7);
+  int i;
+
+  fault_on = GetParam ();
+  for (i = 0; v.empty () && i < SCRIPTS; i++)
+    {
+      auto gen
+          = rc::gen::container<std::vector<Step> > (gen_step (KINDS, GAP_MS));
+      auto script = gen (random.split (), STEPS).value ();
+      v = play_all ((uint64_t)i, script, &starts);
+    }
+  fault_on = FAULT_NONE;
+  EXPECT_NE ("", v) << "fault " << GetParam () << " was not found";
+  printf ("fault %d found by script %d: %s\n", (int)GetParam (), i,
+          v.c_str ());
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    All, FuzzCellFault,
+    testing::Values (FAULT_CELL_FORGET_EARLY, FAULT_CELL_NO_CENSUS,
+                     FAULT_CELL_STRAYS_FREE, FAULT_CELL_ACCEPT_EARLY,
+                     FAULT_CELL_FAILURE_TWICE, FAULT_CELL_NO_FENCE));
+#endif
