Members of a gang that is done hold their room until their workers drop them

Shown by a count of listed rows against the room that was taken; the test world now lets members linger, and the fuzzer finds the fault in the code of before.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -251,6 +251,7 @@
  * @lease: latest instant of its clock that was sent to it
  * @seen, @cursor: ends taken, and ends that are durable
  * @look: tag of the look that is out
+ * @glance: the next look does not wait
  * @doubted: an order got no answer; a look is out to see whether it is there
  * @fails, @fail_job: jobs in a row whose runs failed, and the last of them
  * @slow: how long its runs take against those of others
@@ -280,6 +281,7 @@
   size_t ngates;
   size_t capgates;
   uint64_t look;
+  int glance;
   gl_ms_t look_at;
   int strays;
   gl_ms_t strays_stopped;
@@ -635,6 +637,8 @@
     former one may still renew leases for a while */
 void cworkers_adopt (cell_t *c, int alone);
 void cworkers_reset (cell_t *c);
+/** cworker_look - look at the worker now, without a wait */
+void cworker_look (cell_t *c, int worker);
 /** cworkers_saved - facts were written: ends may be acknowledged */
 void cworkers_saved (cell_t *c);
 void cworker_start (cell_t *c, cstep_t *s, uint32_t index, const char *ticket);
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -226,7 +226,7 @@
       cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
 
       for (uint32_t k = 0; s && k < s->def->count; k++)
-        if (s->tasks[k].worker >= 0)
+        if (s->tasks[k].worker >= 0 && s->tasks[k].state != CT_DONE)
           cworker_stop (c, s, k);
     }
   save_job (c, j, 1);
@@ -407,12 +407,28 @@
   s->ndone++;
 }
 
-/* One member's good end is the gang's. */
+/* One member's good end is the gang's.  What the others hold is theirs until
+   their workers no longer list them. */
 static void
-gang_done (cell_t *c, cstep_t *s)
+gang_done (cell_t *c, cstep_t *s, uint32_t reporter)
 {
+  mark_done (c, s, reporter);
   for (uint32_t i = 0; i < s->def->count; i++)
-    mark_done (c, s, i);
+    {
+      ctask_t *t = &s->tasks[i];
+
+      if (t->worker < 0 || t->state == CT_DONE)
+        {
+          mark_done (c, s, i);
+          continue;
+        }
+      t->state = CT_DONE;
+      t->fact = 1;
+      t->inherited = 0;
+      t->fenced = c->next_tag;
+      s->ndone++;
+      cworker_look (c, t->worker);
+    }
 }
 
 int
@@ -457,7 +473,7 @@
 gang_break (cell_t *c, cstep_t *s)
 {
   for (uint32_t i = 0; i < s->def->count; i++)
-    if (s->tasks[i].worker >= 0)
+    if (s->tasks[i].worker >= 0 && s->tasks[i].state != CT_DONE)
       cworker_stop (c, s, i);
 }
 
@@ -468,6 +484,12 @@
   ctask_t *t = &s->tasks[index];
   cjob_t *j = cstep_job (c, s);
 
+  if (t->state == CT_DONE)
+    {
+      if (t->worker >= 0)
+        ctask_unbind (c, s, index);
+      return j->version;
+    }
   if (saved && saved[0] && strcmp (saved, t->saved))
     {
       cell_set (t->saved, saved);
@@ -480,7 +502,7 @@
     {
       c->c.ends_done++;
       if (s->def->gang)
-        gang_done (c, s);
+        gang_done (c, s, index);
       else
         mark_done (c, s, index);
       if (j->want < GL_PHASE_COMPLETED && job_done (c, j))
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -396,6 +396,19 @@
   w->ngates -= n;
 }
 
+void
+cworker_look (cell_t *c, int worker)
+{
+  cworker_t *w = &c->workers[worker];
+
+  if (w->silent || w->gone)
+    return;
+  w->look = 0;
+  w->look_at = c->now;
+  w->glance = 1;
+  timer_arm_before (&c->timers, c->t_work, c->now);
+}
+
 void
 cworkers_saved (cell_t *c)
 {
@@ -425,6 +438,7 @@
   k->until = lease_until (c, w);
   k->wait = wait;
   k->timeout = k->wait + (k->wait ? CELL_ANSWER_MS : CELL_ORDER_MS);
+  w->glance = 0;
   w->look = k->tag;
   w->clock_sent = c->now;
   c->c.looks++;
@@ -496,7 +510,10 @@
     return;
   /* The other members of a gang that is done, or an end on its way. */
   if (t && t->state == CT_DONE && t->run == row->run)
-    return;
+    {
+      t->row_at = k->tag;
+      return;
+    }
   w->strays++;
   if (c->now - w->strays_stopped < STRAY_AGAIN_MS)
     return;
@@ -559,6 +576,9 @@
         t->run = e->run;
       version = ctask_ended (c, s, index, e->run, e->how, e->saved);
     }
+  else if (t && t->state == CT_DONE && t->run == e->run
+           && t->worker == (int)(w - c->workers))
+    ctask_unbind (c, s, index);
   else if (t && t->state != CT_DONE && e->how == CELL_HOW_FAILED)
     {
       j = cstep_job (c, s);
@@ -675,7 +695,7 @@
       ctask_requeue (c, s, index);
       if (s->def->gang)
         for (uint32_t i = 0; i < s->def->count; i++)
-          if (s->tasks[i].worker >= 0)
+          if (s->tasks[i].worker >= 0 && s->tasks[i].state != CT_DONE)
             cworker_stop (c, s, i);
     }
 }
@@ -717,8 +737,8 @@
       ref = w->tasks[i];
       s = pool_get (&c->steps, ref.step);
       t = &s->tasks[ref.index];
-      if (t->state == CT_STOPPING && t->fenced && k->tag > t->fenced
-          && t->row_at != k->tag)
+      if ((t->state == CT_STOPPING || t->state == CT_DONE) && t->fenced
+          && k->tag > t->fenced && t->row_at != k->tag)
         ctask_ended (c, s, ref.index, t->run, CELL_HOW_STOPPED, NULL);
     }
 }
@@ -806,8 +826,9 @@
   if (!w->look && c->now >= w->look_at
       && (w->listed || w->ntasks || !w->heard))
     look (c, w,
-          w->heard && !w->silent && !w->doubted && w->lease ? CELL_LOOK_MS
-                                                            : CENSUS_WAIT_MS);
+          w->heard && !w->silent && !w->doubted && !w->glance && w->lease
+              ? CELL_LOOK_MS
+              : CENSUS_WAIT_MS);
 }
 
 /* A life that was given up and answers again is heard anew. */
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -15,6 +15,8 @@
 static const gl_ms_t STORE_MS = 4;
 static const gl_ms_t NET_MS = 1;
 static const gl_ms_t TICK_MS = 5;
+/* One end is the whole gang's; the other members go a little later. */
+static const gl_ms_t LINGER_MS = 60;
 static const gl_ms_t TICKET_MS = 1500;
 
 gl_step_t
@@ -685,6 +687,11 @@
         {
           if (!fails)
             done_[n].insert ((int)run);
+          if (!fails && n != task)
+            {
+              w.running[n].lingers = now + LINGER_MS;
+              continue;
+            }
           end_run (w, n,
                    !fails      ? CELL_HOW_DONE
                    : n == task ? CELL_HOW_FAILED
@@ -700,6 +707,12 @@
   gl_ms_t last;
   bool all = members (task, r.run, &last) == r.gang;
 
+  if (r.lingers)
+    {
+      if (now >= r.lingers)
+        w.running.erase (task);
+      return;
+    }
   r.together |= all;
   if (!all && r.together)
     end_run (w, task, CELL_HOW_BROKEN);
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -32,6 +32,7 @@
   bool fails = false;
   int gang = 0;          /* members, 0 for a task of its own */
   bool together = false; /* all members have been there */
+  gl_ms_t lingers = 0;   /* its gang is done; it goes at this moment */
   gl_res_t need{};
 };
 
