--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 LIB_O = $(CORE_O) $(ROUTE:%=$(BUILD)/src/%.o) $(IO:%=$(BUILD)/src/%.o) \
 	$(BUILD)/proto/gl_rpc_xdr.o
 LIB = $(BUILD)/libgentianlatch.a
-PLATFORM = http store watch entries worker advice ingress main
+PLATFORM_PARTS = http store watch entries worker advice ingress
+PLATFORM = $(PLATFORM_PARTS) main
 BINS = $(BUILD)/gl-cell $(BUILD)/gl-scheduler $(BUILD)/gl-entry $(BUILD)/gl-admin \
 	$(BUILD)/glctl
 STANDIN_BINS = $(STANDINS:%=$(BUILD)/standin-%)
@@ -89,13 +90,17 @@
 $(BUILD)/cell $(BUILD)/fuzz_cell: $(BUILD)/%: $(TBUILD)/tests/%.o \
 		$(TBUILD)/tests/cellworld.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
+$(BUILD)/wire: $(TBUILD)/tests/wire.o \
+		$(PLATFORM_PARTS:%=$(TBUILD)/platform/%.o) \
+		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 $(BUILD)/policy: $(TBUILD)/tests/policy.o $(TBUILD)/bench/drive.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 $(BUILD)/unit: $(TBUILD)/tests/unit.o $(ROUTE:%=$(TBUILD)/src/%.o) \
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
-TESTS = unit policy cell fuzz_sched fuzz_route fuzz_conf fuzz_cell
+TESTS = unit policy wire cell fuzz_sched fuzz_route fuzz_conf fuzz_cell
 
 tests: $(TESTS:%=$(BUILD)/%)
 
--- /dev/null
+++ b/tests/wire.cc
@@ -0,0 +1,137 @@
+/* wire.cc -- what others write into the platform's store, readable or not
+ */
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C"
+{
+#include "../platform/wire.h"
+}
+
+#ifdef GL_TEST_FAULTS
+extern "C"
+{
+#include "fault.h"
+  fault_t fault_on = FAULT_NONE;
+}
+#endif
+
+static int
+read_worker (const std::string &text, cell_worker_t *w)
+{
+  return entry_worker ("servers/i-1", text.data (), text.size (), w);
+}
+
+static const char GOOD[]
+    = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+      "\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0},"
+      "\"labels\":[\"a\",\"r1-3\"],\"sequence\":4}";
+
+TEST (Registration, IsDecodedIntoOurWords)
+{
+  cell_worker_t w;
+
+  ASSERT_EQ (0, read_worker (GOOD, &w));
+  EXPECT_STREQ ("i-1", w.id);
+  EXPECT_STREQ ("10.0.0.1:80", w.addr);
+  EXPECT_STREQ ("z", w.domain);
+  EXPECT_EQ (16000, w.total.cpus_m);
+  EXPECT_EQ (32768, w.total.memory_mb);
+  EXPECT_EQ (2, w.nlabels);
+  EXPECT_EQ (0, w.leaving);
+}
+
+TEST (Registration, SaysThatAWorkerLeaves)
+{
+  std::string text = GOOD;
+  cell_worker_t w;
+
+  text.replace (text.find ("\"ready\""), 7, "\"draining\"");
+  text.insert (1, "\"remainingMs\":900,");
+  ASSERT_EQ (0, read_worker (text, &w));
+  EXPECT_EQ (1, w.leaving);
+  EXPECT_EQ (900u, w.leaves_ms);
+}
+
+/* Each of these names no worker. */
+TEST (Registration, ThatCannotBeReadNamesNoWorker)
+{
+  static const char *const changes[][2] = {
+    { "\"service\":\"s\",", "" },
+    { "\"service\":\"s\"", "\"service\":7" },
+    { "\"address\":\"10.0.0.1:80\",", "" },
+    { "10.0.0.1:80", "not an address" },
+    { "\"zone\":\"z\"", "\"zone\":null" },
+    { "\"ready\"", "\"resting\"" },
+    { "\"ready\"", "1" },
+    { "\"cpu\":16000", "\"cpu\":\"many\"" },
+    { "\"cpu\":16000", "\"cpu\":-1" },
+    { "\"memMb\":32768,", "" },
+    { "{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}", "[]" },
+    { "[\"a\",\"r1-3\"]", "[1,2]" },
+    { "[\"a\",\"r1-3\"]", "\"a\"" },
+    { "}", "" },
+    { "{", "" },
+  };
+  cell_worker_t w;
+
+  for (auto &c : changes)
+    {
+      std::string text = GOOD;
+      text.replace (text.find (c[0]), strlen (c[0]), c[1]);
+      EXPECT_EQ (-1, read_worker (text, &w)) << text;
+    }
+  EXPECT_EQ (-1, read_worker ("", &w));
+  EXPECT_EQ (-1, read_worker (std::string ("\xff\xfe\0\1", 4), &w));
+}
+
+TEST (Configuration, KeepsWhatCanBeRead)
+{
+  std::string text
+      = "{\"version\":7,\"routes\":["
+        "{\"name\":\"r1\",\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\","
+        "\"priority\":1,\"maxAttempts\":2,\"stretch\":2.2,"
+        "\"targetLatencyMs\":1000,\"advice\":{\"decisionMs\":630.0,"
+        "\"perWorkerMs\":9.1,\"validityMs\":1500}},"
+        "{\"name\":3,\"host\":\"h\"},\"garbage\"]}";
+  cell_conf_t *conf = entry_conf (text.data (), text.size ());
+
+  ASSERT_NE (nullptr, conf);
+  EXPECT_EQ (7u, conf->version);
+  ASSERT_EQ (1, conf->nqueues);
+  EXPECT_STREQ ("r1", conf->queues[0].name);
+  EXPECT_EQ (2u, conf->queues[0].attempts);
+  EXPECT_EQ (1, conf->queues[0].advised);
+  EXPECT_EQ (1500u, conf->queues[0].valid_ms);
+  free (conf->queues);
+  free (conf);
+}
+
+TEST (Configuration, ThatCannotBeReadIsNone)
+{
+  for (std::string text :
+       { "", "{", "[]", "{\"version\":0,\"routes\":[]}",
+         "{\"version\":\"7\",\"routes\":[]}", "{\"version\":7}", "\xff" })
+    EXPECT_EQ (nullptr, entry_conf (text.data (), text.size ())) << text;
+}
+
+TEST (Items, KeepBytesAndRevisions)
+{
+  json_t *list = json_loads (
+      "[{\"key\":\"k\",\"value\":\"AAEC\",\"revision\":9},"
+      "{\"key\":\"bad\",\"value\":\"*\",\"revision\":1},{\"key\":7}]",
+      0, nullptr);
+  int n;
+  cell_item_t *v = store_items (list, &n);
+
+  ASSERT_EQ (3, n);
+  EXPECT_EQ (3u, v[0].len);
+  EXPECT_EQ (0, memcmp (v[0].value, "\0\1\2", 3));
+  EXPECT_EQ (9u, v[0].revision);
+  EXPECT_EQ (nullptr, v[1].value);
+  EXPECT_STREQ ("", v[2].key);
+  store_items_free (v, n);
+  json_decref (list);
+}
