Settings, counters and numbers that nothing read are gone; the store's rate bounds writes

Read as a newcomer: five settings had no effect, the first-start histogram was never filled, a gang that waited let its run numbers grow, and a fresh process told a store outage as old as its VM's clock.

--- a/src/cell.c
+++ b/src/cell.c
@@ -298,9 +298,8 @@
 /* ---- metrics ---- */
 
 void
-cell_metrics (const cell_t *c, void *text)
+cell_metrics (const cell_t *c, text_t *t)
 {
-  text_t *t = text;
   char label[16];
 
 #define X(name, help)                                                         \
--- a/src/cell.h
+++ b/src/cell.h
@@ -13,6 +13,7 @@
 
 #include "gentianlatch.h"
 #include "gl_cell.h"
+#include "metrics.h"
 
 /** CELL_NAME - longest name of a worker, VM, queue or key, with its end */
 #define CELL_NAME 128
@@ -78,13 +79,9 @@
 {
   uint32_t worker_lease_max;
   uint32_t stop_max;
-  uint32_t gang_wait;
   uint32_t kept;
-  uint32_t store_ttl_min;
-  uint32_t early;
-  double far_factor;
-  uint32_t restore;
-  uint32_t cpu_m; /* this VM's share of a core, in thousandths */
+  uint32_t writes_per_s; /* of the store, for all VMs together */
+  uint32_t cpu_m;        /* this VM's share of a core, in thousandths */
 } cell_bounds_t;
 
 /** struct cell_run_t - a row of what a worker runs */
@@ -351,7 +348,7 @@
 /** cell_configured - a configuration is in force */
 int cell_configured (const cell_t *c);
 /** cell_metrics - counters and histograms as text */
-void cell_metrics (const cell_t *c, void *text);
+void cell_metrics (const cell_t *c, text_t *t);
 /** cell_effects_done - release a list and what it holds */
 void cell_effects_done (cell_effects_t *fx);
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -155,6 +155,7 @@
   uint32_t ndone;
   uint32_t nwaiting;
   int ready;
+  int started;
   int listed;
   gl_ms_t since;
   unsigned char *verdicts;
@@ -219,7 +220,6 @@
   gl_ms_t dirty_at;
   gl_ms_t ended_at;
   uint32_t turns_made;
-  uint32_t turns_done;
   handles_t steps;
   tags_t waiters;
   tags_t enders;
@@ -273,7 +273,6 @@
   gl_ms_t shy_until;
   uint64_t clock;
   gl_ms_t clock_at;
-  gl_ms_t clock_sent;
   uint64_t lease;
   uint64_t seen;
   uint64_t cursor;
@@ -470,7 +469,6 @@
   int workers_synced;
   uint64_t load_tag;
   char load_prefix[8];
-  handles_t loaded_progress;
 
   cqcount_t heard[CELL_NAME];
   int nheard;
@@ -498,7 +496,6 @@
   pool_t steps;
   names_t job_names;
   handles_t waiting;
-  handles_t timed;
   int64_t held_cpus;
   int64_t cpus;
   gl_ms_t cpus_at;
@@ -511,6 +508,8 @@
   cflight_t flights[CELL_FLIGHTS];
   gl_ms_t save_after;
   double txn_ms;
+  double write_budget;
+  gl_ms_t earned_at;
   int store_bad;
   cconsult_t consults[CELL_CONSULTS];
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -206,9 +206,11 @@
       fresh = ev->revision == 1;
       if (!c->leased)
         c->leased_since = c->now;
-      if (!c->leased)
+      if (!c->leased && c->leased_at)
         cell_log (c, "store_back away_ms=%llu",
                   (unsigned long long)(c->now - c->leased_at));
+      else if (!c->leased)
+        cell_log (c, "store_found");
       c->leased = 1;
       c->leased_at = c->now;
       c->store_heard = c->now;
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -16,6 +16,8 @@
 /* Least time between two passes. */
 #define PLAN_GAP_MS 3
 #define TICK_MS 100
+/* Runs that an earlier owner can have started without a trace. */
+#define UNSEEN_RUNS 100
 
 void
 plan_wake (cell_t *c)
@@ -88,14 +90,12 @@
          && (!t->inherited || c->census_whole || FAULT (FAULT_CELL_NO_CENSUS));
 }
 
-/* Runs of an earlier owner that nobody has seen have lower numbers. */
-static void
-next_run (const cell_t *c, ctask_t *t)
+/* The number of a task's next run.  An earlier owner may have started runs
+   that nobody has seen; theirs are lower. */
+static uint32_t
+next_run (const ctask_t *t)
 {
-  if (t->inherited)
-    t->run += 100;
-  t->run++;
-  (void)c;
+  return t->run + (t->inherited ? UNSEEN_RUNS : 0) + 1;
 }
 
 static void
@@ -111,9 +111,9 @@
       w = choose (c, s, q, -1, t->failed_on);
       if (w < 0)
         return;
-      next_run (c, t);
       if (ctask_bind (c, s, i, w))
         return;
+      t->run = next_run (t);
       cworker_start (c, s, i, consult_ticket (s, w));
     }
 }
@@ -174,9 +174,8 @@
     {
       if (!may_start (c, &s->tasks[i]))
         return;
-      next_run (c, &s->tasks[i]);
-      if (s->tasks[i].run > run)
-        run = s->tasks[i].run;
+      if (next_run (&s->tasks[i]) > run)
+        run = next_run (&s->tasks[i]);
       if (s->tasks[i].saved[0])
         cell_set (saved, s->tasks[i].saved);
     }
@@ -184,11 +183,11 @@
     bound = bind_gang (c, s, q, r);
   if (!bound && (!s->def->one_rack || !room_is_patient (c, s)))
     bound = bind_gang (c, s, q, -1);
+  if (!bound)
+    return;
   for (uint32_t i = 0; i < s->def->count; i++)
     {
-      s->tasks[i].run = bound ? run : s->tasks[i].run - 1;
-      if (!bound)
-        continue;
+      s->tasks[i].run = run;
       cell_set (s->tasks[i].saved, saved);
       hold_drop (c, s);
       cworker_start (c, s, i, consult_ticket (s, s->tasks[i].worker));
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -23,6 +23,11 @@
 /* Weight of one answer in the usual time, and its growth by a lost one. */
 #define TXN_WEIGHT 0.2
 #define TXN_BACKOFF 1.5
+/* Part of the store's write rate that an owner uses, and for how long it may
+   be used at once; the rest is for leases, claims and enrolment. */
+#define WRITE_PART 0.8
+#define BURST_S 0.25
+#define BUDGET_WAIT_MS 5
 /* Pause after a transaction that was refused or lost. */
 #define AGAIN_MS 60
 /* Store entries that the largest item of a job needs. */
@@ -240,6 +245,18 @@
   return ms > CELL_TXN_MS ? CELL_TXN_MS : (gl_ms_t)ms;
 }
 
+/* The store's rate is for all; grouped writes take a part of it. */
+static void
+earn (cell_t *c)
+{
+  double most = c->bounds.writes_per_s * WRITE_PART;
+
+  c->write_budget += most * (double)(c->now - c->earned_at) / 1000;
+  if (c->write_budget > most * BURST_S)
+    c->write_budget = most * BURST_S;
+  c->earned_at = c->now;
+}
+
 void
 save_flush (cell_t *c)
 {
@@ -247,8 +264,15 @@
 
   if (c->role != CR_OWNER || c->now < c->save_after)
     return;
+  earn (c);
   while (any_due (c) && (f = free_flight (c)))
     {
+      if (c->write_budget < 1)
+        {
+          timer_arm_before (&c->timers, c->t_save, c->now + BUDGET_WAIT_MS);
+          return;
+        }
+      c->write_budget--;
       cell_effect_t *e = cell_fx (c, CELL_FX_TXN);
 
       if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
--- a/src/cellset.c
+++ b/src/cellset.c
@@ -33,16 +33,11 @@
   TEXT ("platform", "store", KIND_ADDR, store),
   TEXT ("platform", "advisor", KIND_ADDR, advisor),
   INT ("platform", "writes_per_s", writes_per_s, 1, 1000000, 400),
-  INT ("platform", "reads_per_s", reads_per_s, 1, 1000000, 2000),
   INT ("platform", "lease_min_ms", ttl_min, 1, 600000, 1000),
   REAL ("stop", "drain_s", drain_s, 0, 600, 6),
   INT ("workers", "lease_max_ms", worker_lease_max, 500, 600000, 10000),
   INT ("workers", "stop_max_ms", stop_max, 0, 60000, 1000),
-  INT ("workers", "gang_wait_ms", gang_wait, 100, 600000, 3000),
-  REAL ("workers", "far_factor", far_factor, 1, 1000, 1),
-  INT ("workers", "restore_ms", restore, 0, 600000, 0),
   INT ("jobs", "kept_s", kept_s, 1, 86400, 120),
-  INT ("jobs", "early_ms", early, 0, 60000, 0),
 };
 
 static gl_code_t
@@ -79,12 +74,8 @@
   memset (b, 0, sizeof *b);
   b->worker_lease_max = (uint32_t)s->worker_lease_max;
   b->stop_max = (uint32_t)s->stop_max;
-  b->gang_wait = (uint32_t)s->gang_wait;
   /* A state is asked for up to its last moment. */
   b->kept = (uint32_t)s->kept_s * 1000 + 30000;
-  b->store_ttl_min = (uint32_t)s->ttl_min;
-  b->early = (uint32_t)s->early;
-  b->far_factor = s->far_factor;
-  b->restore = (uint32_t)s->restore;
+  b->writes_per_s = (uint32_t)s->writes_per_s;
   b->cpu_m = (uint32_t)(s->cpu_share * 1000);
 }
--- a/src/cellset.h
+++ b/src/cellset.h
@@ -25,17 +25,12 @@
   char store[64];
   char advisor[64];
   int writes_per_s;
-  int reads_per_s;
   double cpu_share;
   double drain_s;
   int worker_lease_max;
   int stop_max;
-  int gang_wait;
   int kept_s;
   int ttl_min;
-  int early;
-  double far_factor;
-  int restore;
 } cellset_t;
 
 /** cellset_load - read and check @path; GL_INVALID with a reason in @err */
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -328,6 +328,16 @@
   return w->lease;
 }
 
+static void
+note_first_start (cell_t *c, cstep_t *s, const cjob_t *j)
+{
+  const cell_queue_t *q = plan_queue (c, j);
+
+  s->started = 1;
+  if (q && q->priority >= 0 && q->priority < CELL_PRIORITIES)
+    hist_add (&c->start_time[q->priority], (double)(c->now - s->since));
+}
+
 void
 cworker_start (cell_t *c, cstep_t *s, uint32_t index, const char *ticket)
 {
@@ -340,6 +350,8 @@
   t->inherited = 0;
   t->sent = c->now;
   t->expect_end = c->now + s->def->estimate_ms;
+  if (!s->started)
+    note_first_start (c, s, j);
   if (!k)
     return;
   ctask_name (c, s, index, k->task);
@@ -440,7 +452,6 @@
   k->timeout = k->wait + (k->wait ? CELL_ANSWER_MS : CELL_ORDER_MS);
   w->glance = 0;
   w->look = k->tag;
-  w->clock_sent = c->now;
   c->c.looks++;
 }
 
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -107,9 +107,8 @@
     return;
   b.worker_lease_max = 10000;
   b.stop_max = 200;
-  b.gang_wait = 3000;
+  b.writes_per_s = 400;
   b.kept = 120000;
-  b.far_factor = 3;
   v.cell = cell_new (v.name.c_str (), v.name.c_str (), "a", &b, random ());
   v.alive = true;
   v.frozen = false;
