--- a/Makefile
+++ b/Makefile
@@ -118,8 +118,10 @@
 	@$(MAKE) --no-print-directory all
 	examples/demo.sh
 
+# Compilers at once in the checks' own builds.
+BUILD_JOBS = 6
 check: deps
-	@$(MAKE) --no-print-directory all tests
+	@$(MAKE) --no-print-directory -j$(BUILD_JOBS) all tests
 	@set -e; for t in $(TESTS); do $(BUILD)/$$t; done
 	@$(MAKE) --no-print-directory asan
 	@$(MAKE) --no-print-directory tsan
@@ -138,7 +140,7 @@
 # fewer scripts.
 ASAN_CASES = 400
 asan:
-	@$(MAKE) --no-print-directory BUILD=build-asan OPT="-O1 -g" \
+	@$(MAKE) --no-print-directory -j$(BUILD_JOBS) BUILD=build-asan OPT="-O1 -g" \
 	  MODE="-fsanitize=address,undefined -fno-sanitize-recover=undefined \
 	  -fno-omit-frame-pointer" tests
 	@set -e; for t in $(TESTS); do \
@@ -146,7 +148,7 @@
 
 # The threaded parts under the thread sanitizer.
 tsan:
-	@$(MAKE) --no-print-directory BUILD=build-tsan OPT="-O1 -g" \
+	@$(MAKE) --no-print-directory -j$(BUILD_JOBS) BUILD=build-tsan OPT="-O1 -g" \
 	  MODE="-fsanitize=thread" build-tsan/unit
 	TSAN_OPTIONS=suppressions=tests/tsan.supp build-tsan/unit --gtest_filter='Threads.*:Http.*:Rpc.*'
 
