--- a/src/cell.c
+++ b/src/cell.c
@@ -21,7 +21,7 @@
   if (!c)
     return NULL;
   c->rng = gsl_rng_alloc (gsl_rng_taus2);
-  c->vms = calloc (CELL_NAME, sizeof *c->vms);
+  c->vms = calloc (CELL_VMS, sizeof *c->vms);
   if (!c->rng || !c->vms || names_init (&c->vm_names)
       || names_init (&c->worker_names) || names_init (&c->job_names))
     {
@@ -186,7 +186,7 @@
 {
   if (c->role == CR_OWNER)
     {
-      cqcount_t v[CELL_NAME];
+      cqcount_t v[CELL_QUEUES];
       int n = jobs_waiting (c, v);
 
       for (int i = 0; i < n; i++)
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -191,7 +191,7 @@
 static double
 share_of (const cell_t *c, const cjob_t *j)
 {
-  double p = j->queue < CELL_NAME ? c->share[j->queue] : 0;
+  double p = j->queue < CELL_QUEUES ? c->share[j->queue] : 0;
 
   return p > 0 ? p : SHARE_FIRST;
 }
@@ -336,7 +336,7 @@
 {
   double *p;
 
-  if (j->queue < 0 || j->queue >= CELL_NAME || !k->nworkers)
+  if (j->queue < 0 || j->queue >= CELL_QUEUES || !k->nworkers)
     return;
   p = &c->share[j->queue];
   if (*p <= 0)
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -64,6 +64,11 @@
 #define CELL_RETRY_MAX_MS 3000
 /* A caller's request without an owner is refused after this. */
 #define CELL_OWNERLESS_MS 1500
+/* VMs of a cell, queues of which figures are kept, and workers that one
+   consultation names, at most. */
+#define CELL_VMS 128
+#define CELL_QUEUES 128
+#define CELL_NAMED 128
 /* Reservations that may share a worker. */
 #define CELL_HOLDS 8
 /* Time kept back from a caller's deadline for the answer's way. */
@@ -344,7 +349,7 @@
   int survey;
   gl_ms_t sent;
   int nworkers;
-  int workers[CELL_NAME];
+  int workers[CELL_NAMED];
 } cconsult_t;
 
 #define CELL_CONSULTS 64
@@ -470,7 +475,7 @@
   uint64_t load_tag;
   char load_prefix[8];
 
-  cqcount_t heard[CELL_NAME];
+  cqcount_t heard[CELL_QUEUES];
   int nheard;
 
   cvm_t *vms;
@@ -502,7 +507,7 @@
   double usual;
   int plan_due;
   gl_ms_t planned_at;
-  double share[CELL_NAME];
+  double share[CELL_QUEUES];
 
   handles_t dirty;
   cflight_t flights[CELL_FLIGHTS];
@@ -584,7 +589,7 @@
 cjob_t *job_named (cell_t *c, const char *id);
 /** jobs_waiting - accepted jobs of which nothing has begun, by queue; queues
     without any are left out; returns the number of rows */
-int jobs_waiting (const cell_t *c, cqcount_t v[CELL_NAME]);
+int jobs_waiting (const cell_t *c, cqcount_t v[CELL_QUEUES]);
 /** cjob_new - a job of @work, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_work_t *work);
 void cjob_free (cell_t *c, cjob_t *j);
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -607,7 +607,7 @@
 }
 
 int
-jobs_waiting (const cell_t *c, cqcount_t v[CELL_NAME])
+jobs_waiting (const cell_t *c, cqcount_t v[CELL_QUEUES])
 {
   uint32_t *counts = calloc ((size_t)c->conf.nqueues + 1, sizeof *counts);
   size_t pos = 0;
@@ -624,7 +624,7 @@
           && j->queue >= 0)
         counts[j->queue]++;
     }
-  for (int i = 0; i < c->conf.nqueues && n < CELL_NAME; i++)
+  for (int i = 0; i < c->conf.nqueues && n < CELL_QUEUES; i++)
     if (counts[i])
       {
         cell_set (v[n].queue, c->conf.queues[i].name);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -102,7 +102,7 @@
       cell_log (c, "vm_unreadable key=%s", item->key);
       return;
     }
-  if (!i && c->nvms < CELL_NAME)
+  if (!i && c->nvms < CELL_VMS)
     {
       v = &c->vms[c->nvms];
       memset (v, 0, sizeof *v);
@@ -658,7 +658,7 @@
           = ev->beacon->store_age_ms > CELL_OWNER_STORE_MS ? c->now : 0;
       c->nheard = 0;
       for (u_int i = 0;
-           i < ev->beacon->queues.queues_len && c->nheard < CELL_NAME; i++)
+           i < ev->beacon->queues.queues_len && c->nheard < CELL_QUEUES; i++)
         {
           cqcount_t *q = &c->heard[c->nheard++];
 
@@ -701,7 +701,7 @@
 static void
 send_beacons (cell_t *c)
 {
-  cqcount_t v[CELL_NAME];
+  cqcount_t v[CELL_QUEUES];
   int n = jobs_waiting (c, v);
 
   c->beacon_due = c->now + CELL_BEACON_MS;
