--- a/src/cell.c
+++ b/src/cell.c
@@ -66,6 +66,14 @@
   for (size_t i = 0; i < c->nrequests; i++)
     codec_free ((xdrproc_t)xdr_gl_ask_t, &c->requests[i].ask);
   codec_free ((xdrproc_t)xdr_gl_tenure_t, &c->tenure);
+  hist_done (&c->accept_time);
+  hist_done (&c->txn_time);
+  hist_done (&c->takeover_time);
+  for (int i = 0; i < CELL_PRIORITIES; i++)
+    {
+      hist_done (&c->start_time[i]);
+      hist_done (&c->whole_time[i]);
+    }
   free (c->requests);
   free (c->workers);
   free (c->vms);
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -596,8 +596,9 @@
       t->fact = 1;
       t->run = f->run;
       t->failed = f->failures.failures_len;
-      memcpy (t->failures, f->failures.failures_val,
-              t->failed * sizeof *t->failures);
+      if (t->failed)
+        memcpy (t->failures, f->failures.failures_val,
+                t->failed * sizeof *t->failures);
       cell_set (t->saved, f->saved);
       j->begun = 1;
       if (f->done)
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -97,7 +97,8 @@
       /* The names in the table are inside the elements, which move. */
       for (int i = 0; i < c->nworkers; i++)
         names_del (&c->worker_names, c->workers[i].info.id);
-      memcpy (v, c->workers, (size_t)c->nworkers * sizeof *v);
+      if (c->nworkers)
+        memcpy (v, c->workers, (size_t)c->nworkers * sizeof *v);
       free (c->workers);
       c->workers = v;
       c->capworkers = cap;
@@ -404,6 +405,8 @@
         break;
       w->cursor = w->gates[n++].number;
     }
+  if (!n)
+    return;
   memmove (w->gates, w->gates + n, (w->ngates - n) * sizeof *w->gates);
   w->ngates -= n;
 }
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <memory>
 
 extern "C"
@@ -22,17 +23,18 @@
 gl_step_t
 world_step (int count, int cpus_m, bool gang, std::vector<int> after)
 {
+  /* Steps are copied about, so what they refer to is kept. */
+  static std::deque<std::vector<u_int> > kept;
   gl_step_t s{};
 
+  kept.emplace_back (after.begin (), after.end ());
   s.count = (u_int)count;
   s.need = { cpus_m, 1024, 0 };
   s.estimate_ms = 500;
   s.gang = gang;
   s.label = s.rack = s.image = (char *)"";
   s.after.after_len = (u_int)after.size ();
-  s.after.after_val = (u_int *)calloc (after.size () + 1, sizeof (u_int));
-  for (size_t i = 0; i < after.size (); i++)
-    s.after.after_val[i] = (u_int)after[i];
+  s.after.after_val = kept.back ().data ();
   return s;
 }
 
