Gangs on a large cell: reservations renewed together, surveys dealt out, the planner bounded

Cause, on the grown sites (350 workers): gangs starved, since reservations lapsed one by one and younger gangs took the room under the cap; every survey named the same first hundred workers; and with hundreds of waiting steps the search for workers took the owner's whole processor, so that it missed answers, was taken for one without the store, and each successor fell into the same.

Reservations are renewed in one pass, oldest first, and stay on their workers; a survey names workers with room, others in random order, over several lines; a pass makes a bounded number of searches, and room is compared by numbers before names; lengths are corrected by the learned ratio to the estimates; a fresh tenure is not claimed for want of the store for 3 s.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -7,9 +7,11 @@
  *
  * Where a consultation is cheap it names workers that have room now, as many
  * as the learned share of approvals makes necessary.  Where it is dear, the
- * first one of a step names every worker that could ever run it, since its
- * verdicts last; later ones only renew the tickets of workers that it will
- * use.
+ * first ones of a step are a survey: they name workers that could ever run
+ * it, several times the room that it needs, since verdicts last.  A survey is
+ * dealt out over idle lines, and each step names other workers, so that the
+ * gangs of a burst do not all wait for the same ones.  Later consultations
+ * renew the tickets of workers on which room is held.
  */
 #include "cellint.h"
 
@@ -34,6 +36,16 @@
 #define DEAR_MS 200
 /* Share of new workers that makes another survey worth while. */
 #define NEW_SHARE 0.25
+/* A survey is to find room for so many times the step's tasks. */
+#define SURVEY_TIMES 4.0
+/* Consultations that a survey is dealt out to at most, and the fewest workers
+   that each of them names. */
+#define SURVEY_LINES 4
+#define SURVEY_PART 20
+/* A ticket must last this long beyond the time at which room is expected. */
+#define TICKET_SPARE_MS 300
+/* Tickets are renewed so much sooner than the estimate of room demands. */
+#define RENEW_EARLY_MS 100
 /* Grace for an answer beyond the advisor's own time. */
 #define CONSULT_GRACE_MS 600
 /* Pause after a failed consultation, and of the VM that it went through. */
@@ -84,6 +96,18 @@
   int clear;
 } candidate_t;
 
+/* Room now before none; @clear holds a random number. */
+static int
+survey_cmp (const void *a, const void *b)
+{
+  const candidate_t *x = a;
+  const candidate_t *y = b;
+
+  if (!x->room != !y->room)
+    return !x->room - !y->room;
+  return x->clear < y->clear ? -1 : x->clear > y->clear;
+}
+
 static int
 candidate_cmp (const void *a, const void *b)
 {
@@ -142,49 +166,58 @@
              || c->nworkers - s->surveyed > s->surveyed * NEW_SHARE);
 }
 
+/* Workers that were not named yet: those with room now first, else in an
+   order that differs from step to step.  Also the tasks that they could take
+   if they were empty, on average. */
 static int
-unasked (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
-         candidate_t *out)
+unasked (cell_t *c, const cstep_t *s, const cell_queue_t *q, candidate_t *out,
+         double *each)
 {
+  double sum = 0;
   int n = 0;
 
-  for (int i = 0; i < c->nworkers && n < NAMED_MAX; i++)
-    if (!consult_verdict (s, i) && room_ever (c, s, q, i))
-      out[n++] = (candidate_t){ i, 1, 0, 1 };
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      int ever = consult_verdict (s, i) ? 0 : room_ever (c, s, q, i);
+      int room;
+
+      if (!ever)
+        continue;
+      room = c->workers[i].nholds ? 0 : room_for (c, s, q, i);
+      sum += ever;
+      out[n++] = (candidate_t){ i, room, 0,
+                                (int)gsl_rng_uniform_int (c->rng, RAND_MAX) };
+    }
+  *each = n ? sum / n : 0;
+  qsort (out, (size_t)n, sizeof *out, survey_cmp);
   return n;
 }
 
-/* Every worker that is held has a ticket that lasts until @when. */
-static int
-holds_tickets (const cstep_t *s, gl_ms_t when)
+/* The end of the worker's ticket, 0 when it has none. */
+static gl_ms_t
+ticket_until (const cstep_t *s, int worker)
 {
-  for (int i = 0; i < s->nholds; i++)
-    {
-      int found = 0;
-
-      for (int k = 0; k < s->npasses; k++)
-        found |= s->passes[k].worker == s->holds[i].worker
-                 && s->passes[k].until > when;
-      if (!found)
-        return 0;
-    }
-  return s->nholds > 0;
+  for (int i = 0; i < s->npasses; i++)
+    if (s->passes[i].worker == worker)
+      return s->passes[i].until;
+  return 0;
 }
 
-/* Workers on which a gang's room is, or will be when the answer comes; all
-   together, so that their tickets hold at one moment. */
+/* Workers on which a gang's room is, or will be when the answer comes, and
+   whose tickets would not last until then. */
 static int
 held (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
       candidate_t *out)
 {
-  gl_ms_t cost = (gl_ms_t)(q->decide_ms + s->nholds * q->each_ms);
+  gl_ms_t answer = c->now + (gl_ms_t)(q->decide_ms + s->nholds * q->each_ms);
+  gl_ms_t begin = s->shadow > answer ? s->shadow : answer;
   int n = 0;
 
-  if (!s->nholds || s->shadow > c->now + cost
-      || holds_tickets (s, c->now + cost))
+  if (!s->nholds || s->shadow > answer + RENEW_EARLY_MS)
     return 0;
-  for (int i = 0; i < s->nholds; i++)
-    out[n++] = (candidate_t){ s->holds[i].worker, 1, 1, 1 };
+  for (int i = 0; i < s->nholds && n < NAMED_MAX; i++)
+    if (ticket_until (s, s->holds[i].worker) < begin + TICKET_SPARE_MS)
+      out[n++] = (candidate_t){ s->holds[i].worker, 1, 1, 1 };
   return n;
 }
 
@@ -224,35 +257,42 @@
   return NULL;
 }
 
+static int
+idle_lines (const cell_t *c)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nvms; i++)
+    n += c->vms[i].listed && c->now >= c->vms[i].shy_until
+         && c->vms[i].busy_ms <= LINE_URGENT_MS;
+  return n;
+}
+
 /* The VM whose line is free soonest, or -1 when none is free soon enough. */
 static int
 choose_line (const cell_t *c, int priority, double cost)
 {
   double limit = priority == 0 ? LINE_URGENT_MS : LINE_OTHER_MS;
   int best = -1;
-  int idle = 0;
 
   for (int i = 0; i < c->nvms; i++)
     {
       const cvm_t *v = &c->vms[i];
 
-      if (!v->listed || c->now < v->shy_until)
-        continue;
-      if (v->busy_ms <= LINE_URGENT_MS)
-        idle++;
-      if (v->busy_ms <= limit
+      if (v->listed && c->now >= v->shy_until && v->busy_ms <= limit
           && (best < 0 || v->busy_ms < c->vms[best].busy_ms))
         best = i;
     }
-  if (cost > LONG_MS && idle < 2)
+  if (cost > LONG_MS && idle_lines (c) < 2)
     return -1;
   return best;
 }
 
 static void
 send_consult (cell_t *c, cstep_t *s, const cell_queue_t *q,
-              const candidate_t *v, int n, int vm, double cost)
+              const candidate_t *v, int n, int vm, int survey)
 {
+  double cost = q->decide_ms + n * q->each_ms;
   cconsult_t *k = free_consult (c);
   cell_effect_t *e = k ? cell_fx (c, CELL_FX_CONSULT) : NULL;
   const cjob_t *j = cstep_job (c, s);
@@ -265,6 +305,7 @@
   k->step = s->self;
   k->vm = vm;
   k->cost = cost;
+  k->survey = survey;
   k->sent = c->now;
   cell_set (e->key, c->vms[vm].addr);
   e->timeout = (gl_ms_t)(cost + c->vms[vm].busy_ms) + CONSULT_GRACE_MS;
@@ -279,55 +320,98 @@
       e->consult->workers.workers_val[e->consult->workers.workers_len++]
           = strdup (c->workers[v[i].worker].info.id);
     }
-  s->asked = k->tag;
+  s->asked++;
   c->vms[vm].busy_ms += cost;
   c->c.consults++;
   c->c.consulted += (uint64_t)n;
 }
 
-static void
-begin_survey (cell_t *c, cstep_t *s)
+/* Names that give a survey enough approvals. */
+static int
+survey_names (const cell_t *c, const cstep_t *s, double each, int n)
 {
-  for (int i = 0; i < CELL_CONSULTS; i++)
-    if (c->consults[i].tag == s->asked)
-      c->consults[i].survey = 1;
-  s->surveyed = c->nworkers;
-  s->scarce = 0;
+  double share = share_of (c, pool_get (&c->jobs, s->job));
+  double want = SURVEY_TIMES * s->def->count / (each * share);
+
+  return want < n ? (int)want + 1 : n;
+}
+
+/* One consultation a line; lines are only shared out while others are idle
+   for the next step. */
+static int
+survey (cell_t *c, cstep_t *s, const cell_queue_t *q, candidate_t *v)
+{
+  double each;
+  int n = unasked (c, s, q, v, &each);
+  int lines = idle_lines (c) / 2;
+  int part;
+  int sent = 0;
+
+  if (!n)
+    return 0;
+  n = survey_names (c, s, each, n);
+  if (lines > SURVEY_LINES)
+    lines = SURVEY_LINES;
+  if (lines > n / SURVEY_PART)
+    lines = n / SURVEY_PART;
+  if (lines < 1)
+    lines = 1;
+  part = (n + lines - 1) / lines;
+  if (part > NAMED_MAX)
+    part = NAMED_MAX;
+  for (; lines > 0 && n > 0; lines--)
+    {
+      int named = n < part ? n : part;
+      int vm = choose_line (c, q->priority, q->decide_ms + named * q->each_ms);
+
+      if (vm < 0)
+        break;
+      send_consult (c, s, q, v + sent, named, vm, 1);
+      sent += named;
+      n -= named;
+    }
+  if (sent)
+    {
+      s->surveyed = c->nworkers;
+      s->scarce = 0;
+    }
+  else
+    s->ask_after = c->now + LINE_WAIT_MS;
+  return 1;
 }
 
 void
 consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q)
 {
   candidate_t *v;
-  double cost;
-  int survey;
   int n;
   int vm;
 
-  if (s->asked || c->now < s->ask_after)
+  if (s->asked || c->now < s->ask_after || c->scans <= 0)
+    return;
+  if (consult_is_dear (q) && s->def->gang && !needs_survey (c, s, q)
+      && !s->nholds)
     return;
+  c->scans--;
+  c->c.scans++;
   v = calloc ((size_t)c->nworkers + 1, sizeof *v);
   if (!v)
     return;
-  n = needs_survey (c, s, q) ? unasked (c, s, q, v) : 0;
-  survey = n > 0;
-  if (!survey && consult_is_dear (q) && s->def->gang)
+  if (needs_survey (c, s, q) && survey (c, s, q, v))
+    goto out;
+  if (consult_is_dear (q) && s->def->gang)
     n = held (c, s, q, v);
-  else if (!survey)
+  else
     {
       n = candidates (c, s, q, v);
       n = names_needed (c, s, cstep_job (c, s), v, n);
     }
-  cost = q->decide_ms + n * q->each_ms;
-  vm = n ? choose_line (c, q->priority, cost) : -1;
+  vm = n ? choose_line (c, q->priority, q->decide_ms + n * q->each_ms) : -1;
   if (vm >= 0)
-    {
-      send_consult (c, s, q, v, n, vm, cost);
-      if (survey)
-        begin_survey (c, s);
-    }
+    send_consult (c, s, q, v, n, vm, 0);
   else
     s->ask_after = c->now + (n ? LINE_WAIT_MS : NOTHING_WAIT_MS);
+out:
   free (v);
 }
 
@@ -409,7 +493,8 @@
   plan_wake (c);
   if (!s)
     return;
-  s->asked = 0;
+  if (s->asked)
+    s->asked--;
   if (!counsel || counsel->code != GL_OK)
     {
       c->c.consults_failed++;
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -9,8 +9,12 @@
  * its tasks are ranked, from what runs there and how far it has come; the
  * earliest are set aside.  Others may use that room only for tasks that are
  * expected to end before the gang can begin (EASY backfill, Lifka 1995).
- * The first priority is not held off: its tasks are few and short.  All
- * reservations together are bounded, so that they cannot idle the cell.
+ * The first priority is not held off: its tasks are few and short.
+ *
+ * Reservations are renewed together, the oldest gang first, so that many
+ * small gangs cannot keep a large one waiting; a worker that a gang holds
+ * already is kept while no other is clearly better.  Beyond the oldest gang,
+ * all reservations together are bounded, so that they cannot idle the cell.
  */
 #include "cellint.h"
 
@@ -18,7 +22,10 @@
 #include <string.h>
 
 /* Reservations are made anew after this time, with fresh estimates. */
-#define RENEW_MS 150
+#define RENEW_MS 100
+/* A worker that is held already is kept unless another one has room earlier
+   by this much: tickets are bought for the workers that are held. */
+#define STICKY_MS 400
 #define OVERDUE_MIN_MS 50
 #define OVERDUE_PART 0.2
 /* A gang that waits is told of this often. */
@@ -32,8 +39,10 @@
 /* Running tasks of a worker that are looked at. */
 #define ENDINGS_MAX 128
 
+/** struct offer_t - room for one task at @when; offers are taken by @key */
 typedef struct
 {
+  gl_ms_t key;
   gl_ms_t when;
   int worker;
 } offer_t;
@@ -50,8 +59,8 @@
   const offer_t *x = a;
   const offer_t *y = b;
 
-  if (x->when != y->when)
-    return x->when < y->when ? -1 : 1;
+  if (x->key != y->key)
+    return x->key < y->key ? -1 : 1;
   return x->worker - y->worker;
 }
 
@@ -66,20 +75,14 @@
 
 /* ---- what is held ---- */
 
-int
-hold_on (const cstep_t *s, int worker)
-{
-  for (int i = 0; i < s->nholds; i++)
-    if (s->holds[i].worker == worker)
-      return s->holds[i].n;
-  return 0;
-}
-
 gl_res_t
 hold_others (const cell_t *c, const cstep_t *s, int worker)
 {
   const cworker_t *w = &c->workers[worker];
-  gl_ms_t end = c->now + (gl_ms_t)(s->def->estimate_ms * ESTIMATE_MARGIN);
+  /* Estimates may all be too short, by a factor that is learned. */
+  double off = c->usual > 1 ? c->usual : 1;
+  gl_ms_t end
+      = c->now + (gl_ms_t)(s->def->estimate_ms * ESTIMATE_MARGIN * off);
   gl_res_t sum = { 0, 0, 0 };
 
   for (int i = 0; i < w->nholds; i++)
@@ -203,7 +206,7 @@
   int m;
 
   for (int i = 0; i < have; i++)
-    out[n++] = (offer_t){ c->now, worker };
+    out[n++] = (offer_t){ 0, c->now, worker };
   m = endings_of (c, w, e);
   for (int i = 0; i < m && n < most; i++)
     {
@@ -214,7 +217,7 @@
       room.accels += e[i].need.accels;
       more = times (&s->def->need, &room, most);
       while (n < more)
-        out[n++] = (offer_t){ e[i].when, worker };
+        out[n++] = (offer_t){ 0, e[i].when, worker };
     }
   return n;
 }
@@ -226,16 +229,6 @@
          && room_ever (c, s, q, worker);
 }
 
-/* 1 while everything that is held is still of use. */
-static int
-is_good (const cell_t *c, const cstep_t *s)
-{
-  for (int i = 0; i < s->nholds; i++)
-    if (!cworker_usable (c, &c->workers[s->holds[i].worker]))
-      return 0;
-  return s->nholds && c->now < s->held_at + RENEW_MS;
-}
-
 /* All processors in use now; counted anew from time to time. */
 static int64_t
 cell_cpus (cell_t *c)
@@ -263,7 +256,9 @@
       hold_drop (c, s);
       return;
     }
-  s->shadow = v[taken - 1].when;
+  for (uint32_t i = 0; i < taken; i++)
+    if (v[i].when > s->shadow)
+      s->shadow = v[i].when;
   for (int i = 0; i < s->nholds; i++)
     {
       cworker_t *w = &c->workers[s->holds[i].worker];
@@ -291,19 +286,18 @@
             s->nholds ? (long long)s->shadow - (long long)c->now : -1, how);
 }
 
-void
-hold_room (cell_t *c, cstep_t *s, const cell_queue_t *q)
+/* Sets room aside for one gang; workers marked in @kept had some before. */
+static void
+hold_for (cell_t *c, cstep_t *s, const cell_queue_t *q,
+          const unsigned char *kept)
 {
   int64_t want = (int64_t)s->def->count * s->def->need.cpus_m;
   offer_t *v;
   size_t allowed = 0;
   size_t n = 0;
 
-  if (is_good (c, s))
-    return;
-  hold_drop (c, s);
-  s->held_at = c->now;
-  if ((double)(c->held_cpus + want) > HELD_SHARE * (double)cell_cpus (c))
+  if (c->held_cpus
+      && (double)(c->held_cpus + want) > HELD_SHARE * (double)cell_cpus (c))
     {
       tell (c, s, "too much is held already");
       return;
@@ -315,7 +309,13 @@
     return;
   for (int i = 0; i < c->nworkers; i++)
     if (may_use (c, s, q, i))
-      n += (size_t)offers_of (c, s, i, v + n);
+      {
+        size_t from = n;
+
+        n += (size_t)offers_of (c, s, i, v + n);
+        for (size_t k = from; k < n; k++)
+          v[k].key = v[k].when + (kept[i] ? 0 : STICKY_MS);
+      }
   qsort (v, n, sizeof *v, offer_cmp);
   if (n >= s->def->count)
     take_offers (c, s, v);
@@ -324,3 +324,90 @@
   tell (c, s, s->nholds ? "held" : "too few workers");
   free (v);
 }
+
+/* A gang that has not begun, and of which is known where it may run. */
+static int
+wants_room (cell_t *c, const cstep_t *s, const cell_queue_t *q)
+{
+  const cjob_t *j = cstep_job (c, s);
+
+  return q && s->def->gang && s->def->count > 1 && s->nwaiting == s->def->count
+         && j->want < GL_PHASE_COMPLETED
+         && (!q->advised || (consult_is_dear (q) && s->nverdicts));
+}
+
+typedef struct
+{
+  cstep_t *step;
+  const cell_queue_t *queue;
+} wanting_t;
+
+static int
+wanting_cmp (const void *a, const void *b)
+{
+  const wanting_t *x = a;
+  const wanting_t *y = b;
+
+  if (x->queue->priority != y->queue->priority)
+    return x->queue->priority - y->queue->priority;
+  if (x->step->since != y->step->since)
+    return x->step->since < y->step->since ? -1 : 1;
+  return x->step->self < y->step->self ? -1 : 1;
+}
+
+/* The waiting gangs in the order in which they are served. */
+static size_t
+wanting (cell_t *c, wanting_t *v)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < c->waiting.n; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+      const cell_queue_t *q = s ? plan_queue (c, cstep_job (c, s)) : NULL;
+
+      if (s && wants_room (c, s, q))
+        v[n++] = (wanting_t){ s, q };
+      else if (s)
+        s->nholds = 0;
+    }
+  if (n)
+    qsort (v, n, sizeof *v, wanting_cmp);
+  return n;
+}
+
+/* All reservations are made anew together, so that a younger gang never
+   keeps room from an older one. */
+void
+hold_pass (cell_t *c)
+{
+  wanting_t *v;
+  unsigned char *kept;
+  size_t n;
+
+  if (c->now < c->held_at + RENEW_MS)
+    return;
+  c->held_at = c->now;
+  v = calloc (c->waiting.n + 1, sizeof *v);
+  kept = calloc ((size_t)c->nworkers + 1, 1);
+  if (!v || !kept)
+    goto out;
+  n = wanting (c, v);
+  for (int i = 0; i < c->nworkers; i++)
+    c->workers[i].nholds = 0;
+  c->held_cpus = 0;
+  for (size_t i = 0; i < n; i++)
+    {
+      cstep_t *s = v[i].step;
+
+      memset (kept, 0, (size_t)c->nworkers);
+      for (int k = 0; k < s->nholds; k++)
+        kept[s->holds[k].worker] = 1;
+      s->nholds = 0;
+      s->shadow = 0;
+      hold_for (c, s, v[i].queue, kept);
+    }
+out:
+  free (v);
+  free (kept);
+}
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -52,6 +52,10 @@
 /* An owner without an answer from the store for this long, while a standby
    has one, hands over. */
 #define CELL_OWNER_STORE_MS 700
+/* An owner is left in place for this long although it seems to be without the
+   store: it may be busy with the census, which a successor would begin anew.
+ */
+#define CELL_TENURE_MIN_MS 3000
 /* A standby's own contact with the store must have lasted this long, and the
    refusal of the owner's address must be no older. */
 #define CELL_CONTACT_MS 400
@@ -144,10 +148,10 @@
  * @ready: its predecessors are done and its time has come
  * @since: when it became ready
  * @verdicts: what the advisor said of each worker
- * @asked: consultation that is out, 0 for none
- * @surveyed: number of workers when all of them were asked about, 0 before
+ * @asked: consultations that are out
+ * @surveyed: number of workers when a survey was made, 0 before
  * @scarce: what was approved cannot hold it
- * @holds: room set aside for it, since @held_at, for a start at @shadow
+ * @holds: room set aside for it, for a start at @shadow
  */
 typedef struct
 {
@@ -167,13 +171,12 @@
   int nverdicts;
   cpass_t *passes;
   int npasses;
-  uint64_t asked;
+  int asked;
   gl_ms_t ask_after;
   int surveyed;
   int scarce;
   chold_t *holds;
   int nholds;
-  gl_ms_t held_at;
   gl_ms_t held_told;
   gl_ms_t shadow;
 } cstep_t;
@@ -406,6 +409,7 @@
   X (consults, "consultations")                                               \
   X (consulted, "workers named in consultations")                             \
   X (consults_failed, "consultations without an answer")                      \
+  X (scans, "searches of all workers for room")                               \
   X (approved, "workers approved")                                            \
   X (forwards, "requests forwarded to the owner")                             \
   X (no_owner, "requests refused for want of an owner")                       \
@@ -453,6 +457,7 @@
   gl_ms_t beacon_at;
   gl_ms_t owner_refused;
   gl_ms_t owner_store_bad;
+  gl_ms_t tenure_since;
   gl_ms_t claim_at;
   gl_ms_t claim_not_before;
   uint64_t claim_tag;
@@ -502,11 +507,13 @@
   names_t job_names;
   handles_t waiting;
   int64_t held_cpus;
+  gl_ms_t held_at; /* when room was last set aside */
   int64_t cpus;
   gl_ms_t cpus_at;
   double usual;
   int plan_due;
   gl_ms_t planned_at;
+  int scans; /* searches of all workers that this pass may still make */
   double share[CELL_QUEUES];
 
   handles_t dirty;
@@ -692,12 +699,10 @@
 
 /* cellhold.c */
 
-/** hold_room - set room aside for a waiting gang, or renew what was */
-void hold_room (cell_t *c, cstep_t *s, const cell_queue_t *q);
+/** hold_pass - set room aside for all waiting gangs, the oldest first */
+void hold_pass (cell_t *c);
 /** hold_drop - give it back */
 void hold_drop (cell_t *c, cstep_t *s);
-/** hold_on - tasks of the step that room is held for on the worker */
-int hold_on (const cstep_t *s, int worker);
 /** hold_others - what is held there for other steps, as far as @s has to
     leave it alone */
 gl_res_t hold_others (const cell_t *c, const cstep_t *s, int worker);
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -11,6 +11,7 @@
 #include "cellint.h"
 
 #include <assert.h>
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -268,17 +269,35 @@
   snprintf (out, CELL_NAME, "%s.%u.%u.%u", j->id, s->turn, s->index, index);
 }
 
+/* ".17" */
+static int
+take_number (const char **p, uint32_t *out)
+{
+  char *end;
+
+  if (**p != '.' || !isdigit ((unsigned char)(*p)[1]))
+    return -1;
+  *out = (uint32_t)strtoul (*p + 1, &end, 10);
+  *p = end;
+  return 0;
+}
+
 ctask_t *
 ctask_find (cell_t *c, const char *name, cstep_t **step, uint32_t *index)
 {
   char id[CELL_NAME];
-  unsigned int turn;
-  unsigned int at;
+  size_t len = strcspn (name, ".");
+  uint32_t turn;
+  uint32_t at;
+  const char *p = name + len;
   cjob_t *j;
   cstep_t *s;
 
-  if (sscanf (name, "%63[^.].%u.%u.%u", id, &turn, &at, index) != 4)
+  if (len >= sizeof id || take_number (&p, &turn) || take_number (&p, &at)
+      || take_number (&p, index) || *p)
     return NULL;
+  memcpy (id, name, len);
+  id[len] = 0;
   j = job_named (c, id);
   if (!j || at >= j->work.steps.steps_len)
     return NULL;
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -66,6 +66,7 @@
     return;
   c->owner_refused = 0;
   c->owner_store_bad = 0;
+  c->tenure_since = c->now;
   c->beacon_at = c->now;
   c->owner_key_gone = c->now;
   if ((c->role == CR_OWNER || c->role == CR_LOADING)
@@ -284,6 +285,7 @@
       && silent > CELL_BEACON_MS)
     return "refused";
   if (c->owner_store_bad && c->now - c->owner_store_bad < CELL_BEACON_LOST_MS
+      && c->now - c->tenure_since > CELL_TENURE_MIN_MS
       && c->now - c->leased_at < CELL_OWNER_STORE_MS)
     return "owner_without_store";
   if (c->owner_key)
@@ -637,6 +639,7 @@
   c->tenure.addr = strdup (b->addr);
   c->tenure.released = 0;
   c->tenure_known = 1;
+  c->tenure_since = c->now;
   cell_log (c, "owner_is vm=%s generation=%llu by=beacon", b->vm,
             (unsigned long long)b->generation);
   if ((c->role == CR_OWNER || c->role == CR_LOADING)
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -13,9 +13,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Least time between two passes. */
+/* Least time between two passes; with many waiting steps it is longer, since
+   the cost of a pass grows with them. */
 #define PLAN_GAP_MS 3
+#define STEPS_A_MS 40
 #define TICK_MS 100
+/* Searches of all workers that one pass may make, so that a long list of
+   waiting steps cannot hold the control thread; the next pass goes on. */
+#define SCANS_A_PASS 8
 /* Runs that an earlier owner can have started without a trace. */
 #define UNSEEN_RUNS 100
 
@@ -215,9 +220,6 @@
       else
         place_singles (c, s, q);
     }
-  if (s->def->gang && s->def->count > 1 && s->nwaiting == s->def->count
-      && (!q->advised || (consult_is_dear (q) && s->surveyed && !s->asked)))
-    hold_room (c, s, q);
   /* A job that is not written yet uses no tickets, so a few will do. */
   if (q->advised && s->nwaiting && (j->durable || !s->npasses))
     consult_step (c, s, q);
@@ -229,7 +231,9 @@
   const cjob_t *j = pool_get (&c->jobs, s->job);
   const cell_queue_t *q = plan_queue (c, j);
 
-  return q ? q->priority : CELL_PRIORITIES;
+  return q && q->priority >= 0 && q->priority < CELL_PRIORITIES
+             ? q->priority
+             : CELL_PRIORITIES;
 }
 
 static void
@@ -252,18 +256,26 @@
 void
 plan_run (cell_t *c)
 {
+  gl_ms_t next;
+  unsigned int present = 0;
+
   if (!c->plan_due || c->role != CR_OWNER || c->release_tag)
     return;
-  if (c->now < c->planned_at + PLAN_GAP_MS)
+  next = c->planned_at + PLAN_GAP_MS + c->waiting.n / STEPS_A_MS;
+  if (c->now < next)
     {
-      timer_arm_before (&c->timers, c->t_plan, c->planned_at + PLAN_GAP_MS);
+      timer_arm_before (&c->timers, c->t_plan, next);
       return;
     }
   c->plan_due = 0;
   c->planned_at = c->now;
   drop_done (c);
+  hold_pass (c);
+  c->scans = SCANS_A_PASS;
+  for (size_t i = 0; i < c->waiting.n; i++)
+    present |= 1u << priority_of (c, pool_get (&c->steps, c->waiting.v[i]));
   for (int p = 0; p <= CELL_PRIORITIES; p++)
-    for (size_t i = 0; i < c->waiting.n; i++)
+    for (size_t i = 0; present & 1u << p && i < c->waiting.n; i++)
       {
         cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
 
--- a/src/cellroom.c
+++ b/src/cellroom.c
@@ -88,6 +88,8 @@
                 >= s->def->need.accels;
 }
 
+/* The numbers are compared before the names: on a busy cell most workers
+   have no room, and this is asked for every step and worker. */
 int
 room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int worker)
 {
@@ -97,7 +99,10 @@
                     w->info.total.accels - w->used.accels };
   int n;
 
-  if (!is_fit (c, s, q, w))
+  if (q->priority > 0 && !s->def->gang)
+    room.cpus_m -= (int)(w->info.total.cpus_m * URGENT_SHARE);
+  n = times (s, &room);
+  if (!n || !is_fit (c, s, q, w))
     return 0;
   if (q->priority > 0 && w->nholds)
     {
@@ -106,10 +111,8 @@
       room.cpus_m -= held.cpus_m;
       room.memory_mb -= held.memory_mb;
       room.accels -= held.accels;
+      n = times (s, &room);
     }
-  if (q->priority > 0 && !s->def->gang)
-    room.cpus_m -= (int)(w->info.total.cpus_m * URGENT_SHARE);
-  n = times (s, &room);
   if (s->def->per_worker && n > 0)
     {
       int left = (int)s->def->per_worker - on_worker (c, s, worker);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -49,6 +49,25 @@
     return atoi (name.c_str ());
   }
 
+  /* A counter of the owner's. */
+  long
+  figure (const std::string &name)
+  {
+    text_t t{};
+    long value = -1;
+    int o = w->owner ();
+
+    if (o < 0)
+      return value;
+    cell_metrics (w->vms[(size_t)o].cell, &t);
+    std::istringstream lines (t.s ? t.s : "");
+    for (std::string l; std::getline (lines, l);)
+      if (l.rfind ("cell_" + name + " ", 0) == 0)
+        value = atol (l.c_str () + name.size () + 6);
+    free (t.s);
+    return value;
+  }
+
   void
   worker (std::istringstream &in)
   {
@@ -114,6 +133,42 @@
           steps.push_back (parse_step (s));
         w->submit (a, queue, steps);
       }
+    else if (cmd == "burst")
+      {
+        /* burst N PREFIX QUEUE STEP...: so many jobs at once */
+        std::string queue;
+        std::string s;
+        std::vector<gl_step_t> steps;
+        in >> n >> a >> queue;
+        while (in >> s)
+          steps.push_back (parse_step (s));
+        for (int i = 0; i < n; i++)
+          {
+            char id[20];
+            snprintf (id, sizeof id, "%.8s%08d", (a + "00000000").c_str (), i);
+            w->submit (id, queue, steps);
+          }
+      }
+    else if (cmd == "completed")
+      {
+        /* completed PREFIX: how many jobs of a burst have */
+        in >> a;
+        for (auto &j : w->jobs)
+          if (j.first.rfind (a, 0) == 0)
+            w->ask (j.first);
+        w->run (50);
+        for (auto &j : w->jobs)
+          n += j.first.rfind (a, 0) == 0 && j.second.shown == "completed";
+        out.push_back (a + " completed " + std::to_string (n));
+      }
+    else if (cmd == "at_most")
+      {
+        /* at_most N COUNTER: the owner's counter is no higher */
+        in >> n >> a;
+        long value = figure (a);
+        out.push_back (value <= n ? a + " is low enough"
+                                  : a + " is " + std::to_string (value));
+      }
     else if (cmd == "cancel")
       {
         in >> a;
@@ -180,6 +235,8 @@
         in >> a >> n;
         if (a == "fails")
           w->advisor_fails = n;
+        else if (a == "approves_in")
+          w->approves_in = n;
         else
           w->decide_ms = n;
       }
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1001,6 +1001,9 @@
   /* One life in four is refused, so that gangs always find room. */
   size_t h = std::hash<std::string> () (step);
 
+  if (approves_in)
+    return std::hash<std::string> () (step + worker) % (size_t)approves_in
+           == 0;
   return (size_t)atoi (worker.c_str () + 1) % 4 != h % 4;
 }
 
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -127,6 +127,7 @@
   std::set<std::string> poison;    /* tasks that always fail */
   int advisor_fails = 0;           /* so many consultations get no answer */
   double decide_ms = 10;
+  int approves_in = 0; /* one life in so many is approved; 0: three in four */
   gl_ms_t now = 1000;
   int luck = 12; /* one run in so many fails by itself; 0 for none */
   gl_ms_t work_ms = 500;
