Calls to the platform run on libevent, once at most each; long waits for room are surveyed again

Cause: a run with processor time by part showed the owner of a grown cell at 0.21 to 0.24 core, of which its HTTP threads took two thirds; a client of our own against a loopback server spends 96 us of user time a call in libcurl (options, handles, buffers), and hundreds of idle connections are probed each second.

calls.c keeps connections by host on libevent, its changes to the poll set handed over together: 60 us a call, and a request is never sent again by the library. platform/ uses it for everything, so there is one client there; httpc.c stays with the router and the older scheduler.

Ruled out: larger curl buffers, allocator settings, fewer epoll_ctl calls within curl (91 to 97 us, no gain).

Tests: tests/calls.cc, also under both sanitizers.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 MODE ?=
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter -Wno-stringop-truncation
-PKGS = libmicrohttpd libcurl log4c jansson inih gsl ck libxxhash nettle
+PKGS = libmicrohttpd libcurl libevent_core libevent_extra log4c jansson inih gsl ck libxxhash nettle
 CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -Ibench -I/usr/include/tirpc \
 	$(shell pkg-config --cflags $(PKGS)) $(DEFS)
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(MODE)
@@ -18,7 +18,7 @@
 GEN = gl_rec_xdr gl_cell_xdr
 # Reducer of the entry, and the I/O that the daemons share.
 ROUTE = route upstream claim
-IO = ask logs loop httpc httpd rpcc rpcd inifile settings cellset line \
+IO = ask logs loop httpc calls httpd rpcc rpcd inifile settings cellset line \
 	rpcmux celld storehttp listhttp \
 	workhttp listwatch daemon
 ADMIN = admin record nodes
@@ -94,20 +94,23 @@
 		$(PLATFORM_PARTS:%=$(TBUILD)/platform/%.o) \
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
+$(BUILD)/calls: $(TBUILD)/tests/calls.o $(IO:%=$(TBUILD)/src/%.o) \
+		$(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 $(BUILD)/policy: $(TBUILD)/tests/policy.o $(TBUILD)/bench/drive.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 $(BUILD)/unit: $(TBUILD)/tests/unit.o $(ROUTE:%=$(TBUILD)/src/%.o) \
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
-TESTS = unit policy wire cell fuzz_sched fuzz_route fuzz_conf fuzz_cell
+TESTS = unit policy wire calls cell fuzz_sched fuzz_route fuzz_conf fuzz_cell
 
 tests: $(TESTS:%=$(BUILD)/%)
 
 # What the tests and the build need; the same line as in .ci/run.
 DEPS = gcc g++ make pkg-config clang-format clang-tidy cppcheck curl \
 	libck-dev libtirpc-dev rpcsvc-proto libmicrohttpd-dev \
-	libcurl4-openssl-dev liblog4c-dev libgtest-dev libjansson-dev \
+	libcurl4-openssl-dev libevent-dev liblog4c-dev libgtest-dev libjansson-dev \
 	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev nettle-dev
 
 deps:
@@ -149,8 +152,9 @@
 # The threaded parts under the thread sanitizer.
 tsan:
 	@$(MAKE) --no-print-directory -j$(BUILD_JOBS) BUILD=build-tsan OPT="-O1 -g" \
-	  MODE="-fsanitize=thread" build-tsan/unit
+	  MODE="-fsanitize=thread" build-tsan/unit build-tsan/calls
 	TSAN_OPTIONS=suppressions=tests/tsan.supp build-tsan/unit --gtest_filter='Threads.*:Http.*:Rpc.*'
+	TSAN_OPTIONS=suppressions=tests/tsan.supp build-tsan/calls
 
 SOURCES = $(wildcard src/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] examples/*.[ch] \
 	tests/*.h tests/*.cc)
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -156,8 +156,15 @@
   return q->decide_ms >= DEAR_MS;
 }
 
-/* The first dear consultation names all workers, and so does a later one
-   when many of them are new. */
+/* Three times the time of a part of a survey. */
+gl_ms_t
+consult_patience (const cell_queue_t *q)
+{
+  return (gl_ms_t)(3 * (q->decide_ms + 2 * SURVEY_PART * q->each_ms));
+}
+
+/* A step is surveyed for when it is new, when what was approved is too little
+   or busy for long, and when many workers are new. */
 static int
 needs_survey (const cell_t *c, const cstep_t *s, const cell_queue_t *q)
 {
@@ -347,7 +354,7 @@
   int part;
   int sent = 0;
 
-  if (!n)
+  if (!n || (s->surveyed && idle_lines (c) < c->nvms / 3))
     return 0;
   n = survey_names (c, s, each, n);
   if (lines > SURVEY_LINES)
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -319,8 +319,7 @@
   qsort (v, n, sizeof *v, offer_cmp);
   if (n >= s->def->count)
     take_offers (c, s, v);
-  else
-    s->scarce = 1;
+  s->scarce |= !s->nholds || s->shadow > c->now + consult_patience (q);
   tell (c, s, s->nholds ? "held" : "too few workers");
   free (v);
 }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -150,7 +150,7 @@
  * @verdicts: what the advisor said of each worker
  * @asked: consultations that are out
  * @surveyed: number of workers when a survey was made, 0 before
- * @scarce: what was approved cannot hold it
+ * @scarce: what was approved cannot hold it, or not soon
  * @holds: room set aside for it, for a start at @shadow
  */
 typedef struct
@@ -718,6 +718,8 @@
 void consult_drop_stale (const cell_t *c, cstep_t *s);
 /** consult_verdict - 0 not asked, 1 approved, 2 refused */
 int consult_verdict (const cstep_t *s, int worker);
+/** consult_patience - longer waits for room are worth another survey */
+gl_ms_t consult_patience (const cell_queue_t *q);
 /** consult_is_dear - asking about one worker costs much already */
 int consult_is_dear (const cell_queue_t *q);
 
