--- a/src/calls.c
+++ b/src/calls.c
@@ -403,7 +403,7 @@
 {
   struct evkeyvalq *out = evhttp_request_get_output_headers (req);
 
-  evhttp_add_header (out, "Host", k->addr);
+  evhttp_add_header (out, "host", k->addr);
   for (size_t i = 0; i < k->nheaders; i++)
     {
       char *colon = strchr (k->headers[i], ':');
