No questions about steps that cannot start before the census is whole

Cause: after a change of owners with a domain cut off, inherited steps wait for the leases of unheard workers, 9 s; they found room and tickets all the time and asked again as soon as an answer came (25 ms), ahead of new steps in the bounded search.

Test: tests/cell/census-not-whole (820 consultations before, under 60 after). Ruled out: room of cut workers, the store, processor time (0.2 core).

--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -201,13 +201,27 @@
 
 /* ---- the pass ---- */
 
+/* Something of it could start if there were room; until the census is whole
+   that need not be so, and its questions would take the advisor's time. */
+static int
+is_startable (const cell_t *c, const cstep_t *s)
+{
+  uint32_t n = 0;
+
+  if (c->census_whole)
+    return 1;
+  for (uint32_t i = 0; i < s->def->count; i++)
+    n += (uint32_t)may_start (c, &s->tasks[i]);
+  return s->def->gang ? n == s->def->count : n > 0;
+}
+
 static void
 plan_step (cell_t *c, cstep_t *s)
 {
   cjob_t *j = cstep_job (c, s);
   const cell_queue_t *q = plan_queue (c, j);
 
-  if (!q || j->want >= GL_PHASE_COMPLETED)
+  if (!q || j->want >= GL_PHASE_COMPLETED || !is_startable (c, s))
     return;
   if (q->advised)
     consult_drop_stale (c, s);
