A new job is refused at once when there is neither an owner nor the store

Cause: an entry kept it 1.5 s in case a standby took over, which nobody can without the store. Refused with the outage's Retry-After once this VM has been without the store for 1 s and the owner is gone.

--- a/src/cellask.c
+++ b/src/cellask.c
@@ -261,6 +261,16 @@
   c->c.forwards++;
 }
 
+/* Without an owner one may take over within the time that a request waits;
+   without the store as well that cannot be expected. */
+static int
+is_hopeless (const cell_t *c, const crequest_t *r)
+{
+  return c->role == CR_STANDBY && r->ask.verb == GL_VERB_SUBMIT && !r->sent
+         && !r->forwarded && c->leased_at && !c->leased
+         && c->now - c->leased_at > CELL_RETRY_MS;
+}
+
 /* Whether the request can be brought to an owner now. */
 static void
 route (cell_t *c, crequest_t *r)
@@ -272,6 +282,12 @@
   else if (c->role == CR_STANDBY && c->tenure_known && !c->tenure.released
            && strcmp (c->tenure.vm, c->vm) && !c->owner_refused)
     forward (c, r);
+  else if (is_hopeless (c, r))
+    {
+      c->c.no_owner++;
+      cell_tell (c, r->tag, GL_RETRY, store_retry_ms (c), 0,
+                 "neither owner nor store");
+    }
 }
 
 void
