Steps that can still end in time go before those that are late

Within a priority, steps whose job can end in time by its estimates go first, then late ones, then those beyond use, each by age; the oldest gang holds room first whatever its rank, so every gang comes. A job's age survives a takeover.

Ruled out: the youngest first, by the test with the wide gang, which starved.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 CORE = pool timer metrics place conf change codec fx jobs workers lease journal \
 	snap fit policy sched view names cell cellfx cellown celljob cellwork \
-	cellsave cellenrol cellhealth cellroom cellhold cellconsult cellplan cellask
+	cellsave celldue cellenrol cellhealth cellroom cellhold cellconsult cellplan cellask
 GEN = gl_rec_xdr gl_cell_xdr
 # Reducer of the entry, and the I/O that the daemons share.
 ROUTE = route upstream claim
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -11,10 +11,11 @@
  * expected to end before the gang can begin (EASY backfill, Lifka 1995).
  * The first priority is not held off: its tasks are few and short.
  *
- * Reservations are renewed together, the oldest gang first, so that many
- * small gangs cannot keep a large one waiting; a worker that a gang holds
- * already is kept while no other is clearly better.  Beyond the oldest gang,
- * all reservations together are bounded, so that they cannot idle the cell.
+ * Reservations are renewed together: for the oldest gang first, so that many
+ * small gangs cannot keep a large one waiting, then by celldue.c; a worker
+ * that a gang holds already is kept while no other is clearly better.  Beyond
+ * the oldest gang, all reservations together are bounded, so that they cannot
+ * idle the cell.
  */
 #include "cellint.h"
 
@@ -339,6 +340,7 @@
 {
   cstep_t *step;
   const cell_queue_t *queue;
+  int rank;
 } wanting_t;
 
 static int
@@ -349,11 +351,31 @@
 
   if (x->queue->priority != y->queue->priority)
     return x->queue->priority - y->queue->priority;
+  if (x->rank != y->rank)
+    return x->rank - y->rank;
   if (x->step->since != y->step->since)
     return x->step->since < y->step->since ? -1 : 1;
   return x->step->self < y->step->self ? -1 : 1;
 }
 
+/* However late it is, the gang that has waited longest comes next, so that
+   every gang comes in the end. */
+static void
+put_oldest_first (wanting_t *v, size_t n)
+{
+  wanting_t first;
+  size_t oldest = 0;
+
+  for (size_t i = 1; i < n; i++)
+    if (v[i].step->since < v[oldest].step->since)
+      oldest = i;
+  if (!oldest)
+    return;
+  first = v[oldest];
+  memmove (v + 1, v, oldest * sizeof *v);
+  v[0] = first;
+}
+
 /* The waiting gangs in the order in which they are served. */
 static size_t
 wanting (cell_t *c, wanting_t *v)
@@ -366,12 +388,13 @@
       const cell_queue_t *q = s ? plan_queue (c, cstep_job (c, s)) : NULL;
 
       if (s && wants_room (c, s, q))
-        v[n++] = (wanting_t){ s, q };
+        v[n++] = (wanting_t){ s, q, due_rank (c, s) };
       else if (s)
         s->nholds = 0;
     }
   if (n)
     qsort (v, n, sizeof *v, wanting_cmp);
+  put_oldest_first (v, n);
   return n;
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -145,6 +145,7 @@
 
 /**
  * struct cstep_t - one step in one turn of a job
+ * @rank: of due_rank, in this pass of planning
  * @ready: its predecessors are done and its time has come
  * @since: when it became ready
  * @verdicts: what the advisor said of each worker
@@ -163,6 +164,7 @@
   ctask_t *tasks;
   uint32_t ndone;
   uint32_t nwaiting;
+  int rank;
   int ready;
   int started;
   int listed;
@@ -225,6 +227,8 @@
   uint64_t version;
   uint64_t written;
   gl_ms_t arrived;
+  double *tails;   /* estimates along the longest chain from each step on */
+  double chain_ms; /* the longest of them */
   gl_ms_t dirty_at;
   gl_ms_t ended_at;
   uint32_t turns_made;
@@ -723,6 +727,16 @@
 /** consult_is_dear - asking about one worker costs much already */
 int consult_is_dear (const cell_queue_t *q);
 
+/* celldue.c */
+
+#define DUE_RANKS 2
+/** due_note - note the estimates along the chains of a new job; -1 without
+    memory */
+int due_note (cjob_t *j);
+/** due_rank - 0 while its job can still end in time, 1 while it is only late,
+    2 beyond that */
+int due_rank (const cell_t *c, const cstep_t *s);
+
 /* cellplan.c */
 
 /** plan_wake - plan at the end of this event */
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -142,8 +142,9 @@
   for (int i = 0; i < c->conf.nqueues; i++)
     if (!strcmp (c->conf.queues[i].name, j->work.queue))
       j->queue = i;
-  if (names_put (&c->job_names, j->id, h))
+  if (due_note (j) || names_put (&c->job_names, j->id, h))
     {
+      free (j->tails);
       codec_free ((xdrproc_t)xdr_gl_work_t, &j->work);
       pool_del (&c->jobs, h);
       return NULL;
@@ -171,6 +172,7 @@
   free_steps (c, j);
   names_del (&c->job_names, j->id);
   codec_free ((xdrproc_t)xdr_gl_work_t, &j->work);
+  free (j->tails);
   free (j->waiters.v);
   free (j->enders.v);
   pool_del (&c->jobs, j->self);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -506,8 +506,11 @@
       return;
     }
   j = cjob_new (c, &work);
-  if (j)
-    j->durable = j->inherited = 1;
+  if (!j)
+    return;
+  j->durable = j->inherited = 1;
+  if (j->work.accepted_ms < c->wall && c->wall - j->work.accepted_ms < c->now)
+    j->arrived = c->now - (c->wall - j->work.accepted_ms);
 }
 
 static void
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -287,15 +287,21 @@
   hold_pass (c);
   c->scans = SCANS_A_PASS;
   for (size_t i = 0; i < c->waiting.n; i++)
-    present |= 1u << priority_of (c, pool_get (&c->steps, c->waiting.v[i]));
-  for (int p = 0; p <= CELL_PRIORITIES; p++)
-    for (size_t i = 0; present & 1u << p && i < c->waiting.n; i++)
-      {
-        cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+    {
+      cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
 
-        if (s && s->nwaiting && priority_of (c, s) == p)
-          plan_step (c, s);
-      }
+      s->rank = due_rank (c, s);
+      present |= 1u << priority_of (c, s);
+    }
+  for (int p = 0; p <= CELL_PRIORITIES; p++)
+    for (int rank = 0; present & 1u << p && rank <= DUE_RANKS; rank++)
+      for (size_t i = 0; i < c->waiting.n; i++)
+        {
+          cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+
+          if (s && s->nwaiting && s->rank == rank && priority_of (c, s) == p)
+            plan_step (c, s);
+        }
   timer_arm_before (&c->timers, c->t_plan, c->now + TICK_MS);
 }
 
