--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -280,9 +280,9 @@
     return;
   s->held_told = c->now;
   cell_log (c,
-            "gang_waits id=%s step=%u tasks=%u age_ms=%llu workers=%d "
+            "gang_waits id=%s step=%u tasks=%u rank=%d age_ms=%llu workers=%d "
             "tickets=%d in_ms=%lld how=%s",
-            j->id, s->index, s->def->count,
+            j->id, s->index, s->def->count, s->rank,
             (unsigned long long)(c->now - s->since), s->nholds, s->npasses,
             s->nholds ? (long long)s->shadow - (long long)c->now : -1, how);
 }
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -250,6 +250,23 @@
              : CELL_PRIORITIES;
 }
 
+/* A step that cannot be in time any more goes behind others; its line tells
+   why it waits. */
+static void
+note_rank (cell_t *c, cstep_t *s)
+{
+  int rank = due_rank (c, s);
+  const cjob_t *j = cstep_job (c, s);
+
+  if (rank > s->rank)
+    cell_log (c,
+              "step_late id=%s turn=%u step=%u waiting=%u rank=%d "
+              "age_ms=%llu",
+              j->id, s->turn, s->index, s->nwaiting, rank,
+              (unsigned long long)(c->now - j->arrived));
+  s->rank = rank;
+}
+
 static void
 drop_done (cell_t *c)
 {
@@ -290,7 +307,7 @@
     {
       cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
 
-      s->rank = due_rank (c, s);
+      note_rank (c, s);
       present |= 1u << priority_of (c, s);
     }
   for (int p = 0; p <= CELL_PRIORITIES; p++)
