Gangs that can start take room held for later ones; answers that arrive are waited for

Placing a gang left alone what was held for any other gang, also for those behind it, so half the cell was held by gangs that waited for tickets; and reservations took workers without tickets although others had one. Holds now count by the order of the pass, and an offer without a ticket is as late as the advisor's answer.

A call's time now begins anew while its answer arrives, at most 20 times. Test: Calls.GoOnWhileTheirAnswerArrives (unknown before).

Ruled out: processor time (0.02 core there), a stuck thread (its loop ran 250 times a second).

--- a/src/calls.c
+++ b/src/calls.c
@@ -16,6 +16,7 @@
 #include <ck_pr.h>
 #include <ck_ring.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <pthread.h>
@@ -30,6 +31,9 @@
 #include "names.h"
 
 #define SLOTS 8192
+/* How often a call whose answer is still arriving gets its time anew; a large
+   answer on a slow link takes longer than a call may wait for a small one. */
+#define EXTENSIONS_MAX 20
 /* Longest answer that is taken. */
 #define BODY_MAX (2 * 1024 * 1024)
 
@@ -80,6 +84,8 @@
   enum evhttp_cmd_type method;
   gl_ms_t timeout;
   gl_ms_t not_before;
+  size_t arrived; /* bytes of the answer when its time was last over */
+  int extended;
   int fresh;
   httpc_done_t done;
   void *ctx;
@@ -297,6 +303,7 @@
     }
 }
 
+static int arm (calls_t *c, call_t *k, gl_ms_t wait, event_callback_fn fn);
 /* Calls of the host that wait, as far as there are connections. */
 static void begin_next (calls_t *c, host_t *h);
 
@@ -382,6 +389,29 @@
   finish (k, res);
 }
 
+/* Bytes of the answer so far; the library moves them when they are whole. */
+static size_t
+arrived (const call_t *k)
+{
+  struct bufferevent *b = evhttp_connection_get_bufferevent (k->conn->http);
+
+  return evbuffer_get_length (evhttp_request_get_input_buffer (k->req))
+         + evbuffer_get_length (bufferevent_get_input (b));
+}
+
+/* 1 if more of the answer has come since it was last asked. */
+static int
+is_arriving (call_t *k)
+{
+  size_t n = k->conn ? arrived (k) : 0;
+
+  if (n <= k->arrived || k->extended == EXTENSIONS_MAX)
+    return 0;
+  k->arrived = n;
+  k->extended++;
+  return 1;
+}
+
 static void
 timed_out (evutil_socket_t fd, short what, void *ctx)
 {
@@ -392,6 +422,8 @@
 
   (void)fd;
   (void)what;
+  if (is_arriving (k) && !arm (c, k, k->timeout, timed_out))
+    return;
   drop (k, &res);
   begin_next (c, h);
 }
--- a/src/calls.h
+++ b/src/calls.h
@@ -18,7 +18,8 @@
  * @r: method, headers, body, timeout, not_before, fresh, done and ctx are
  *   used; all of it is copied
  *
- * A call is sent once at most.  Returns -1, and calls nobody, when it cannot
+ * A call is sent once at most.  Its timeout begins anew while its answer is
+ * arriving, some times.  Returns -1, and calls nobody, when it cannot
  * be queued.
  */
 int calls_send (calls_t *c, const char *addr, const char *path,
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -210,6 +210,18 @@
   return 0;
 }
 
+gl_ms_t
+consult_ready (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+               int worker, gl_ms_t when)
+{
+  gl_ms_t answer;
+
+  if (!q->advised || ticket_until (s, worker) > when)
+    return when;
+  answer = c->now + (gl_ms_t)(q->decide_ms + SURVEY_PART * q->each_ms);
+  return answer > when ? answer : when;
+}
+
 /* Workers on which a gang's room is, or will be when the answer comes, and
    whose tickets would not last until then. */
 static int
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -12,7 +12,8 @@
  * The first priority is not held off: its tasks are few and short.
  *
  * Reservations are renewed together: for the oldest gang first, so that many
- * small gangs cannot keep a large one waiting, then by celldue.c; a worker
+ * small gangs cannot keep a large one waiting, then by celldue.c.  A gang that
+ * can start takes room that is held for gangs behind it.  A worker
  * that a gang holds already is kept while no other is clearly better.  Beyond
  * the oldest gang, all reservations together are bounded, so that they cannot
  * idle the cell.
@@ -90,7 +91,8 @@
     {
       const chold_t *h = &w->holds[i];
 
-      if (h->step == s->self || (!s->def->gang && end <= h->shadow))
+      if (h->step == s->self || (!s->def->gang && end <= h->shadow)
+          || (s->def->gang && s->hold_turn && h->turn > s->hold_turn))
         continue;
       sum.cpus_m += h->n * h->need.cpus_m;
       sum.memory_mb += h->n * h->need.memory_mb;
@@ -138,7 +140,8 @@
   if (!v)
     return -1;
   s->holds = v;
-  v[s->nholds] = (chold_t){ s->self, worker, 1, 0, s->def->need };
+  v[s->nholds]
+      = (chold_t){ s->self, worker, 1, 0, s->hold_turn, s->def->need };
   w->holds[w->nholds++] = v[s->nholds++];
   return 0;
 }
@@ -315,7 +318,8 @@
 
         n += (size_t)offers_of (c, s, i, v + n);
         for (size_t k = from; k < n; k++)
-          v[k].key = v[k].when + (kept[i] ? 0 : STICKY_MS);
+          v[k].key = consult_ready (c, s, q, i, v[k].when)
+                     + (kept[i] ? 0 : STICKY_MS);
       }
   qsort (v, n, sizeof *v, offer_cmp);
   if (n >= s->def->count)
@@ -390,7 +394,7 @@
       if (s && wants_room (c, s, q))
         v[n++] = (wanting_t){ s, q, due_rank (c, s) };
       else if (s)
-        s->nholds = 0;
+        s->nholds = s->hold_turn = 0;
     }
   if (n)
     qsort (v, n, sizeof *v, wanting_cmp);
@@ -422,6 +426,7 @@
     {
       cstep_t *s = v[i].step;
 
+      s->hold_turn = (int)i + 1;
       memset (kept, 0, (size_t)c->nworkers);
       for (int k = 0; k < s->nholds; k++)
         kept[s->holds[k].worker] = 1;
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -133,6 +133,7 @@
 /**
  * struct chold_t - room set aside for tasks of a gang on one worker
  * @shadow: when the gang is expected to begin
+ * @turn: its place in the order of gangs
  */
 typedef struct
 {
@@ -140,6 +141,7 @@
   int worker;
   int n;
   gl_ms_t shadow;
+  int turn;
   gl_res_t need;
 } chold_t;
 
@@ -153,6 +155,7 @@
  * @surveyed: number of workers when a survey was made, 0 before
  * @scarce: what was approved cannot hold it, or not soon
  * @holds: room set aside for it, for a start at @shadow
+ * @hold_turn: its place in the order of gangs, from 1; 0 before it has one
  */
 typedef struct
 {
@@ -179,6 +182,7 @@
   int scarce;
   chold_t *holds;
   int nholds;
+  int hold_turn;
   gl_ms_t held_told;
   gl_ms_t shadow;
 } cstep_t;
@@ -722,6 +726,10 @@
 void consult_drop_stale (const cell_t *c, cstep_t *s);
 /** consult_verdict - 0 not asked, 1 approved, 2 refused */
 int consult_verdict (const cstep_t *s, int worker);
+/** consult_ready - when the worker's ticket, or one that is asked for now,
+    lets a task of the step start that has room at @when */
+gl_ms_t consult_ready (const cell_t *c, const cstep_t *s,
+                       const cell_queue_t *q, int worker, gl_ms_t when);
 /** consult_patience - longer waits for room are worth another survey */
 gl_ms_t consult_patience (const cell_queue_t *q);
 /** consult_is_dear - asking about one worker costs much already */
--- a/tests/calls.cc
+++ b/tests/calls.cc
@@ -123,6 +123,20 @@
       std::this_thread::sleep_for (std::chrono::milliseconds (60));
     if (line.find ("/silent") != std::string::npos)
       goes_on = true;
+    else if (line.find ("/trickles") != std::string::npos
+             || line.find ("/stalls") != std::string::npos)
+      {
+        int parts = line.find ("/stalls") != std::string::npos ? 3 : 10;
+        std::string part (1000, 'a');
+        std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n";
+
+        send (fd, head.data (), head.size (), MSG_NOSIGNAL);
+        for (int i = 0; i < parts; i++)
+          {
+            send (fd, part.data (), part.size (), MSG_NOSIGNAL);
+            std::this_thread::sleep_for (std::chrono::milliseconds (50));
+          }
+      }
     else if (line.find ("/breaks") != std::string::npos)
       {
         send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nab", 42, 0);
@@ -228,6 +242,19 @@
   EXPECT_EQ (2, server.requests);
 }
 
+/* The load: a large configuration on a slow link. */
+TEST_F (Calls, GoOnWhileTheirAnswerArrives)
+{
+  send ("/trickles", "x", 120);
+  wait (1);
+  EXPECT_EQ (HTTPC_WHOLE, results[0].outcome);
+  EXPECT_EQ (10000u, results[0].len);
+  send ("/stalls", "x", 120);
+  wait (2);
+  EXPECT_EQ (HTTPC_UNKNOWN, results[1].outcome);
+  EXPECT_TRUE (results[1].timed_out);
+}
+
 TEST_F (Calls, ThatNeverLeftSaySo)
 {
   int closed;
