Check the revision of records that an owner writes more than once

Cause: a transaction without an answer may be carried out seconds later, as long as its conditions hold. Task records and workers' records had the ownership as their only condition, so within one tenure a late transaction undid a newer one: ends that had been acknowledged were gone from the store, and the next owner started their tasks again.

Change: task records are written over the revision that the owner knows; the first time, the specification must be there too, so that a late write cannot leave records of a job that has ended. Workers' records have the same check. A conflict tells the present revision. The emulator has a store that carries out unanswered transactions late; the fuzzer draws it.

Ruled out: a sequence number in the value (nobody compares it at the time of the late write); reading before the next write (one call more for each lost answer; the conflict brings the same). Results are written without the check: writing one twice changes nothing.

--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -6,6 +6,9 @@
  * the worker is over.  The workers' own registrations do not tell a new owner
  * where tasks may be running, since a registration may lapse while the worker
  * runs on.
+ *
+ * Every change checks the record's revision: a transaction without an answer
+ * may be carried out seconds later, and must not undo a newer change.
  */
 #include "cellint.h"
 
@@ -15,6 +18,9 @@
 
 #include "codec.h"
 
+/* Each worker adds a check and a write to a transaction, which has the check
+   of the ownership besides. */
+#define WORKERS_PER_TXN ((CELL_TXN_KEYS_MAX - 1) / 2)
 /* Pause after a transaction that failed. */
 #define RETRY_PAUSE_MS 100
 
@@ -34,6 +40,12 @@
   return codec_encode ((xdrproc_t)xdr_gl_worker_record_t, &record, len);
 }
 
+static void
+record_key (const cworker_t *w, char key[CELL_NAME_SIZE])
+{
+  snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s", w->info.id);
+}
+
 void
 enrol_load (cell_t *c, const cell_item_t *item)
 {
@@ -69,7 +81,10 @@
         w->unregistered_at = c->now;
     }
   if (w)
-    w->enrolled = 1;
+    {
+      w->enrolled = 1;
+      w->record_revision = item->revision;
+    }
   codec_free ((xdrproc_t)xdr_gl_worker_record_t, &record);
 }
 
@@ -90,10 +105,10 @@
   if (c->enrol_tag || c->now < c->enrol_after)
     return;
   c->nenrolling = 0;
-  for (int i = 0; i < c->nworkers && c->nenrolling < CELL_TXN_KEYS_MAX - 1;
-       i++)
+  for (int i = 0; i < c->nworkers && c->nenrolling < WORKERS_PER_TXN; i++)
     {
       cworker_t *w = &c->workers[i];
+      cell_item_t *check;
       cell_put_t *p;
       int change = needed_change (w);
 
@@ -109,19 +124,49 @@
           c->enrol_tag = e->tag = cell_new_tag (c);
         }
       p = &e->txn->puts[e->txn->nputs++];
-      snprintf (p->key, sizeof p->key, "gl/w/%.100s", w->info.id);
+      record_key (w, p->key);
+      check = &e->txn->checks[e->txn->nchecks++];
+      cell_strcpy (check->key, p->key);
+      check->revision = w->record_revision;
       if (change > 0)
         p->value = encode_record (&w->info, &p->len);
       c->enrolling[c->nenrolling++] = i;
     }
 }
 
+/* A record has another revision than expected: an earlier transaction without
+   an answer was carried out.  The next one expects the present revision. */
+static void
+adopt_revisions (cell_t *c, const cell_event_t *ev)
+{
+  for (int i = 0; i < c->nenrolling; i++)
+    {
+      cworker_t *w = &c->workers[c->enrolling[i]];
+      const cell_item_t *item;
+      char key[CELL_NAME_SIZE];
+
+      record_key (w, key);
+      item = own_conflicting_item (ev, key);
+      w->record_revision = item ? item->revision : 0;
+    }
+}
+
 int
 enrol_txn_result (cell_t *c, const cell_event_t *ev)
 {
   if (!c->enrol_tag || ev->tag != c->enrol_tag)
     return 0;
   c->enrol_tag = 0;
+  if (ev->status == GL_ST_CONFLICT && own_fence_failed (c, ev))
+    {
+      own_step_down (c, "fenced by the store");
+      return 1;
+    }
+  if (ev->status == GL_ST_CONFLICT)
+    {
+      adopt_revisions (c, ev);
+      return 1;
+    }
   if (ev->status != GL_ST_OK)
     {
       c->enrol_after = c->now + RETRY_PAUSE_MS;
@@ -132,6 +177,7 @@
       cworker_t *w = &c->workers[c->enrolling[i]];
 
       w->enrolled = !w->enrolled;
+      w->record_revision = w->enrolled ? ev->revision : 0;
     }
   plan_wake (c);
   return 1;
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -271,6 +271,8 @@
  * @in_dirty, @dirty_at: it is in the list of jobs to write, and since when
  * @version, @written_version: version of its task records here and in the
  *   store
+ * @spec_revision, @records_revision: revisions in the store of the keys of its
+ *   specification and of its task records; 0 if absent, or not known yet
  * @arrived_at: when this owner received it; for a job loaded from the store,
  *   when an earlier owner accepted it, by the wall clock
  * @ended_at: when its end was written
@@ -299,6 +301,8 @@
   int in_dirty;
   uint64_t version;
   uint64_t written_version;
+  uint64_t spec_revision;
+  uint64_t records_revision;
   gl_ms_t arrived_at;
   double *path_ms;
   double critical_path_ms;
@@ -339,6 +343,7 @@
  * @registered, @unregistered_at: its registration is in the store, else since
  *   when it is not
  * @enrolled: its record is in the store, so that a successor will know it
+ * @record_revision: revision of that record, 0 if there is none
  * @accounted: this owner knows what runs there, from its report or because
  *   its leases have ended
  * @dead: this incarnation counts as over, and nothing of it runs: it has
@@ -377,6 +382,7 @@
   gl_res_t used;
   int registered;
   int enrolled;
+  uint64_t record_revision;
   int accounted;
   int dead;
   int silent;
@@ -818,6 +824,13 @@
 void own_step_down (cell_t *c, const char *why);
 /** own_add_fence - add the check that this VM still owns the cell */
 void own_add_fence (const cell_t *c, cell_txn_t *txn);
+/** own_fence_failed - 1 if the transaction conflicted because another VM owns
+    the cell */
+int own_fence_failed (const cell_t *c, const cell_event_t *ev);
+/** own_conflicting_item - present state of a key that a transaction checked
+    and that conflicted; NULL if the key is absent */
+const cell_item_t *own_conflicting_item (const cell_event_t *ev,
+                                         const char *key);
 
 /* cellsave.c */
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -259,6 +259,23 @@
   i->revision = c->ownership_rev;
 }
 
+const cell_item_t *
+own_conflicting_item (const cell_event_t *ev, const char *key)
+{
+  for (int i = 0; i < ev->nitems; i++)
+    if (!strcmp (ev->items[i].key, key) && ev->items[i].revision)
+      return &ev->items[i];
+  return NULL;
+}
+
+int
+own_fence_failed (const cell_t *c, const cell_event_t *ev)
+{
+  const cell_item_t *item = own_conflicting_item (ev, KEY_OWNERSHIP);
+
+  return item && item->revision != c->ownership_rev;
+}
+
 static int
 write_ownership (cell_t *c, uint64_t generation, int released, uint64_t *tag)
 {
@@ -536,6 +553,7 @@
   if (!j)
     return;
   j->durable = j->inherited = 1;
+  j->spec_revision = item->revision;
   /* Its age counts from its acceptance by the earlier owner. */
   if (j->spec.accepted_ms < c->wall && c->wall - j->spec.accepted_ms < c->now)
     j->arrived_at = c->now - (c->wall - j->spec.accepted_ms);
@@ -556,6 +574,7 @@
       return;
     }
   cjob_restore (c, j, &p);
+  j->records_revision = item->revision;
   codec_free ((xdrproc_t)xdr_gl_progress_t, &p);
 }
 
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -10,6 +10,14 @@
  * time, so that its writes keep their order.  Every transaction checks the
  * ownership record; see cellown.c.
  *
+ * A transaction without an answer may be carried out seconds later, if its
+ * conditions still hold.  So that it cannot undo a newer write, task records
+ * are written only over the revision that this owner knows, and for the first
+ * time only while the specification is there.  A conflict tells the present
+ * revision; earlier transactions that expected another one can no longer be
+ * carried out.  Results are not checked: a job has one result, and writing it
+ * twice changes nothing.
+ *
  * The specification is written only if neither it nor a result exists under
  * the id, so an id names one job whichever owner a caller reaches.  When the
  * answer to that write is lost, it is sent again; if the specification exists
@@ -37,7 +45,8 @@
 /* Pause after a transaction that was refused or got no answer. */
 #define RETRY_PAUSE_MS 60
 /* Most checks and writes that one job adds to a transaction: a specification
-   has two checks and a write, a result a write and two removals. */
+   has two checks and a write, task records the same, a result a write and two
+   removals. */
 #define JOB_ENTRIES_MAX 3
 /* A new job whose specification the store refuses for this long is refused. */
 #define CREATE_GIVE_UP_MS 500
@@ -102,12 +111,13 @@
 /* ---- building transactions ---- */
 
 static void
-add_check (cell_txn_t *txn, const char *kind, const char *id)
+add_check (cell_txn_t *txn, const char *kind, const char *id,
+           uint64_t revision)
 {
   cell_item_t *i = &txn->checks[txn->nchecks++];
 
   snprintf (i->key, sizeof i->key, "gl/%s/%s", kind, id);
-  i->revision = 0;
+  i->revision = revision;
 }
 
 static cell_put_t *
@@ -124,8 +134,8 @@
 {
   cell_put_t *p;
 
-  add_check (txn, "j", j->id);
-  add_check (txn, "d", j->id);
+  add_check (txn, "j", j->id, 0);
+  add_check (txn, "d", j->id, 0);
   p = add_put (txn, "j", j->id);
   p->value = codec_encode ((xdrproc_t)xdr_gl_cell_job_t, &j->spec, &p->len);
   return p->value ? 0 : -1;
@@ -137,6 +147,12 @@
   cell_put_t *p = add_put (txn, "p", j->id);
   gl_progress_t records;
 
+  if (!FAULT (FAULT_CELL_LATE_WRITE))
+    {
+      if (!j->records_revision)
+        add_check (txn, "j", j->id, j->spec_revision);
+      add_check (txn, "p", j->id, j->records_revision);
+    }
   cjob_records (c, j, &records);
   p->value = codec_encode ((xdrproc_t)xdr_gl_progress_t, &records, &p->len);
   codec_free ((xdrproc_t)xdr_gl_progress_t, &records);
@@ -339,7 +355,7 @@
 }
 
 static void
-job_saved (cell_t *c, const csave_t *s)
+job_saved (cell_t *c, const csave_t *s, uint64_t revision)
 {
   cjob_t *j = pool_get (&c->jobs, s->job);
 
@@ -347,9 +363,14 @@
     return;
   j->saving = 0;
   if (s->kind == SAVE_CREATE)
-    mark_accepted (c, j);
+    {
+      j->spec_revision = revision;
+      mark_accepted (c, j);
+    }
   else
     j->written_version = s->version;
+  if (s->kind == SAVE_PROGRESS)
+    j->records_revision = revision;
   if (s->kind == SAVE_RESULT)
     {
       j->written_version = j->version;
@@ -359,7 +380,7 @@
     save_job (c, j, 0);
 }
 
-/* The present value of a key that failed its check, or NULL if it is absent.
+/* The present state of a job's key that was checked, or NULL if it is absent.
  */
 static const cell_item_t *
 conflicting_item (const cell_event_t *ev, const char *kind, const char *id)
@@ -367,10 +388,20 @@
   char key[CELL_NAME_SIZE];
 
   snprintf (key, sizeof key, "gl/%s/%s", kind, id);
-  for (int i = 0; i < ev->nitems; i++)
-    if (!strcmp (ev->items[i].key, key) && ev->items[i].revision)
-      return &ev->items[i];
-  return NULL;
+  return own_conflicting_item (ev, key);
+}
+
+/* Expect the revisions that the job's keys have now: an earlier transaction
+   without an answer was carried out. */
+static void
+adopt_revisions (cjob_t *j, const cell_event_t *ev)
+{
+  const cell_item_t *item = conflicting_item (ev, "p", j->id);
+
+  j->records_revision = item ? item->revision : 0;
+  item = conflicting_item (ev, "j", j->id);
+  if (item)
+    j->spec_revision = item->revision;
 }
 
 /* A specification was not written since its id is in use: by our own write
@@ -388,6 +419,7 @@
       cell_log (c, "job_exists id=%s revision=%llu maybe_written=%d", j->id,
                 (unsigned long long)item->revision, j->maybe_written);
       j->inherited = !j->maybe_written;
+      j->spec_revision = item->revision;
       mark_accepted (c, j);
       return 1;
     }
@@ -438,21 +470,10 @@
     save_job (c, j, 1);
 }
 
-/* 1 if the ownership record has changed, so that this VM is not the owner any
-   more. */
-static int
-ownership_changed (const cell_t *c, const cell_event_t *ev)
-{
-  for (int i = 0; i < ev->nitems; i++)
-    if (!strcmp (ev->items[i].key, "gl/m/tenure"))
-      return ev->items[i].revision != c->ownership_rev;
-  return 0;
-}
-
 static void
 handle_conflict (cell_t *c, const csave_txn_t *slot, const cell_event_t *ev)
 {
-  if (ownership_changed (c, ev))
+  if (own_fence_failed (c, ev))
     {
       own_step_down (c, "fenced by the store");
       return;
@@ -469,7 +490,11 @@
             save_job (c, j, 1);
         }
       else
-        retry_save (c, &slot->saves[i], 0);
+        {
+          if (j && slot->saves[i].kind == SAVE_PROGRESS)
+            adopt_revisions (j, ev);
+          retry_save (c, &slot->saves[i], 0);
+        }
     }
 }
 
@@ -489,7 +514,7 @@
       c->store_failures = 0;
       own_confirmed (c, slot->sent_at);
       for (int i = 0; i < slot->nsaves; i++)
-        job_saved (c, &slot->saves[i]);
+        job_saved (c, &slot->saves[i], ev->revision);
       cworkers_ack_saved (c);
       return;
     }
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -278,6 +278,7 @@
       w->nunacked = 0;
       w->missed_polls = 0;
       w->enrolled = 0;
+      w->record_revision = 0;
       w->lease_over_at = 0;
       w->orphans = 0;
       w->lease_bound_at = c->now + c->lease_bound_ms;
--- a/src/fault.h
+++ b/src/fault.h
@@ -37,6 +37,8 @@
  * @FAULT_CELL_ACCEPT_EARLY: accepts a job before it is in the store
  * @FAULT_CELL_FAILURE_TWICE: counts one failed run more than once
  * @FAULT_CELL_NO_FENCE: writes as owner without checking the ownership
+ * @FAULT_CELL_LATE_WRITE: writes task records without checking that no later
+ *   ones are in the store
  */
 typedef enum
 {
@@ -66,6 +68,7 @@
   FAULT_CELL_ACCEPT_EARLY,
   FAULT_CELL_FAILURE_TWICE,
   FAULT_CELL_NO_FENCE,
+  FAULT_CELL_LATE_WRITE,
   FAULT_COUNT
 } fault_t;
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -22,7 +22,7 @@
  *   freeze VM, thaw VM             a frozen VM handles no events
  *   cut VM, heal VM                a cut VM does not reach the store
  *   part VM WORKER, join VM WORKER the VM does not reach the worker
- *   store fine|down|silent|loses   see StoreMode
+ *   store fine|down|silent|loses|late   see StoreMode
  *   worker N crash|show            N is the worker's number
  *   worker N reachable|listed|unanswered|fails_all|hangs 0|1
  *   worker N late|stops_in|leaves_in MS
@@ -262,6 +262,7 @@
         w->store_mode = a == "fine"     ? StoreMode::up
                         : a == "down"   ? StoreMode::down
                         : a == "silent" ? StoreMode::silent
+                        : a == "late"   ? StoreMode::executes_late
                                         : StoreMode::loses_answers;
       }
     else if (cmd == "worker")
@@ -390,6 +391,19 @@
   fault_on = FAULT_NONE;
   EXPECT_NE (out, expected);
 }
+
+/* The script must notice that a late write undoes a newer one. */
+TEST (CellFault, RevisionOfTaskRecordsIsChecked)
+{
+  std::vector<std::string> out;
+  std::vector<std::string> expected;
+
+  fault_on = FAULT_CELL_LATE_WRITE;
+  run_script ("tests/cell/unanswered-write-carried-out-late.txt", &out,
+              &expected);
+  fault_on = FAULT_NONE;
+  EXPECT_NE (out, expected);
+}
 #endif
 
 static std::string
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -382,25 +382,50 @@
   return m != StoreMode::loses_answers || dice % 3;
 }
 
+/* How long after its arrival a transaction that is carried out late is. */
+static gl_ms_t
+late_ms (uint64_t dice)
+{
+  return 1000 + dice % 5000;
+}
+
+gl_store_status_t
+World::execute_txn (const Txn &x)
+{
+  for (auto &p : x.puts)
+    if (p.leased && !leases_.count (x.lease_id))
+      return GL_ST_REFUSED;
+  for (auto &c : x.checks)
+    if ((items_.count (c.first) ? items_[c.first].revision : 0) != c.second)
+      return GL_ST_CONFLICT;
+  revision_++;
+  for (auto &p : x.puts)
+    if (p.remove)
+      {
+        if (items_.erase (p.key))
+          key_changed (p.key, true);
+      }
+    else
+      {
+        items_[p.key] = { p.value, revision_, p.leased ? x.lease_id : 0 };
+        key_changed (p.key, false);
+      }
+  return GL_ST_OK;
+}
+
 void
 World::run_txn (int i, uint64_t tag, const cell_txn_t &x)
 {
-  struct Put
-  {
-    std::string key, value;
-    bool leased, remove;
-  };
-  std::vector<std::pair<std::string, uint64_t> > checks;
-  std::vector<Put> puts;
+  Txn txn;
   uint64_t incarnation = vms[(size_t)i].incarnation;
-  uint64_t lease_id = vms[(size_t)i].lease_id;
 
   if (x.nchecks + x.nputs > CELL_TXN_KEYS_MAX)
     report_violation ("a transaction with too many entries");
+  txn.lease_id = vms[(size_t)i].lease_id;
   for (int k = 0; k < x.nchecks; k++)
-    checks.push_back ({ x.checks[k].key, x.checks[k].revision });
+    txn.checks.push_back ({ x.checks[k].key, x.checks[k].revision });
   for (int k = 0; k < x.nputs; k++)
-    puts.push_back (
+    txn.puts.push_back (
         { x.puts[k].key,
           x.puts[k].value ? std::string (x.puts[k].value, x.puts[k].len) : "",
           x.puts[k].leased != 0, !x.puts[k].value });
@@ -408,46 +433,28 @@
     cell_event_t ev{};
     std::vector<cell_item_t> items;
     std::vector<std::string> values;
-    bool cut = vms[(size_t)i].store_cut;
-    bool refused = store_mode == StoreMode::down;
-    bool lost = cut || store_mode == StoreMode::silent;
-    bool conflict = false;
+    bool lost
+        = vms[(size_t)i].store_cut || store_mode == StoreMode::silent
+          || (store_mode == StoreMode::executes_late && !(random () % 3));
 
     ev.kind = CELL_EV_TXN_DONE;
     ev.tag = tag;
-    if (!refused && !lost)
-      {
-        for (auto &c : checks)
-          conflict |= (items_.count (c.first) ? items_[c.first].revision : 0)
-                      != c.second;
-        for (auto &p : puts)
-          refused |= p.leased && !leases_.count (lease_id);
-      }
-    if (!refused && !lost && !conflict)
+    ev.status = GL_ST_UNKNOWN;
+    if (store_mode == StoreMode::executes_late && lost)
+      schedule (late_ms (random ()), [=, this] { execute_txn (txn); });
+    else if (!lost)
+      ev.status
+          = store_mode == StoreMode::down ? GL_ST_REFUSED : execute_txn (txn);
+    ev.revision = revision_;
+    if (ev.status == GL_ST_OK && !answer_arrives (store_mode, random ()))
       {
-        revision_++;
-        for (auto &p : puts)
-          if (p.remove)
-            {
-              if (items_.erase (p.key))
-                key_changed (p.key, true);
-            }
-          else
-            {
-              items_[p.key] = { p.value, revision_, p.leased ? lease_id : 0 };
-              key_changed (p.key, false);
-            }
-        ev.revision = revision_;
-        lost = !answer_arrives (store_mode, random ());
+        ev.status = GL_ST_UNKNOWN;
+        lost = true;
       }
-    ev.status = refused    ? GL_ST_REFUSED
-                : lost     ? GL_ST_UNKNOWN
-                : conflict ? GL_ST_CONFLICT
-                           : GL_ST_OK;
-    if (conflict)
+    if (ev.status == GL_ST_CONFLICT)
       {
-        values.reserve (checks.size ());
-        for (auto &c : checks)
+        values.reserve (txn.checks.size ());
+        for (auto &c : txn.checks)
           {
             cell_item_t it{};
             snprintf (it.key, sizeof it.key, "%s", c.first.c_str ());
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -20,9 +20,11 @@
 enum class StoreMode
 {
   up,
-  down,         /* refuses every call */
-  silent,       /* carries out nothing; transactions get no answer */
-  loses_answers /* carries out transactions; one answer in three is lost */
+  down,          /* refuses every call */
+  silent,        /* carries out nothing; transactions get no answer */
+  loses_answers, /* carries out transactions; one answer in three is lost */
+  executes_late  /* one transaction in three gets no answer and is carried out
+                    seconds later, if its conditions still hold */
 };
 
 /* A run in progress on a worker. */
@@ -168,6 +170,18 @@
     gl_ms_t ttl;
     gl_ms_t ends_at;
   };
+  struct Put
+  {
+    std::string key, value;
+    bool leased, remove;
+  };
+  /* A transaction; checks are keys and their expected revisions. */
+  struct Txn
+  {
+    std::vector<std::pair<std::string, uint64_t> > checks;
+    std::vector<Put> puts;
+    uint64_t lease_id;
+  };
   typedef std::function<void ()> Fn;
   /* A scheduled call; those of the same time run in the order of @seq. */
   struct Timer
@@ -186,6 +200,8 @@
   void step (int vm, cell_event_t &ev);
   void run_effect (int vm, cell_effect_t &e);
   void run_txn (int vm, uint64_t tag, const cell_txn_t &x);
+  /* Carry the transaction out if its conditions hold. */
+  gl_store_status_t execute_txn (const Txn &x);
   void read_page (int vm, uint64_t tag, const std::string &prefix,
                   const std::string &after_key);
   void read_key (int vm, uint64_t tag, const std::string &key);
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -16,7 +16,7 @@
 #endif
 
 /* Kinds of steps in a script, see Simulation::run_step. */
-static const int KINDS = 24;
+static const int KINDS = 25;
 /* Longest time between two steps. */
 static const int GAP_MAX_MS = 700;
 /* Most steps of a script. */
@@ -123,6 +123,8 @@
       w.crash_worker ((int)worker);
     else if (s.kind == 23)
       w.set_registered ((int)worker, !w.workers[worker].registered);
+    else if (s.kind == 24)
+      w.store_mode = StoreMode::executes_late;
     w.run ((gl_ms_t)s.gap);
   }
 };
@@ -227,10 +229,9 @@
           v.c_str ());
 }
 
-INSTANTIATE_TEST_SUITE_P (All, FuzzCellFault,
-                          testing::Values (FAULT_CELL_FORGET_EARLY,
-                                           FAULT_CELL_NO_CENSUS,
-                                           FAULT_CELL_ACCEPT_EARLY,
-                                           FAULT_CELL_FAILURE_TWICE,
-                                           FAULT_CELL_NO_FENCE));
+INSTANTIATE_TEST_SUITE_P (
+    All, FuzzCellFault,
+    testing::Values (FAULT_CELL_FORGET_EARLY, FAULT_CELL_NO_CENSUS,
+                     FAULT_CELL_ACCEPT_EARLY, FAULT_CELL_FAILURE_TWICE,
+                     FAULT_CELL_NO_FENCE, FAULT_CELL_LATE_WRITE));
 #endif
