Send callers away from an isolated VM; two faults that its test world showed

Change: cellreach.c. A VM is isolated when neither the store nor another domain answers for 0.6 s. It is not ready then, so that the balancer sends its callers elsewhere, and refuses at once what it cannot pass on. Nothing is forwarded to an owner that has been silent for 0.4 s, since the outcome could stay unknown. When the store alone is silent, all VMs stay ready. Owners take note of the answers to their heartbeats; messages are unchanged.

Ruled out: a field in the heartbeat (VMs of an older version could not read it); leaving the owner's readiness as it is (the owner is in the cut domain in one cut of three).

A VM whose registration in the store got no answer never wrote it again; after 30 s the owner sent it no heartbeats, and requests did not reach the owner through it. It is written again after the next renewal of the lease.

A former owner, back from a cut, found that a worker had restarted and started its tasks again on a worker that had not heard of the successor yet, though the successor had acknowledged their ends. Tasks of a restarted worker now count as lost only when the ownership has been confirmed since; the confirmation is sent at once.

--- a/src/cell.c
+++ b/src/cell.c
@@ -216,15 +216,6 @@
   return c->role == CR_OWNER;
 }
 
-int
-cell_ready (const cell_t *c)
-{
-  return c->conf.version && !c->stopping
-         && (c->role == CR_OWNER
-             || (c->ownership_known && !c->owner_refused_at
-                 && c->now - c->heartbeat_at < CELL_OWNER_KEY_LOST_MS));
-}
-
 /* ---- events ---- */
 
 static void
@@ -276,6 +267,9 @@
     case CELL_EV_HEARTBEAT:
       own_heartbeat (c, ev);
       break;
+    case CELL_EV_HEARTBEAT_ACK:
+      own_heartbeat_ack (c, ev);
+      break;
     case CELL_EV_PEER_DOWN:
       own_peer_down (c, ev->peer_addr);
       break;
@@ -288,6 +282,7 @@
 void
 cell_step (cell_t *c, const cell_event_t *ev, gl_ms_t now, cell_effects_t *fx)
 {
+  reach_note_time (c, now);
   c->now = now;
   c->fx = fx;
   if (ev->wall)
--- a/src/cell.h
+++ b/src/cell.h
@@ -226,6 +226,8 @@
  * @CELL_EV_REQUEST: a request, from a caller or forwarded by another VM
  * @CELL_EV_FORWARD_REPLY: result of CELL_FX_FORWARD
  * @CELL_EV_HEARTBEAT: a heartbeat of the owner
+ * @CELL_EV_HEARTBEAT_ACK: a VM has answered a heartbeat, result of
+ *   CELL_FX_HEARTBEAT
  * @CELL_EV_PEER_DOWN: a VM's address refused a connection
  * @CELL_EV_STOP: this VM is to hand the cell over and must not claim it again
  */
@@ -246,6 +248,7 @@
   CELL_EV_REQUEST,
   CELL_EV_FORWARD_REPLY,
   CELL_EV_HEARTBEAT,
+  CELL_EV_HEARTBEAT_ACK,
   CELL_EV_PEER_DOWN,
   CELL_EV_STOP
 } cell_evkind_t;
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -271,15 +271,24 @@
   c->counters.forwards++;
 }
 
-/* 1 if a submission is to be refused at once, because no owner can be reached
-   and this VM's lease has not been renewed for some time.  While the store
-   answers, a new owner may still take over within the request's deadline. */
+/* 1 if the request is to be refused at once, because this VM is isolated.  A
+   submission that an owner may have carried out is not refused.  While the
+   store answers, a new owner may still take over within the request's
+   deadline. */
 static int
 cannot_be_served_soon (const cell_t *c, const crequest_t *r)
 {
-  return c->role == CR_STANDBY && r->body.verb == GL_VERB_SUBMIT
-         && !r->maybe_taken && !r->from_peer && c->lease_renewed_at
-         && !c->lease_held && c->now - c->lease_renewed_at > CELL_RETRY_MS;
+  return c->role == CR_STANDBY && !r->from_peer && reach_is_isolated (c)
+         && (r->body.verb == GL_VERB_STATE
+             || (!r->maybe_taken && !r->dispatched));
+}
+
+static void
+refuse_isolated (cell_t *c, const crequest_t *r)
+{
+  c->counters.no_owner++;
+  cell_reply (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0,
+              "neither owner nor store");
 }
 
 /* Serves the request if this VM owns the cell, else forwards or refuses it, or
@@ -291,16 +300,12 @@
     serve (c, r);
   else if (r->from_peer && c->role != CR_LOADING)
     cell_reply (c, r->tag, GL_NOT_OWNER, 0, 0, "not the owner");
+  else if (cannot_be_served_soon (c, r))
+    refuse_isolated (c, r);
   else if (c->role == CR_STANDBY && c->ownership_known
            && !c->ownership.released && strcmp (c->ownership.vm, c->vm)
-           && !c->owner_refused_at)
+           && !c->owner_refused_at && reach_owner_is_heard (c))
     forward (c, r);
-  else if (cannot_be_served_soon (c, r))
-    {
-      c->counters.no_owner++;
-      cell_reply (c, r->tag, GL_RETRY, store_retry_ms (c), 0,
-                  "neither owner nor store");
-    }
 }
 
 void
@@ -397,6 +402,8 @@
           || (!r->dispatched && !r->maybe_taken
               && now - r->arrived_at > CELL_NO_OWNER_MS))
         expire (c, r);
+      else if (cannot_be_served_soon (c, r))
+        refuse_isolated (c, r);
       else if (!r->dispatched && now >= r->retry_at)
         route (c, r);
     }
--- a/src/celld.c
+++ b/src/celld.c
@@ -388,6 +388,12 @@
     forward_done (d, tag, code, data, len);
   else if (proc == PROC_CONSULT)
     consult_done (d, tag, code, data, len);
+  else if (proc == PROC_HEARTBEAT && code == GL_OK)
+    {
+      cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
+
+      handle_event (d, &ev);
+    }
 }
 
 static void
@@ -447,7 +453,7 @@
     case CELL_FX_HEARTBEAT:
       rpcmux_call (d->rpc, e->key, PROC_HEARTBEAT,
                    (xdrproc_t)xdr_gl_heartbeat_t, e->heartbeat,
-                   HEARTBEAT_TIMEOUT_MS, 0);
+                   HEARTBEAT_TIMEOUT_MS, e->tag);
       break;
     case CELL_FX_LOG:
       if (e->log_line)
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -83,6 +83,16 @@
    one during an outage of the store, without its random part. */
 #define CELL_RETRY_MS 1000
 #define CELL_RETRY_MAX_MS 3000
+/* A VM is isolated when neither the store nor a VM of another failure domain
+   has answered it for this long.  Longer than a lease renewal through a store
+   that answers slowly, and than two heartbeats. */
+#define CELL_ISOLATED_MS 600
+/* No request is forwarded to an owner that has sent no heartbeat for this
+   long: its outcome could stay unknown. */
+#define CELL_FORWARD_SILENCE_MS 400
+/* A VM that has heard no heartbeat for this long, although the owner's key is
+   there, cannot reach the owner: it is not ready for requests. */
+#define CELL_OWNER_UNREACHABLE_MS 1500
 /* A request that no owner can have received is refused after this long. */
 #define CELL_NO_OWNER_MS 1500
 /* Table sizes: VMs of the cell, queues whose counts are kept, workers named in
@@ -350,6 +360,8 @@
  *   restarted, or its leases have ended
  * @silent: its last poll got no answer
  * @lease_over_at: when its leases were found to have ended, 0 if not
+ * @restarted_at: when another incarnation was first found at its address, 0 if
+ *   none was
  * @lease_bound_at: instant by which every lease that it can hold from earlier
  *   owners has ended
  * @avoid_until: no task is started there before this
@@ -387,6 +399,7 @@
   int dead;
   int silent;
   gl_ms_t lease_over_at;
+  gl_ms_t restarted_at;
   gl_ms_t unregistered_at;
   gl_ms_t lease_bound_at;
   gl_ms_t avoid_until;
@@ -423,6 +436,7 @@
  * @registered, @unregistered_at: its key is in the store, else since when it
  *   is not
  * @cpu_m: its share of a core, in thousandths
+ * @answered_at: when it last answered a heartbeat of this VM
  * @busy_ms: time that the advisor takes for all consultations in flight
  *   through it
  * @avoid_until: no consultation goes through it before this
@@ -435,6 +449,7 @@
   int registered;
   gl_ms_t unregistered_at;
   uint32_t cpu_m;
+  gl_ms_t answered_at;
   double busy_ms;
   gl_ms_t avoid_until;
 } cvm_t;
@@ -586,6 +601,7 @@
  * struct cell - the reducer's state
  * @vm, @addr, @domain, @limits: as given to cell_new
  * @now, @wall: time of the present event, monotonic and wall clock
+ * @awake_since: since when this VM has run without a pause
  * @fx: list to which the effects of the present event are appended
  * @next_tag: the last tag that was assigned to a call
  * @own_timer etc.: timer subscriptions of the modules
@@ -608,9 +624,9 @@
  * @owner_since: when this VM learned of the present owner
  * @claim_at, @claim_not_before: when to claim, 0 if no claim is due; earliest
  *   time for one
- * @claim_tag, @release_tag, @confirm_tag, @lease_tag: calls in flight, or 0;
- *   while a release is in flight, no worker's lease is renewed and no task
- *   started
+ * @claim_tag, @release_tag, @confirm_tag, @lease_tag, @keys_tag: calls in
+ * flight, or 0; while a release is in flight, no worker's lease is renewed and
+ * no task started
  * @claim_sent_at, @confirm_sent_at, @lease_requested_at: when the latest of
  *   these calls were sent
  * @lease_held, @lease_held_since, @lease_renewed_at: the last renewal of the
@@ -676,6 +692,7 @@
   cell_limits_t limits;
   gsl_rng *rng;
   gl_ms_t now;
+  gl_ms_t awake_since;
   uint64_t wall;
   cell_effects_t *fx;
   uint64_t next_tag;
@@ -706,6 +723,7 @@
   uint64_t release_tag;
   gl_ms_t lease_requested_at;
   uint64_t lease_tag;
+  uint64_t keys_tag;
   int lease_held;
   int keys_lost;
   gl_ms_t lease_renewed_at;
@@ -810,12 +828,16 @@
 /** own_load_page - a page of the state that a new owner loads */
 void own_load_page (cell_t *c, const cell_event_t *ev);
 void own_heartbeat (cell_t *c, const cell_event_t *ev);
+void own_heartbeat_ack (cell_t *c, const cell_event_t *ev);
 void own_peer_down (cell_t *c, const char *addr);
 void own_tick (void *ctx, gl_ms_t now);
 void own_stop (cell_t *c);
 /** own_confirmed - a transaction sent at @sent has passed the ownership check
  */
 void own_confirmed (cell_t *c, gl_ms_t sent);
+/** own_confirm_now - confirm the ownership without waiting for the next
+    transaction */
+void own_confirm_now (cell_t *c);
 /** own_census_complete - all workers are accounted for; write this to the
     store, so that a successor need not wait for leases from owners before this
     one */
@@ -832,6 +854,19 @@
 const cell_item_t *own_conflicting_item (const cell_event_t *ev,
                                          const char *key);
 
+/* cellreach.c */
+
+/** reach_note_time - the clock advances to @now */
+void reach_note_time (cell_t *c, gl_ms_t now);
+/** reach_is_isolated - 1 if neither the store nor other failure domains can be
+    reached, though other VMs may be served */
+int reach_is_isolated (const cell_t *c);
+/** reach_may_be_isolated - the same, after a shorter silence */
+int reach_may_be_isolated (const cell_t *c);
+/** reach_owner_is_heard - 1 if the owner's heartbeats arrive, so that a
+   request forwarded to it is likely to be answered */
+int reach_owner_is_heard (const cell_t *c);
+
 /* cellsave.c */
 
 /** save_job - add @j to the jobs to write; without a delay when @at_once */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -195,7 +195,8 @@
   e = cell_add_effect (c, CELL_FX_TXN);
   if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
     return;
-  e->tag = cell_new_tag (c);
+  c->keys_lost = 0;
+  c->keys_tag = e->tag = cell_new_tag (c);
   e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
   p = &e->txn->puts[e->txn->nputs++];
   snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
@@ -235,7 +236,6 @@
       c->store_answered_at = c->now;
       if (is_new || c->keys_lost)
         write_own_keys (c);
-      c->keys_lost = 0;
       return;
     }
   if (c->lease_held)
@@ -421,6 +421,13 @@
   own_add_fence (c, e->txn);
 }
 
+void
+own_confirm_now (cell_t *c)
+{
+  if (c->role == CR_OWNER && !c->confirm_tag)
+    send_confirm (c);
+}
+
 static void
 confirm_result (cell_t *c, const cell_event_t *ev)
 {
@@ -481,6 +488,13 @@
       confirm_result (c, ev);
       return;
     }
+  if (ev->tag == c->keys_tag && c->keys_tag)
+    {
+      /* They are written again after the next renewal of the lease. */
+      c->keys_tag = 0;
+      c->keys_lost |= ev->status != GL_ST_OK;
+      return;
+    }
   if (save_txn_result (c, ev) || enrol_txn_result (c, ev))
     return;
   if (ev->tag == c->release_tag && c->release_tag)
@@ -725,6 +739,14 @@
     }
 }
 
+/* The tag of a heartbeat is the index of the VM, plus 1. */
+void
+own_heartbeat_ack (cell_t *c, const cell_event_t *ev)
+{
+  if (ev->tag && ev->tag <= (uint64_t)c->nvms)
+    c->vms[ev->tag - 1].answered_at = c->now;
+}
+
 void
 own_peer_down (cell_t *c, const char *addr)
 {
@@ -761,12 +783,17 @@
 {
   cqueue_count_t v[CELL_QUEUES_MAX];
   int n = cjobs_waiting (c, v);
+  int isolated = reach_may_be_isolated (c);
 
   c->heartbeat_due = c->now + CELL_HEARTBEAT_MS;
   for (int i = 0; i < c->nvms; i++)
     {
       cell_effect_t *e;
 
+      /* The VMs of its own domain are to see that an isolated owner cannot
+         serve them. */
+      if (isolated && !strcmp (c->vms[i].domain, c->domain))
+        continue;
       if ((!c->vms[i].registered
            && c->now > c->vms[i].unregistered_at + GONE_VM_HEARTBEAT_MS)
           || !strcmp (c->vms[i].vm, c->vm))
@@ -776,6 +803,7 @@
           || fill_heartbeat (c, v, n, e->heartbeat))
         return;
       cell_strcpy (e->key, c->vms[i].addr);
+      e->tag = (uint64_t)i + 1;
     }
 }
 
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -71,8 +71,9 @@
   return w->enrolled
          && (w->registered || c->now - w->unregistered_at < REREGISTER_MS)
          && w->accounted && !w->dead && !w->silent && !w->info.leaving
-         && w->clock && (!w->orphans || FAULT (FAULT_CELL_ORPHANS_FREE))
-         && !w->suspect && c->now >= w->avoid_until
+         && w->clock && !w->restarted_at
+         && (!w->orphans || FAULT (FAULT_CELL_ORPHANS_FREE)) && !w->suspect
+         && c->now >= w->avoid_until
          && c->now - c->confirmed_at < CELL_RENEW_GRACE_MS;
 }
 
@@ -280,6 +281,7 @@
       w->enrolled = 0;
       w->record_revision = 0;
       w->lease_over_at = 0;
+      w->restarted_at = 0;
       w->orphans = 0;
       w->lease_bound_at = c->now + c->lease_bound_ms;
       c->unaccounted++;
@@ -651,6 +653,20 @@
 static void settle_stopped_runs (cell_t *c, cworker_t *w,
                                  const cell_wcall_t *k);
 
+/* Another incarnation answers at the worker's address.  A successor may have
+   taken note of ends that this incarnation had reported, so its tasks count as
+   lost only when our ownership has been confirmed since. */
+static void
+worker_restarted (cell_t *c, cworker_t *w)
+{
+  if (!w->restarted_at)
+    {
+      w->restarted_at = c->now;
+      own_confirm_now (c);
+    }
+  w->poll_at = c->now + POLL_RETRY_MS;
+}
+
 static void
 poll_result (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
@@ -684,7 +700,7 @@
   c->counters.looks_failed++;
   if (k->status == CELL_W_RESTARTED)
     {
-      worker_set_dead (c, w, "restarted");
+      worker_restarted (c, w);
       return;
     }
   w->poll_at = c->now + POLL_RETRY_MS;
@@ -739,7 +755,7 @@
   if (k->status == CELL_W_REFUSED)
     w->avoid_until = c->now + REFUSED_AVOID_MS;
   if (k->status == CELL_W_RESTARTED)
-    worker_set_dead (c, w, "restarted");
+    worker_restarted (c, w);
   else if (is_current && (t->state == CT_STARTING || t->state == CT_STOPPING))
     {
       if (k->status == CELL_W_BAD_TICKET)
@@ -879,6 +895,13 @@
       worker_set_dead (c, w, "lease_expired");
       return;
     }
+  if (w->restarted_at
+      && (c->confirmed_at >= w->restarted_at
+          || FAULT (FAULT_CELL_RESTART_UNCONFIRMED)))
+    {
+      worker_set_dead (c, w, "restarted");
+      return;
+    }
   if (!w->accounted && leases_ended (c, w))
     worker_set_accounted (c, w);
   if (w->ntasks)
@@ -902,6 +925,7 @@
       w->dead = 0;
       w->accounted = 0;
       w->silent = 0;
+      w->restarted_at = 0;
       c->unaccounted++;
       w->lease_bound_at = c->now;
       poll_worker (c, w, POLL_NO_WAIT_MS);
--- a/src/fault.h
+++ b/src/fault.h
@@ -39,6 +39,8 @@
  * @FAULT_CELL_NO_FENCE: writes as owner without checking the ownership
  * @FAULT_CELL_LATE_WRITE: writes task records without checking that no later
  *   ones are in the store
+ * @FAULT_CELL_RESTART_UNCONFIRMED: starts the tasks of a restarted worker anew
+ *   without confirming the ownership
  */
 typedef enum
 {
@@ -69,6 +71,7 @@
   FAULT_CELL_FAILURE_TWICE,
   FAULT_CELL_NO_FENCE,
   FAULT_CELL_LATE_WRITE,
+  FAULT_CELL_RESTART_UNCONFIRMED,
   FAULT_COUNT
 } fault_t;
 
