Poll a worker ahead of the ends that matter

Most ends change nothing: the step has tasks that run longer, and nobody waits for the room.

Change: celllook.c. Polls wait only from shortly before the end of a run that completes its step, frees room that a step or a gang's reservation waits for, or belongs to a gang; when that is follows from the reported progress. Other ends ride with the next poll, after 0.9 s at the latest. A worker on which nothing runs is polled with the longest wait. Runs that a successor finds get an estimate from their progress.

--- a/src/cellhealth.c
+++ b/src/cellhealth.c
@@ -69,7 +69,7 @@
     {
       w->failed_jobs = 0;
       w->backoff = 0;
-      if (t->sent_at && c->now > t->sent_at)
+      if (!t->inherited && c->now > t->sent_at)
         learn_duration (c, w, s, c->now - t->sent_at);
       return;
     }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -28,6 +28,8 @@
 /* How long a worker may delay its answer to a poll, and so the longest time
    between two reports of progress; the platform allows up to 2000. */
 #define CELL_POLL_WAIT_MS 900
+/* The same while nothing runs on the worker. */
+#define CELL_POLL_IDLE_WAIT_MS 1900
 /* Time for the answer to arrive, beyond that delay. */
 #define CELL_POLL_GRACE_MS 500
 /* Timeout of a start, a stop and a poll that is not to be delayed; the outcome
@@ -666,6 +668,7 @@
  * @usable_cpus_m, @usable_cpus_at: processors of all usable workers, in
  *   thousandths, and when they were counted
  * @usual_ratio: duration of runs over their estimates, average of the cell
+ * @room_wanted: a step that is not a gang waits for room
  * @plan_due, @planned_at: a planning pass is due; time of the last one
  * @scans_left: searches of all workers that this pass may still make
  * @approval_share: learned share of named workers that the advisor approves,
@@ -771,6 +774,7 @@
   int64_t usable_cpus_m;
   gl_ms_t usable_cpus_at;
   double usual_ratio;
+  int room_wanted;
   int plan_due;
   gl_ms_t planned_at;
   int scans_left;
@@ -968,6 +972,18 @@
 /** cworker_add - a new incarnation of a worker; NULL without memory */
 cworker_t *cworker_add (cell_t *c, const cell_worker_t *info);
 
+/* celllook.c */
+
+/** look_next - when to poll the worker next */
+gl_ms_t look_next (const cell_t *c, const cworker_t *w);
+/** look_task_started - poll the task's worker in time for its end */
+void look_task_started (cell_t *c, const cstep_t *s, const ctask_t *t);
+/** look_task_ended - a task of the step has ended: if one is left, poll its
+    worker in time for its end */
+void look_task_ended (cell_t *c, const cstep_t *s);
+/** look_note_waiting - after a planning pass: set c->room_wanted */
+void look_note_waiting (cell_t *c);
+
 /* cellenrol.c */
 
 /** enrol_update - write the records of new workers, remove those of workers
--- /dev/null
+++ b/src/celllook.c
@@ -0,0 +1,128 @@
+/*
+ * celllook.c -- when to poll a worker
+ *
+ * Each poll has its price, and a poll that waits is answered by any end.  Most
+ * ends change nothing at once: the step has other tasks that run longer, and
+ * nobody waits for the room.  Such an end is reported with the next poll.  A
+ * poll is sent ahead of an end that matters:
+ *
+ *   the last end of a step, on which the job's end or its next step depends
+ *   any end, while a step waits for room, or on a worker that a gang has
+ *     reserved
+ *   ends of gangs, and runs that are being stopped or looked for
+ *
+ * When a run ends is estimated from the progress in the last report.  Before
+ * there is one, the run may end any time after the early part of its estimate.
+ * A busy worker is polled at least every CELL_POLL_WAIT_MS, for its progress
+ * and its lease.
+ */
+#include "cellint.h"
+
+/* Part of its corrected estimate after which a run without reported progress
+   may end. */
+#define EARLY_END_SHARE 0.35
+/* Lowest progress, in percent, from which the end of a run is estimated. */
+#define PROGRESS_MIN 5
+/* A poll is sent this long before the estimated end, and earlier by what one
+   percent of progress may hide. */
+#define LEAD_MS 20
+/* A step that has waited this long waits for room; before that, the advisor's
+   answer may be all that it lacks. */
+#define ROOM_WAIT_MS 150
+
+static int
+is_progress_known (const ctask_t *t)
+{
+  return t->state == CT_RUNNING && t->percent >= PROGRESS_MIN;
+}
+
+/* Whether another task of the step will end later than @t, so that the end of
+   @t does not complete the step. */
+static int
+ends_before_another (const cstep_t *s, const ctask_t *t)
+{
+  for (uint32_t i = 0; i < s->def->count; i++)
+    {
+      const ctask_t *u = &s->tasks[i];
+
+      if (u == t || u->state == CT_DONE)
+        continue;
+      if (u->state == CT_WAITING
+          || (is_progress_known (u) && u->expected_end > t->expected_end))
+        return 1;
+    }
+  return 0;
+}
+
+/* Instant from which the end of the task is to be reported at once;
+   TIMER_NEVER if it can be reported with the next poll. */
+static gl_ms_t
+report_from (const cell_t *c, const cstep_t *s, const ctask_t *t)
+{
+  int frees_wanted_room
+      = c->room_wanted || c->workers[t->worker].nreservations;
+  double ratio = c->usual_ratio > 0 ? c->usual_ratio : 1;
+  gl_ms_t lead;
+
+  if (t->state != CT_RUNNING && t->state != CT_STARTING)
+    return c->now;
+  if (!is_progress_known (t))
+    return t->sent_at
+           + (gl_ms_t)(EARLY_END_SHARE * ratio * s->def->estimate_ms);
+  if (!s->def->gang && !frees_wanted_room && ends_before_another (s, t))
+    return TIMER_NEVER;
+  lead = LEAD_MS + (t->expected_end - t->sent_at) / t->percent;
+  return t->expected_end > lead ? t->expected_end - lead : 0;
+}
+
+gl_ms_t
+look_next (const cell_t *c, const cworker_t *w)
+{
+  gl_ms_t next = c->now + CELL_POLL_WAIT_MS;
+
+  if (!w->ntasks)
+    return c->now;
+  for (int i = 0; i < w->ntasks; i++)
+    {
+      const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
+      gl_ms_t from = report_from (c, s, &s->tasks[w->tasks[i].index]);
+
+      if (from < next)
+        next = from;
+    }
+  return next;
+}
+
+void
+look_task_started (cell_t *c, const cstep_t *s, const ctask_t *t)
+{
+  cworker_t *w = &c->workers[t->worker];
+  gl_ms_t from = report_from (c, s, t);
+
+  if (from < w->poll_at)
+    w->poll_at = from;
+}
+
+/* The only task that is left decides when the step is complete. */
+void
+look_task_ended (cell_t *c, const cstep_t *s)
+{
+  if (s->ndone + 1 != s->def->count)
+    return;
+  for (uint32_t i = 0; i < s->def->count; i++)
+    if (s->tasks[i].state != CT_DONE && s->tasks[i].worker >= 0)
+      look_task_started (c, s, &s->tasks[i]);
+}
+
+void
+look_note_waiting (cell_t *c)
+{
+  c->room_wanted = 0;
+  for (size_t i = 0; i < c->waiting.n && !c->room_wanted; i++)
+    {
+      const cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+
+      c->room_wanted = s && s->nwaiting && !s->def->gang
+                       && c->now - s->ready_at > ROOM_WAIT_MS;
+    }
+}
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -382,6 +382,7 @@
   cell_strcpy (k->checkpoint, t->checkpoint);
   cell_strcpy (k->ticket, ticket ? ticket : "");
   k->lease_until = lease_until (c, w);
+  look_task_started (c, s, t);
   cell_log (c, "start task=%s run=%u worker=%s wait_ms=%llu", k->task, t->run,
             w->info.id, (unsigned long long)(c->now - s->ready_at));
 }
@@ -458,7 +459,7 @@
       ack_written_ends (c, w);
       if (w->nunacked)
         continue;
-      w->poll_at = c->now;
+      w->poll_at = look_next (c, w);
       timer_arm_before (&c->timers, c->worker_timer, c->now);
     }
 }
@@ -506,6 +507,19 @@
     }
 }
 
+/* An earlier owner started the run, at a time that is not known: take the time
+   that its progress usually needs. */
+static void
+estimate_inherited_run (const cell_t *c, const cstep_t *s, ctask_t *t)
+{
+  double ratio = c->usual_ratio > 0 ? c->usual_ratio : 1;
+  gl_ms_t usual = (gl_ms_t)(s->def->estimate_ms * ratio);
+  gl_ms_t elapsed = usual * t->percent / 100;
+
+  t->sent_at = c->now > elapsed ? c->now - elapsed : 1;
+  t->expected_end = t->sent_at + usual;
+}
+
 /* Handle one run that the worker lists as running. */
 static void
 handle_listed_run (cell_t *c, cworker_t *w, const cell_run_t *listed,
@@ -528,6 +542,7 @@
       t->run = listed->run;
       t->state = CT_RUNNING;
       t->percent = (unsigned char)listed->percent;
+      estimate_inherited_run (c, s, t);
       return;
     }
   if (here && listed->run == t->run)
@@ -693,7 +708,8 @@
           settle_stopped_runs (c, w, k);
         }
       ack_written_ends (c, w);
-      if (w->nunacked)
+      w->poll_at = look_next (c, w);
+      if (w->nunacked && w->poll_at < c->now + CELL_UNSAVED_POLL_MS)
         w->poll_at = c->now + CELL_UNSAVED_POLL_MS;
       return;
     }
@@ -881,6 +897,16 @@
     }
 }
 
+/* A poll that waits for an end is rather sent before its time than one tick
+   after it. */
+static int
+is_poll_due (const cell_t *c, const cworker_t *w)
+{
+  if (w->nunacked || w->silent || w->restarted_at)
+    return c->now >= w->poll_at;
+  return c->now + TICK_MS > w->poll_at;
+}
+
 static void
 worker_tick (cell_t *c, cworker_t *w)
 {
@@ -906,12 +932,12 @@
     worker_set_accounted (c, w);
   if (w->ntasks)
     resend_stops (c, w);
-  if (!w->poll_tag && c->now >= w->poll_at
+  if (!w->poll_tag && is_poll_due (c, w)
       && (w->registered || w->ntasks || !w->accounted))
     poll_worker (c, w,
                  w->accounted && !w->silent && !w->suspect && !w->poll_now
                          && w->lease_sent
-                     ? CELL_POLL_WAIT_MS
+                     ? (w->ntasks ? CELL_POLL_WAIT_MS : CELL_POLL_IDLE_WAIT_MS)
                      : POLL_NO_WAIT_MS);
 }
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -12,6 +12,7 @@
  *                                  that every accepted job has ended
  *   submit ID QUEUE STEP...        submit a job; for STEP see parse_step
  *   burst N PREFIX QUEUE STEP...   submit N jobs at once
+ *   stream MS N PREFIX QUEUE STEP...   submit N jobs, one every MS
  *   cancel ID                      cancel a job
  *   accepted ID                    print whether a submission was accepted
  *   show ID                        print a job's phase
@@ -201,11 +202,14 @@
         out.push_back (cell_ready (w->vms[(size_t)vm (a)].cell) ? "ready"
                                                                 : "not ready");
       }
-    else if (cmd == "burst")
+    else if (cmd == "burst" || cmd == "stream")
       {
         std::string queue;
         std::string s;
         std::vector<gl_step_t> steps;
+        int gap = 0;
+        if (cmd == "stream")
+          in >> gap;
         in >> n >> a >> queue;
         while (in >> s)
           steps.push_back (parse_step (s));
@@ -214,6 +218,7 @@
             char id[20];
             snprintf (id, sizeof id, "%.8s%08d", (a + "00000000").c_str (), i);
             w->submit (id, queue, steps);
+            w->run ((gl_ms_t)gap);
           }
       }
     else if (cmd == "completed")
