Space the owner's transactions so that callers share them

Change: 25 ms between two transactions, unless one would be full; after a quiet time the first is sent at once. Task records ride along as before.

Ruled out: a fixed delay after the first job (delays a lone job for nothing).

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -678,6 +678,7 @@
  * @dirty: jobs to write
  * @save_txns: transactions in flight
  * @save_after: earliest time for the next transaction
+ * @txn_sent_at: when the last one was sent
  * @usual_txn_ms: average duration of transactions
  * @write_budget, @budget_at: transactions allowed now, and when that was
  *   computed
@@ -783,6 +784,7 @@
   handles_t dirty;
   csave_txn_t save_txns[CELL_SAVE_TXNS_MAX];
   gl_ms_t save_after;
+  gl_ms_t txn_sent_at;
   double usual_txn_ms;
   double write_budget;
   gl_ms_t budget_at;
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -40,6 +40,11 @@
 #define WRITE_SHARE 0.8
 /* Unused budget is kept for this many seconds of that rate. */
 #define WRITE_BURST_S 0.25
+/* Time between two transactions, so that one takes what several callers wait
+   for; the first after a quiet time is sent at once, and so is a full one. */
+#define TXN_SPACING_MS 25
+/* Urgent jobs that fill a transaction. */
+#define FULL_TXN_JOBS 8
 /* Pause when the budget is used up. */
 #define BUDGET_WAIT_MS 5
 /* Pause after a transaction that was refused or got no answer. */
@@ -245,6 +250,8 @@
 is_save_due (cell_t *c)
 {
   gl_ms_t next = TIMER_NEVER;
+  gl_ms_t spaced = c->txn_sent_at + TXN_SPACING_MS;
+  int urgent = 0;
 
   for (size_t i = 0; i < c->dirty.n; i++)
     {
@@ -253,8 +260,11 @@
 
       if (!j || j->saving)
         continue;
+      urgent += is_urgent (j);
       due = is_urgent (j) ? j->dirty_at : j->dirty_at + CELL_SAVE_DELAY_MS;
-      if (due <= c->now || c->stopping)
+      if (due < spaced)
+        due = spaced;
+      if (due <= c->now || c->stopping || urgent >= FULL_TXN_JOBS)
         return 1;
       if (due < next)
         next = due;
@@ -313,7 +323,7 @@
       fill_txn (c, e->txn, slot);
       e->timeout = txn_timeout (c);
       slot->tag = e->tag = cell_new_tag (c);
-      slot->sent_at = c->now;
+      slot->sent_at = c->txn_sent_at = c->now;
       c->counters.txns++;
       if (!slot->nsaves)
         {
