Send no new jobs to a store that may be silent; end overdue writes early

Change: a transaction is overdue after five times the usual duration. While one is, or the last call failed, jobs that were never sent stay unsent, one transaction at most is in flight, and a check of the ownership probes the store. Once the store counts as down, unsent jobs are refused as not run. When it answers a later call, overdue transactions count as unanswered at once and are written again; their revisions settle which was carried out.

Ruled out: counting the store as down sooner (a slow store answers after 200 ms and more).

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -882,6 +882,9 @@
 void save_tick (void *ctx, gl_ms_t now);
 /** save_txn_result - 1 if the result was for a transaction of this module */
 int save_txn_result (cell_t *c, const cell_event_t *ev);
+/** save_store_answered - the store has answered a call sent at @sent: earlier
+    transactions that are overdue get no answer any more */
+void save_store_answered (cell_t *c, gl_ms_t sent);
 /** save_store_down - the last call failed and none has succeeded for a while:
     no new job can be accepted now */
 int save_store_down (const cell_t *c);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -436,6 +436,7 @@
     {
       c->store_failures = 0;
       own_confirmed (c, c->confirm_sent_at);
+      save_store_answered (c, c->confirm_sent_at);
     }
   else if (ev->status == GL_ST_CONFLICT && c->role == CR_OWNER)
     own_step_down (c, "fenced by the store");
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -18,6 +18,12 @@
  * carried out.  Results are not checked: a job has one result, and writing it
  * twice changes nothing.
  *
+ * When a transaction is overdue, the store may be silent.  Until it answers
+ * again, new jobs are not written: their outcome would stay unknown, while a
+ * job that was never sent can be refused as "not run".  A check of the
+ * ownership then probes the store.  Once the store answers a later call,
+ * overdue transactions count as unanswered and are written again.
+ *
  * The specification is written only if neither it nor a result exists under
  * the id, so an id names one job whichever owner a caller reaches.  When the
  * answer to that write is lost, it is sent again; if the specification exists
@@ -45,6 +51,12 @@
 #define TXN_SPACING_MS 25
 /* Urgent jobs that fill a transaction. */
 #define FULL_TXN_JOBS 8
+/* A transaction without an answer is overdue after this many times the usual
+   duration, and not before this time. */
+#define OVERDUE_FACTOR 5
+#define OVERDUE_MIN_MS 40
+/* Period of the checks while the store may be silent. */
+#define DOUBT_TICK_MS 50
 /* Pause when the budget is used up. */
 #define BUDGET_WAIT_MS 5
 /* Pause after a transaction that was refused or got no answer. */
@@ -209,20 +221,55 @@
              && j->written_version == j->version);
 }
 
+static gl_ms_t
+overdue_ms (const cell_t *c)
+{
+  double ms = c->usual_txn_ms * OVERDUE_FACTOR;
+
+  return ms < OVERDUE_MIN_MS ? OVERDUE_MIN_MS : (gl_ms_t)ms;
+}
+
+/* Whether the store may be silent: the last call failed, or one is overdue. */
+static int
+is_store_doubtful (const cell_t *c)
+{
+  gl_ms_t span = overdue_ms (c);
+
+  for (int i = 0; i < CELL_SAVE_TXNS_MAX; i++)
+    if (c->save_txns[i].tag && c->now >= c->save_txns[i].sent_at + span)
+      return 1;
+  return c->store_failures > 0;
+}
+
+/* Whether no transaction with the job has ever been sent. */
+static int
+is_unsent (const cjob_t *j)
+{
+  return !j->durable && !j->maybe_written;
+}
+
+/* A free slot, or NULL.  While the store may be silent, there is one
+   transaction in flight at most. */
 static csave_txn_t *
 free_txn_slot (cell_t *c)
 {
+  int doubtful = is_store_doubtful (c);
+  csave_txn_t *slot = NULL;
+
   for (int i = 0; i < CELL_SAVE_TXNS_MAX; i++)
     if (!c->save_txns[i].tag)
-      return &c->save_txns[i];
-  return NULL;
+      slot = slot ? slot : &c->save_txns[i];
+    else if (doubtful)
+      return NULL;
+  return slot;
 }
 
 /* Adds dirty jobs to the transaction until it is full; the others stay in the
-   list. */
+   list, and so do unsent ones while the store may be silent. */
 static void
 fill_txn (cell_t *c, cell_txn_t *txn, csave_txn_t *slot)
 {
+  int doubtful = is_store_doubtful (c);
   size_t kept = 0;
 
   for (size_t i = 0; i < c->dirty.n; i++)
@@ -238,7 +285,8 @@
           j->in_dirty = 0;
           continue;
         }
-      if (j->saving || full || add_job (c, txn, slot, j))
+      if (j->saving || full || (doubtful && is_unsent (j))
+          || add_job (c, txn, slot, j))
         c->dirty.v[kept++] = c->dirty.v[i];
     }
   c->dirty.n = kept;
@@ -251,6 +299,7 @@
 {
   gl_ms_t next = TIMER_NEVER;
   gl_ms_t spaced = c->txn_sent_at + TXN_SPACING_MS;
+  int doubtful = is_store_doubtful (c);
   int urgent = 0;
 
   for (size_t i = 0; i < c->dirty.n; i++)
@@ -258,7 +307,7 @@
       cjob_t *j = pool_get (&c->jobs, c->dirty.v[i]);
       gl_ms_t due;
 
-      if (!j || j->saving)
+      if (!j || j->saving || (doubtful && is_unsent (j)))
         continue;
       urgent += is_urgent (j);
       due = is_urgent (j) ? j->dirty_at : j->dirty_at + CELL_SAVE_DELAY_MS;
@@ -324,6 +373,7 @@
       e->timeout = txn_timeout (c);
       slot->tag = e->tag = cell_new_tag (c);
       slot->sent_at = c->txn_sent_at = c->now;
+      timer_arm_before (&c->timers, c->save_timer, c->now + overdue_ms (c));
       c->counters.txns++;
       if (!slot->nsaves)
         {
@@ -335,11 +385,20 @@
     }
 }
 
+static void refuse_unsent_jobs (cell_t *c);
+
 void
 save_tick (void *ctx, gl_ms_t now)
 {
   cell_t *c = ctx;
 
+  if (c->role == CR_OWNER && is_store_doubtful (c))
+    {
+      own_confirm_now (c);
+      if (save_store_down (c))
+        refuse_unsent_jobs (c);
+      timer_arm_before (&c->timers, c->save_timer, now + DOUBT_TICK_MS);
+    }
   if (now < c->save_after)
     timer_arm (&c->timers, c->save_timer, c->save_after);
   save_flush (c);
@@ -461,6 +520,18 @@
   cjob_free (c, j);
 }
 
+static void
+refuse_unsent_jobs (cell_t *c)
+{
+  for (size_t i = 0; i < c->dirty.n; i++)
+    {
+      cjob_t *j = pool_get (&c->jobs, c->dirty.v[i]);
+
+      if (j && is_unsent (j) && !j->saving)
+        refuse_job (c, j);
+    }
+}
+
 /* Writes the job again, unless it is new and can be refused; @lost: the answer
    was lost, so the write may have taken effect. */
 static void
@@ -508,6 +579,26 @@
     }
 }
 
+void
+save_store_answered (cell_t *c, gl_ms_t sent)
+{
+  gl_ms_t span = overdue_ms (c);
+
+  for (int i = 0; i < CELL_SAVE_TXNS_MAX; i++)
+    {
+      csave_txn_t *slot = &c->save_txns[i];
+
+      if (!slot->tag || slot->sent_at + span > sent)
+        continue;
+      cell_log (c, "txn_overdue jobs=%d ms=%llu", slot->nsaves,
+                (unsigned long long)(c->now - slot->sent_at));
+      c->counters.txns_failed++;
+      slot->tag = 0;
+      for (int k = 0; k < slot->nsaves; k++)
+        retry_save (c, &slot->saves[k], 1);
+    }
+}
+
 static void
 handle_result (cell_t *c, const csave_txn_t *slot, const cell_event_t *ev)
 {
@@ -523,6 +614,7 @@
     {
       c->store_failures = 0;
       own_confirmed (c, slot->sent_at);
+      save_store_answered (c, slot->sent_at);
       for (int i = 0; i < slot->nsaves; i++)
         job_saved (c, &slot->saves[i], ev->revision);
       cworkers_ack_saved (c);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -15,6 +15,8 @@
  *   stream MS N PREFIX QUEUE STEP...   submit N jobs, one every MS
  *   cancel ID                      cancel a job
  *   accepted ID                    print whether a submission was accepted
+ *   refused PREFIX                 print how many jobs of a burst or stream
+ *                                  were refused as not run
  *   show ID                        print a job's phase
  *   completed PREFIX               print how many jobs of a burst have
  *                                  completed
@@ -232,6 +234,14 @@
           n += j.first.rfind (a, 0) == 0 && j.second.phase == "completed";
         out.push_back (a + " completed " + std::to_string (n));
       }
+    else if (cmd == "refused")
+      {
+        in >> a;
+        for (auto &j : w->jobs)
+          n += j.first.rfind (a, 0) == 0 && j.second.refusals
+               && !j.second.outcome_unknown;
+        out.push_back (a + " refused " + std::to_string (n));
+      }
     else if (cmd == "at_most")
       {
         in >> n >> a;
