Keep twelve transactions in flight on a slow store

Change: up to twelve in flight; their spacing of 25 ms bounds the rate.

Ruled out: larger transactions (the store takes 32 entries).

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -42,7 +42,7 @@
    only after this time: it would answer at once. */
 #define CELL_UNSAVED_POLL_MS 150
 /* Transactions of cellsave.c that may be in flight at once. */
-#define CELL_SAVE_TXNS_MAX 4
+#define CELL_SAVE_TXNS_MAX 12
 /* Timeout of a transaction, after which its outcome is unknown.  For those of
    cellsave.c it is CELL_TXN_TIMEOUT_FACTOR times the usual duration, within
    these bounds. */
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -30,6 +30,7 @@
  *   submit_at VM ID QUEUE STEP...  submit a job through this VM
  *   part VM WORKER, join VM WORKER the VM does not reach the worker
  *   store fine|down|silent|loses|late   see StoreMode
+ *   store_takes MS                 duration of a call to the store
  *   worker N crash|show            N is the worker's number
  *   worker N reachable|listed|unanswered|fails_all|hangs 0|1
  *   worker N late|stops_in|leaves_in MS
@@ -303,6 +304,11 @@
                         : a == "late"   ? StoreMode::executes_late
                                         : StoreMode::loses_answers;
       }
+    else if (cmd == "store_takes")
+      {
+        in >> n;
+        w->store_ms = (gl_ms_t)n;
+      }
     else if (cmd == "worker")
       worker_command (in);
     else if (cmd == "poison")
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -13,8 +13,7 @@
 #include "codec.h"
 }
 
-/* Duration of a call to the store, and of a message to a VM or worker. */
-static const gl_ms_t STORE_MS = 4;
+/* Duration of a message to a VM or worker. */
 static const gl_ms_t NET_MS = 1;
 /* A VM is in touch this long after it was last frozen or cut off. */
 static const gl_ms_t CONTACT_MS = 3000;
@@ -252,7 +251,7 @@
 {
   uint64_t incarnation = vms[(size_t)i].incarnation;
 
-  schedule (STORE_MS, [=, this] {
+  schedule (store_ms, [=, this] {
     Vm &v = vms[(size_t)i];
     cell_event_t ev{};
 
@@ -414,7 +413,7 @@
     {
       uint64_t incarnation = vms[i].incarnation;
 
-      schedule (STORE_MS, [=, this] { notify_vm (i, key, incarnation); });
+      schedule (store_ms, [=, this] { notify_vm (i, key, incarnation); });
     }
 }
 
@@ -472,7 +471,7 @@
         { x.puts[k].key,
           x.puts[k].value ? std::string (x.puts[k].value, x.puts[k].len) : "",
           x.puts[k].leased != 0, !x.puts[k].value });
-  schedule (STORE_MS, [=, this] {
+  schedule (store_ms, [=, this] {
     cell_event_t ev{};
     std::vector<cell_item_t> items;
     std::vector<std::string> values;
@@ -537,7 +536,7 @@
 {
   uint64_t incarnation = vms[(size_t)i].incarnation;
 
-  schedule (STORE_MS, [=, this] {
+  schedule (store_ms, [=, this] {
     cell_event_t ev{};
     std::vector<cell_item_t> items;
     std::vector<std::string> values;
@@ -592,7 +591,7 @@
 {
   uint64_t incarnation = vms[(size_t)i].incarnation;
 
-  schedule (STORE_MS, [=, this] {
+  schedule (store_ms, [=, this] {
     cell_event_t ev{};
     cell_item_t item{};
 
@@ -619,7 +618,7 @@
 {
   uint64_t incarnation = vms[(size_t)i].incarnation;
 
-  schedule (STORE_MS, [=, this] {
+  schedule (store_ms, [=, this] {
     cell_event_t ev{};
     Vm &v = vms[(size_t)i];
 
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -142,6 +142,7 @@
   void settle (gl_ms_t ms);
 
   StoreMode store_mode = StoreMode::up;
+  gl_ms_t store_ms = 4;   /* duration of a call to the store */
   std::string cut_domain; /* cut off from the store and the other domains;
                              callers still reach its VMs; "": none */
   std::vector<Vm> vms;
