Count the room of a done gang's members that workers still list

Cause: workers list the other members of a gang as running for a while after it is done. An owner that had started them counts their room until they are gone. Its successor, which reads from the store that they are done, neither bound them to the worker nor took them for orphans, and gave their room away.

Change: such a worker is not used until its list no longer has them, and is polled every 150 ms meanwhile, as one with orphaned runs.

Ruled out: binding them (a done task is not bound to a worker anywhere else).

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -41,6 +41,9 @@
 #define REFUSED_AVOID_MS 1000
 /* Lowest progress, in percent, from which the end of a run is estimated. */
 #define ESTIMATE_PERCENT_MIN 5
+/* A worker with runs of which only the room matters is polled after this time,
+   to find them gone. */
+#define ORPHAN_POLL_MS 150
 /* Time between two stops of the same orphaned run. */
 #define ORPHAN_STOP_RETRY_MS 300
 /* wait_ms of a poll that the worker is to answer at once, as in the census. */
@@ -567,10 +570,12 @@
   if (here && listed->run < t->run && t->sent_at > k->sent_at)
     return;
   /* Another member of a gang that is done, or a run whose end is not listed
-     yet. */
+     yet.  If an earlier owner recorded that it is done, it is not bound to the
+     worker, and takes room there like an orphan until it is gone. */
   if (t && t->state == CT_DONE && t->run == listed->run)
     {
       t->listed_tag = k->tag;
+      w->orphans += !here;
       return;
     }
   w->orphans++;
@@ -708,7 +713,7 @@
           settle_stopped_runs (c, w, k);
         }
       ack_written_ends (c, w);
-      w->poll_at = look_next (c, w);
+      w->poll_at = w->orphans ? c->now + ORPHAN_POLL_MS : look_next (c, w);
       if (w->nunacked && w->poll_at < c->now + CELL_UNSAVED_POLL_MS)
         w->poll_at = c->now + CELL_UNSAVED_POLL_MS;
       return;
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -31,6 +31,7 @@
  *   part VM WORKER, join VM WORKER the VM does not reach the worker
  *   store fine|down|silent|loses|late   see StoreMode
  *   store_takes MS                 duration of a call to the store
+ *   linger MS                      see World::linger_ms
  *   worker N crash|show            N is the worker's number
  *   worker N reachable|listed|unanswered|fails_all|hangs 0|1
  *   worker N late|stops_in|leaves_in MS
@@ -309,6 +310,11 @@
         in >> n;
         w->store_ms = (gl_ms_t)n;
       }
+    else if (cmd == "linger")
+      {
+        in >> n;
+        w->linger_ms = (gl_ms_t)n;
+      }
     else if (cmd == "worker")
       worker_command (in);
     else if (cmd == "poison")
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -19,9 +19,6 @@
 static const gl_ms_t CONTACT_MS = 3000;
 /* Resolution of CELL_EV_TICK. */
 static const gl_ms_t TICK_MS = 5;
-/* When one member of a gang ends well, the others are listed as running for
-   this much longer. */
-static const gl_ms_t LINGER_MS = 60;
 /* Validity of a ticket. */
 static const gl_ms_t TICKET_MS = 1500;
 
@@ -784,7 +781,7 @@
             done_[n].insert ((int)run);
           if (!fails && n != task)
             {
-              w.running[n].lingers_until = now + LINGER_MS;
+              w.running[n].lingers_until = now + linger_ms;
               continue;
             }
           end_run (w, n,
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -142,6 +142,8 @@
   void settle (gl_ms_t ms);
 
   StoreMode store_mode = StoreMode::up;
+  gl_ms_t linger_ms = 60; /* when one member of a gang ends well, the others
+                             are listed as running for this much longer */
   gl_ms_t store_ms = 4;   /* duration of a call to the store */
   std::string cut_domain; /* cut off from the store and the other domains;
                              callers still reach its VMs; "": none */
