--- a/src/cellask.c
+++ b/src/cellask.c
@@ -278,9 +278,11 @@
 static int
 cannot_be_served_soon (const cell_t *c, const crequest_t *r)
 {
+  /* Reading a state may be repeated anywhere, whoever has read it. */
+  int is_repeatable = r->body.verb == GL_VERB_STATE;
+
   return c->role == CR_STANDBY && !r->from_peer && reach_is_isolated (c)
-         && (r->body.verb == GL_VERB_STATE
-             || (!r->maybe_taken && !r->dispatched));
+         && (is_repeatable || (!r->maybe_taken && !r->dispatched));
 }
 
 static void
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -977,17 +977,17 @@
 /** cworker_add - a new incarnation of a worker; NULL without memory */
 cworker_t *cworker_add (cell_t *c, const cell_worker_t *info);
 
-/* celllook.c */
+/* cellpoll.c */
 
-/** look_next - when to poll the worker next */
-gl_ms_t look_next (const cell_t *c, const cworker_t *w);
-/** look_task_started - poll the task's worker in time for its end */
-void look_task_started (cell_t *c, const cstep_t *s, const ctask_t *t);
-/** look_task_ended - a task of the step has ended: if one is left, poll its
+/** poll_next - when to poll the worker next */
+gl_ms_t poll_next (const cell_t *c, const cworker_t *w);
+/** poll_task_started - poll the task's worker in time for its end */
+void poll_task_started (cell_t *c, const cstep_t *s, const ctask_t *t);
+/** poll_task_ended - a task of the step has ended: if one is left, poll its
     worker in time for its end */
-void look_task_ended (cell_t *c, const cstep_t *s);
-/** look_note_waiting - after a planning pass: set c->room_wanted */
-void look_note_waiting (cell_t *c);
+void poll_task_ended (cell_t *c, const cstep_t *s);
+/** poll_note_waiting - after a planning pass: set c->room_wanted */
+void poll_note_waiting (cell_t *c);
 
 /* cellenrol.c */
 
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -545,7 +545,7 @@
         cjob_finish (c, j, GL_PHASE_COMPLETED);
       else if (s->ndone == s->def->count)
         cjob_ready_steps (c, j);
-      look_task_ended (c, s);
+      poll_task_ended (c, s);
       save_job (c, j, j->next_phase >= GL_PHASE_COMPLETED);
       return j->version;
     }
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -784,16 +784,15 @@
 {
   cqueue_count_t v[CELL_QUEUES_MAX];
   int n = cjobs_waiting (c, v);
-  int isolated = reach_may_be_isolated (c);
+  int maybe_isolated = reach_may_be_isolated (c);
 
   c->heartbeat_due = c->now + CELL_HEARTBEAT_MS;
   for (int i = 0; i < c->nvms; i++)
     {
       cell_effect_t *e;
 
-      /* The VMs of its own domain are to see that an isolated owner cannot
-         serve them. */
-      if (isolated && !strcmp (c->vms[i].domain, c->domain))
+      /* See cellreach.c. */
+      if (maybe_isolated && !strcmp (c->vms[i].domain, c->domain))
         continue;
       if ((!c->vms[i].registered
            && c->now > c->vms[i].unregistered_at + GONE_VM_HEARTBEAT_MS)
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -341,7 +341,7 @@
               && priority_of (c, s) == p)
             plan_step (c, s);
         }
-  look_note_waiting (c);
+  poll_note_waiting (c);
   timer_arm_before (&c->timers, c->plan_timer, c->now + TICK_MS);
 }
 
--- a/src/celllook.c
+++ b/src/cellpoll.c
@@ -1,5 +1,5 @@
 /*
- * celllook.c -- when to poll a worker
+ * cellpoll.c -- when to poll a worker
  *
  * Each poll has its price, and a poll that waits is answered by any end.  Most
  * ends change nothing at once: the step has other tasks that run longer, and
@@ -76,7 +76,7 @@
 }
 
 gl_ms_t
-look_next (const cell_t *c, const cworker_t *w)
+poll_next (const cell_t *c, const cworker_t *w)
 {
   gl_ms_t next = c->now + CELL_POLL_WAIT_MS;
 
@@ -94,7 +94,7 @@
 }
 
 void
-look_task_started (cell_t *c, const cstep_t *s, const ctask_t *t)
+poll_task_started (cell_t *c, const cstep_t *s, const ctask_t *t)
 {
   cworker_t *w = &c->workers[t->worker];
   gl_ms_t from = report_from (c, s, t);
@@ -105,17 +105,17 @@
 
 /* The only task that is left decides when the step is complete. */
 void
-look_task_ended (cell_t *c, const cstep_t *s)
+poll_task_ended (cell_t *c, const cstep_t *s)
 {
   if (s->ndone + 1 != s->def->count)
     return;
   for (uint32_t i = 0; i < s->def->count; i++)
     if (s->tasks[i].state != CT_DONE && s->tasks[i].worker >= 0)
-      look_task_started (c, s, &s->tasks[i]);
+      poll_task_started (c, s, &s->tasks[i]);
 }
 
 void
-look_note_waiting (cell_t *c)
+poll_note_waiting (cell_t *c)
 {
   c->room_wanted = 0;
   for (size_t i = 0; i < c->waiting.n && !c->room_wanted; i++)
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -385,7 +385,7 @@
   cell_strcpy (k->checkpoint, t->checkpoint);
   cell_strcpy (k->ticket, ticket ? ticket : "");
   k->lease_until = lease_until (c, w);
-  look_task_started (c, s, t);
+  poll_task_started (c, s, t);
   cell_log (c, "start task=%s run=%u worker=%s wait_ms=%llu", k->task, t->run,
             w->info.id, (unsigned long long)(c->now - s->ready_at));
 }
@@ -462,7 +462,7 @@
       ack_written_ends (c, w);
       if (w->nunacked)
         continue;
-      w->poll_at = look_next (c, w);
+      w->poll_at = poll_next (c, w);
       timer_arm_before (&c->timers, c->worker_timer, c->now);
     }
 }
@@ -713,7 +713,7 @@
           settle_stopped_runs (c, w, k);
         }
       ack_written_ends (c, w);
-      w->poll_at = w->orphans ? c->now + ORPHAN_POLL_MS : look_next (c, w);
+      w->poll_at = w->orphans ? c->now + ORPHAN_POLL_MS : poll_next (c, w);
       if (w->nunacked && w->poll_at < c->now + CELL_UNSAVED_POLL_MS)
         w->poll_at = c->now + CELL_UNSAVED_POLL_MS;
       return;
