--- a/Makefile
+++ b/Makefile
@@ -137,6 +137,8 @@
 	@$(MAKE) --no-print-directory tsan
 	@$(MAKE) --no-print-directory bounds
 	tests/words.sh
+	@$(MAKE) --no-print-directory $(BUILD)/bench-split
+	$(BUILD)/bench-split tests/split/day.json | diff - tests/split/expected.txt
 	tests/system.sh
 
 # Fuzzing for a given time from a given seed on: make fuzz SECONDS=600 SEED=7
@@ -197,7 +199,11 @@
 capacity: deps
 	@$(MAKE) --no-print-directory $(BUILD)/bench-capacity
 	bench/capacity.sh $(BUILD)
-.PHONY: bench weeks capacity
+# Where the worth of days of the members' bench was lost: make split REPORTS="..."
+split: deps
+	@$(MAKE) --no-print-directory $(BUILD)/bench-split
+	@$(BUILD)/bench-split $(REPORTS)
+.PHONY: bench weeks capacity split
 # Check regression bounds on counts in virtual time, which do not depend on the
 # machine.
 bounds:
