Renew leases as often as before: polls that are due anyway wait only briefly

Cause: after a gap of 0.9 s a poll waited another 0.9 s, so a lease was renewed every 1.8 s at worst, and 2.1 s of it were left when the owner was lost.

Change: a poll that is due although no end that matters is near waits 0.1 s.

Ruled out: a longer lease (every wait for a silent worker grows with it).

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -28,6 +28,8 @@
 /* How long a worker may delay its answer to a poll, and so the longest time
    between two reports of progress; the platform allows up to 2000. */
 #define CELL_POLL_WAIT_MS 900
+/* The same for a poll that is due although no end that matters is near. */
+#define CELL_POLL_SHORT_WAIT_MS 100
 /* The same while nothing runs on the worker. */
 #define CELL_POLL_IDLE_WAIT_MS 1900
 /* Time for the answer to arrive, beyond that delay. */
@@ -981,6 +983,9 @@
 
 /** poll_next - when to poll the worker next */
 gl_ms_t poll_next (const cell_t *c, const cworker_t *w);
+/** poll_wait - how long a poll that is sent now may wait, in ms; it may be
+   sent up to @early_ms before it is due */
+uint32_t poll_wait (const cell_t *c, const cworker_t *w, gl_ms_t early_ms);
 /** poll_task_started - poll the task's worker in time for its end */
 void poll_task_started (cell_t *c, const cstep_t *s, const ctask_t *t);
 /** poll_task_ended - a task of the step has ended: if one is left, poll its
--- a/src/cellpoll.c
+++ b/src/cellpoll.c
@@ -14,7 +14,8 @@
  * When a run ends is estimated from the progress in the last report.  Before
  * there is one, the run may end any time after the early part of its estimate.
  * A busy worker is polled at least every CELL_POLL_WAIT_MS, for its progress
- * and its lease.
+ * and its lease.  If no end that matters is near, that poll waits only
+ * briefly, so that the lease is renewed as often as by polls that wait.
  */
 #include "cellint.h"
 
@@ -75,22 +76,41 @@
   return t->expected_end > lead ? t->expected_end - lead : 0;
 }
 
-gl_ms_t
-poll_next (const cell_t *c, const cworker_t *w)
+/* Instant from which the first end that matters is to be reported at once. */
+static gl_ms_t
+first_end_from (const cell_t *c, const cworker_t *w)
 {
-  gl_ms_t next = c->now + CELL_POLL_WAIT_MS;
+  gl_ms_t first = TIMER_NEVER;
 
-  if (!w->ntasks)
-    return c->now;
   for (int i = 0; i < w->ntasks; i++)
     {
       const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
       gl_ms_t from = report_from (c, s, &s->tasks[w->tasks[i].index]);
 
-      if (from < next)
-        next = from;
+      if (from < first)
+        first = from;
     }
-  return next;
+  return first;
+}
+
+gl_ms_t
+poll_next (const cell_t *c, const cworker_t *w)
+{
+  gl_ms_t next = c->now + CELL_POLL_WAIT_MS;
+  gl_ms_t first = first_end_from (c, w);
+
+  if (!w->ntasks)
+    return c->now;
+  return first < next ? first : next;
+}
+
+uint32_t
+poll_wait (const cell_t *c, const cworker_t *w, gl_ms_t early_ms)
+{
+  if (!w->ntasks)
+    return CELL_POLL_IDLE_WAIT_MS;
+  return first_end_from (c, w) <= c->now + early_ms ? CELL_POLL_WAIT_MS
+                                                    : CELL_POLL_SHORT_WAIT_MS;
 }
 
 void
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -942,7 +942,7 @@
     poll_worker (c, w,
                  w->accounted && !w->silent && !w->suspect && !w->poll_now
                          && w->lease_sent
-                     ? (w->ntasks ? CELL_POLL_WAIT_MS : CELL_POLL_IDLE_WAIT_MS)
+                     ? poll_wait (c, w, TICK_MS)
                      : POLL_NO_WAIT_MS);
 }
 
