Log why a ready step waits and which workers the census waits for

Metrics: workers unaccounted for, census complete, time to complete it.

Ruled out: a line for each step that waits, since hundreds wait on a full cell.

--- a/src/cell.c
+++ b/src/cell.c
@@ -69,6 +69,7 @@
   hist_destroy (&c->accept_time);
   hist_destroy (&c->txn_time);
   hist_destroy (&c->takeover_time);
+  hist_destroy (&c->census_time);
   for (int i = 0; i < CELL_PRIORITIES; i++)
     {
       hist_destroy (&c->start_time[i]);
@@ -316,9 +317,12 @@
             c->jobs.count);
   text_add (t, "cell_steps_waiting %zu\ncell_requests_open %zu\n",
             c->waiting.n, c->nrequests);
+  text_add (t, "cell_census_complete %d\ncell_workers_unaccounted %d\n",
+            c->role == CR_OWNER && c->census_complete, c->unaccounted);
   hist_print (t, "cell_accept_ms", "kind", "submit", &c->accept_time);
   hist_print (t, "cell_transaction_ms", "kind", "write", &c->txn_time);
   hist_print (t, "cell_takeover_ms", "kind", "load", &c->takeover_time);
+  hist_print (t, "cell_census_ms", "kind", "complete", &c->census_time);
   for (int i = 0; i < CELL_PRIORITIES; i++)
     {
       snprintf (label, sizeof label, "%d", i);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -220,7 +220,8 @@
  * @reservations, @nreservations: room reserved for it
  * @shadow_time: when it can start on that room, 0 without a reservation
  * @reserve_order: its place among the waiting gangs, from 1; 0 for none
- * @wait_logged_at: when its wait was last logged
+ * @wait_logged_at: when its wait as a gang was last logged
+ * @idle_logged_at: when it was last logged that nothing of its job runs
  */
 typedef struct
 {
@@ -249,6 +250,7 @@
   int nreservations;
   int reserve_order;
   gl_ms_t wait_logged_at;
+  gl_ms_t idle_logged_at;
   gl_ms_t shadow_time;
 } cstep_t;
 
@@ -655,6 +657,7 @@
  * @racks, @nracks: names of racks, by index
  * @unaccounted: number of workers of which it is not known yet what runs there
  * @census_complete: @unaccounted has been 0 since this VM took over
+ * @census_logged_at: when it was last logged which workers it waits for
  * @lease_bound_ms: longest remaining lease under earlier owners
  * @enrol_tag, @enrol_after: transaction in flight, or 0; earliest time for
  *   another
@@ -762,6 +765,7 @@
   int nracks;
   int unaccounted;
   int census_complete;
+  gl_ms_t census_logged_at;
   gl_ms_t lease_bound_ms;
   uint64_t enrol_tag;
   gl_ms_t enrol_after;
@@ -803,6 +807,7 @@
   hist_t total_time[CELL_PRIORITIES];
   hist_t txn_time;
   hist_t takeover_time;
+  hist_t census_time;
 };
 
 /* cellfx.c */
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -27,6 +27,10 @@
 /* Bound on the runs of one task that an earlier owner has started and of which
    this owner knows nothing. */
 #define UNSEEN_RUNS_MAX 100
+/* A step that has waited this long although nothing of its job runs is logged,
+   and again after as long; at most IDLE_LINES_PER_PASS in one pass. */
+#define IDLE_LOG_MS 1000
+#define IDLE_LINES_PER_PASS 4
 
 void
 plan_wake (cell_t *c)
@@ -256,6 +260,59 @@
     consult_step (c, s, q);
 }
 
+/* Workers that the step may use, regardless of room. */
+static int
+count_allowed (const cell_t *c, const cstep_t *s, const cell_queue_t *q)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nworkers; i++)
+    n += (!q->advised || consult_verdict (s, i) == 1)
+         && room_when_empty (c, s, q, i);
+  return n;
+}
+
+/* What the step waits for. */
+static const char *
+why_waiting (const cell_t *c, const cstep_t *s)
+{
+  const cjob_t *j = pool_get (&c->jobs, s->job);
+  const cell_queue_t *q = plan_queue (c, j);
+
+  if (!q)
+    return "queue_unknown";
+  if (!j->durable)
+    return "not_written";
+  if (!may_start_any (c, s))
+    return "census";
+  if (q->advised && s->consults_in_flight)
+    return "advisor";
+  if (!count_allowed (c, s, q))
+    return "no_worker";
+  return q->advised && !s->ntickets ? "ticket" : "room";
+}
+
+/* Log the reason for a step that waits although nothing of its job runs;
+   returns 1 if a line was written. */
+static int
+log_idle (cell_t *c, cstep_t *s)
+{
+  const cjob_t *j = cstep_job (c, s);
+
+  if (!s->nwaiting || j->nbound || j->next_phase >= GL_PHASE_COMPLETED
+      || c->now < s->ready_at + IDLE_LOG_MS
+      || c->now < s->idle_logged_at + IDLE_LOG_MS)
+    return 0;
+  s->idle_logged_at = c->now;
+  cell_log (c,
+            "step_waits id=%s iteration=%u step=%u waiting=%u age_ms=%llu "
+            "inherited=%d why=%s",
+            j->id, s->iteration, s->index, s->nwaiting,
+            (unsigned long long)(c->now - s->ready_at), j->inherited,
+            why_waiting (c, s));
+  return 1;
+}
+
 /* The step's priority; CELL_PRIORITIES if its queue is not known or has a
    priority outside the range. */
 static int
@@ -309,6 +366,7 @@
 {
   gl_ms_t next;
   unsigned int priorities_present = 0;
+  int idle_lines = 0;
 
   if (!c->plan_due || c->role != CR_OWNER || c->release_tag)
     return;
@@ -341,6 +399,13 @@
               && priority_of (c, s) == p)
             plan_step (c, s);
         }
+  for (size_t i = 0; i < c->waiting.n && idle_lines < IDLE_LINES_PER_PASS; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+
+      if (s)
+        idle_lines += log_idle (c, s);
+    }
   poll_note_waiting (c);
   timer_arm_before (&c->timers, c->plan_timer, c->now + TICK_MS);
 }
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -56,6 +56,9 @@
 /* A worker stays usable for this long without its registration: registrations
    that lapsed while the store was down are renewed within this time. */
 #define REREGISTER_MS 2000
+/* While the census is not complete, a line names a worker that it waits for,
+   this often. */
+#define CENSUS_LOG_MS 1000
 /* An answer with this many ends may be incomplete; a later poll lists the
    others. */
 #define POLL_ENDS_MAX 500
@@ -143,6 +146,7 @@
   if (!c->unaccounted && !c->census_complete)
     {
       c->census_complete = 1;
+      hist_add (&c->census_time, (double)(c->now - c->takeover_at));
       cell_log (c, "census_complete ms=%llu",
                 (unsigned long long)(c->now - c->takeover_at));
       own_census_complete (c);
@@ -963,6 +967,34 @@
     }
 }
 
+/* Log how many workers the census waits for, and the one that it may wait for
+   longest. */
+static void
+log_census (cell_t *c)
+{
+  const cworker_t *last = NULL;
+
+  if (c->census_complete || c->now < c->takeover_at + CENSUS_LOG_MS
+      || c->now < c->census_logged_at + CENSUS_LOG_MS)
+    return;
+  c->census_logged_at = c->now;
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      const cworker_t *w = &c->workers[i];
+
+      if (!w->accounted && (!last || w->lease_bound_at > last->lease_bound_at))
+        last = w;
+    }
+  if (!last)
+    return;
+  cell_log (c,
+            "census_waits ms=%llu unaccounted=%d worker=%s registered=%d "
+            "silent=%d leases_end_in_ms=%lld",
+            (unsigned long long)(c->now - c->takeover_at), c->unaccounted,
+            last->info.id, last->registered, last->silent,
+            (long long)last->lease_bound_at - (long long)c->now);
+}
+
 void
 cworkers_tick (void *ctx, gl_ms_t now)
 {
@@ -980,4 +1012,5 @@
         recheck_dead (c, &c->workers[i]);
       worker_tick (c, &c->workers[i]);
     }
+  log_census (c);
 }
