--- a/src/cellint.h
+++ b/src/cellint.h
@@ -984,6 +984,25 @@
 /** cworker_add - a new incarnation of a worker; NULL without memory */
 cworker_t *cworker_add (cell_t *c, const cell_worker_t *info);
 
+/* cellcensus.c */
+
+/** census_begin - begin the census of all workers as a new owner; @may_renew:
+   a former owner may still renew leases, for up to CELL_RENEW_GRACE_MS */
+void census_begin (cell_t *c, int may_renew);
+/** census_expect - the census waits for the worker, which is not accounted for
+ */
+void census_expect (cell_t *c, cworker_t *w);
+/** census_set_accounted - it is now known what runs on the worker; once this
+    holds for all workers, the census is complete */
+void census_set_accounted (cell_t *c, cworker_t *w);
+/** census_leases_ended - 1 if every lease that the worker can hold has ended:
+    those sent by this owner by the worker's own clock, those of earlier owners
+    by its lease_bound_at */
+int census_leases_ended (const cell_t *c, const cworker_t *w);
+/** census_log - log how many workers the census waits for, and the one that it
+    may wait for longest, from time to time */
+void census_log (cell_t *c);
+
 /* cellpoll.c */
 
 /** poll_next - when to poll the worker next */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -18,7 +18,7 @@
  *   - when the owner's heartbeats say that the store does not answer it.
  *
  * The winner loads workers, jobs and task records from the store, and then
- * takes a census of the workers; see cellwork.c.
+ * takes a census of the workers; see cellcensus.c.
  */
 #include "cellint.h"
 
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -19,10 +19,8 @@
  *                                                     running until its lease
  *                                                     has ended
  *
- * A lease ends at an instant of the worker's own clock.  A task that an
- * earlier owner may have started is not started again until the census is
- * complete: every worker has answered, or the leases of those that did not
- * have ended.
+ * A lease ends at an instant of the worker's own clock.  What a new owner must
+ * know of all workers is in cellcensus.c.
  */
 #include "cellint.h"
 
@@ -48,17 +46,9 @@
 #define ORPHAN_STOP_RETRY_MS 300
 /* wait_ms of a poll that the worker is to answer at once, as in the census. */
 #define POLL_NO_WAIT_MS 0
-/* All leases of a worker have ended when it has been unregistered for this
-   long, whichever VM owned the cell. */
-#define UNREGISTERED_DEAD_MS                                                  \
-  ((gl_ms_t)((CELL_WORKER_LEASE_MS + CELL_RENEW_GRACE_MS)                     \
-             / CELL_CLOCK_RATE_MIN))
 /* A worker stays usable for this long without its registration: registrations
    that lapsed while the store was down are renewed within this time. */
 #define REREGISTER_MS 2000
-/* While the census is not complete, a line names a worker that it waits for,
-   this often. */
-#define CENSUS_LOG_MS 1000
 /* An answer with this many ends may be incomplete; a later poll lists the
    others. */
 #define POLL_ENDS_MAX 500
@@ -134,26 +124,6 @@
   return w;
 }
 
-/* It is now known what runs on the worker.  Once this holds for all workers,
-   the census is complete. */
-static void
-worker_set_accounted (cell_t *c, cworker_t *w)
-{
-  if (w->accounted)
-    return;
-  w->accounted = 1;
-  c->unaccounted--;
-  if (!c->unaccounted && !c->census_complete)
-    {
-      c->census_complete = 1;
-      hist_add (&c->census_time, (double)(c->now - c->takeover_at));
-      cell_log (c, "census_complete ms=%llu",
-                (unsigned long long)(c->now - c->takeover_at));
-      own_census_complete (c);
-    }
-  plan_wake (c);
-}
-
 static void
 log_run_lost (cell_t *c, const cworker_t *w, const cstep_t *s, uint32_t index)
 {
@@ -173,7 +143,7 @@
   if (w->dead)
     return;
   w->dead = 1;
-  worker_set_accounted (c, w);
+  census_set_accounted (c, w);
   cell_log (c, "worker_dead id=%s why=%s tasks=%d", w->info.id, why, n);
   while (w->ntasks)
     {
@@ -215,8 +185,7 @@
 
   if (!w || (c->role != CR_OWNER && c->role != CR_LOADING))
     return w;
-  c->unaccounted++;
-  w->lease_bound_at = c->now + c->lease_bound_ms;
+  census_expect (c, w);
   return w;
 }
 
@@ -261,20 +230,12 @@
 void
 cworkers_take_over (cell_t *c, int may_renew)
 {
-  c->lease_bound_ms = (gl_ms_t)((CELL_WORKER_LEASE_MS
-                                 + (may_renew ? CELL_RENEW_GRACE_MS : 0))
-                                / CELL_CLOCK_RATE_MIN);
   c->enrol_tag = 0;
-  c->unaccounted = 0;
-  c->census_complete = 0;
+  census_begin (c, may_renew);
   for (int i = 0; i < c->nworkers; i++)
     {
       cworker_t *w = &c->workers[i];
 
-      /* Its leases have ended, so nothing runs there any more. */
-      w->dead = !w->registered
-                && c->now - w->unregistered_at > UNREGISTERED_DEAD_MS;
-      w->accounted = w->dead;
       if (w->dead)
         continue;
       w->silent = 0;
@@ -290,8 +251,6 @@
       w->lease_over_at = 0;
       w->restarted_at = 0;
       w->orphans = 0;
-      w->lease_bound_at = c->now + c->lease_bound_ms;
-      c->unaccounted++;
     }
   timer_arm (&c->timers, c->worker_timer, c->now);
 }
@@ -713,7 +672,7 @@
         plan_wake (c);
       if (k->nends < POLL_ENDS_MAX)
         {
-          worker_set_accounted (c, w);
+          census_set_accounted (c, w);
           settle_stopped_runs (c, w, k);
         }
       ack_written_ends (c, w);
@@ -871,21 +830,6 @@
 
 /* ---- timer ---- */
 
-/* Whether every lease that the worker can hold has ended: those sent by this
-   owner by the worker's own clock, those of earlier owners by
-   @lease_bound_at. */
-static int
-leases_ended (const cell_t *c, const cworker_t *w)
-{
-  if (!w->clock || !w->lease_sent)
-    return w->lease_bound_at && c->now >= w->lease_bound_at;
-  if (!w->accounted && c->now < w->lease_bound_at)
-    return 0;
-  return (double)w->clock
-             + (double)(c->now - w->clock_at) * CELL_CLOCK_RATE_MIN
-         > (double)w->lease_sent + 1;
-}
-
 /* Send stops again whose effect has not shown in time: those that got no
    answer, and those whose run has neither ended nor been found absent. */
 static void
@@ -923,7 +867,7 @@
     return;
   /* A successor may have renewed the leases, unless our ownership has been
      confirmed since they were found to have ended. */
-  if (w->silent && leases_ended (c, w) && !w->lease_over_at)
+  if (w->silent && census_leases_ended (c, w) && !w->lease_over_at)
     w->lease_over_at = c->now;
   if (w->silent && w->lease_over_at && c->confirmed_at >= w->lease_over_at)
     {
@@ -937,8 +881,8 @@
       worker_set_dead (c, w, "restarted");
       return;
     }
-  if (!w->accounted && leases_ended (c, w))
-    worker_set_accounted (c, w);
+  if (!w->accounted && census_leases_ended (c, w))
+    census_set_accounted (c, w);
   if (w->ntasks)
     resend_stops (c, w);
   if (!w->poll_tag && is_poll_due (c, w)
@@ -967,34 +911,6 @@
     }
 }
 
-/* Log how many workers the census waits for, and the one that it may wait for
-   longest. */
-static void
-log_census (cell_t *c)
-{
-  const cworker_t *last = NULL;
-
-  if (c->census_complete || c->now < c->takeover_at + CENSUS_LOG_MS
-      || c->now < c->census_logged_at + CENSUS_LOG_MS)
-    return;
-  c->census_logged_at = c->now;
-  for (int i = 0; i < c->nworkers; i++)
-    {
-      const cworker_t *w = &c->workers[i];
-
-      if (!w->accounted && (!last || w->lease_bound_at > last->lease_bound_at))
-        last = w;
-    }
-  if (!last)
-    return;
-  cell_log (c,
-            "census_waits ms=%llu unaccounted=%d worker=%s registered=%d "
-            "silent=%d leases_end_in_ms=%lld",
-            (unsigned long long)(c->now - c->takeover_at), c->unaccounted,
-            last->info.id, last->registered, last->silent,
-            (long long)last->lease_bound_at - (long long)c->now);
-}
-
 void
 cworkers_tick (void *ctx, gl_ms_t now)
 {
@@ -1012,5 +928,5 @@
         recheck_dead (c, &c->workers[i]);
       worker_tick (c, &c->workers[i]);
     }
-  log_census (c);
+  census_log (c);
 }
