Hand the bounds of unheard workers over when the cell is released

Callers saw accepted jobs of which nothing ran for seconds while most workers were idle.

Cause: a task that an earlier owner may have started waits until every worker has answered the new owner, or every lease on it must have ended. Each owner counted that time anew: 4.1 s, or 9.2 s if its predecessor had not completed its own census. With planned stops 1.3 s apart and one worker that does not answer, no census was ever completed and no inherited task started.

An owner that releases the cell now leaves, for each worker that it has not heard, how long leases on it can still last, in the transaction of the release. Its successor goes on from there. The span only shrinks on the way, since it counts from the writing of the record, so no lease is taken for ended too soon; without the record, as after a release by an older version, the old bounds hold.

Ruled out: to shorten the lease or the time for which an owner renews it without the store, since both carry work through outages; to write assignments before each start, which adds a write to each.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -20,6 +20,7 @@
 #define GL_PAYLOAD_MAX 4096
 #define GL_TASK_RECORDS_MAX 65536
 #define GL_LIST_MAX 1024
+#define GL_HANDOVER_MAX 8192
 
 typedef char *gl_cell_str_t;
 
@@ -120,6 +121,21 @@
 };
 typedef struct gl_ownership_t gl_ownership_t;
 
+struct gl_unheard_worker_t {
+	gl_cell_str_t id;
+	u_int leases_ms;
+};
+typedef struct gl_unheard_worker_t gl_unheard_worker_t;
+
+struct gl_handover_t {
+	u_quad_t generation;
+	struct {
+		u_int workers_len;
+		gl_unheard_worker_t *workers_val;
+	} workers;
+};
+typedef struct gl_handover_t gl_handover_t;
+
 struct gl_vminfo_t {
 	gl_cell_str_t vm;
 	gl_cell_str_t addr;
@@ -206,6 +222,8 @@
 extern  bool_t xdr_gl_job_result_t (XDR *, gl_job_result_t*);
 extern  bool_t xdr_gl_worker_record_t (XDR *, gl_worker_record_t*);
 extern  bool_t xdr_gl_ownership_t (XDR *, gl_ownership_t*);
+extern  bool_t xdr_gl_unheard_worker_t (XDR *, gl_unheard_worker_t*);
+extern  bool_t xdr_gl_handover_t (XDR *, gl_handover_t*);
 extern  bool_t xdr_gl_vminfo_t (XDR *, gl_vminfo_t*);
 extern  bool_t xdr_gl_verb_t (XDR *, gl_verb_t*);
 extern  bool_t xdr_gl_request_t (XDR *, gl_request_t*);
@@ -226,6 +244,8 @@
 extern bool_t xdr_gl_job_result_t ();
 extern bool_t xdr_gl_worker_record_t ();
 extern bool_t xdr_gl_ownership_t ();
+extern bool_t xdr_gl_unheard_worker_t ();
+extern bool_t xdr_gl_handover_t ();
 extern bool_t xdr_gl_vminfo_t ();
 extern bool_t xdr_gl_verb_t ();
 extern bool_t xdr_gl_request_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -8,6 +8,7 @@
 const GL_PAYLOAD_MAX = 4096;
 const GL_TASK_RECORDS_MAX = 65536;
 const GL_LIST_MAX = 1024;
+const GL_HANDOVER_MAX = 8192;
 typedef string gl_cell_str_t<127>;
 
 /*
@@ -110,6 +111,17 @@
   gl_cell_str_t addr;
   bool released;
 };
+/* Left by an owner that releases the cell of @generation: the workers that have
+   not answered it lately, with the span, from the writing of this record on,
+   after which every lease that they can hold has ended. */
+struct gl_unheard_worker_t {
+  gl_cell_str_t id;
+  unsigned int leases_ms;
+};
+struct gl_handover_t {
+  unsigned hyper generation;
+  gl_unheard_worker_t workers<GL_HANDOVER_MAX>;
+};
 /* A VM that takes part; cpu_m is its share of a core in thousandths. */
 struct gl_vminfo_t {
   gl_cell_str_t vm;
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -332,6 +332,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_unheard_worker_t (XDR *xdrs, gl_unheard_worker_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gl_cell_str_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->leases_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gl_handover_t (XDR *xdrs, gl_handover_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, GL_HANDOVER_MAX,
+		sizeof (gl_unheard_worker_t), (xdrproc_t) xdr_gl_unheard_worker_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_vminfo_t (XDR *xdrs, gl_vminfo_t *objp)
 {
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -9,9 +9,19 @@
  * how long earlier owners may have renewed them: CELL_WORKER_LEASE_MS after an
  * owner that renews no more, and CELL_RENEW_GRACE_MS longer after one that may
  * not know yet that it has been succeeded.
+ *
+ * These times must not begin anew with each owner: while owners change faster
+ * than that, one worker that does not answer would keep all inherited tasks
+ * from starting.  So an owner that releases the cell leaves, for each worker
+ * that it has not heard, what remains of them.
  */
 #include "cellint.h"
 
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
 /* While the census is not complete, a line names a worker that it waits for,
    this often. */
 #define LOG_INTERVAL_MS 1000
@@ -21,6 +31,89 @@
   ((gl_ms_t)((CELL_WORKER_LEASE_MS + CELL_RENEW_GRACE_MS)                     \
              / CELL_CLOCK_RATE_MIN))
 
+/* ---- what an owner leaves to its successor ---- */
+
+/* Longest span for which a lease that this owner has sent can last. */
+static gl_ms_t
+sent_lease_ms (const cell_t *c, const cworker_t *w)
+{
+  double clock = (double)w->clock
+                 + (double)(c->now - w->clock_at) * CELL_CLOCK_RATE_MIN;
+
+  if (!w->clock || !w->lease_sent || clock > (double)w->lease_sent)
+    return 0;
+  return (gl_ms_t)(((double)w->lease_sent - clock) / CELL_CLOCK_RATE_MIN) + 1;
+}
+
+/* The same for leases of this owner and of earlier ones. */
+static gl_ms_t
+remaining_lease_ms (const cell_t *c, const cworker_t *w)
+{
+  gl_ms_t sent = sent_lease_ms (c, w);
+  gl_ms_t earlier = !w->accounted && w->lease_bound_at > c->now
+                        ? w->lease_bound_at - c->now
+                        : 0;
+
+  if (w->dead)
+    return 0;
+  return earlier > sent ? earlier : sent;
+}
+
+char *
+census_handover (const cell_t *c, size_t *len)
+{
+  gl_handover_t record = { c->generation, { 0, NULL } };
+  char *value;
+
+  record.workers.workers_val
+      = calloc ((size_t)c->nworkers + 1, sizeof *record.workers.workers_val);
+  if (!record.workers.workers_val)
+    return NULL;
+  for (int i = 0;
+       i < c->nworkers && record.workers.workers_len < GL_HANDOVER_MAX; i++)
+    {
+      const cworker_t *w = &c->workers[i];
+
+      if (w->accounted && !w->silent && !w->dead)
+        continue;
+      record.workers.workers_val[record.workers.workers_len++]
+          = (gl_unheard_worker_t){ (char *)w->info.id,
+                                   (u_int)remaining_lease_ms (c, w) };
+    }
+  value = codec_encode ((xdrproc_t)xdr_gl_handover_t, &record, len);
+  free (record.workers.workers_val);
+  return value;
+}
+
+void
+census_learn_handover (cell_t *c, const cell_item_t *item)
+{
+  codec_free ((xdrproc_t)xdr_gl_handover_t, &c->handover);
+  memset (&c->handover, 0, sizeof c->handover);
+  if (codec_decode ((xdrproc_t)xdr_gl_handover_t, &c->handover, item->value,
+                    item->len))
+    {
+      memset (&c->handover, 0, sizeof c->handover);
+      cell_log (c, "handover_unreadable revision=%llu",
+                (unsigned long long)item->revision);
+    }
+}
+
+/* How long leases from earlier owners can last on the worker.  Every worker
+   that the releasing owner knew is either listed or had answered it. */
+static gl_ms_t
+earlier_lease_ms (const cell_t *c, const cworker_t *w)
+{
+  if (!c->handed_over)
+    return c->lease_bound_ms;
+  for (u_int i = 0; i < c->handover.workers.workers_len; i++)
+    if (!strcmp (c->handover.workers.workers_val[i].id, w->info.id))
+      return c->handover.workers.workers_val[i].leases_ms;
+  return c->lease_bound_ms;
+}
+
+/* ---- the census ---- */
+
 void
 census_begin (cell_t *c, int may_renew)
 {
@@ -45,7 +138,7 @@
 void
 census_expect (cell_t *c, cworker_t *w)
 {
-  w->lease_bound_at = c->now + c->lease_bound_ms;
+  w->lease_bound_at = c->now + earlier_lease_ms (c, w);
   c->unaccounted++;
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -619,6 +619,8 @@
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
  * @census_generation: latest generation whose owner completed its census
+ * @handover: what the last owner that released the cell has left
+ * @handed_over: this VM took over from that owner
  * @owner_key_present, @owner_key_lost_at: the owner's leased key exists, else
  *   since when it does not
  * @heartbeat_at: when the last heartbeat of the present owner arrived, or when
@@ -719,6 +721,8 @@
   gl_ownership_t ownership;
   uint64_t ownership_rev;
   uint64_t census_generation;
+  gl_handover_t handover;
+  int handed_over;
   int ownership_known;
   int owner_key_present;
   gl_ms_t owner_key_lost_at;
@@ -986,6 +990,12 @@
 
 /* cellcensus.c */
 
+/** census_handover - what this owner leaves to its successor on releasing the
+    cell, encoded and malloc'd; NULL without memory */
+char *census_handover (const cell_t *c, size_t *len);
+/** census_learn_handover - what the last owner that released the cell has left
+ */
+void census_learn_handover (cell_t *c, const cell_item_t *item);
 /** census_begin - begin the census of all workers as a new owner; @may_renew:
    a former owner may still renew leases, for up to CELL_RENEW_GRACE_MS */
 void census_begin (cell_t *c, int may_renew);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -29,10 +29,12 @@
 #include "codec.h"
 
 /* Keys of the store: the ownership record, the owner's leased key, the latest
-   generation whose owner completed its census, and the VMs' leased keys. */
+   generation whose owner completed its census, what an owner that releases the
+   cell leaves to its successor, and the VMs' leased keys. */
 #define KEY_OWNERSHIP "gl/m/tenure"
 #define KEY_OWNER "gl/m/owner"
 #define KEY_CENSUS "gl/m/settled"
+#define KEY_HANDOVER "gl/m/handover"
 #define KEY_VM "gl/m/vm/"
 /* Standbys wait a random part of this before they claim, so that most see the
    first claim succeed and make none. */
@@ -149,6 +151,8 @@
     apply_ownership_record (c, item);
   else if (!strcmp (item->key, KEY_CENSUS) && !ev->removed && item->value)
     c->census_generation = strtoull (item->value, NULL, 10);
+  else if (!strcmp (item->key, KEY_HANDOVER) && !ev->removed)
+    census_learn_handover (c, item);
   else if (!strcmp (item->key, KEY_OWNER))
     {
       if (c->owner_key_present && ev->removed)
@@ -298,7 +302,11 @@
       p->value = strdup (c->vm);
       p->len = strlen (c->vm);
       p->leased = 1;
+      return 0;
     }
+  p = &e->txn->puts[e->txn->nputs++];
+  cell_strcpy (p->key, KEY_HANDOVER);
+  p->value = census_handover (c, &p->len);
   return 0;
 }
 
@@ -385,7 +393,11 @@
       = c->ownership_known
         && (c->ownership.released || !strcmp (c->ownership.vm, c->vm))
         && c->census_generation == c->ownership.generation;
-  int may_renew = c->ownership_known && !no_renewals;
+  int may_renew;
+
+  c->handed_over = c->ownership_known && c->ownership.released
+                   && c->handover.generation == c->ownership.generation;
+  may_renew = c->ownership_known && !no_renewals && !c->handed_over;
 
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
   c->ownership.generation = c->generation;
