Do not take a worker for empty because its registration is gone

A task could run twice: its worker loses its registration, as behind a cut from the store, and runs on; the owner goes on renewing the leases of a worker that has tasks; after 9.2 s without a registration every successor took the worker for dead and started the task elsewhere.

A new owner now goes by the worker's record in the store, which is written before the first start and removed once all leases have ended: the census waits for every worker with a record, registered or not, and for no other one. A worker that registers later than that has no record either, so nothing runs there.

Ruled out: not to renew leases of unregistered workers, since registrations lapse while the store is down.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -2,8 +2,11 @@
  * cellcensus.c -- what a new owner must know before it starts inherited tasks
  *
  * A task that an earlier owner may have started is not started again until the
- * census is complete: every worker has listed its runs, or every lease that a
- * worker can hold has ended, so that nothing runs there.
+ * census is complete: every worker on which something may run has listed its
+ * runs, or every lease that it can hold has ended.  Nothing runs on a worker
+ * without a record in the store, see cellenrol.c.  That a worker's
+ * registration is gone tells nothing: the owner renews its leases while tasks
+ * run there.
  *
  * How long the leases of a worker that does not answer can last is bounded by
  * how long earlier owners may have renewed them: CELL_WORKER_LEASE_MS after an
@@ -25,11 +28,6 @@
 /* While the census is not complete, a line names a worker that it waits for,
    this often. */
 #define LOG_INTERVAL_MS 1000
-/* All leases of a worker have ended when it has been unregistered for this
-   long, whichever VM owned the cell. */
-#define UNREGISTERED_DEAD_MS                                                  \
-  ((gl_ms_t)((CELL_WORKER_LEASE_MS + CELL_RENEW_GRACE_MS)                     \
-             / CELL_CLOCK_RATE_MIN))
 
 /* ---- what an owner leaves to its successor ---- */
 
@@ -126,12 +124,9 @@
     {
       cworker_t *w = &c->workers[i];
 
-      /* Its leases have ended, so nothing runs there any more. */
-      w->dead = !w->registered
-                && c->now - w->unregistered_at > UNREGISTERED_DEAD_MS;
-      w->accounted = w->dead;
-      if (!w->dead)
-        census_expect (c, w);
+      w->dead = 0;
+      w->accounted = 0;
+      census_expect (c, w);
     }
 }
 
@@ -142,6 +137,18 @@
   c->unaccounted++;
 }
 
+static void
+complete_if_accounted (cell_t *c)
+{
+  if (c->unaccounted || c->census_complete)
+    return;
+  c->census_complete = 1;
+  hist_add (&c->census_time, (double)(c->now - c->takeover_at));
+  cell_log (c, "census_complete ms=%llu",
+            (unsigned long long)(c->now - c->takeover_at));
+  own_census_complete (c);
+}
+
 void
 census_set_accounted (cell_t *c, cworker_t *w)
 {
@@ -149,15 +156,24 @@
     return;
   w->accounted = 1;
   c->unaccounted--;
-  if (!c->unaccounted && !c->census_complete)
+  complete_if_accounted (c);
+  plan_wake (c);
+}
+
+void
+census_loaded (cell_t *c)
+{
+  for (int i = 0; i < c->nworkers; i++)
     {
-      c->census_complete = 1;
-      hist_add (&c->census_time, (double)(c->now - c->takeover_at));
-      cell_log (c, "census_complete ms=%llu",
-                (unsigned long long)(c->now - c->takeover_at));
-      own_census_complete (c);
+      cworker_t *w = &c->workers[i];
+
+      if (w->enrolled || w->accounted)
+        continue;
+      w->accounted = 1;
+      c->unaccounted--;
+      w->dead = !w->registered;
     }
-  plan_wake (c);
+  complete_if_accounted (c);
 }
 
 int
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -1002,6 +1002,8 @@
 /** census_expect - the census waits for the worker, which is not accounted for
  */
 void census_expect (cell_t *c, cworker_t *w);
+/** census_loaded - all records of workers have been read */
+void census_loaded (cell_t *c);
 /** census_set_accounted - it is now known what runs on the worker; once this
     holds for all workers, the census is complete */
 void census_set_accounted (cell_t *c, cworker_t *w);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -626,6 +626,7 @@
   hist_add (&c->takeover_time, (double)(c->now - c->takeover_at));
   while ((h = pool_next (&c->jobs, &pos)))
     cjob_ready_steps (c, pool_get (&c->jobs, h));
+  census_loaded (c);
   cell_log (c, "takeover_done jobs=%zu workers=%d load_ms=%llu unaccounted=%d",
             c->jobs.count, c->nworkers,
             (unsigned long long)(c->now - c->takeover_at), c->unaccounted);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -183,9 +183,14 @@
 {
   cworker_t *w = worker_new (c, info);
 
-  if (!w || (c->role != CR_OWNER && c->role != CR_LOADING))
-    return w;
-  census_expect (c, w);
+  if (w && c->role == CR_LOADING)
+    census_expect (c, w);
+  else if (w && c->role == CR_OWNER)
+    {
+      /* It has no record, so nothing runs there. */
+      w->accounted = 1;
+      w->lease_bound_at = c->now;
+    }
   return w;
 }
 
@@ -236,8 +241,6 @@
     {
       cworker_t *w = &c->workers[i];
 
-      if (w->dead)
-        continue;
       w->silent = 0;
       w->suspect = 0;
       w->poll_tag = 0;
