Remove the record of a dead worker even if it is still registered

Callers saw jobs of which nothing ran for seconds after the owner had been killed, with most workers idle.

Cause: an owner that found all leases of a silent worker to have ended kept the worker's record while its registration was there, so the next owner waited for the same leases again, for up to 9.2 s. The owner also took the worker for alive before each of its polls, and logged it as dead again every 0.45 s.

Evidence: owner-killed-long-after-a-worker-fell-silent failed before, with step_waits why=census and census_waits naming a worker that had been silent for 7 s.

The record now goes once nothing can run on the worker. While it is being removed, or the removal has no certain outcome, the worker is not used; one that answers again is written anew before its first start. Late removals conflict, since every change checks the record's revision.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -72,7 +72,7 @@
     {
       const cworker_t *w = &c->workers[i];
 
-      if (w->accounted && !w->silent && !w->dead)
+      if (w->dead ? !w->record_revision : w->accounted && !w->silent)
         continue;
       record.workers.workers_val[record.workers.workers_len++]
           = (gl_unheard_worker_t){ (char *)w->info.id,
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -2,10 +2,15 @@
  * cellenrol.c -- records of the workers on which tasks may be running
  *
  * A worker is enrolled, that is, its record is written to the store, before
- * any task is started on it.  The record is removed when this incarnation of
- * the worker is over.  The workers' own registrations do not tell a new owner
- * where tasks may be running, since a registration may lapse while the worker
- * runs on.
+ * any task is started on it.  The record is removed when nothing can run there
+ * any more, because the worker has restarted or all its leases have ended,
+ * even if it is still registered: a new owner waits for every worker that has
+ * a record.  The workers' own registrations do not tell a new owner where
+ * tasks may be running, since a registration may lapse while the worker runs
+ * on.
+ *
+ * A worker whose record is being removed is not used any more, and neither is
+ * one whose removal got no answer, until the record has been written again.
  *
  * Every change checks the record's revision: a transaction without an answer
  * may be carried out seconds later, and must not undo a newer change.
@@ -94,7 +99,7 @@
 {
   if (w->registered && !w->dead && !w->enrolled)
     return 1;
-  return w->enrolled && w->dead && !w->registered ? -1 : 0;
+  return w->dead && w->record_revision ? -1 : 0;
 }
 
 void
@@ -130,6 +135,9 @@
       check->revision = w->record_revision;
       if (change > 0)
         p->value = encode_record (&w->info, &p->len);
+      else
+        w->enrolled = 0;
+      c->enrol_removes[c->nenrolling] = change < 0;
       c->enrolling[c->nenrolling++] = i;
     }
 }
@@ -176,7 +184,7 @@
     {
       cworker_t *w = &c->workers[c->enrolling[i]];
 
-      w->enrolled = !w->enrolled;
+      w->enrolled = !c->enrol_removes[i];
       w->record_revision = w->enrolled ? ev->revision : 0;
     }
   plan_wake (c);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -358,8 +358,10 @@
  * @used: resources of the tasks that are bound to it
  * @registered, @unregistered_at: its registration is in the store, else since
  *   when it is not
- * @enrolled: its record is in the store, so that a successor will know it
- * @record_revision: revision of that record, 0 if there is none
+ * @enrolled: its record is in the store, so that a successor will know it, and
+ *   is not being removed
+ * @record_revision: revision of that record as far as it is known, 0 if there
+ *   is none
  * @accounted: this owner knows what runs there, from its report or because
  *   its leases have ended
  * @dead: this incarnation counts as over, and nothing of it runs: it has
@@ -663,8 +665,8 @@
  * @lease_bound_ms: longest remaining lease under earlier owners
  * @enrol_tag, @enrol_after: transaction in flight, or 0; earliest time for
  *   another
- * @enrolling, @nenrolling: indices of the workers whose records it writes or
- *   removes
+ * @enrolling, @enrol_removes, @nenrolling: indices of the workers whose
+ *   records it writes, or removes
  *
  * Jobs and planning:
  * @jobs, @steps: pools of cjob_t and cstep_t
@@ -774,6 +776,7 @@
   uint64_t enrol_tag;
   gl_ms_t enrol_after;
   int enrolling[CELL_TXN_KEYS_MAX];
+  unsigned char enrol_removes[CELL_TXN_KEYS_MAX];
   int nenrolling;
 
   pool_t jobs;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -34,6 +34,8 @@
 #define SILENT_MISSED_POLLS 1
 /* Delay before the next poll after one that failed. */
 #define POLL_RETRY_MS 150
+/* Delay between polls of a worker that counts as dead but is registered. */
+#define DEAD_POLL_MS 300
 /* No task is started for this long on a worker that refused a start with
    CELL_W_REFUSED. */
 #define REFUSED_AVOID_MS 1000
@@ -307,7 +309,8 @@
 
   /* A call to a silent worker may arrive late and extend a lease whose end
      this owner waits for. */
-  if (!w->clock || w->silent || c->now - c->confirmed_at > CELL_RENEW_GRACE_MS)
+  if (!w->clock || w->silent || w->dead
+      || c->now - c->confirmed_at > CELL_RENEW_GRACE_MS)
     return 0;
   if (span > c->limits.worker_lease_max_ms)
     span = c->limits.worker_lease_max_ms;
@@ -653,6 +656,17 @@
   w->poll_at = c->now + POLL_RETRY_MS;
 }
 
+/* A worker that counted as dead has answered.  Nothing of its former runs is
+   bound to it; it is written to the store again before it is used. */
+static void
+worker_revive (cell_t *c, cworker_t *w)
+{
+  w->dead = 0;
+  w->restarted_at = 0;
+  w->lease_bound_at = c->now;
+  cell_log (c, "worker_revived id=%s", w->info.id);
+}
+
 static void
 poll_result (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
@@ -660,6 +674,13 @@
 
   w->poll_tag = 0;
   w->poll_at = c->now;
+  if (w->dead && k->status == CELL_W_OK)
+    worker_revive (c, w);
+  else if (w->dead)
+    {
+      w->poll_at = c->now + DEAD_POLL_MS;
+      return;
+    }
   if (k->status == CELL_W_OK)
     {
       /* Ends before runs, so that an ended run is not taken as running. */
@@ -903,15 +924,7 @@
 recheck_dead (cell_t *c, cworker_t *w)
 {
   if (w->dead && w->registered && c->now >= w->poll_at && !w->poll_tag)
-    {
-      w->dead = 0;
-      w->accounted = 0;
-      w->silent = 0;
-      w->restarted_at = 0;
-      c->unaccounted++;
-      w->lease_bound_at = c->now;
-      poll_worker (c, w, POLL_NO_WAIT_MS);
-    }
+    poll_worker (c, w, POLL_NO_WAIT_MS);
 }
 
 void
