Send a release again until its outcome is known

A cell had no owner for as long as the process of a stopped owner still ran, up to 5 s, so nothing was started or accepted.

Cause: an owner that released the cell stepped down whatever the store answered. If the release was refused or got no answer and was not carried out, the record still named this VM, its key was renewed by the same process, and no other VM may claim the cell then.

Evidence: release-refused-by-the-store printed 'owners 0' twice before.

The release is now sent again until it is carried out or conflicts. After a refusal the owner goes on with its work in between; without an answer it renews no lease and starts nothing, since the cell may be released already.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -635,8 +635,10 @@
  * @claim_at, @claim_not_before: when to claim, 0 if no claim is due; earliest
  *   time for one
  * @claim_tag, @release_tag, @confirm_tag, @lease_tag, @keys_tag: calls in
- * flight, or 0; while a release is in flight, no worker's lease is renewed and
- * no task started
+ *   flight, or 0
+ * @releasing, @release_after: the cell may be released already, so that no
+ *   worker's lease is renewed and no task started; earliest time to send the
+ *   release
  * @claim_sent_at, @confirm_sent_at, @lease_requested_at: when the latest of
  *   these calls were sent
  * @lease_held, @lease_held_since, @lease_renewed_at: the last renewal of the
@@ -736,6 +738,8 @@
   gl_ms_t claim_not_before;
   uint64_t claim_tag;
   uint64_t release_tag;
+  int releasing;
+  gl_ms_t release_after;
   gl_ms_t lease_requested_at;
   uint64_t lease_tag;
   uint64_t keys_tag;
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -43,6 +43,8 @@
  */
 #define WEAKER_VM_DELAY_MS 250
 #define CLAIM_TIMEOUT_MS 1500
+/* Pause before a release that was refused, or got no answer, is sent again. */
+#define RELEASE_RETRY_MS 100
 #define TICK_MS 50
 /* Heartbeats are still sent to a VM whose key has gone, for this long: it may
    have lost only the store. */
@@ -489,6 +491,26 @@
   return revision;
 }
 
+/* While a release has not been carried out, this VM's key keeps others from
+   claiming the cell, so it is sent again until its outcome is known.  After a
+   refusal the owner goes on in the meantime; after no answer it does not,
+   since the cell may be released already. */
+static void
+release_result (cell_t *c, gl_store_status_t status)
+{
+  c->release_tag = 0;
+  cell_log (c, "released status=%d", status);
+  if (status == GL_ST_OK || status == GL_ST_CONFLICT)
+    {
+      own_step_down (c, "released");
+      c->claim_not_before = c->now + 2 * CELL_CLAIM_BACKOFF_MS;
+      return;
+    }
+  c->release_after = c->now + RELEASE_RETRY_MS;
+  if (status != GL_ST_UNKNOWN)
+    c->releasing = 0;
+}
+
 void
 own_txn_result (cell_t *c, const cell_event_t *ev)
 {
@@ -512,10 +534,7 @@
     return;
   if (ev->tag == c->release_tag && c->release_tag)
     {
-      c->release_tag = 0;
-      cell_log (c, "released status=%d", ev->status);
-      own_step_down (c, "released");
-      c->claim_not_before = c->now + 2 * CELL_CLAIM_BACKOFF_MS;
+      release_result (c, ev->status);
       return;
     }
   if (ev->tag != c->claim_tag || c->role != CR_CLAIMING)
@@ -697,6 +716,8 @@
   c->role = CR_STANDBY;
   c->claim_not_before = c->now + CELL_CLAIM_BACKOFF_MS;
   c->confirm_tag = 0;
+  c->release_tag = 0;
+  c->releasing = 0;
   save_reset (c);
   plan_reset (c);
   while ((h = pool_next (&c->jobs, &pos)))
@@ -823,8 +844,10 @@
 static void
 try_release (cell_t *c)
 {
-  if (c->role == CR_OWNER && save_idle (c) && !c->release_tag)
-    write_ownership (c, c->generation, 1, &c->release_tag);
+  if (c->role == CR_OWNER && !c->release_tag && c->now >= c->release_after
+      && (c->releasing || save_idle (c))
+      && !write_ownership (c, c->generation, 1, &c->release_tag))
+    c->releasing = 1;
 }
 
 void
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -368,7 +368,7 @@
   unsigned int priorities_present = 0;
   int idle_lines = 0;
 
-  if (!c->plan_due || c->role != CR_OWNER || c->release_tag)
+  if (!c->plan_due || c->role != CR_OWNER || c->releasing)
     return;
   next = c->planned_at + PASS_INTERVAL_MIN_MS + c->waiting.n / STEPS_PER_MS;
   if (c->now < next)
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -848,7 +848,7 @@
     start_result (c, w, k);
   else
     stop_result (c, w, k);
-  if (c->role == CR_OWNER && !c->release_tag)
+  if (c->role == CR_OWNER && !c->releasing)
     worker_tick (c, w);
 }
 
@@ -935,7 +935,7 @@
   timer_arm (&c->timers, c->worker_timer, now + TICK_MS);
   /* Until the state is loaded, known runs cannot be told from orphaned ones.
    */
-  if (c->role != CR_OWNER || c->release_tag)
+  if (c->role != CR_OWNER || c->releasing)
     return;
   enrol_update (c);
   for (int i = 0; i < c->nworkers; i++)
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -269,7 +269,9 @@
       {
         in >> a;
         int i = vm (a);
-        if (cmd == "kill")
+        if (i < 0)
+          out.push_back ("no owner");
+        else if (cmd == "kill")
           w->kill_vm (i);
         else if (cmd == "start")
           w->start_vm (i);
