Count the leases of former owners from when they were succeeded or ended

Callers saw jobs of which nothing ran for 9 s after an owner had been killed beside a worker that does not answer, and for longer when owners were killed one after another.

Cause: a new owner assumed that its predecessor, and every owner before it whose successor had not completed its census, goes on renewing leases for 5 s from the new claim, whatever had become of them.

Every VM now keeps the owners since the last complete census, with the time at which each was succeeded, released the cell, or was found to have ended. An owner's process has ended when another process runs at its address. For that, each process writes a random number under its VM's lease, and each claim names the process that makes it. A late write of an ended process cannot pass for a newer one, since it is conditional on the latest claim that the process knew. A VM that does not know all these owners, or that takes over from an older version, counts from its own claim as before.

Ruled out: to take a refused connection as proof, since a cut may refuse connections to a process that runs on; to shorten the time for which an owner renews leases without the store, which carries work through outages.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -121,6 +121,19 @@
 };
 typedef struct gl_ownership_t gl_ownership_t;
 
+struct gl_claim_t {
+	u_quad_t generation;
+	u_quad_t process;
+	gl_cell_str_t addr;
+};
+typedef struct gl_claim_t gl_claim_t;
+
+struct gl_process_t {
+	u_quad_t process;
+	gl_cell_str_t addr;
+};
+typedef struct gl_process_t gl_process_t;
+
 struct gl_unheard_worker_t {
 	gl_cell_str_t id;
 	u_int leases_ms;
@@ -222,6 +235,8 @@
 extern  bool_t xdr_gl_job_result_t (XDR *, gl_job_result_t*);
 extern  bool_t xdr_gl_worker_record_t (XDR *, gl_worker_record_t*);
 extern  bool_t xdr_gl_ownership_t (XDR *, gl_ownership_t*);
+extern  bool_t xdr_gl_claim_t (XDR *, gl_claim_t*);
+extern  bool_t xdr_gl_process_t (XDR *, gl_process_t*);
 extern  bool_t xdr_gl_unheard_worker_t (XDR *, gl_unheard_worker_t*);
 extern  bool_t xdr_gl_handover_t (XDR *, gl_handover_t*);
 extern  bool_t xdr_gl_vminfo_t (XDR *, gl_vminfo_t*);
@@ -244,6 +259,8 @@
 extern bool_t xdr_gl_job_result_t ();
 extern bool_t xdr_gl_worker_record_t ();
 extern bool_t xdr_gl_ownership_t ();
+extern bool_t xdr_gl_claim_t ();
+extern bool_t xdr_gl_process_t ();
 extern bool_t xdr_gl_unheard_worker_t ();
 extern bool_t xdr_gl_handover_t ();
 extern bool_t xdr_gl_vminfo_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -111,6 +111,18 @@
   gl_cell_str_t addr;
   bool released;
 };
+/* Which process claimed the cell in @generation; it is written with the claim.
+   @process is a random number. */
+struct gl_claim_t {
+  unsigned hyper generation;
+  unsigned hyper process;
+  gl_cell_str_t addr;
+};
+/* The process that runs at a VM's address, under the VM's lease. */
+struct gl_process_t {
+  unsigned hyper process;
+  gl_cell_str_t addr;
+};
 /* Left by an owner that releases the cell of @generation: the workers that have
    not answered it lately, with the span, from the writing of this record on,
    after which every lease that they can hold has ended. */
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -332,6 +332,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_claim_t (XDR *xdrs, gl_claim_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->process))
+		 return FALSE;
+	 if (!xdr_gl_cell_str_t (xdrs, &objp->addr))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gl_process_t (XDR *xdrs, gl_process_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->process))
+		 return FALSE;
+	 if (!xdr_gl_cell_str_t (xdrs, &objp->addr))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_unheard_worker_t (XDR *xdrs, gl_unheard_worker_t *objp)
 {
--- a/src/cell.c
+++ b/src/cell.c
@@ -29,6 +29,8 @@
       return NULL;
     }
   gsl_rng_set (c->rng, seed);
+  c->process
+      = (uint64_t)gsl_rng_get (c->rng) << 32 | (uint64_t)gsl_rng_get (c->rng);
   cell_strcpy (c->vm, vm);
   cell_strcpy (c->addr, addr);
   cell_strcpy (c->domain, domain);
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -9,14 +9,9 @@
  * run there.
  *
  * How long the leases of a worker that does not answer can last is bounded by
- * how long earlier owners may have renewed them: CELL_WORKER_LEASE_MS after an
- * owner that renews no more, and CELL_RENEW_GRACE_MS longer after one that may
- * not know yet that it has been succeeded.
- *
- * These times must not begin anew with each owner: while owners change faster
- * than that, one worker that does not answer would keep all inherited tasks
- * from starting.  So an owner that releases the cell leaves, for each worker
- * that it has not heard, what remains of them.
+ * how long earlier owners may have renewed them, see cellformer.c.  An owner
+ * that releases the cell knows more: it leaves, for each worker that it has
+ * not heard, how long the leases of that worker can still last.
  */
 #include "cellint.h"
 
@@ -113,11 +108,9 @@
 /* ---- the census ---- */
 
 void
-census_begin (cell_t *c, int may_renew)
+census_begin (cell_t *c, gl_ms_t lease_ms)
 {
-  c->lease_bound_ms = (gl_ms_t)((CELL_WORKER_LEASE_MS
-                                 + (may_renew ? CELL_RENEW_GRACE_MS : 0))
-                                / CELL_CLOCK_RATE_MIN);
+  c->lease_bound_ms = lease_ms;
   c->unaccounted = 0;
   c->census_complete = 0;
   for (int i = 0; i < c->nworkers; i++)
@@ -130,6 +123,16 @@
     }
 }
 
+void
+census_shorten (cell_t *c, gl_ms_t lease_ms)
+{
+  c->lease_bound_ms = lease_ms;
+  for (int i = 0; i < c->nworkers; i++)
+    if (!c->workers[i].accounted
+        && c->workers[i].lease_bound_at > c->now + lease_ms)
+      c->workers[i].lease_bound_at = c->now + lease_ms;
+}
+
 void
 census_expect (cell_t *c, cworker_t *w)
 {
--- /dev/null
+++ b/src/cellformer.c
@@ -0,0 +1,100 @@
+/*
+ * cellformer.c -- former owners, and how long their leases can last
+ *
+ * A new owner has to know for how long earlier owners may go on renewing the
+ * leases of workers.  An owner that was succeeded renews them for at most
+ * CELL_RENEW_GRACE_MS longer, until it notices; one that released the cell
+ * renews none; and neither does one whose process has ended.  That shows when
+ * another process has been started at its address: each process has a random
+ * number, which it writes to the store.
+ *
+ * Every VM keeps the owners since the last one that completed its census, with
+ * the time at which each was succeeded, so that these spans do not begin anew
+ * with every owner.  A VM that does not know all of them, because it was
+ * started later, counts from its own claim.
+ */
+#include "cellint.h"
+
+#include <string.h>
+
+void
+former_claimed (cell_t *c, const gl_claim_t *claim, uint64_t revision)
+{
+  cformer_t *last = c->nformers ? &c->formers[c->nformers - 1] : NULL;
+  cformer_t *f;
+
+  if (last && claim->generation <= last->generation)
+    return;
+  if (last && claim->generation > last->generation + 1)
+    c->nformers = 0;
+  else if (last && last->renews_until > c->now + CELL_RENEW_GRACE_MS)
+    last->renews_until = c->now + CELL_RENEW_GRACE_MS;
+  if (c->nformers == CELL_FORMERS_MAX)
+    memmove (c->formers, c->formers + 1,
+             (size_t)--c->nformers * sizeof *c->formers);
+  f = &c->formers[c->nformers++];
+  f->generation = claim->generation;
+  f->process = claim->process;
+  f->claim_revision = revision;
+  f->renews_until = TIMER_NEVER;
+  cell_strcpy (f->addr, claim->addr);
+  /* This process runs at that address now. */
+  if (!strcmp (f->addr, c->addr) && f->process != c->process)
+    f->renews_until = c->now;
+}
+
+void
+former_released (cell_t *c, uint64_t generation)
+{
+  for (int i = 0; i < c->nformers; i++)
+    if (c->formers[i].generation == generation
+        && c->formers[i].renews_until > c->now)
+      c->formers[i].renews_until = c->now;
+}
+
+int
+former_process_seen (cell_t *c, const gl_process_t *process, uint64_t revision)
+{
+  int ended = 0;
+
+  for (int i = 0; i < c->nformers; i++)
+    {
+      cformer_t *f = &c->formers[i];
+
+      if (strcmp (f->addr, process->addr) || f->process == process->process
+          || revision < f->claim_revision || f->renews_until <= c->now)
+        continue;
+      f->renews_until = c->now;
+      ended++;
+    }
+  return ended;
+}
+
+void
+former_census_complete (cell_t *c, uint64_t generation)
+{
+  int n = 0;
+
+  while (n < c->nformers && c->formers[n].generation < generation)
+    n++;
+  c->nformers -= n;
+  memmove (c->formers, c->formers + n,
+           (size_t)c->nformers * sizeof *c->formers);
+}
+
+gl_ms_t
+former_lease_ms (const cell_t *c)
+{
+  uint64_t first = c->census_generation ? c->census_generation : 1;
+  gl_ms_t renews_until = c->now;
+
+  if (!c->nformers || c->formers[0].generation > first)
+    renews_until += CELL_RENEW_GRACE_MS;
+  else
+    for (int i = 0; i < c->nformers; i++)
+      if (c->formers[i].generation < c->generation
+          && c->formers[i].renews_until > renews_until)
+        renews_until = c->formers[i].renews_until;
+  return (gl_ms_t)((double)(renews_until - c->now + CELL_WORKER_LEASE_MS)
+                   / CELL_CLOCK_RATE_MIN);
+}
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -18,6 +18,9 @@
 /* Lowest rate of a worker's clock relative to this VM's: a worker's clock is
    at most two percent slow. */
 #define CELL_CLOCK_RATE_MIN 0.98
+/* Longest time that such a lease lasts. */
+#define CELL_LEASE_LASTS_MS                                                   \
+  ((gl_ms_t)(CELL_WORKER_LEASE_MS / CELL_CLOCK_RATE_MIN))
 /* An owner stops renewing workers' leases when its ownership has not been
    confirmed by the store for this long.  This bounds how long its successor
    has to wait for those leases to end. */
@@ -555,6 +558,25 @@
   CR_OWNER
 } crole_t;
 
+/* Most former owners that are kept. */
+#define CELL_FORMERS_MAX 32
+
+/**
+ * struct cformer_t - an owner of the cell, see cellformer.c
+ * @process, @addr: its process, and the address that it runs at
+ * @claim_revision: revision of its claim in the store
+ * @renews_until: it renews no lease of a worker from then on; TIMER_NEVER for
+ *   the present owner
+ */
+typedef struct
+{
+  uint64_t generation;
+  uint64_t process;
+  char addr[64];
+  uint64_t claim_revision;
+  gl_ms_t renews_until;
+} cformer_t;
+
 /** struct cqueue_count_t - jobs of a queue of which no task has started */
 typedef struct
 {
@@ -621,6 +643,10 @@
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
  * @census_generation: latest generation whose owner completed its census
+ * @process: number of this process
+ * @claim_revision: revision of the latest claim in the store, 0 if there is
+ * none
+ * @formers, @nformers: owners since @census_generation, oldest first
  * @handover: what the last owner that released the cell has left
  * @handed_over: this VM took over from that owner
  * @owner_key_present, @owner_key_lost_at: the owner's leased key exists, else
@@ -725,6 +751,10 @@
   gl_ownership_t ownership;
   uint64_t ownership_rev;
   uint64_t census_generation;
+  uint64_t process;
+  uint64_t claim_revision;
+  cformer_t formers[CELL_FORMERS_MAX];
+  int nformers;
   gl_handover_t handover;
   int handed_over;
   int ownership_known;
@@ -976,9 +1006,8 @@
 void cworker_answer (cell_t *c, const cell_event_t *ev);
 void cworkers_tick (void *ctx, gl_ms_t now);
 /** cworkers_take_over - as a new owner, begin the census of all workers;
-    @may_renew: a former owner may still renew leases, for up to
-    CELL_RENEW_GRACE_MS */
-void cworkers_take_over (cell_t *c, int may_renew);
+   leases from earlier owners can last for @lease_ms */
+void cworkers_take_over (cell_t *c, gl_ms_t lease_ms);
 /** cworkers_reset - drop calls in flight, when the ownership is lost */
 void cworkers_reset (cell_t *c);
 /** cworker_poll_now - poll the worker at once, without a delayed answer */
@@ -1003,9 +1032,11 @@
 /** census_learn_handover - what the last owner that released the cell has left
  */
 void census_learn_handover (cell_t *c, const cell_item_t *item);
-/** census_begin - begin the census of all workers as a new owner; @may_renew:
-   a former owner may still renew leases, for up to CELL_RENEW_GRACE_MS */
-void census_begin (cell_t *c, int may_renew);
+/** census_begin - begin the census of all workers as a new owner; leases from
+    earlier owners can last for @lease_ms */
+void census_begin (cell_t *c, gl_ms_t lease_ms);
+/** census_shorten - leases from earlier owners can last for @lease_ms only */
+void census_shorten (cell_t *c, gl_ms_t lease_ms);
 /** census_expect - the census waits for the worker, which is not accounted for
  */
 void census_expect (cell_t *c, cworker_t *w);
@@ -1022,6 +1053,23 @@
     may wait for longest, from time to time */
 void census_log (cell_t *c);
 
+/* cellformer.c */
+
+/** former_claimed - a process has claimed the cell, at @revision of the store;
+    this one included */
+void former_claimed (cell_t *c, const gl_claim_t *claim, uint64_t revision);
+/** former_released - the owner of @generation has released the cell */
+void former_released (cell_t *c, uint64_t generation);
+/** former_process_seen - a process runs at an address; returns how many former
+    owners are known to have ended by that */
+int former_process_seen (cell_t *c, const gl_process_t *process,
+                         uint64_t revision);
+/** former_census_complete - the owner of @generation had completed its census,
+    so leases from owners before it have ended */
+void former_census_complete (cell_t *c, uint64_t generation);
+/** former_lease_ms - how long leases from owners before this one can last */
+gl_ms_t former_lease_ms (const cell_t *c);
+
 /* cellpoll.c */
 
 /** poll_next - when to poll the worker next */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -29,12 +29,14 @@
 #include "codec.h"
 
 /* Keys of the store: the ownership record, the owner's leased key, the latest
-   generation whose owner completed its census, what an owner that releases the
-   cell leaves to its successor, and the VMs' leased keys. */
+   generation whose owner completed its census, the latest claim, what an owner
+   that releases the cell leaves to its successor, and the VMs' leased keys. */
 #define KEY_OWNERSHIP "gl/m/tenure"
 #define KEY_OWNER "gl/m/owner"
 #define KEY_CENSUS "gl/m/settled"
+#define KEY_CLAIM "gl/m/claim"
 #define KEY_HANDOVER "gl/m/handover"
+#define KEY_PROCESS "gl/m/process/"
 #define KEY_VM "gl/m/vm/"
 /* Standbys wait a random part of this before they claim, so that most see the
    first claim succeed and make none. */
@@ -83,6 +85,8 @@
   c->ownership = record;
   c->ownership_rev = item->revision;
   c->ownership_known = 1;
+  if (record.released)
+    former_released (c, record.generation);
   if (!new_generation)
     return;
   c->owner_refused_at = 0;
@@ -144,6 +148,47 @@
   codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
 }
 
+static void
+apply_claim (cell_t *c, const cell_item_t *item)
+{
+  gl_claim_t claim;
+
+  memset (&claim, 0, sizeof claim);
+  if (item->revision <= c->claim_revision)
+    return;
+  c->claim_revision = item->revision;
+  if (codec_decode ((xdrproc_t)xdr_gl_claim_t, &claim, item->value, item->len))
+    {
+      cell_log (c, "claim_unreadable revision=%llu",
+                (unsigned long long)item->revision);
+      return;
+    }
+  former_claimed (c, &claim, item->revision);
+  codec_free ((xdrproc_t)xdr_gl_claim_t, &claim);
+}
+
+static void
+apply_process (cell_t *c, const cell_item_t *item)
+{
+  gl_process_t process;
+
+  memset (&process, 0, sizeof process);
+  if (codec_decode ((xdrproc_t)xdr_gl_process_t, &process, item->value,
+                    item->len))
+    {
+      cell_log (c, "process_unreadable key=%s", item->key);
+      return;
+    }
+  if (former_process_seen (c, &process, item->revision) && !c->handed_over
+      && (c->role == CR_OWNER || c->role == CR_LOADING))
+    {
+      cell_log (c, "former_owner_ended addr=%s leases_end_in_ms=%llu",
+                process.addr, (unsigned long long)former_lease_ms (c));
+      census_shorten (c, former_lease_ms (c));
+    }
+  codec_free ((xdrproc_t)xdr_gl_process_t, &process);
+}
+
 void
 own_key_changed (cell_t *c, const cell_event_t *ev)
 {
@@ -152,7 +197,15 @@
   if (!strcmp (item->key, KEY_OWNERSHIP) && !ev->removed)
     apply_ownership_record (c, item);
   else if (!strcmp (item->key, KEY_CENSUS) && !ev->removed && item->value)
-    c->census_generation = strtoull (item->value, NULL, 10);
+    {
+      c->census_generation = strtoull (item->value, NULL, 10);
+      former_census_complete (c, c->census_generation);
+    }
+  else if (!strcmp (item->key, KEY_CLAIM) && !ev->removed)
+    apply_claim (c, item);
+  else if (!strncmp (item->key, KEY_PROCESS, strlen (KEY_PROCESS))
+           && !ev->removed)
+    apply_process (c, item);
   else if (!strcmp (item->key, KEY_HANDOVER) && !ev->removed)
     census_learn_handover (c, item);
   else if (!strcmp (item->key, KEY_OWNER))
@@ -189,8 +242,26 @@
   e->timeout = CELL_VM_LEASE_MS;
 }
 
+/* Add the key that names this process.  It is written only over the latest
+   claim that this process knows: a late write of an ended process must not
+   look as if it ran after that claim. */
+static void
+add_process_key (cell_t *c, cell_txn_t *txn)
+{
+  gl_process_t process = { c->process, c->addr };
+  cell_item_t *check = &txn->checks[txn->nchecks++];
+  cell_put_t *p = &txn->puts[txn->nputs++];
+
+  cell_strcpy (check->key, KEY_CLAIM);
+  check->revision = c->claim_revision;
+  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_PROCESS, c->vm);
+  p->value = codec_encode ((xdrproc_t)xdr_gl_process_t, &process, &p->len);
+  p->leased = 1;
+}
+
 /* Writes this VM's leased keys: the VM's own, and the owner's key if it owns
-   the cell. */
+   the cell.  The latest claim is known once all keys have been reported; until
+   then the keys are written again after the next renewal of the lease. */
 static void
 write_own_keys (cell_t *c)
 {
@@ -201,13 +272,15 @@
   e = cell_add_effect (c, CELL_FX_TXN);
   if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
     return;
-  c->keys_lost = 0;
+  c->keys_lost = !c->members_synced;
   c->keys_tag = e->tag = cell_new_tag (c);
   e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
   p = &e->txn->puts[e->txn->nputs++];
   snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
   p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
   p->leased = 1;
+  if (c->members_synced)
+    add_process_key (c, e->txn);
   if (c->role != CR_OWNER && c->role != CR_LOADING)
     return;
   own_add_fence (c, e->txn);
@@ -287,6 +360,7 @@
 {
   cell_effect_t *e = cell_add_effect (c, CELL_FX_TXN);
   gl_ownership_t record = { generation, c->vm, c->addr, released };
+  gl_claim_t claim = { generation, c->process, c->addr };
   cell_put_t *p;
 
   if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
@@ -299,16 +373,19 @@
   p->value = codec_encode ((xdrproc_t)xdr_gl_ownership_t, &record, &p->len);
   p = &e->txn->puts[e->txn->nputs++];
   cell_strcpy (p->key, KEY_OWNER);
-  if (!released)
+  if (released)
     {
-      p->value = strdup (c->vm);
-      p->len = strlen (c->vm);
-      p->leased = 1;
+      p = &e->txn->puts[e->txn->nputs++];
+      cell_strcpy (p->key, KEY_HANDOVER);
+      p->value = census_handover (c, &p->len);
       return 0;
     }
+  p->value = strdup (c->vm);
+  p->len = strlen (c->vm);
+  p->leased = 1;
   p = &e->txn->puts[e->txn->nputs++];
-  cell_strcpy (p->key, KEY_HANDOVER);
-  p->value = census_handover (c, &p->len);
+  cell_strcpy (p->key, KEY_CLAIM);
+  p->value = codec_encode ((xdrproc_t)xdr_gl_claim_t, &claim, &p->len);
   return 0;
 }
 
@@ -388,19 +465,12 @@
 static void
 claim_won (cell_t *c, uint64_t revision)
 {
-  /* An owner that has released the cell, and an earlier process of this VM,
-     renew no leases any more.  Neither do the owners before it, once it had
-     completed its census. */
-  int no_renewals
-      = c->ownership_known
-        && (c->ownership.released || !strcmp (c->ownership.vm, c->vm))
-        && c->census_generation == c->ownership.generation;
-  int may_renew;
+  gl_claim_t claim = { c->generation, c->process, c->addr };
 
   c->handed_over = c->ownership_known && c->ownership.released
                    && c->handover.generation == c->ownership.generation;
-  may_renew = c->ownership_known && !no_renewals && !c->handed_over;
-
+  c->claim_revision = revision;
+  former_claimed (c, &claim, revision);
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
   c->ownership.generation = c->generation;
   c->ownership.vm = strdup (c->vm);
@@ -415,7 +485,8 @@
   c->counters.takeovers++;
   cell_log (c, "claimed generation=%llu revision=%llu",
             (unsigned long long)c->generation, (unsigned long long)revision);
-  cworkers_take_over (c, may_renew);
+  cworkers_take_over (c, c->handed_over ? CELL_LEASE_LASTS_MS
+                                        : former_lease_ms (c));
   load_begin (c);
 }
 
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -235,10 +235,10 @@
 }
 
 void
-cworkers_take_over (cell_t *c, int may_renew)
+cworkers_take_over (cell_t *c, gl_ms_t lease_ms)
 {
   c->enrol_tag = 0;
-  census_begin (c, may_renew);
+  census_begin (c, lease_ms);
   for (int i = 0; i < c->nworkers; i++)
     {
       cworker_t *w = &c->workers[i];
