--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -8,6 +8,7 @@
 const GL_PAYLOAD_MAX = 4096;
 const GL_TASK_RECORDS_MAX = 65536;
 const GL_LIST_MAX = 1024;
+const GL_HANDOVER_MAX = 8192;
 typedef string gl_cell_str_t<127>;
 
 /*
@@ -110,6 +111,29 @@
   gl_cell_str_t addr;
   bool released;
 };
+/* Which process claimed the cell in @generation; it is written with the claim.
+   @process is a random number. */
+struct gl_claim_t {
+  unsigned hyper generation;
+  unsigned hyper process;
+  gl_cell_str_t addr;
+};
+/* The process that runs at a VM's address, under the VM's lease. */
+struct gl_process_t {
+  unsigned hyper process;
+  gl_cell_str_t addr;
+};
+/* Left by an owner that releases the cell of @generation: the workers that have
+   not answered it lately, with the span, from the writing of this record on,
+   after which every lease that they can hold has ended. */
+struct gl_unheard_worker_t {
+  gl_cell_str_t id;
+  unsigned int leases_ms;
+};
+struct gl_handover_t {
+  unsigned hyper generation;
+  gl_unheard_worker_t workers<GL_HANDOVER_MAX>;
+};
 /* A VM that takes part; cpu_m is its share of a core in thousandths. */
 struct gl_vminfo_t {
   gl_cell_str_t vm;
--- a/src/cell.c
+++ b/src/cell.c
@@ -29,6 +29,8 @@
       return NULL;
     }
   gsl_rng_set (c->rng, seed);
+  c->process
+      = (uint64_t)gsl_rng_get (c->rng) << 32 | (uint64_t)gsl_rng_get (c->rng);
   cell_strcpy (c->vm, vm);
   cell_strcpy (c->addr, addr);
   cell_strcpy (c->domain, domain);
@@ -66,6 +68,7 @@
   for (size_t i = 0; i < c->nrequests; i++)
     codec_free ((xdrproc_t)xdr_gl_request_t, &c->requests[i].body);
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
+  codec_free ((xdrproc_t)xdr_gl_handover_t, &c->handover);
   hist_destroy (&c->accept_time);
   hist_destroy (&c->txn_time);
   hist_destroy (&c->takeover_time);
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -2,53 +2,156 @@
  * cellcensus.c -- what a new owner must know before it starts inherited tasks
  *
  * A task that an earlier owner may have started is not started again until the
- * census is complete: every worker has listed its runs, or every lease that a
- * worker can hold has ended, so that nothing runs there.
+ * census is complete: every worker on which something may run has listed its
+ * runs, or every lease that it can hold has ended.  Nothing runs on a worker
+ * without a record in the store, see cellenrol.c.  That a worker's
+ * registration is gone tells nothing: the owner renews its leases while tasks
+ * run there.
  *
  * How long the leases of a worker that does not answer can last is bounded by
- * how long earlier owners may have renewed them: CELL_WORKER_LEASE_MS after an
- * owner that renews no more, and CELL_RENEW_GRACE_MS longer after one that may
- * not know yet that it has been succeeded.
+ * how long earlier owners may have renewed them, see cellformer.c.  An owner
+ * that releases the cell knows more: it leaves, for each worker that it has
+ * not heard, how long the leases of that worker can still last.
  */
 #include "cellint.h"
 
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
 /* While the census is not complete, a line names a worker that it waits for,
    this often. */
 #define LOG_INTERVAL_MS 1000
-/* All leases of a worker have ended when it has been unregistered for this
-   long, whichever VM owned the cell. */
-#define UNREGISTERED_DEAD_MS                                                  \
-  ((gl_ms_t)((CELL_WORKER_LEASE_MS + CELL_RENEW_GRACE_MS)                     \
-             / CELL_CLOCK_RATE_MIN))
+
+/* ---- what an owner leaves to its successor ---- */
+
+/* Longest span for which a lease that this owner has sent can last. */
+static gl_ms_t
+sent_lease_ms (const cell_t *c, const cworker_t *w)
+{
+  double clock = (double)w->clock
+                 + (double)(c->now - w->clock_at) * CELL_CLOCK_RATE_MIN;
+
+  if (!w->clock || !w->lease_sent || clock > (double)w->lease_sent)
+    return 0;
+  return (gl_ms_t)(((double)w->lease_sent - clock) / CELL_CLOCK_RATE_MIN) + 1;
+}
+
+/* The same for leases of this owner and of earlier ones. */
+static gl_ms_t
+remaining_lease_ms (const cell_t *c, const cworker_t *w)
+{
+  gl_ms_t sent = sent_lease_ms (c, w);
+  gl_ms_t earlier = !w->accounted && w->lease_bound_at > c->now
+                        ? w->lease_bound_at - c->now
+                        : 0;
+
+  if (w->dead)
+    return 0;
+  return earlier > sent ? earlier : sent;
+}
+
+char *
+census_handover (const cell_t *c, size_t *len)
+{
+  gl_handover_t record = { c->generation, { 0, NULL } };
+  char *value;
+
+  record.workers.workers_val
+      = calloc ((size_t)c->nworkers + 1, sizeof *record.workers.workers_val);
+  if (!record.workers.workers_val)
+    return NULL;
+  for (int i = 0;
+       i < c->nworkers && record.workers.workers_len < GL_HANDOVER_MAX; i++)
+    {
+      const cworker_t *w = &c->workers[i];
+
+      if (w->dead ? !w->record_revision : w->accounted && !w->silent)
+        continue;
+      record.workers.workers_val[record.workers.workers_len++]
+          = (gl_unheard_worker_t){ (char *)w->info.id,
+                                   (u_int)remaining_lease_ms (c, w) };
+    }
+  value = codec_encode ((xdrproc_t)xdr_gl_handover_t, &record, len);
+  free (record.workers.workers_val);
+  return value;
+}
 
 void
-census_begin (cell_t *c, int may_renew)
+census_learn_handover (cell_t *c, const cell_item_t *item)
 {
-  c->lease_bound_ms = (gl_ms_t)((CELL_WORKER_LEASE_MS
-                                 + (may_renew ? CELL_RENEW_GRACE_MS : 0))
-                                / CELL_CLOCK_RATE_MIN);
+  codec_free ((xdrproc_t)xdr_gl_handover_t, &c->handover);
+  memset (&c->handover, 0, sizeof c->handover);
+  if (codec_decode ((xdrproc_t)xdr_gl_handover_t, &c->handover, item->value,
+                    item->len))
+    {
+      memset (&c->handover, 0, sizeof c->handover);
+      cell_log (c, "handover_unreadable revision=%llu",
+                (unsigned long long)item->revision);
+    }
+}
+
+/* How long leases from earlier owners can last on the worker.  Every worker
+   that the releasing owner knew is either listed or had answered it. */
+static gl_ms_t
+earlier_lease_ms (const cell_t *c, const cworker_t *w)
+{
+  if (!c->handed_over)
+    return c->lease_bound_ms;
+  for (u_int i = 0; i < c->handover.workers.workers_len; i++)
+    if (!strcmp (c->handover.workers.workers_val[i].id, w->info.id))
+      return c->handover.workers.workers_val[i].leases_ms;
+  return c->lease_bound_ms;
+}
+
+/* ---- the census ---- */
+
+void
+census_begin (cell_t *c, gl_ms_t lease_ms)
+{
+  c->lease_bound_ms = lease_ms;
   c->unaccounted = 0;
   c->census_complete = 0;
   for (int i = 0; i < c->nworkers; i++)
     {
       cworker_t *w = &c->workers[i];
 
-      /* Its leases have ended, so nothing runs there any more. */
-      w->dead = !w->registered
-                && c->now - w->unregistered_at > UNREGISTERED_DEAD_MS;
-      w->accounted = w->dead;
-      if (!w->dead)
-        census_expect (c, w);
+      w->dead = 0;
+      w->accounted = 0;
+      census_expect (c, w);
     }
 }
 
+void
+census_shorten (cell_t *c, gl_ms_t lease_ms)
+{
+  c->lease_bound_ms = lease_ms;
+  for (int i = 0; i < c->nworkers; i++)
+    if (!c->workers[i].accounted
+        && c->workers[i].lease_bound_at > c->now + lease_ms)
+      c->workers[i].lease_bound_at = c->now + lease_ms;
+}
+
 void
 census_expect (cell_t *c, cworker_t *w)
 {
-  w->lease_bound_at = c->now + c->lease_bound_ms;
+  w->lease_bound_at = c->now + earlier_lease_ms (c, w);
   c->unaccounted++;
 }
 
+static void
+complete_if_accounted (cell_t *c)
+{
+  if (c->unaccounted || c->census_complete)
+    return;
+  c->census_complete = 1;
+  hist_add (&c->census_time, (double)(c->now - c->takeover_at));
+  cell_log (c, "census_complete ms=%llu",
+            (unsigned long long)(c->now - c->takeover_at));
+  own_census_complete (c);
+}
+
 void
 census_set_accounted (cell_t *c, cworker_t *w)
 {
@@ -56,15 +159,24 @@
     return;
   w->accounted = 1;
   c->unaccounted--;
-  if (!c->unaccounted && !c->census_complete)
+  complete_if_accounted (c);
+  plan_wake (c);
+}
+
+void
+census_loaded (cell_t *c)
+{
+  for (int i = 0; i < c->nworkers; i++)
     {
-      c->census_complete = 1;
-      hist_add (&c->census_time, (double)(c->now - c->takeover_at));
-      cell_log (c, "census_complete ms=%llu",
-                (unsigned long long)(c->now - c->takeover_at));
-      own_census_complete (c);
+      cworker_t *w = &c->workers[i];
+
+      if (w->enrolled || w->accounted)
+        continue;
+      w->accounted = 1;
+      c->unaccounted--;
+      w->dead = !w->registered;
     }
-  plan_wake (c);
+  complete_if_accounted (c);
 }
 
 int
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -29,10 +29,14 @@
 #include "codec.h"
 
 /* Keys of the store: the ownership record, the owner's leased key, the latest
-   generation whose owner completed its census, and the VMs' leased keys. */
+   generation whose owner completed its census, the latest claim, what an owner
+   that releases the cell leaves to its successor, and the VMs' leased keys. */
 #define KEY_OWNERSHIP "gl/m/tenure"
 #define KEY_OWNER "gl/m/owner"
 #define KEY_CENSUS "gl/m/settled"
+#define KEY_CLAIM "gl/m/claim"
+#define KEY_HANDOVER "gl/m/handover"
+#define KEY_PROCESS "gl/m/process/"
 #define KEY_VM "gl/m/vm/"
 /* Standbys wait a random part of this before they claim, so that most see the
    first claim succeed and make none. */
@@ -41,6 +45,8 @@
  */
 #define WEAKER_VM_DELAY_MS 250
 #define CLAIM_TIMEOUT_MS 1500
+/* Pause before a release that was refused, or got no answer, is sent again. */
+#define RELEASE_RETRY_MS 100
 #define TICK_MS 50
 /* Heartbeats are still sent to a VM whose key has gone, for this long: it may
    have lost only the store. */
@@ -79,6 +85,8 @@
   c->ownership = record;
   c->ownership_rev = item->revision;
   c->ownership_known = 1;
+  if (record.released)
+    former_released (c, record.generation);
   if (!new_generation)
     return;
   c->owner_refused_at = 0;
@@ -140,6 +148,47 @@
   codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
 }
 
+static void
+apply_claim (cell_t *c, const cell_item_t *item)
+{
+  gl_claim_t claim;
+
+  memset (&claim, 0, sizeof claim);
+  if (item->revision <= c->claim_revision)
+    return;
+  c->claim_revision = item->revision;
+  if (codec_decode ((xdrproc_t)xdr_gl_claim_t, &claim, item->value, item->len))
+    {
+      cell_log (c, "claim_unreadable revision=%llu",
+                (unsigned long long)item->revision);
+      return;
+    }
+  former_claimed (c, &claim, item->revision);
+  codec_free ((xdrproc_t)xdr_gl_claim_t, &claim);
+}
+
+static void
+apply_process (cell_t *c, const cell_item_t *item)
+{
+  gl_process_t process;
+
+  memset (&process, 0, sizeof process);
+  if (codec_decode ((xdrproc_t)xdr_gl_process_t, &process, item->value,
+                    item->len))
+    {
+      cell_log (c, "process_unreadable key=%s", item->key);
+      return;
+    }
+  if (former_process_seen (c, &process, item->revision) && !c->handed_over
+      && (c->role == CR_OWNER || c->role == CR_LOADING))
+    {
+      cell_log (c, "former_owner_ended addr=%s leases_end_in_ms=%llu",
+                process.addr, (unsigned long long)former_lease_ms (c));
+      census_shorten (c, former_lease_ms (c));
+    }
+  codec_free ((xdrproc_t)xdr_gl_process_t, &process);
+}
+
 void
 own_key_changed (cell_t *c, const cell_event_t *ev)
 {
@@ -148,7 +197,17 @@
   if (!strcmp (item->key, KEY_OWNERSHIP) && !ev->removed)
     apply_ownership_record (c, item);
   else if (!strcmp (item->key, KEY_CENSUS) && !ev->removed && item->value)
-    c->census_generation = strtoull (item->value, NULL, 10);
+    {
+      c->census_generation = strtoull (item->value, NULL, 10);
+      former_census_complete (c, c->census_generation);
+    }
+  else if (!strcmp (item->key, KEY_CLAIM) && !ev->removed)
+    apply_claim (c, item);
+  else if (!strncmp (item->key, KEY_PROCESS, strlen (KEY_PROCESS))
+           && !ev->removed)
+    apply_process (c, item);
+  else if (!strcmp (item->key, KEY_HANDOVER) && !ev->removed)
+    census_learn_handover (c, item);
   else if (!strcmp (item->key, KEY_OWNER))
     {
       if (c->owner_key_present && ev->removed)
@@ -183,8 +242,26 @@
   e->timeout = CELL_VM_LEASE_MS;
 }
 
+/* Add the key that names this process.  It is written only over the latest
+   claim that this process knows: a late write of an ended process must not
+   look as if it ran after that claim. */
+static void
+add_process_key (cell_t *c, cell_txn_t *txn)
+{
+  gl_process_t process = { c->process, c->addr };
+  cell_item_t *check = &txn->checks[txn->nchecks++];
+  cell_put_t *p = &txn->puts[txn->nputs++];
+
+  cell_strcpy (check->key, KEY_CLAIM);
+  check->revision = c->claim_revision;
+  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_PROCESS, c->vm);
+  p->value = codec_encode ((xdrproc_t)xdr_gl_process_t, &process, &p->len);
+  p->leased = 1;
+}
+
 /* Writes this VM's leased keys: the VM's own, and the owner's key if it owns
-   the cell. */
+   the cell.  The latest claim is known once all keys have been reported; until
+   then the keys are written again after the next renewal of the lease. */
 static void
 write_own_keys (cell_t *c)
 {
@@ -195,13 +272,15 @@
   e = cell_add_effect (c, CELL_FX_TXN);
   if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
     return;
-  c->keys_lost = 0;
+  c->keys_lost = !c->members_synced;
   c->keys_tag = e->tag = cell_new_tag (c);
   e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
   p = &e->txn->puts[e->txn->nputs++];
   snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
   p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
   p->leased = 1;
+  if (c->members_synced)
+    add_process_key (c, e->txn);
   if (c->role != CR_OWNER && c->role != CR_LOADING)
     return;
   own_add_fence (c, e->txn);
@@ -281,6 +360,7 @@
 {
   cell_effect_t *e = cell_add_effect (c, CELL_FX_TXN);
   gl_ownership_t record = { generation, c->vm, c->addr, released };
+  gl_claim_t claim = { generation, c->process, c->addr };
   cell_put_t *p;
 
   if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
@@ -293,12 +373,19 @@
   p->value = codec_encode ((xdrproc_t)xdr_gl_ownership_t, &record, &p->len);
   p = &e->txn->puts[e->txn->nputs++];
   cell_strcpy (p->key, KEY_OWNER);
-  if (!released)
+  if (released)
     {
-      p->value = strdup (c->vm);
-      p->len = strlen (c->vm);
-      p->leased = 1;
+      p = &e->txn->puts[e->txn->nputs++];
+      cell_strcpy (p->key, KEY_HANDOVER);
+      p->value = census_handover (c, &p->len);
+      return 0;
     }
+  p->value = strdup (c->vm);
+  p->len = strlen (c->vm);
+  p->leased = 1;
+  p = &e->txn->puts[e->txn->nputs++];
+  cell_strcpy (p->key, KEY_CLAIM);
+  p->value = codec_encode ((xdrproc_t)xdr_gl_claim_t, &claim, &p->len);
   return 0;
 }
 
@@ -378,15 +465,12 @@
 static void
 claim_won (cell_t *c, uint64_t revision)
 {
-  /* An owner that has released the cell, and an earlier process of this VM,
-     renew no leases any more.  Neither do the owners before it, once it had
-     completed its census. */
-  int no_renewals
-      = c->ownership_known
-        && (c->ownership.released || !strcmp (c->ownership.vm, c->vm))
-        && c->census_generation == c->ownership.generation;
-  int may_renew = c->ownership_known && !no_renewals;
+  gl_claim_t claim = { c->generation, c->process, c->addr };
 
+  c->handed_over = c->ownership_known && c->ownership.released
+                   && c->handover.generation == c->ownership.generation;
+  c->claim_revision = revision;
+  former_claimed (c, &claim, revision);
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
   c->ownership.generation = c->generation;
   c->ownership.vm = strdup (c->vm);
@@ -401,7 +485,8 @@
   c->counters.takeovers++;
   cell_log (c, "claimed generation=%llu revision=%llu",
             (unsigned long long)c->generation, (unsigned long long)revision);
-  cworkers_take_over (c, may_renew);
+  cworkers_take_over (c, c->handed_over ? CELL_LEASE_LASTS_MS
+                                        : former_lease_ms (c));
   load_begin (c);
 }
 
@@ -477,6 +562,26 @@
   return revision;
 }
 
+/* While a release has not been carried out, this VM's key keeps others from
+   claiming the cell, so it is sent again until its outcome is known.  After a
+   refusal the owner goes on in the meantime; after no answer it does not,
+   since the cell may be released already. */
+static void
+release_result (cell_t *c, gl_store_status_t status)
+{
+  c->release_tag = 0;
+  cell_log (c, "released status=%d", status);
+  if (status == GL_ST_OK || status == GL_ST_CONFLICT)
+    {
+      own_step_down (c, "released");
+      c->claim_not_before = c->now + 2 * CELL_CLAIM_BACKOFF_MS;
+      return;
+    }
+  c->release_after = c->now + RELEASE_RETRY_MS;
+  if (status != GL_ST_UNKNOWN)
+    c->releasing = 0;
+}
+
 void
 own_txn_result (cell_t *c, const cell_event_t *ev)
 {
@@ -500,10 +605,7 @@
     return;
   if (ev->tag == c->release_tag && c->release_tag)
     {
-      c->release_tag = 0;
-      cell_log (c, "released status=%d", ev->status);
-      own_step_down (c, "released");
-      c->claim_not_before = c->now + 2 * CELL_CLAIM_BACKOFF_MS;
+      release_result (c, ev->status);
       return;
     }
   if (ev->tag != c->claim_tag || c->role != CR_CLAIMING)
@@ -614,6 +716,7 @@
   hist_add (&c->takeover_time, (double)(c->now - c->takeover_at));
   while ((h = pool_next (&c->jobs, &pos)))
     cjob_ready_steps (c, pool_get (&c->jobs, h));
+  census_loaded (c);
   cell_log (c, "takeover_done jobs=%zu workers=%d load_ms=%llu unaccounted=%d",
             c->jobs.count, c->nworkers,
             (unsigned long long)(c->now - c->takeover_at), c->unaccounted);
@@ -684,6 +787,8 @@
   c->role = CR_STANDBY;
   c->claim_not_before = c->now + CELL_CLAIM_BACKOFF_MS;
   c->confirm_tag = 0;
+  c->release_tag = 0;
+  c->releasing = 0;
   save_reset (c);
   plan_reset (c);
   while ((h = pool_next (&c->jobs, &pos)))
@@ -810,8 +915,10 @@
 static void
 try_release (cell_t *c)
 {
-  if (c->role == CR_OWNER && save_idle (c) && !c->release_tag)
-    write_ownership (c, c->generation, 1, &c->release_tag);
+  if (c->role == CR_OWNER && !c->release_tag && c->now >= c->release_after
+      && (c->releasing || save_idle (c))
+      && !write_ownership (c, c->generation, 1, &c->release_tag))
+    c->releasing = 1;
 }
 
 void
