Consult for gangs when only one VM is left

What callers saw: with one VM left of several, a gang of a queue whose consultations are long was accepted and never started, though all workers were idle.

Cause: a long consultation was sent only while a second VM was idle, so that one stays free for urgent consultations. With one VM left there is none, and no long consultation was ever sent. Short consultations of less urgent queues on the other VMs had the same effect for as long as they lasted.

Evidence: last-vm-still-consults, seven VMs of which six are killed: the job is pending after 3 s before this change, step_waits why=no_worker; after it, the consultation is sent at once and the gang starts 608 ms after its submission.

Now a long consultation must leave a VM without another long one, which is what urgent consultations need, and only if there is more than one VM.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -3,8 +3,8 @@
  *
  * The advisor serves one consultation at a time for each VM, so its time is
  * the scarce resource.  A consultation goes through the VM whose earlier ones
- * will be served first.  A long one is sent only while another VM is left idle
- * for urgent consultations.
+ * will be served first.  A long one is sent only while another VM is left
+ * without a long one, for urgent consultations, unless there is no other VM.
  *
  * For a queue whose consultations are cheap, a consultation names workers that
  * have room now, as many as the learned share of approvals makes necessary.
@@ -331,9 +331,32 @@
   return n;
 }
 
+/* How many VMs serve the cell, busy or not. */
+static int
+count_vms (const cell_t *c)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nvms; i++)
+    n += c->vms[i].registered && c->now >= c->vms[i].avoid_until;
+  return n;
+}
+
+/* Whether a long consultation through VM @vm would leave no VM without one,
+   although there are others. */
+static int
+takes_last_vm (const cell_t *c, int vm)
+{
+  for (int i = 0; i < c->nvms; i++)
+    if (i != vm && c->vms[i].registered && c->now >= c->vms[i].avoid_until
+        && c->vms[i].busy_ms <= LONG_CONSULT_MS)
+      return 0;
+  return count_vms (c) > 1;
+}
+
 /* The VM through which a consultation is served first, or -1 if every VM is
-   too busy, or if the consultation is long and would leave no idle VM; @cost
-   is the time that the advisor takes for it, in ms. */
+   too busy, or if the consultation is long and has to wait for the last VM
+   without one; @cost is the time that the advisor takes for it, in ms. */
 static int
 choose_vm (const cell_t *c, int priority, double cost)
 {
@@ -348,9 +371,8 @@
           && (best < 0 || v->busy_ms < c->vms[best].busy_ms))
         best = i;
     }
-  if (cost > LONG_CONSULT_MS && count_idle_vms (c) < 2)
-    return -1;
-  return best;
+  return best >= 0 && cost > LONG_CONSULT_MS && takes_last_vm (c, best) ? -1
+                                                                        : best;
 }
 
 static void
