Count only VMs that serve in the condition for another survey

What callers saw: after the loss of most VMs, gangs whose first survey found too few workers were accepted and never started, though the advisor admits enough idle workers.

Cause: another survey waits until a third of all VMs are idle, and VMs that are gone counted among all. With one VM left of seven, two had to be idle.

Only VMs that are registered and not avoided count now.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -426,7 +426,7 @@
 
 /* Survey the step by one consultation through each of several VMs, at most
    half of the idle ones, so that the next step finds idle VMs too.  A step
-   that has been surveyed before waits until a third of all VMs are idle.
+   that has been surveyed before waits until a third of the VMs are idle.
    Returns 0 if no survey is due now, 1 if one was sent or has to wait for a
    VM. */
 static int
@@ -438,7 +438,7 @@
   int part_size;
   int sent = 0;
 
-  if (!n || (s->surveyed_workers && count_idle_vms (c) < c->nvms / 3))
+  if (!n || (s->surveyed_workers && count_idle_vms (c) < count_vms (c) / 3))
     return 0;
   n = survey_size (c, s, mean_room, n);
   if (parts > SURVEY_PARTS_MAX)
