Show that short consultations no longer keep long ones waiting

What callers saw: a gang of a more urgent queue was not started for as long as a less urgent queue consulted the advisor often.

Cause: a long consultation waited for two idle VMs, and consultations of the less urgent queue, which need one, took each VM as soon as it became idle.

The simulated world has a third queue for this, configured only on command.

--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -42,7 +42,10 @@
  *   advisor fails N                N consultations get no answer
  *   advisor approves_in N          one worker in N is approved
  *   advisor decides_in MS          base time of a consultation
- *   conf VERSION QUEUE...          send a configuration to all VMs
+ *   conf VERSION QUEUE...          send a configuration to all VMs; queues are
+ *                                  urgent, batch and digest, in the order of
+ *                                  their priority; digest is not configured at
+ *                                  first
  *   routes VM                      print the queues that the VM serves
  *   owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -21,6 +21,8 @@
 static const gl_ms_t TICK_MS = 5;
 /* Validity of a ticket. */
 static const gl_ms_t TICKET_MS = 1500;
+/* Base time of a consultation for the queue "digest", of priority 2. */
+static const gl_ms_t DIGEST_CONSULT_MS = 80;
 
 gl_step_t
 world_step (int count, int cpus_m, bool gang, std::vector<int> predecessors)
@@ -193,10 +195,11 @@
   cell_event_t ev{};
 
   conf->version = version;
-  conf->queues = (cell_queue_t *)calloc (2, sizeof *conf->queues);
-  for (int q = 0; q < 2; q++)
+  conf->queues = (cell_queue_t *)calloc (3, sizeof *conf->queues);
+  for (int q = 0; q < 3; q++)
     {
-      const char *name = q ? "batch" : "urgent";
+      static const char *const names[] = { "urgent", "batch", "digest" };
+      const char *name = names[q];
       cell_queue_t *p = &conf->queues[conf->nqueues];
 
       if (!queues.count (name))
@@ -211,7 +214,9 @@
       p->due_factor = 2;
       p->due_offset_ms = 1000;
       p->advised = advised_;
-      p->consult_base_ms = q ? consult_base_ms : 10;
+      p->consult_base_ms = q == 0   ? 10
+                           : q == 1 ? consult_base_ms
+                                    : DIGEST_CONSULT_MS;
       p->consult_per_worker_ms = 0.5;
       p->ticket_valid_ms = (uint32_t)TICKET_MS;
     }
@@ -1114,8 +1119,10 @@
   for (u_int k = 0; k < q.workers.workers_len; k++)
     names.push_back (q.workers.workers_val[k]);
   bool fails = advisor_fails > 0;
+  gl_ms_t base
+      = q.priority == 2 ? DIGEST_CONSULT_MS : (gl_ms_t)consult_base_ms;
   advisor_fails -= fails;
-  schedule ((gl_ms_t)consult_base_ms + names.size () / 2, [=, this] {
+  schedule (base + names.size () / 2, [=, this] {
     cell_event_t ev{};
     gl_consult_reply_t c{};
     std::vector<gl_ticket_t> tickets;
