Search for workers only when a VM can consult

What callers saw: while some tens of gangs of a costly queue waited for the advisor, accepted jobs of a less urgent queue did not start, on an idle cell. This is the state after a change of owners, too, since all verdicts are lost.

Cause: a planning pass makes eight searches of all workers. A step whose search found workers but no VM to consult through searched again after 8 ms. Gangs wait for a VM longest, as a long consultation must leave one to others, so they used up the searches of every pass, and steps behind them never had one.

Evidence: gangs-wait-for-the-advisor, seven VMs, 60 gangs, 48 idle workers: the other job is pending after 3 s before this change, step_waits why=no_worker; with it, it starts after 83 ms.

A step now looks for a VM first, which takes no search.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -487,6 +487,11 @@
   if (consult_is_costly (q) && s->def->gang && !needs_survey (c, s, q)
       && !s->nreservations)
     return;
+  if (choose_vm (c, q->priority, q->consult_base_ms) < 0)
+    {
+      s->consult_after = c->now + NO_VM_RETRY_MS;
+      return;
+    }
   c->scans_left--;
   c->counters.scans++;
   v = calloc ((size_t)c->nworkers + 1, sizeof *v);
