--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -3,8 +3,8 @@
  *
  * The advisor serves one consultation at a time for each VM, so its time is
  * the scarce resource.  A consultation goes through the VM whose earlier ones
- * will be served first.  A long one is sent only while another VM is left idle
- * for urgent consultations.
+ * will be served first.  A long one is sent only while another VM is left
+ * without a long one, for urgent consultations, unless there is no other VM.
  *
  * For a queue whose consultations are cheap, a consultation names workers that
  * have room now, as many as the learned share of approvals makes necessary.
@@ -331,9 +331,32 @@
   return n;
 }
 
+/* How many VMs serve the cell, busy or not. */
+static int
+count_vms (const cell_t *c)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nvms; i++)
+    n += c->vms[i].registered && c->now >= c->vms[i].avoid_until;
+  return n;
+}
+
+/* Whether a long consultation through VM @vm would leave no VM without one,
+   although there are others. */
+static int
+takes_last_vm (const cell_t *c, int vm)
+{
+  for (int i = 0; i < c->nvms; i++)
+    if (i != vm && c->vms[i].registered && c->now >= c->vms[i].avoid_until
+        && c->vms[i].busy_ms <= LONG_CONSULT_MS)
+      return 0;
+  return count_vms (c) > 1;
+}
+
 /* The VM through which a consultation is served first, or -1 if every VM is
-   too busy, or if the consultation is long and would leave no idle VM; @cost
-   is the time that the advisor takes for it, in ms. */
+   too busy, or if the consultation is long and has to wait for the last VM
+   without one; @cost is the time that the advisor takes for it, in ms. */
 static int
 choose_vm (const cell_t *c, int priority, double cost)
 {
@@ -348,9 +371,8 @@
           && (best < 0 || v->busy_ms < c->vms[best].busy_ms))
         best = i;
     }
-  if (cost > LONG_CONSULT_MS && count_idle_vms (c) < 2)
-    return -1;
-  return best;
+  return best >= 0 && cost > LONG_CONSULT_MS && takes_last_vm (c, best) ? -1
+                                                                        : best;
 }
 
 static void
@@ -404,7 +426,7 @@
 
 /* Survey the step by one consultation through each of several VMs, at most
    half of the idle ones, so that the next step finds idle VMs too.  A step
-   that has been surveyed before waits until a third of all VMs are idle.
+   that has been surveyed before waits until a third of the VMs are idle.
    Returns 0 if no survey is due now, 1 if one was sent or has to wait for a
    VM. */
 static int
@@ -416,7 +438,7 @@
   int part_size;
   int sent = 0;
 
-  if (!n || (s->surveyed_workers && count_idle_vms (c) < c->nvms / 3))
+  if (!n || (s->surveyed_workers && count_idle_vms (c) < count_vms (c) / 3))
     return 0;
   n = survey_size (c, s, mean_room, n);
   if (parts > SURVEY_PARTS_MAX)
@@ -458,13 +480,24 @@
   int n;
   int vm;
 
-  if (s->consults_in_flight || c->now < s->consult_after || c->scans_left <= 0)
+  if (s->consults_in_flight || c->now < s->consult_after)
     return;
   /* Between surveys, a gang of a costly queue asks only for tickets for the
      workers that it has reserved. */
   if (consult_is_costly (q) && s->def->gang && !needs_survey (c, s, q)
       && !s->nreservations)
     return;
+  if (choose_vm (c, q->priority, q->consult_base_ms) < 0)
+    {
+      s->consult_after = c->now + NO_VM_RETRY_MS;
+      return;
+    }
+  if (c->scans_left <= 0)
+    {
+      s->put_off = 1;
+      return;
+    }
+  s->searched_at = c->now;
   c->scans_left--;
   c->counters.scans++;
   v = calloc ((size_t)c->nworkers + 1, sizeof *v);
