Test world: an oracle of jobs of which nothing runs

On users' machines accepted jobs had nothing running for 3 s or more although a task of them could run and the workers that the advisor admits had room for it twice over. The test world held no job against such a bound before its end, so nothing here could see it. Now every accepted job is held against it at all times, by the workers' own lists of runs, whenever the 3 s and the 4 s before them were without faults; a VM that was asked to stop may end without being a fault.

--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -19,6 +19,17 @@
 static const gl_ms_t CONTACT_MS = 3000;
 /* Resolution of CELL_EV_TICK. */
 static const gl_ms_t TICK_MS = 5;
+/* A job is idle for too long after this span, if all of it and the span before
+   it, CALM_MS, were without faults. */
+static const gl_ms_t IDLE_MAX_MS = 3000;
+static const gl_ms_t CALM_MS = 4000;
+/* Period of check_idle. */
+static const gl_ms_t IDLE_CHECK_MS = 50;
+/* Part of a worker's processors that is kept for priority 0: one in this
+   many. */
+static const int PRIORITY0_SHARE = 10;
+/* A store whose calls take longer than this is slow. */
+static const gl_ms_t STORE_SLOW_MS = 20;
 /* Validity of a ticket. */
 static const gl_ms_t TICKET_MS = 1500;
 
@@ -143,6 +154,7 @@
   v.cell = cell_new (v.name.c_str (), v.name.c_str (), v.domain.c_str (), &b,
                      random ());
   v.alive = true;
+  v.stopping = false;
   v.frozen = false;
   v.lease_id = 0;
   v.incarnation++;
@@ -156,6 +168,8 @@
 
   if (!v.alive)
     return;
+  if (!v.stopping)
+    last_fault_at_ = now;
   cell_free (v.cell);
   v.cell = nullptr;
   v.alive = false;
@@ -182,8 +196,10 @@
   cell_event_t ev{};
 
   ev.kind = CELL_EV_STOP;
-  if (vms[(size_t)i].alive)
-    step (i, ev);
+  if (!vms[(size_t)i].alive)
+    return;
+  vms[(size_t)i].stopping = true;
+  step (i, ev);
 }
 
 void
@@ -480,7 +496,10 @@
     ev.tag = tag;
     ev.status = GL_ST_UNKNOWN;
     if (store_mode == StoreMode::executes_late && lost)
-      schedule (late_ms (random ()), [=, this] { execute_txn (txn); });
+      schedule (late_ms (random ()), [=, this] {
+        last_fault_at_ = now;
+        execute_txn (txn);
+      });
     else if (!lost)
       ev.status
           = store_mode == StoreMode::down ? GL_ST_REFUSED : execute_txn (txn);
@@ -1020,6 +1039,8 @@
         row.run = e.run;
         row.outcome = e.outcome;
         c->ends.push_back (row);
+        if (e.outcome == CELL_RUN_DONE)
+          done_reported_.insert (e.task);
       }
     schedule (NET_MS, answer);
   };
@@ -1120,6 +1141,8 @@
     gl_consult_reply_t c{};
     std::vector<gl_ticket_t> tickets;
 
+    if (fails)
+      last_fault_at_ = now;
     if (!vms[(size_t)i].alive || vms[(size_t)i].incarnation != incarnation)
       return;
     for (auto &n : names)
@@ -1229,6 +1252,7 @@
     }
   if (vm < 0 || !vms[(size_t)vm].alive || vms[(size_t)vm].frozen)
     return;
+  j.queues.insert (queue);
   if (j.task_counts.empty ())
     for (auto &s : steps)
       {
@@ -1343,6 +1367,183 @@
     }
 }
 
+/* ---- jobs of which nothing runs ---- */
+
+bool
+World::fault_acts () const
+{
+  bool vm_serves = false;
+
+  for (const Vm &v : vms)
+    {
+      vm_serves |= v.alive && !v.stopping;
+      if (v.alive
+          && (v.frozen || v.store_cut || !v.unreachable_workers.empty ()))
+        return true;
+    }
+  for (const Worker &w : workers)
+    if (w.alive
+        && (w.loses_answers || w.late_ms || w.fails_all || w.hangs
+            || w.slowdown != 1))
+      return true;
+  return !vm_serves || store_mode != StoreMode::up || store_ms > STORE_SLOW_MS
+         || !cut_domain.empty () || advisor_fails > 0;
+}
+
+void
+World::note_faults ()
+{
+  size_t seen = 0;
+
+  for (const Worker &w : workers)
+    seen
+        = seen * 31
+          + (w.alive ? 1 + (size_t)w.reachable + 2 * (size_t)w.registered : 0);
+  if (seen != surroundings_ || fault_acts ())
+    last_fault_at_ = now;
+  surroundings_ = seen;
+}
+
+World::Done
+World::task_done (const std::string &task) const
+{
+  auto d = done_.find (task);
+
+  if (d == done_.end () || d->second.empty ())
+    return Done::no;
+  if (done_acked_.count (task))
+    return Done::yes;
+  for (const Worker &w : workers)
+    if (w.alive && w.reachable)
+      for (const End &e : w.ends)
+        if (e.task == task && e.outcome == CELL_RUN_DONE)
+          return Done::yes;
+  return done_reported_.count (task) ? Done::unsure : Done::no;
+}
+
+int
+World::runnable_step (const std::string &id, JobView &j)
+{
+  std::vector<Done> steps;
+  bool all_acked = true;
+
+  for (size_t s = 0; s < j.task_counts.size (); s++)
+    {
+      int ndone = 0;
+      int nunsure = 0;
+      int nacked = 0;
+
+      for (int n = 0; n < j.task_counts[s]; n++)
+        {
+          std::string task
+              = id + ".0." + std::to_string (s) + "." + std::to_string (n);
+          Done d = task_done (task);
+          ndone += d == Done::yes;
+          nunsure += d == Done::unsure;
+          nacked += (int)done_acked_.count (task);
+        }
+      /* A gang is done with the first end of a member that is taken. */
+      int enough = j.is_gang[s] ? 1 : j.task_counts[s];
+      all_acked &= nacked >= enough;
+      steps.push_back (ndone >= enough             ? Done::yes
+                       : ndone + nunsure >= enough ? Done::unsure
+                                                   : Done::no);
+    }
+  j.all_done = all_acked;
+  for (size_t s = 0; s < steps.size (); s++)
+    {
+      bool turn = steps[s] == Done::no;
+
+      for (int p : j.predecessors[s])
+        turn &= steps[(size_t)p] == Done::yes;
+      if (turn)
+        return (int)s;
+    }
+  return -1;
+}
+
+bool
+World::takes_tasks (const Worker &w) const
+{
+  return w.alive && w.reachable && w.registered && !w.info.leaving;
+}
+
+bool
+World::has_room_twice (const std::string &id, const JobView &j, int step)
+{
+  const gl_res_t &need = j.needs[(size_t)step];
+  bool gang = j.is_gang[(size_t)step];
+  bool keeps_share
+      = !gang && (j.queues.size () > 1 || !j.queues.count ("urgent"));
+  int wanted = gang ? 2 * j.task_counts[(size_t)step] : 2;
+
+  for (const Worker &w : workers)
+    {
+      gl_res_t room = w.info.capacity;
+      int n = wanted;
+
+      if (!takes_tasks (w))
+        continue;
+      if (keeps_share)
+        room.cpus_m -= room.cpus_m / PRIORITY0_SHARE;
+      for (auto &r : w.running)
+        {
+          room.cpus_m -= r.second.need.cpus_m;
+          room.memory_mb -= r.second.need.memory_mb;
+        }
+      if (need.cpus_m > 0)
+        n = std::min (n, room.cpus_m / need.cpus_m);
+      if (need.memory_mb > 0)
+        n = std::min (n, room.memory_mb / need.memory_mb);
+      if (n <= 0
+          || (advised_
+              && !approves (id + ".0." + std::to_string (step), w.info.id)))
+        continue;
+      wanted -= n;
+      if (wanted <= 0)
+        return true;
+    }
+  return false;
+}
+
+void
+World::check_idle ()
+{
+  std::set<std::string> at_work;
+
+  if (now < last_fault_at_ + CALM_MS)
+    return;
+  for (const Worker &w : workers)
+    if (w.alive)
+      for (auto &r : w.running)
+        at_work.insert (r.first.substr (0, r.first.find ('.')));
+  for (auto &it : jobs)
+    {
+      JobView &j = it.second;
+      bool can_run = j.accepted && !j.cancel_sent && !j.all_done
+                     && !at_work.count (it.first);
+      int step = -1;
+
+      for (const std::string &q : j.queues)
+        can_run &= queues.count (q) > 0;
+      if (can_run)
+        step = runnable_step (it.first, j);
+      if (step < 0 || !has_room_twice (it.first, j, step)
+          || attempts_used_up (it.first))
+        {
+          j.idle_since = 0;
+          continue;
+        }
+      if (!j.idle_since || j.idle_since < last_fault_at_ + CALM_MS)
+        j.idle_since = now;
+      if (now < j.idle_since + IDLE_MAX_MS || j.idle_reported)
+        continue;
+      j.idle_reported = true;
+      report_violation ("idle: " + it.first + " step " + std::to_string (step)
+                        + " since " + std::to_string (j.idle_since));
+    }
+}
+
 /* ---- clock ---- */
 
 void
@@ -1365,6 +1566,9 @@
       for (size_t i = 0; i < vms.size (); i++)
         if (vms[i].frozen || !reaches_store (i))
           vms[i].impaired_at = now;
+      note_faults ();
+      if (now % IDLE_CHECK_MS == 0)
+        check_idle ();
       for (size_t i = 0; i < vms.size (); i++)
         if (vms[i].alive && !vms[i].frozen
             && cell_next_tick (vms[i].cell) <= now && now % TICK_MS == 0)
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -81,6 +81,7 @@
   std::string domain;
   cell_t *cell = nullptr; /* its reducer */
   bool alive = true;
+  bool stopping = false;   /* asked to stop; its process has not ended yet */
   bool frozen = false;     /* handles no events for a while */
   bool store_cut = false;  /* does not reach the store */
   gl_ms_t impaired_at = 0; /* when it was last frozen or cut off */
@@ -103,7 +104,11 @@
   bool cancel_sent = false;
   bool cancelled = false;
   gl_ms_t cancelled_at = 0;
-  std::string phase; /* answer to the last query */
+  std::string phase;            /* answer to the last query */
+  std::set<std::string> queues; /* of its submissions */
+  bool all_done = false;        /* all its tasks have ended well */
+  gl_ms_t idle_since = 0;       /* see World::check_idle; 0: it is not idle */
+  bool idle_reported = false;
 };
 
 class World
@@ -121,9 +126,11 @@
   void cancel (const std::string &id);
   /* Ask a live VM for the job's phase; the answer is in jobs[id].phase. */
   void query (const std::string &id);
+  /* End the VM's process: a fault, unless the VM was asked to stop. */
   void kill_vm (int vm);
   void start_vm (int vm);
   void freeze_vm (int vm, bool frozen);
+  /* Ask the VM to stop; its process goes on until kill_vm. */
   void stop_vm (int vm);
   /* End the worker's incarnation and start another one at its address. */
   void crash_worker (int w);
@@ -241,6 +248,29 @@
   void check_start (Worker &w, const std::string &task, const Run &r,
                     bool late);
   void report_violation (const std::string &what);
+  /* Whether a fault acts on the cell now.  Workers that do not answer or are
+     not registered are none: only the change is. */
+  bool fault_acts () const;
+  /* Keep the time of the last fault: one that acts, and every change of what
+     is alive, reachable or registered, except VMs that end or start as
+     planned. */
+  void note_faults ();
+  /* Report jobs of which nothing runs although a task could: its turn has
+     come, and workers have room for it twice over, by what runs on them. */
+  void check_idle ();
+  /* A step of the job that could run, or -1. */
+  int runnable_step (const std::string &id, JobView &j);
+  /* Whether the workers have room for the step twice over. */
+  bool has_room_twice (const std::string &id, const JobView &j, int step);
+  bool takes_tasks (const Worker &w) const;
+  /* What is known of a task's end outside the cell. */
+  enum class Done
+  {
+    no,
+    yes,
+    unsure /* it was reported, but is neither acknowledged nor listed now */
+  };
+  Done task_done (const std::string &task) const;
   bool approves (const std::string &step, const std::string &worker) const;
   int vm_at (const std::string &addr) const;
   std::string domain_name (int i) const;
@@ -270,6 +300,10 @@
   std::map<std::string, std::set<int> > done_;
   std::map<std::string, std::set<uint32_t> > failed_;
   bool attempts_used_up (const std::string &id) const;
+  /* Tasks of whose good end a poll was answered. */
+  std::set<std::string> done_reported_;
+  gl_ms_t last_fault_at_ = 0;
+  size_t surroundings_ = 0; /* what note_faults has seen last */
   uint64_t rng_;
   uint64_t random ();
 };
