Fuzz the cell with what real machines do: planned restarts, losses, long runs

The cell's fuzzer knew kills, cuts and crashes, nearly all the time, so a time of 7 s without a fault hardly came. New kinds of steps: VMs that are stopped in series, whose processes go on for up to 2.5 s and then start again; workers that are gone for good; registrations that lapse for 5 to 17 s while the worker runs on; workers that do not answer for as long; tasks of 3 to 19 s; an owner that stops while a job waits for the advisor; quiet times. They are appended, so recorded scripts keep their meaning, and are also played in a larger world with few other faults. A deliberate fault counts as caught only by a script that holds without it. Jobs are kept for 900 s, as these scripts last longer.

--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -150,7 +150,7 @@
   b.worker_lease_max_ms = 10000;
   b.stop_max_ms = 200;
   b.writes_per_s = 400;
-  b.retention_ms = 120000;
+  b.retention_ms = 900000;
   v.cell = cell_new (v.name.c_str (), v.name.c_str (), v.domain.c_str (), &b,
                      random ());
   v.alive = true;
@@ -713,8 +713,6 @@
 {
   cell_event_t ev{};
 
-  if (!workers[(size_t)w].alive && workers[(size_t)w].registered)
-    workers[(size_t)w].registered = false;
   ev.kind = CELL_EV_WORKER;
   ev.worker = &workers[(size_t)w].info;
   ev.removed = !workers[(size_t)w].registered;
@@ -730,13 +728,19 @@
       report_worker ((int)i, w);
 }
 
+void
+World::lose_worker (int i)
+{
+  workers[(size_t)i].alive = false;
+  workers[(size_t)i].running.clear ();
+}
+
 void
 World::crash_worker (int i)
 {
   if (!workers[(size_t)i].alive)
     return;
-  workers[(size_t)i].alive = false;
-  workers[(size_t)i].running.clear ();
+  lose_worker (i);
   add_worker (i);
   set_registered (i, false);
 }
@@ -934,7 +938,9 @@
       = atoi (task.substr (task.find ('.', task.find ('.') + 1) + 1).c_str ());
   r.run = k.run;
   r.started_at = now;
-  r.ends_at = now + (run_ms / 2 + random () % run_ms) * (gl_ms_t)w.slowdown
+  gl_ms_t usual
+      = jobs.count (id) && jobs[id].run_ms ? jobs[id].run_ms : run_ms;
+  r.ends_at = now + (usual / 2 + random () % usual) * (gl_ms_t)w.slowdown
               + (w.hangs ? 1000000 : 0);
   r.fails
       = (fail_one_in && random () % (uint64_t)fail_one_in == 0) || w.fails_all;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -106,6 +106,7 @@
   gl_ms_t cancelled_at = 0;
   std::string phase;            /* answer to the last query */
   std::set<std::string> queues; /* of its submissions */
+  gl_ms_t run_ms = 0;           /* as World::run_ms; 0: that */
   bool all_done = false;        /* all its tasks have ended well */
   gl_ms_t idle_since = 0;       /* see World::check_idle; 0: it is not idle */
   bool idle_reported = false;
@@ -137,6 +138,9 @@
   /* Add a worker at the address of worker @same_addr_as, or at a new one if
      that is -1. */
   void add_worker (int same_addr_as);
+  /* The worker ends and does not come back.  Its registration stays until it
+     is withdrawn. */
+  void lose_worker (int w);
   void set_registered (int w, bool registered);
   /* The worker announces that it will be gone after this span. */
   void announce_leaving (int w, uint32_t leaves_in_ms);
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -7,6 +7,9 @@
 
 #include "script.h"
 
+#include <functional>
+#include <map>
+
 #ifdef GL_TEST_FAULTS
 extern "C"
 {
@@ -15,8 +18,18 @@
 }
 #endif
 
-/* Kinds of steps in a script, see Simulation::run_step. */
-static const int KINDS = 26;
+/* Kinds of steps in a script, see Simulation::run_step.  Recorded scripts name
+   them by number, so new ones are appended. */
+static const int KINDS = 33;
+/* Scripts of a world from this number on run in a larger one, in which most of
+   the time is without faults. */
+static const uint64_t CALM_WORLDS = 1000000;
+/* The kinds of steps of their scripts; one that is named twice is twice as
+   frequent. */
+static const int CALM_KINDS[] = { 0,  1,  2,  3,  4,  8,  9,  12, 22, 26,
+                                  26, 27, 28, 29, 29, 30, 30, 31, 31, 32 };
+static const int CALM_GAP_MAX_MS = 2500;
+static const int CALM_STEPS_MAX = 24;
 /* Longest time between two steps. */
 static const int GAP_MAX_MS = 700;
 /* Longest time that a domain is cut off, beyond one second. */
@@ -25,6 +38,8 @@
 static const int STEPS_MAX = 40;
 /* Time for all jobs to end after a script, without further faults. */
 static const gl_ms_t SETTLE_MS = 40000;
+/* The same after a script with long jobs. */
+static const gl_ms_t SETTLE_LONG_MS = 200000;
 
 static std::string
 job_id (int n)
@@ -39,20 +54,113 @@
 {
   World w;
   int submitted = 0;
+  bool long_jobs = false;
   gl_ms_t cut_ends_at = 0;
+  gl_ms_t series_ends_at = 0;
+  /* What is to happen later, by time. */
+  std::multimap<gl_ms_t, std::function<void ()> > plans;
 
   explicit Simulation (uint64_t seed, bool advised)
-      : w (3, 5, seed, advised, 3)
+      : w (seed < CALM_WORLDS ? 3 : 5, seed < CALM_WORLDS ? 5 : 9, seed,
+           advised, 3)
   {
     /* On every other worker, runs take long to stop. */
     for (size_t i = 0; i < w.workers.size (); i += 2)
       w.workers[i].stop_ms = 900;
+    if (seed >= CALM_WORLDS && seed % 3)
+      w.consult_base_ms = seed % 3 == 1 ? 300 : 900;
     w.run (800);
   }
 
-  /* Submit a new job; @arg decides its steps. */
   void
-  submit (uint32_t arg)
+  plan (gl_ms_t in_ms, std::function<void ()> fn)
+  {
+    plans.emplace (w.now + in_ms, fn);
+  }
+
+  /* Let time pass, and do what is planned for then. */
+  void
+  run (gl_ms_t ms)
+  {
+    gl_ms_t end = w.now + ms;
+
+    while (!plans.empty () && plans.begin ()->first <= end)
+      {
+        auto fn = plans.begin ()->second;
+        if (plans.begin ()->first > w.now)
+          w.run (plans.begin ()->first - w.now);
+        plans.erase (plans.begin ());
+        fn ();
+      }
+    if (end > w.now)
+      w.run (end - w.now);
+  }
+
+  /* Do all that is planned. */
+  void
+  run_plans ()
+  {
+    while (!plans.empty ())
+      run (plans.begin ()->first > w.now ? plans.begin ()->first - w.now : 0);
+  }
+
+  /* Ask a VM to stop; its process ends after @ends_in ms, and another one
+     starts @starts_in ms later. */
+  void
+  restart_vm (int vm, gl_ms_t ends_in, gl_ms_t starts_in)
+  {
+    uint64_t incarnation = w.vms[(size_t)vm].incarnation;
+
+    if (!w.vms[(size_t)vm].alive || w.vms[(size_t)vm].stopping)
+      return;
+    w.stop_vm (vm);
+    plan (ends_in, [=, this] {
+      if (w.vms[(size_t)vm].incarnation == incarnation)
+        w.kill_vm (vm);
+    });
+    plan (ends_in + starts_in, [=, this] { w.start_vm (vm); });
+  }
+
+  /* Restart the VMs in turn, each a while after the one before. */
+  void
+  restart_in_series (uint32_t arg)
+  {
+    int n = 1 + (int)(arg / 8 % (2 * w.vms.size ()));
+    gl_ms_t gap = 600 + arg / 128 % 1400;
+
+    if (w.now < series_ends_at)
+      return;
+    series_ends_at = w.now + (gl_ms_t)n * gap + 4000;
+    for (int i = 0; i < n; i++)
+      {
+        int vm = (int)((arg + (uint32_t)i) % w.vms.size ());
+        gl_ms_t ends_in = (arg / 64 + (uint32_t)i * 997) % 2500;
+        gl_ms_t starts_in = 100 + (arg / 32 + (uint32_t)i * 331) % 600;
+        plan ((gl_ms_t)i * gap,
+              [=, this] { restart_vm (vm, ends_in, starts_in); });
+      }
+  }
+
+  /* Lose a worker for good, unless few are left; its registration lapses later
+     or at once. */
+  void
+  lose_worker (size_t worker, uint32_t arg)
+  {
+    size_t alive = 0;
+
+    for (Worker &x : w.workers)
+      alive += x.alive;
+    if (alive < 8 || !w.workers[worker].alive)
+      return;
+    w.lose_worker ((int)worker);
+    plan (arg / 16 % 2 * (arg / 32 % 10000),
+          [=, this] { w.set_registered ((int)worker, false); });
+  }
+
+  /* Submit a new job; @arg decides its steps.  Its tasks usually run for
+     @run_ms, or as others do if that is 0. */
+  void
+  submit (uint32_t arg, gl_ms_t run_ms = 0)
   {
     std::vector<gl_step_t> steps;
     int width = 1 + (int)(arg % 5);
@@ -63,8 +171,15 @@
     if (arg / 256 % 2)
       steps.push_back (
           world_step (1 + (int)(arg / 512 % 3), 700, false, { 0 }));
-    w.submit (job_id (++submitted), arg / 2048 % 2 ? "urgent" : "batch",
-              steps);
+    submitted++;
+    if (run_ms)
+      {
+        w.jobs[job_id (submitted)].run_ms = run_ms;
+        for (gl_step_t &s : steps)
+          s.estimate_ms = (u_int)run_ms;
+        long_jobs = true;
+      }
+    w.submit (job_id (submitted), arg / 2048 % 2 ? "urgent" : "batch", steps);
   }
 
   /* Submit an earlier job again under its id. */
@@ -136,7 +251,37 @@
         w.cut_domain = w.vms[(size_t)vm].domain;
         cut_ends_at = w.now + 1000 + s.arg / 8 % CUT_MAX_MS;
       }
-    w.run ((gl_ms_t)s.gap);
+    else if (s.kind == 26)
+      restart_in_series (s.arg);
+    else if (s.kind == 27)
+      lose_worker (worker, s.arg);
+    else if (s.kind == 28)
+      {
+        w.set_registered ((int)worker, false);
+        plan (5000 + s.arg / 16 % 12000,
+              [=, this] { w.set_registered ((int)worker, true); });
+      }
+    else if (s.kind == 29)
+      submit (s.arg, 6000 + s.arg / 4096 % 8 * 1000);
+    else if (s.kind == 30)
+      {
+        /* The owner stops while the job waits for the advisor. */
+        submit (s.arg);
+        plan (s.arg / 4096 % 1000, [=, this] {
+          int o = w.owner ();
+          if (o >= 0)
+            restart_vm (o, s.arg / 4096 % 2500, 300);
+        });
+      }
+    else if (s.kind == 31)
+      run (2000 + s.arg % 7000);
+    else if (s.kind == 32)
+      {
+        w.workers[worker].reachable = false;
+        plan (5000 + s.arg / 16 % 12000,
+              [=, this] { w.workers[worker].reachable = true; });
+      }
+    run ((gl_ms_t)s.gap);
   }
 };
 
@@ -148,7 +293,8 @@
 
   for (const Step &s : steps)
     sim.run_step (s);
-  sim.w.settle (SETTLE_MS);
+  sim.run_plans ();
+  sim.w.settle (sim.long_jobs ? SETTLE_LONG_MS : SETTLE_MS);
   *starts += sim.w.starts;
   return sim.w.violations.empty () ? "" : sim.w.violations[0];
 }
@@ -185,19 +331,39 @@
   EXPECT_EQ ("", run_script (world, script, &starts));
 }
 
-TEST (FuzzCell, PromisesHold)
+/* A script with the kinds of CALM_KINDS. */
+static rc::Gen<std::vector<Step> >
+gen_calm_script ()
+{
+  auto step = rc::gen::resize (
+      rc::kNominalSize,
+      rc::gen::build<Step> (
+          rc::gen::set (&Step::kind,
+                        rc::gen::elementOf (std::vector<int> (
+                            std::begin (CALM_KINDS), std::end (CALM_KINDS)))),
+          rc::gen::set (&Step::arg, rc::gen::inRange<uint32_t> (0, 1u << 24)),
+          rc::gen::set (&Step::gap, rc::gen::inRange (0, CALM_GAP_MAX_MS))));
+
+  return rc::gen::resize (CALM_STEPS_MAX,
+                          rc::gen::container<std::vector<Step> > (step));
+}
+
+/* Run scripts of @gen in worlds from the number @first_world on. */
+static void
+check_scripts (const rc::Gen<std::vector<Step> > &gen, uint64_t first_world,
+               int cases)
 {
   rc::detail::TestParams params;
   std::ostringstream os;
   uint64_t starts = 0;
 
   params.seed = (uint64_t)env_int ("SEED", 1);
-  params.maxSuccess = env_int ("CASES", 1500);
+  params.maxSuccess = cases;
   params.disableShrinking = getenv ("NO_SHRINK") != NULL;
   auto result = rc::detail::checkTestable (
       [&] {
-        auto script = *gen_script (STEPS_MAX, KINDS, GAP_MAX_MS);
-        auto seed = *gen_world_seed ();
+        auto script = *gen;
+        auto seed = first_world + *gen_world_seed ();
         std::string v = run_script (seed, script, &starts);
         if (!v.empty ())
           RC_FAIL (v);
@@ -212,6 +378,20 @@
   EXPECT_GT (starts, (uint64_t)params.maxSuccess);
 }
 
+TEST (FuzzCell, PromisesHold)
+{
+  check_scripts (gen_script (STEPS_MAX, KINDS, GAP_MAX_MS), 0,
+                 env_int ("CASES", 1500));
+}
+
+/* Planned restarts, workers that are gone and long runs, with few faults
+   besides, so that the times at which the cell must not be idle are long. */
+TEST (FuzzCell, PromisesHoldInCalm)
+{
+  check_scripts (gen_calm_script (), CALM_WORLDS,
+                 std::max (1, env_int ("CASES", 1500) / 4));
+}
+
 #ifdef GL_TEST_FAULTS
 /* The oracle must notice every deliberate fault. */
 class FuzzCellFault : public testing::TestWithParam<fault_t>
@@ -233,6 +413,15 @@
           gen_step (KINDS, GAP_MAX_MS));
       auto script = gen (random.split (), STEPS_MAX).value ();
       v = run_script ((uint64_t)i, script, &starts);
+      /* What the script finds without the fault, too, is not its doing. */
+      fault_on = FAULT_NONE;
+      if (!v.empty () && !run_script ((uint64_t)i, script, &starts).empty ())
+        {
+          ADD_FAILURE () << "script " << i
+                         << " fails without the fault: " << v;
+          v = "";
+        }
+      fault_on = GetParam ();
     }
   fault_on = FAULT_NONE;
   EXPECT_NE ("", v) << "fault " << GetParam () << " was not found";
