Reserve room for gangs of one task, too

A gang of one task in a queue with a slow advisor was never started again after its run had failed, in a cell without any fault.

Cause: between surveys, a gang of such a queue asks for tickets only for workers that it has reserved, and no room was reserved for a gang of one. Once the tickets of its survey had expired it had none for ever.

Evidence: gang-of-one-is-asked-for-again failed before: idle since 6.85 s, step_waits why=ticket.

--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -358,7 +358,7 @@
 {
   const cjob_t *j = cstep_job (c, s);
 
-  return q && s->def->gang && s->def->count > 1 && s->nwaiting == s->def->count
+  return q && s->def->gang && s->nwaiting == s->def->count
          && j->next_phase < GL_PHASE_COMPLETED
          && (!q->advised || (consult_is_costly (q) && s->nverdicts));
 }
