Let a starved step use room that is reserved or kept for others

Callers saw jobs of which nothing ran for seconds although workers had room for them several times over.

Cause: room that is reserved for gangs, and the share that is kept for priority 0, were denied to all other steps for as long as a gang waited, however long a job had been idle. A gang could not use reserved room even if it would end before the gang that waits for it can start.

Evidence: small-job-behind-reserved-room and small-job-beside-the-kept-share, pending after 3 s before.

A step whose job has been idle for 1.5 s although there is room for it twice may now use such room for one task, or a gang for one run; room of the gang that has waited longest stays reserved against other gangs, so that a wide one still starts (wide-gang-among-small-gangs). Gangs backfill like other steps.

--- a/src/celldue.c
+++ b/src/celldue.c
@@ -7,6 +7,12 @@
  * still end in time are served first, then those whose job will be late, then
  * those whose job will be so late that its result is of little use.  Each of
  * these classes is served in the order of age.
+ *
+ * Reservations for gangs and the share that is kept for priority 0 must not
+ * leave a job idle while there is plenty of room.  A step of which nothing
+ * runs for a while, nor of its job, although there is room for it twice, is
+ * starved: it may use such room for one task, or for one gang, so that the job
+ * goes on.
  */
 #include "cellint.h"
 
@@ -14,6 +20,14 @@
 
 /* A job that takes this many times its due span is of little use. */
 #define USELESS_FACTOR 3.0
+/* A step is starved when nothing of its job has run for this long.  Users
+   expect a job with room to be idle for less than 3 s; the rest is for a
+   consultation and for the start. */
+#define STARVED_MS 1500
+/* A step is checked again after this time. */
+#define STARVED_CHECK_MS 100
+/* Room for a starved step: this many times what it is to use. */
+#define STARVED_ROOM_FACTOR 2
 /* Workers that a consultation is assumed to name. */
 #define CONSULTED_WORKERS 30
 
@@ -65,3 +79,33 @@
          : expected_ms <= USELESS_FACTOR * due_ms ? 1
                                                   : 2;
 }
+
+/* Whether workers that the step may use, as far as that is known, have room
+   for
+   @want of its tasks, reserved or not. */
+static int
+has_room (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int want)
+{
+  for (int i = 0; i < c->nworkers && want > 0; i++)
+    if (!q->advised || consult_verdict (s, i) != 2)
+      want -= room_unreserved (c, s, q, i);
+  return want <= 0;
+}
+
+void
+due_update_starved (cell_t *c, cstep_t *s)
+{
+  const cjob_t *j = pool_get (&c->jobs, s->job);
+  const cell_queue_t *q = plan_queue (c, j);
+  gl_ms_t idle_since
+      = s->ready_at > j->idle_since ? s->ready_at : j->idle_since;
+  int need = s->def->gang ? (int)s->def->count : 1;
+
+  if (j->nbound || !q || c->now < idle_since + STARVED_MS)
+    s->starved = 0;
+  else if (c->now >= s->starved_checked_at + STARVED_CHECK_MS)
+    {
+      s->starved_checked_at = c->now;
+      s->starved = has_room (c, s, q, STARVED_ROOM_FACTOR * need);
+    }
+}
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -94,11 +94,14 @@
       = c->now + (gl_ms_t)(s->def->estimate_ms * ESTIMATE_MARGIN * ratio);
   gl_res_t sum = { 0, 0, 0 };
 
+  if (s->starved && !s->def->gang)
+    return sum;
   for (int i = 0; i < w->nreservations; i++)
     {
       const creservation_t *r = &w->reservations[i];
 
-      if (r->step == s->self || (!s->def->gang && end <= r->shadow_time)
+      if (r->step == s->self || end <= r->shadow_time
+          || (s->starved && r->order > 1)
           || (s->def->gang && s->reserve_order && r->order > s->reserve_order))
         continue;
       sum.cpus_m += r->ntasks * r->need.cpus_m;
@@ -320,7 +323,7 @@
   size_t usable = 0;
   size_t n = 0;
 
-  if (c->reserved_cpus_m
+  if (c->reserved_cpus_m && !s->starved
       && (double)(c->reserved_cpus_m + want_cpus_m)
              > RESERVED_SHARE_MAX * (double)count_usable_cpus (c))
     {
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -209,6 +209,8 @@
  * @tasks: its tasks, def->count of them
  * @ndone, @nwaiting: how many tasks are done, and how many wait (CT_WAITING)
  * @lateness: due_lateness in the present planning pass
+ * @starved, @starved_checked_at: it may use reserved room, see celldue.c, and
+ *   when that was last checked
  * @ready, @ready_at: its predecessors are done, and since when
  * @started: a task of it has been started
  * @in_waiting: it is in the list of steps that wait for workers
@@ -239,6 +241,8 @@
   uint32_t ndone;
   uint32_t nwaiting;
   int lateness;
+  int starved;
+  gl_ms_t starved_checked_at;
   int ready;
   int started;
   int in_waiting;
@@ -289,7 +293,8 @@
  * @inherited: an earlier owner may have started tasks of it
  * @maybe_written: a write of its key got no answer and may have taken effect
  * @started: a task of it has been bound to a worker
- * @nbound: how many of its tasks are bound to a worker
+ * @nbound, @idle_since: how many of its tasks are bound to a worker, and since
+ *   when there have been none
  * @saving: a transaction with it is in flight
  * @in_dirty, @dirty_at: it is in the list of jobs to write, and since when
  * @version, @written_version: version of its task records here and in the
@@ -320,6 +325,7 @@
   int maybe_written;
   int started;
   int nbound;
+  gl_ms_t idle_since;
   int saving;
   int in_dirty;
   uint64_t version;
@@ -1116,6 +1122,9 @@
 /** room_for - how many tasks of the step the worker has room for now */
 int room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
               int worker);
+/** room_unreserved - the same, if nothing were reserved or kept for others */
+int room_unreserved (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+                     int worker);
 /** room_when_empty - how many it would have room for if it were empty */
 int room_when_empty (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
                      int worker);
@@ -1172,6 +1181,8 @@
 /** due_lateness - 0: the step's job can still end in time, 1: it will be
     late, 2: so late that it is of little use */
 int due_lateness (const cell_t *c, const cstep_t *s);
+/** due_update_starved - set the step's member starved */
+void due_update_starved (cell_t *c, cstep_t *s);
 
 /* cellplan.c */
 
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -380,7 +380,8 @@
     w->used.cpus_m -= s->def->need.cpus_m;
   w->used.memory_mb -= s->def->need.memory_mb;
   w->used.accels -= s->def->need.accels;
-  j->nbound--;
+  if (!--j->nbound)
+    j->idle_since = c->now;
   plan_wake (c);
 }
 
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -137,6 +137,7 @@
         return;
       if (ctask_bind (c, s, i, w))
         return;
+      s->starved = 0;
       t->run = next_run (t);
       cworker_start (c, s, i, consult_ticket (s, w));
     }
@@ -166,6 +167,8 @@
 static int
 bind_gang (cell_t *c, cstep_t *s, const cell_queue_t *q, int rack)
 {
+  cjob_t *j = cstep_job (c, s);
+  gl_ms_t idle_since = j->idle_since;
   uint32_t n;
 
   if (!has_gang_room (c, s, q, rack))
@@ -184,6 +187,7 @@
       s->nwaiting++;
       ctask_unbind (c, s, n);
     }
+  j->idle_since = idle_since;
   return 0;
 }
 
@@ -417,6 +421,7 @@
 
       s->put_off = 0;
       update_lateness (c, s);
+      due_update_starved (c, s);
       priorities_present |= 1u << priority_of (c, s);
     }
   for (int p = 0; p <= CELL_PRIORITIES; p++)
--- a/src/cellroom.c
+++ b/src/cellroom.c
@@ -76,6 +76,19 @@
   return is_eligible (c, s, q, w) ? tasks_that_fit (s, &w->info.capacity) : 0;
 }
 
+int
+room_unreserved (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+                 int worker)
+{
+  const cworker_t *w = &c->workers[worker];
+  gl_res_t room = { w->info.capacity.cpus_m - w->used.cpus_m,
+                    w->info.capacity.memory_mb - w->used.memory_mb,
+                    w->info.capacity.accels - w->used.accels };
+  int n = tasks_that_fit (s, &room);
+
+  return n && is_eligible (c, s, q, w) ? n : 0;
+}
+
 int
 room_is_unreserved (const cell_t *c, const cstep_t *s, int worker)
 {
@@ -105,7 +118,7 @@
                     w->info.capacity.accels - w->used.accels };
   int n;
 
-  if (q->priority > 0 && !s->def->gang)
+  if (q->priority > 0 && !s->def->gang && !s->starved)
     room.cpus_m -= (int)(w->info.capacity.cpus_m * PRIORITY0_CPU_SHARE);
   n = tasks_that_fit (s, &room);
   if (!n || !is_eligible (c, s, q, w))
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -69,8 +69,9 @@
 }
 #endif
 
-/* A step such as "3x2000g@0,1": 3 tasks of 2000 thousandths of a processor;
-   "g": they are a gang; "@0,1": steps 0 and 1 are its predecessors. */
+/* A step such as "3x2000ge5000@0,1": 3 tasks of 2000 thousandths of a
+   processor; "g": they are a gang; "e5000": their estimate; "@0,1": steps 0
+   and 1 are its predecessors. */
 static gl_step_t
 parse_step (const std::string &s)
 {
@@ -84,8 +85,11 @@
       predecessors.push_back (atoi (s.c_str () + at + 1));
       at = s.find (',', at + 1);
     }
-  return world_step (count, cpus, s.find ('g') != std::string::npos,
-                     predecessors);
+  gl_step_t step = world_step (count, cpus, s.find ('g') != std::string::npos,
+                               predecessors);
+  if (s.find ('e') != std::string::npos)
+    step.estimate_ms = (u_int)atoi (s.c_str () + s.find ('e') + 1);
+  return step;
 }
 
 struct Script
