Let a successor wait less for leases that its predecessor may renew

Callers saw jobs of which nothing ran for 9 s after an owner's VM was lost for good, or frozen, beside a worker that does not answer.

Cause: an owner goes on renewing leases for 5 s without the store, so that accepted work goes on through an outage, and a successor that has no proof of its end has to wait for that time and for the 4 s of the leases.

An owner now renews for 1.6 s only, unless every other VM that it knows has said within 0.6 s that the store does not answer it either: then none of them can have claimed the cell. VMs say so in their answers to heartbeats. A successor relies on the shorter time only if it has had heartbeats of that owner since its own key was written, so that the owner asks it; else it waits as long as before.

Ruled out: a shorter time in outages of the store, which last 4 to 7 s: all running work would be lost.

--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -186,8 +186,11 @@
   gl_cell_str_t queue;
   unsigned int waiting;
 };
-/* Sent by the owner to all VMs.  store_age_ms is the time since the store
-   last answered it. */
+/* Sent by the owner to all VMs, and their answer.  store_age_ms is the time
+   since the store last answered the sender. */
+struct gl_heartbeat_ack_t {
+  unsigned int store_age_ms;
+};
 struct gl_heartbeat_t {
   unsigned hyper generation;
   gl_cell_str_t vm;
--- a/src/cell.h
+++ b/src/cell.h
@@ -342,6 +342,8 @@
  * @deadline: instant by which the request must be answered
  * @call_code: outcome of forwarding; @reply is valid when it is GL_OK
  * @heartbeat: of CELL_EV_HEARTBEAT
+ * @store_age_ms: of CELL_EV_HEARTBEAT_ACK, the time since the store answered
+ *   that VM; 0 if it did not say
  * @peer_addr: address that refused a connection
  * @wall: wall clock, milliseconds since the epoch; 0 when not known
  */
@@ -365,6 +367,7 @@
   gl_code_t call_code;
   const gl_reply_t *reply;
   const gl_heartbeat_t *heartbeat;
+  uint32_t store_age_ms;
   const char *peer_addr;
   uint64_t wall;
 } cell_event_t;
@@ -483,6 +486,8 @@
 gl_ms_t cell_next_tick (const cell_t *c);
 /** cell_ready - 1 while callers' requests can be served */
 int cell_ready (const cell_t *c);
+/** cell_store_age_ms - time since the store last answered this VM */
+uint32_t cell_store_age_ms (const cell_t *c);
 /** cell_is_owner - 1 while this VM owns the cell */
 int cell_is_owner (const cell_t *c);
 /** cell_jobs_waiting - accepted jobs of @queue of which no task has started */
--- a/src/celld.c
+++ b/src/celld.c
@@ -337,8 +337,11 @@
     serve_consult (d, from, data, len);
   else if (proc == PROC_HEARTBEAT)
     {
+      gl_heartbeat_ack_t ack;
+
       serve_heartbeat (d, from, data, len);
-      rpcmux_reply (d->rpc, from, (xdrproc_t)(void (*) (void))xdr_void, NULL);
+      ack.store_age_ms = cell_store_age_ms (d->cell);
+      rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_heartbeat_ack_t, &ack);
     }
   else
     rpcmux_reply (d->rpc, from, NULL, NULL);
@@ -378,6 +381,18 @@
     codec_free ((xdrproc_t)xdr_gl_consult_reply_t, &c);
 }
 
+/* VMs of older versions do not say anything of their store. */
+static void
+heartbeat_done (celld_t *d, uint64_t tag, const char *data, size_t len)
+{
+  gl_heartbeat_ack_t ack = { 0 };
+  cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
+
+  if (!codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, &ack, data, len))
+    ev.store_age_ms = ack.store_age_ms;
+  handle_event (d, &ev);
+}
+
 static void
 call_done (void *ctx, uint64_t tag, uint32_t proc, gl_code_t code,
            const char *data, size_t len)
@@ -389,11 +404,7 @@
   else if (proc == PROC_CONSULT)
     consult_done (d, tag, code, data, len);
   else if (proc == PROC_HEARTBEAT && code == GL_OK)
-    {
-      cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
-
-      handle_event (d, &ev);
-    }
+    heartbeat_done (d, tag, data, len);
 }
 
 static void
--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -3,7 +3,8 @@
  *
  * A new owner has to know for how long earlier owners may go on renewing the
  * leases of workers.  An owner that was succeeded renews them for at most
- * CELL_RENEW_GRACE_MS longer, until it notices; one that released the cell
+ * CELL_RENEW_GRACE_MS longer, until it notices, and CELL_RENEW_OUTAGE_MS if it
+ * may not know the VM that has the store; one that released the cell
  * renews none; and neither does one whose process has ended.  That shows when
  * another process has been started at its address: each process has a random
  * number, which it writes to the store.
@@ -17,6 +18,16 @@
 
 #include <string.h>
 
+/* How long the owner of @generation may go on renewing leases when it is
+   succeeded now.  If it sends heartbeats to this VM, it renews none for longer
+   than CELL_RENEW_GRACE_MS without hearing that the store is away here, too. */
+static gl_ms_t
+grace_ms (const cell_t *c, uint64_t generation)
+{
+  return c->known_by == generation ? CELL_RENEW_GRACE_MS
+                                   : CELL_RENEW_OUTAGE_MS;
+}
+
 void
 former_claimed (cell_t *c, const gl_claim_t *claim, uint64_t revision)
 {
@@ -27,8 +38,8 @@
     return;
   if (last && claim->generation > last->generation + 1)
     c->nformers = 0;
-  else if (last && last->renews_until > c->now + CELL_RENEW_GRACE_MS)
-    last->renews_until = c->now + CELL_RENEW_GRACE_MS;
+  else if (last && last->renews_until > c->now + grace_ms (c, last->generation))
+    last->renews_until = c->now + grace_ms (c, last->generation);
   if (c->nformers == CELL_FORMERS_MAX)
     memmove (c->formers, c->formers + 1,
              (size_t)--c->nformers * sizeof *c->formers);
@@ -89,7 +100,7 @@
   gl_ms_t renews_until = c->now;
 
   if (!c->nformers || c->formers[0].generation > first)
-    renews_until += CELL_RENEW_GRACE_MS;
+    renews_until += CELL_RENEW_OUTAGE_MS;
   else
     for (int i = 0; i < c->nformers; i++)
       if (c->formers[i].generation < c->generation
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -21,10 +21,18 @@
 /* Longest time that such a lease lasts. */
 #define CELL_LEASE_LASTS_MS                                                   \
   ((gl_ms_t)(CELL_WORKER_LEASE_MS / CELL_CLOCK_RATE_MIN))
-/* An owner stops renewing workers' leases when its ownership has not been
-   confirmed by the store for this long.  This bounds how long its successor
-   has to wait for those leases to end. */
-#define CELL_RENEW_GRACE_MS 5000
+/* An owner renews workers' leases, and starts tasks, for this long after the
+   store last confirmed its ownership.  A successor has to wait for such leases
+   to end. */
+#define CELL_RENEW_GRACE_MS 1600
+/* The same while every other VM says that the store does not answer it either,
+   so that none can have claimed the cell: accepted work goes on through an
+   outage of the store.  A successor that the owner may not know has to wait for
+   this time. */
+#define CELL_RENEW_OUTAGE_MS 5000
+/* What a VM says of its store is valid for this long, which is more than two
+   heartbeats and well below CELL_RENEW_GRACE_MS. */
+#define CELL_STORE_WORD_MS 600
 /* An owner whose ownership no transaction has confirmed for this long sends
    one that only checks it.  Also the timeout of that transaction. */
 #define CELL_CONFIRM_MS 400
@@ -458,6 +466,7 @@
  *   is not
  * @cpu_m: its share of a core, in thousandths
  * @answered_at: when it last answered a heartbeat of this VM
+ * @store_age_ms: time since the store answered it, as it said then
  * @busy_ms: time that the advisor takes for all consultations in flight
  *   through it
  * @avoid_until: no consultation goes through it before this
@@ -471,6 +480,7 @@
   gl_ms_t unregistered_at;
   uint32_t cpu_m;
   gl_ms_t answered_at;
+  uint32_t store_age_ms;
   double busy_ms;
   gl_ms_t avoid_until;
 } cvm_t;
@@ -681,6 +691,8 @@
  *   lease on this VM's keys succeeded, since when that is so, and when a
  *   renewal last succeeded
  * @keys_lost: a key of this VM has gone and must be written again
+ * @known_by: generation of the last owner whose heartbeat has arrived since
+ *   this VM's key was written, 0 for none: that owner sends heartbeats to it
  * @confirmed_at: latest time at which this VM is known to have owned the cell
  * @store_answered_at: when the store last carried out a call
  * @heartbeat_due: when the owner sends its next heartbeats
@@ -785,6 +797,7 @@
   uint64_t keys_tag;
   int lease_held;
   int keys_lost;
+  uint64_t known_by;
   gl_ms_t lease_renewed_at;
   gl_ms_t lease_held_since;
   gl_ms_t confirmed_at;
@@ -899,6 +912,9 @@
 /** own_confirmed - a transaction sent at @sent has passed the ownership check
  */
 void own_confirmed (cell_t *c, gl_ms_t sent);
+/** own_may_renew - 1 if leases of workers may be renewed and tasks started: no
+    other VM can have owned the cell for long */
+int own_may_renew (const cell_t *c);
 /** own_confirm_now - confirm the ownership without waiting for the next
     transaction */
 void own_confirm_now (cell_t *c);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -51,6 +51,9 @@
 /* Heartbeats are still sent to a VM whose key has gone, for this long: it may
    have lost only the store. */
 #define GONE_VM_HEARTBEAT_MS 30000
+/* A VM whose key has gone may have registered again without notice to an owner
+   that is cut off, for this long after the last heartbeat to it. */
+#define GONE_VM_MAY_CLAIM_MS (GONE_VM_HEARTBEAT_MS + 2 * CELL_RENEW_OUTAGE_MS)
 #define PAGE_TIMEOUT_MS 500
 /* No consultation goes through a VM for this long after it refused a
    connection. */
@@ -119,7 +122,10 @@
           c->vms[i - 1].unregistered_at = c->now;
         }
       if (!strcmp (name, c->vm))
-        c->keys_lost = 1;
+        {
+          c->keys_lost = 1;
+          c->known_by = 0;
+        }
       return;
     }
   memset (&info, 0, sizeof info);
@@ -303,6 +309,8 @@
     {
       /* The revision is 1 when the lease is new, and so has no keys. */
       is_new = ev->revision == 1;
+      if (is_new)
+        c->known_by = 0;
       if (!c->lease_held)
         c->lease_held_since = c->now;
       if (!c->lease_held && c->lease_renewed_at)
@@ -536,6 +544,49 @@
     c->confirmed_at = sent;
 }
 
+/* Whether the owner sends heartbeats to the VM, if not prevented. */
+static int
+gets_heartbeats (const cell_t *c, const cvm_t *v)
+{
+  return (v->registered || c->now <= v->unregistered_at + GONE_VM_HEARTBEAT_MS)
+         && strcmp (v->vm, c->vm);
+}
+
+/* Whether some VM may reach the store, and so may claim the cell. */
+static int
+some_vm_can_claim (const cell_t *c)
+{
+  for (int i = 0; i < c->nvms; i++)
+    {
+      const cvm_t *v = &c->vms[i];
+
+      if (strcmp (v->vm, c->vm)
+          && (v->registered
+              || c->now <= v->unregistered_at + GONE_VM_MAY_CLAIM_MS)
+          && (c->now > v->answered_at + CELL_STORE_WORD_MS
+              || v->store_age_ms < CELL_OWNER_STORE_LOST_MS))
+        return 1;
+    }
+  return 0;
+}
+
+int
+own_may_renew (const cell_t *c)
+{
+  gl_ms_t age_ms = c->now - c->confirmed_at;
+
+  return age_ms < CELL_RENEW_GRACE_MS
+         || (age_ms < CELL_RENEW_OUTAGE_MS && !some_vm_can_claim (c));
+}
+
+uint32_t
+cell_store_age_ms (const cell_t *c)
+{
+  gl_ms_t age_ms = c->now - c->store_answered_at;
+
+  return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
+}
+
 /* A claim may be delivered twice; the second copy then conflicts with the
    first.  Returns the revision that our own claim got, or 0 if the conflict is
    with another VM's. */
@@ -829,6 +880,8 @@
     {
       c->heartbeat_at = c->now;
       c->owner_refused_at = 0;
+      if (!c->keys_lost && !c->keys_tag && c->lease_held)
+        c->known_by = ev->heartbeat->generation;
       c->owner_storeless_at
           = ev->heartbeat->store_age_ms > CELL_OWNER_STORE_LOST_MS ? c->now
                                                                    : 0;
@@ -849,8 +902,10 @@
 void
 own_heartbeat_ack (cell_t *c, const cell_event_t *ev)
 {
-  if (ev->tag && ev->tag <= (uint64_t)c->nvms)
-    c->vms[ev->tag - 1].answered_at = c->now;
+  if (!ev->tag || ev->tag > (uint64_t)c->nvms)
+    return;
+  c->vms[ev->tag - 1].answered_at = c->now;
+  c->vms[ev->tag - 1].store_age_ms = ev->store_age_ms;
 }
 
 void
@@ -899,9 +954,7 @@
       /* See cellreach.c. */
       if (maybe_isolated && !strcmp (c->vms[i].domain, c->domain))
         continue;
-      if ((!c->vms[i].registered
-           && c->now > c->vms[i].unregistered_at + GONE_VM_HEARTBEAT_MS)
-          || !strcmp (c->vms[i].vm, c->vm))
+      if (!gets_heartbeats (c, &c->vms[i]))
         continue;
       e = cell_add_effect (c, CELL_FX_HEARTBEAT);
       if (!e || !(e->heartbeat = calloc (1, sizeof *e->heartbeat))
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -71,8 +71,7 @@
          && w->accounted && !w->dead && !w->silent && !w->info.leaving
          && w->clock && !w->restarted_at
          && (!w->orphans || FAULT (FAULT_CELL_ORPHANS_FREE)) && !w->suspect
-         && c->now >= w->avoid_until
-         && c->now - c->confirmed_at < CELL_RENEW_GRACE_MS;
+         && c->now >= w->avoid_until && own_may_renew (c);
 }
 
 /* ---- registration ---- */
@@ -299,8 +298,8 @@
 }
 
 /* The end of the lease to send, in the worker's clock; 0 sends none, because
-   the clock is not known, the worker is silent, or the ownership has not been
-   confirmed for CELL_RENEW_GRACE_MS. */
+   the clock is not known, the worker is silent, or own_may_renew forbids it.
+ */
 static uint64_t
 lease_until (cell_t *c, cworker_t *w)
 {
@@ -309,8 +308,7 @@
 
   /* A call to a silent worker may arrive late and extend a lease whose end
      this owner waits for. */
-  if (!w->clock || w->silent || w->dead
-      || c->now - c->confirmed_at > CELL_RENEW_GRACE_MS)
+  if (!w->clock || w->silent || w->dead || !own_may_renew (c))
     return 0;
   if (span > c->limits.worker_lease_max_ms)
     span = c->limits.worker_lease_max_ms;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -368,10 +368,12 @@
           ev.heartbeat = &b;
           step (to, ev);
           codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &b);
+          uint32_t age = cell_store_age_ms (vms[(size_t)to].cell);
           schedule (NET_MS, [=, this] {
             cell_event_t ack{};
             ack.kind = CELL_EV_HEARTBEAT_ACK;
             ack.tag = tag;
+            ack.store_age_ms = age;
             if (vms[(size_t)i].alive && !vms[(size_t)i].frozen
                 && vms[(size_t)i].incarnation == incarnation
                 && connected (vms[(size_t)i].domain, vms[(size_t)to].domain))
