Hand on that nothing runs on a worker that was never heard

A job that waits for the advisor stayed without a run for 4 s after a planned change of owners, with a lost worker long before.

Cause: an owner that was told that all leases of an unregistered worker had ended took it as accounted for without polling it, so it never counted as silent or dead; its handover left the worker out as one that had answered, and the record stayed. The next owner waited for a lease of 4 s.

Evidence: unheard-worker-is-handed-on failed before, idle since 8.4 s.

A handover now leaves out only workers that have answered this owner, and a worker without a registration whose leases have ended counts as silent, so that it is given up and its record removed.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -67,7 +67,7 @@
     {
       const cworker_t *w = &c->workers[i];
 
-      if (w->dead ? !w->record_revision : w->accounted && !w->silent)
+      if (w->dead ? !w->record_revision : w->heard && !w->silent)
         continue;
       record.workers.workers_val[record.workers.workers_len++]
           = (gl_unheard_worker_t){ (char *)w->info.id,
@@ -118,6 +118,7 @@
       cworker_t *w = &c->workers[i];
 
       w->dead = 0;
+      w->heard = 0;
       w->accounted = 0;
       census_expect (c, w);
     }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -383,6 +383,7 @@
  *   is not being removed
  * @record_revision: revision of that record as far as it is known, 0 if there
  *   is none
+ * @heard: it has answered a poll of this owner
  * @accounted: this owner knows what runs there, from its report or because
  *   its leases have ended
  * @dead: this incarnation counts as over, and nothing of it runs: it has
@@ -424,6 +425,7 @@
   int registered;
   int enrolled;
   uint64_t record_revision;
+  int heard;
   int accounted;
   int dead;
   int silent;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -661,6 +661,7 @@
 {
   w->dead = 0;
   w->restarted_at = 0;
+  w->silent = 0;
   w->lease_bound_at = c->now;
   cell_log (c, "worker_revived id=%s", w->info.id);
 }
@@ -694,6 +695,7 @@
         plan_wake (c);
       if (k->nends < POLL_ENDS_MAX)
         {
+          w->heard = 1;
           census_set_accounted (c, w);
           settle_stopped_runs (c, w, k);
         }
@@ -904,7 +906,11 @@
       return;
     }
   if (!w->accounted && census_leases_ended (c, w))
-    census_set_accounted (c, w);
+    {
+      census_set_accounted (c, w);
+      /* Without a registration it is not polled, which would show this. */
+      w->silent |= !w->registered;
+    }
   if (w->ntasks)
     resend_stops (c, w);
   if (!w->poll_tag && is_poll_due (c, w)
