Keep the claims since the last complete census

Jobs stayed without a run for 9 s or more after owners had changed several times, beside a worker that does not answer, when the new owner's process was younger than the change before.

Cause: such a process finds only the latest claim in the store, does not know the owners before it, and counted their leases from its own claim.

Each claim now has a key of its own, which is removed when a later census is complete, so that a process that starts finds all owners that matter, and which of them have ended.

--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -111,8 +111,9 @@
   gl_cell_str_t addr;
   bool released;
 };
-/* Which process claimed the cell in @generation; it is written with the claim.
-   @process is a random number. */
+/* Which process claimed the cell in @generation; it is written with the claim,
+   and kept until a later owner has completed its census.  @process is a random
+   number. */
 struct gl_claim_t {
   unsigned hyper generation;
   unsigned hyper process;
--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -20,7 +20,8 @@
 
 /* How long the owner of @generation may go on renewing leases when it is
    succeeded now.  If it sends heartbeats to this VM, it renews none for longer
-   than CELL_RENEW_GRACE_MS without hearing that the store is away here, too. */
+   than CELL_RENEW_GRACE_MS without hearing that the store is away here, too.
+ */
 static gl_ms_t
 grace_ms (const cell_t *c, uint64_t generation)
 {
@@ -38,7 +39,8 @@
     return;
   if (last && claim->generation > last->generation + 1)
     c->nformers = 0;
-  else if (last && last->renews_until > c->now + grace_ms (c, last->generation))
+  else if (last
+           && last->renews_until > c->now + grace_ms (c, last->generation))
     last->renews_until = c->now + grace_ms (c, last->generation);
   if (c->nformers == CELL_FORMERS_MAX)
     memmove (c->formers, c->formers + 1,
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -27,8 +27,8 @@
 #define CELL_RENEW_GRACE_MS 1600
 /* The same while every other VM says that the store does not answer it either,
    so that none can have claimed the cell: accepted work goes on through an
-   outage of the store.  A successor that the owner may not know has to wait for
-   this time. */
+   outage of the store.  A successor that the owner may not know has to wait
+   for this time. */
 #define CELL_RENEW_OUTAGE_MS 5000
 /* What a VM says of its store is valid for this long, which is more than two
    heartbeats and well below CELL_RENEW_GRACE_MS. */
@@ -776,6 +776,7 @@
   uint64_t ownership_rev;
   uint64_t census_generation;
   uint64_t process;
+  uint64_t claim_generation;
   uint64_t claim_revision;
   cformer_t formers[CELL_FORMERS_MAX];
   int nformers;
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -29,12 +29,13 @@
 #include "codec.h"
 
 /* Keys of the store: the ownership record, the owner's leased key, the latest
-   generation whose owner completed its census, the latest claim, what an owner
-   that releases the cell leaves to its successor, and the VMs' leased keys. */
+   generation whose owner completed its census, the claims from that one on by
+   generation, what an owner that releases the cell leaves to its successor,
+   and the VMs' leased keys. */
 #define KEY_OWNERSHIP "gl/m/tenure"
 #define KEY_OWNER "gl/m/owner"
 #define KEY_CENSUS "gl/m/settled"
-#define KEY_CLAIM "gl/m/claim"
+#define KEY_CLAIM "gl/m/claim/"
 #define KEY_HANDOVER "gl/m/handover"
 #define KEY_PROCESS "gl/m/process/"
 #define KEY_VM "gl/m/vm/"
@@ -154,6 +155,14 @@
   codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
 }
 
+/* The key of a claim.  They are listed in the order of generations. */
+static void
+claim_key (uint64_t generation, char key[CELL_NAME_SIZE])
+{
+  snprintf (key, CELL_NAME_SIZE, "%s%016llx", KEY_CLAIM,
+            (unsigned long long)generation);
+}
+
 static void
 apply_claim (cell_t *c, const cell_item_t *item)
 {
@@ -162,13 +171,14 @@
   memset (&claim, 0, sizeof claim);
   if (item->revision <= c->claim_revision)
     return;
-  c->claim_revision = item->revision;
   if (codec_decode ((xdrproc_t)xdr_gl_claim_t, &claim, item->value, item->len))
     {
       cell_log (c, "claim_unreadable revision=%llu",
                 (unsigned long long)item->revision);
       return;
     }
+  c->claim_revision = item->revision;
+  c->claim_generation = claim.generation;
   former_claimed (c, &claim, item->revision);
   codec_free ((xdrproc_t)xdr_gl_claim_t, &claim);
 }
@@ -207,7 +217,7 @@
       c->census_generation = strtoull (item->value, NULL, 10);
       former_census_complete (c, c->census_generation);
     }
-  else if (!strcmp (item->key, KEY_CLAIM) && !ev->removed)
+  else if (!strncmp (item->key, KEY_CLAIM, strlen (KEY_CLAIM)) && !ev->removed)
     apply_claim (c, item);
   else if (!strncmp (item->key, KEY_PROCESS, strlen (KEY_PROCESS))
            && !ev->removed)
@@ -258,7 +268,7 @@
   cell_item_t *check = &txn->checks[txn->nchecks++];
   cell_put_t *p = &txn->puts[txn->nputs++];
 
-  cell_strcpy (check->key, KEY_CLAIM);
+  claim_key (c->claim_generation, check->key);
   check->revision = c->claim_revision;
   snprintf (p->key, sizeof p->key, "%s%.100s", KEY_PROCESS, c->vm);
   p->value = codec_encode ((xdrproc_t)xdr_gl_process_t, &process, &p->len);
@@ -392,7 +402,7 @@
   p->len = strlen (c->vm);
   p->leased = 1;
   p = &e->txn->puts[e->txn->nputs++];
-  cell_strcpy (p->key, KEY_CLAIM);
+  claim_key (generation, p->key);
   p->value = codec_encode ((xdrproc_t)xdr_gl_claim_t, &claim, &p->len);
   return 0;
 }
@@ -478,6 +488,7 @@
   c->handed_over = c->ownership_known && c->ownership.released
                    && c->handover.generation == c->ownership.generation;
   c->claim_revision = revision;
+  c->claim_generation = c->generation;
   former_claimed (c, &claim, revision);
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
   c->ownership.generation = c->generation;
@@ -824,6 +835,12 @@
   if (asprintf (&p->value, "%llu", (unsigned long long)c->generation) < 0)
     p->value = NULL;
   p->len = p->value ? strlen (p->value) : 0;
+  /* Claims that only the census before needed.  Others are removed by later
+     owners. */
+  for (int i = 0; i < c->nformers && e->txn->nputs < CELL_TXN_KEYS_MAX / 2;
+       i++)
+    if (c->formers[i].generation < c->generation)
+      claim_key (c->formers[i].generation, e->txn->puts[e->txn->nputs++].key);
 }
 
 void
@@ -840,6 +857,7 @@
   c->confirm_tag = 0;
   c->release_tag = 0;
   c->releasing = 0;
+
   save_reset (c);
   plan_reset (c);
   while ((h = pool_next (&c->jobs, &pos)))
