Let all waiting steps have a search in turn

What callers saw: a job that the advisor would admit to idle workers did not start while many steps ahead of it waited for which no worker can be named.

Cause: the eight searches of a planning pass went to the first steps of the list, and a step that found nothing searched again after 25 ms. With many such steps ahead, the others never had a search.

Evidence: searches-go-round, 60 steps that fit on no worker in the urgent queue: two jobs of the other queue, one beside a stream of urgent jobs and one in a quiet cell, are pending after 3 s before this change and start within 20 ms of their submission with it.

Two of the eight searches now go to the steps that the pass has put off, the one whose last search was longest ago first. While steps are put off, passes follow after 20 ms at the latest.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -480,7 +480,7 @@
   int n;
   int vm;
 
-  if (s->consults_in_flight || c->now < s->consult_after || c->scans_left <= 0)
+  if (s->consults_in_flight || c->now < s->consult_after)
     return;
   /* Between surveys, a gang of a costly queue asks only for tickets for the
      workers that it has reserved. */
@@ -492,6 +492,12 @@
       s->consult_after = c->now + NO_VM_RETRY_MS;
       return;
     }
+  if (c->scans_left <= 0)
+    {
+      s->put_off = 1;
+      return;
+    }
+  s->searched_at = c->now;
   c->scans_left--;
   c->counters.scans++;
   v = calloc ((size_t)c->nworkers + 1, sizeof *v);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -214,6 +214,8 @@
  * @tickets, @ntickets: its tickets, at most one for each worker
  * @consults_in_flight, @consult_after: number of consultations without an
  *   answer so far, and the earliest time for another
+ * @searched_at: when workers were last searched for a consultation, 0 if never
+ * @put_off: in the present planning pass, no search was left for it
  * @surveyed_workers: workers that were known when it was last surveyed, 0
  *   before its first survey
  * @approved_scarce: the approved workers have no room for it, or only late
@@ -244,6 +246,8 @@
   int ntickets;
   int consults_in_flight;
   gl_ms_t consult_after;
+  gl_ms_t searched_at;
+  int put_off;
   int surveyed_workers;
   int approved_scarce;
   creservation_t *reservations;
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -20,10 +20,15 @@
 #define STEPS_PER_MS 40
 /* The next pass follows after this time at the latest. */
 #define TICK_MS 100
+/* The same while steps are put off. */
+#define PUT_OFF_TICK_MS 20
 /* Searches of all workers for a consultation that one pass may make, so that a
    long list of waiting steps cannot block the control thread.  The remaining
-   steps are consulted for in later passes. */
+   steps are put off to later passes. */
 #define SCANS_PER_PASS 8
+/* Of these, searches for the steps that were put off, in turn.  The others go
+   to the first steps, which may find nothing each time. */
+#define SCANS_BY_TURN 2
 /* Bound on the runs of one task that an earlier owner has started and of which
    this owner knows nothing. */
 #define UNSEEN_RUNS_MAX 100
@@ -361,12 +366,45 @@
   c->waiting.n = n;
 }
 
+/* The step that was put off in this pass and whose last search was longest
+   ago, or NULL. */
+static cstep_t *
+first_put_off (cell_t *c)
+{
+  cstep_t *first = NULL;
+
+  for (size_t i = 0; i < c->waiting.n; i++)
+    {
+      cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+
+      if (s && s->put_off && (!first || s->searched_at < first->searched_at))
+        first = s;
+    }
+  return first;
+}
+
+/* Search for the steps whose turn it is; returns 1 if some are left. */
+static int
+serve_put_off (cell_t *c)
+{
+  cstep_t *s = NULL;
+
+  c->scans_left += SCANS_BY_TURN;
+  for (int i = 0; i < SCANS_BY_TURN && (s = first_put_off (c)); i++)
+    {
+      s->put_off = 0;
+      plan_step (c, s);
+    }
+  return s != NULL;
+}
+
 void
 plan_run (cell_t *c)
 {
   gl_ms_t next;
   unsigned int priorities_present = 0;
   int idle_lines = 0;
+  int some_put_off;
 
   if (!c->plan_due || c->role != CR_OWNER || c->release_tag)
     return;
@@ -380,11 +418,12 @@
   c->planned_at = c->now;
   drop_placed_steps (c);
   reserve_pass (c);
-  c->scans_left = SCANS_PER_PASS;
+  c->scans_left = SCANS_PER_PASS - SCANS_BY_TURN;
   for (size_t i = 0; i < c->waiting.n; i++)
     {
       cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
 
+      s->put_off = 0;
       update_lateness (c, s);
       priorities_present |= 1u << priority_of (c, s);
     }
@@ -406,8 +445,10 @@
       if (s)
         idle_lines += log_idle (c, s);
     }
+  some_put_off = serve_put_off (c);
   poll_note_waiting (c);
-  timer_arm_before (&c->timers, c->plan_timer, c->now + TICK_MS);
+  timer_arm_before (&c->timers, c->plan_timer,
+                    c->now + (some_put_off ? PUT_OFF_TICK_MS : TICK_MS));
 }
 
 void
