--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -370,28 +370,36 @@
   c->waiting.n = n;
 }
 
-/* Search for the steps that were put off in this pass, first for the one whose
-   last search was longest ago.  Returns 1 if some are left. */
-static int
-serve_put_off (cell_t *c)
+/* The step that was put off in this pass and whose last search was longest
+   ago, or NULL. */
+static cstep_t *
+first_put_off (cell_t *c)
 {
-  for (;;)
+  cstep_t *first = NULL;
+
+  for (size_t i = 0; i < c->waiting.n; i++)
     {
-      cstep_t *first = NULL;
+      cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
 
-      for (size_t i = 0; i < c->waiting.n; i++)
-        {
-          cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+      if (s && s->put_off && (!first || s->searched_at < first->searched_at))
+        first = s;
+    }
+  return first;
+}
 
-          if (s && s->put_off
-              && (!first || s->searched_at < first->searched_at))
-            first = s;
-        }
-      if (!first || c->scans_left <= 0)
-        return first != NULL;
-      first->put_off = 0;
-      plan_step (c, first);
+/* Search for the steps whose turn it is; returns 1 if some are left. */
+static int
+serve_put_off (cell_t *c)
+{
+  cstep_t *s = NULL;
+
+  c->scans_left += SCANS_BY_TURN;
+  for (int i = 0; i < SCANS_BY_TURN && (s = first_put_off (c)); i++)
+    {
+      s->put_off = 0;
+      plan_step (c, s);
     }
+  return s != NULL;
 }
 
 void
@@ -442,7 +450,6 @@
       if (s)
         idle_lines += log_idle (c, s);
     }
-  c->scans_left += SCANS_BY_TURN;
   some_put_off = serve_put_off (c);
   poll_note_waiting (c);
   timer_arm_before (&c->timers, c->plan_timer,
