--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1586,9 +1586,21 @@
     }
 }
 
+bool
+World::has_unfinished_jobs () const
+{
+  for (auto &j : jobs)
+    if (j.second.accepted && !j.second.cancel_sent && !j.second.all_done
+        && !attempts_used_up (j.first))
+      return true;
+  return false;
+}
+
 void
-World::settle (gl_ms_t ms)
+World::settle (gl_ms_t ms, gl_ms_t more_ms)
 {
+  gl_ms_t end;
+
   store_mode = StoreMode::up;
   cut_domain = "";
   for (Worker &w : workers)
@@ -1606,6 +1618,10 @@
   for (size_t w = 0; w < workers.size (); w++)
     set_registered ((int)w, true);
   run (ms);
+  for (end = now + more_ms; now < end && has_unfinished_jobs ();)
+    run (1000);
+  if (more_ms)
+    run (3000);
   for (auto &j : jobs)
     if (j.second.accepted)
       query (j.first);
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -149,8 +149,9 @@
   void configure (uint64_t version, const std::set<std::string> &names);
   /* Index of the VM that owns the cell, or -1. */
   int owner () const;
-  /* End all faults and wait for @ms; every accepted job must have ended. */
-  void settle (gl_ms_t ms);
+  /* End all faults and wait for @ms, and up to @more_ms longer while tasks of
+     accepted jobs have not ended; then every accepted job must have ended. */
+  void settle (gl_ms_t ms, gl_ms_t more_ms = 0);
 
   StoreMode store_mode = StoreMode::up;
   gl_ms_t linger_ms = 60; /* when one member of a gang ends well, the others
@@ -264,6 +265,7 @@
   void check_idle ();
   /* A step of the job that could run, or -1. */
   int runnable_step (const std::string &id, JobView &j);
+  bool has_unfinished_jobs () const;
   /* Whether the workers have room for the step twice over. */
   bool has_room_twice (const std::string &id, const JobView &j, int step);
   bool takes_tasks (const Worker &w) const;
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -38,8 +38,8 @@
 static const int STEPS_MAX = 40;
 /* Time for all jobs to end after a script, without further faults. */
 static const gl_ms_t SETTLE_MS = 40000;
-/* The same after a script with long jobs. */
-static const gl_ms_t SETTLE_LONG_MS = 200000;
+/* Further time after a script with long jobs. */
+static const gl_ms_t SETTLE_LONG_MS = 160000;
 
 static std::string
 job_id (int n)
@@ -294,7 +294,7 @@
   for (const Step &s : steps)
     sim.run_step (s);
   sim.run_plans ();
-  sim.w.settle (sim.long_jobs ? SETTLE_LONG_MS : SETTLE_MS);
+  sim.w.settle (SETTLE_MS, sim.long_jobs ? SETTLE_LONG_MS : 0);
   *starts += sim.w.starts;
   return sim.w.violations.empty () ? "" : sim.w.violations[0];
 }
