--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1590,7 +1590,7 @@
 World::has_unfinished_jobs () const
 {
   for (auto &j : jobs)
-    if (j.second.accepted && !j.second.cancel_sent && !j.second.all_done
+    if (j.second.accepted && !j.second.cancelled && !j.second.all_done
         && !attempts_used_up (j.first))
       return true;
   return false;
