--- a/Makefile
+++ b/Makefile
@@ -110,6 +110,9 @@
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
 
+$(BUILD)/soak: $(BUILD)/tests/soak.o
+	@echo LD $@; $(CXX) $(MODE) -o $@ $^ $(LDLIBS)
+
 TESTS = unit policy wire calls cell fuzz_sched fuzz_route fuzz_conf fuzz_cell
 
 tests: $(TESTS:%=$(BUILD)/%)
@@ -148,6 +151,14 @@
 	@$(MAKE) --no-print-directory tests
 	@tests/fuzz.sh $(BUILD) $(SECONDS) $(SEED)
 
+# Fault soak of real processes on loopback: make soak SECONDS=600 SEED=7
+VMS = 6
+WORKERS = 12
+soak: deps
+	@$(MAKE) --no-print-directory $(BUILD)/gl-cell $(BUILD)/soak
+	BUILD=$(BUILD) tests/soak.sh --seconds $(SECONDS) --seed $(SEED) \
+	  --vms $(VMS) --workers $(WORKERS)
+
 # The same tests under the address and undefined-behaviour sanitizers, with
 # fewer generated test cases.
 ASAN_CASES = 400
@@ -182,7 +193,7 @@
 clean:
 	rm -rf build build-asan build-tsan run
 
-.PHONY: all tests deps demo check fuzz asan tsan bounds format format-check lint clean
+.PHONY: all tests deps demo check fuzz soak asan tsan bounds format format-check lint clean
 
 # ---- measurements ----
 BENCH_O = $(BUILD)/bench/drive.o $(BUILD)/standin/kvcore.o \
--- /dev/null
+++ b/tests/soak.sh
@@ -0,0 +1,92 @@
+#!/bin/bash
+# soak.sh -- fault soak of real processes on loopback
+#
+#   tests/soak.sh [--seconds N] [--seed S] [--vms N] [--workers N]
+#
+# Starts N processes of gl-cell, each in a loop that starts it again when it
+# ends, and build/soak, which is the platform, draws the faults and judges.
+# Exits with its status.  Settings, logs, and the schedule of faults are kept
+# in RUN, default run-soak.  PORT is the first of the ports, six a VM and one
+# a worker.
+cd "$(dirname "$0")/.." || exit 2
+BUILD=${BUILD:-build}
+RUN=${RUN:-run-soak}
+PORT=${PORT:-19000}
+SECONDS_LONG=40 SEED=1 VMS=6 WORKERS=12
+while [ $# -gt 1 ]; do
+  case $1 in
+    --seconds) SECONDS_LONG=$2 ;;
+    --seed) SEED=$2 ;;
+    --vms) VMS=$2 ;;
+    --workers) WORKERS=$2 ;;
+    *) echo "soak.sh: unknown option $1" && exit 2 ;;
+  esac
+  shift 2
+done
+DOMAINS=(rennes brest vannes)
+LOOPS=()
+
+# write_settings VM: fill in deploy/cell.ini.in as the platform does
+write_settings() {
+  local p=$((PORT + $1 * 6)) a=127.0.0.1
+  sed -e '/{{#advice}}/s/.*/advisor = {{advice}}/' -e 's/{{\/advice}}//' \
+    -e "s/{{nodeName}}/vm$1/" -e "s/{{zone}}/${DOMAINS[$1 % 3]}/" \
+    -e "s/{{limits.cpuShare}}/1/" -e "s/{{listenAddrs.front}}/$a:$p/" \
+    -e "s/{{listenAddrs.ready}}/$a:$((p + 1))/" -e "s/{{ip}}/$a/" \
+    -e "s/{{internalPorts.0}}/$((p + 2))/" \
+    -e "s/{{internalPorts.1}}/$((p + 3))/" \
+    -e "s/{{platform.address}}/$a:$((p + 4))/" \
+    -e "s/{{advice}}/$a:$((p + 5))/" -e "s/{{platform.writesPerS}}/400/" \
+    -e "s/{{platform.minTtlMs}}/1000/" -e "s/{{bounds.graceS}}/6/" \
+    -e "s/{{bounds.holdMaxMs}}/6000/" -e "s/{{bounds.stopTimeoutMs}}/900/" \
+    -e "s/{{bounds.status_s}}/120/" deploy/cell.ini.in >"$RUN/vm$1.ini"
+}
+
+# run_vm VM: run the VM's process again and again until $RUN/over exists; the
+# end of each is noted before its process id is taken back
+run_vm() {
+  local pid status
+  while [ ! -e "$RUN/over" ]; do
+    GENTIANLATCH_CONFIG="$RUN/vm$1.ini" "$BUILD/gl-cell" >>"$RUN/vm$1.log" 2>&1 &
+    pid=$!
+    echo $pid >"$RUN/vm$1.new" && mv "$RUN/vm$1.new" "$RUN/vm$1.pid"
+    wait $pid
+    status=$?
+    echo "$pid $status" >>"$RUN/vm$1.ends"
+    rm -f "$RUN/vm$1.pid"
+    sleep 0.3
+  done
+}
+
+# stop_all: end the processes that the loops run, and the loops
+stop_all() {
+  local i pid left=1
+  touch "$RUN/over"
+  while [ $left = 1 ]; do
+    left=0
+    for ((i = 0; i < VMS; i++)); do
+      kill -0 "${LOOPS[$i]}" && left=1
+      read -r pid <"$RUN/vm$i.pid" && kill -KILL "$pid"
+    done
+    sleep 0.1
+  done 2>/dev/null
+}
+
+rm -rf "$RUN"
+mkdir -p "$RUN"
+trap 'stop_all; exit 2' INT TERM
+for ((i = 0; i < VMS; i++)); do
+  write_settings "$i"
+done
+"$BUILD/soak" --seconds "$SECONDS_LONG" --seed "$SEED" --vms "$VMS" \
+  --workers "$WORKERS" --port "$PORT" --run "$RUN" &
+SOAK=$!
+for ((i = 0; i < VMS; i++)); do
+  run_vm "$i" 2>/dev/null &
+  LOOPS+=($!)
+done
+wait $SOAK
+STATUS=$?
+stop_all
+[ $STATUS = 0 ] || echo "soak: seed $SEED, schedule and logs in $RUN"
+exit $STATUS
