--- a/Makefile
+++ b/Makefile
@@ -131,10 +131,13 @@
 	@$(MAKE) --no-print-directory all
 	examples/demo.sh
 
+# The soak's run in the checks.
+SOAK_S = 45
+SOAK_SEED = 21
 # Parallel compilers in the builds that the checks start.
 BUILD_JOBS = 6
 check: deps
-	@$(MAKE) --no-print-directory -j$(BUILD_JOBS) all tests
+	@$(MAKE) --no-print-directory -j$(BUILD_JOBS) all tests $(BUILD)/soak
 	@set -e; for t in $(TESTS); do $(BUILD)/$$t; done
 	@$(MAKE) --no-print-directory asan
 	@$(MAKE) --no-print-directory tsan
@@ -143,6 +146,7 @@
 	@$(MAKE) --no-print-directory $(BUILD)/bench-split
 	$(BUILD)/bench-split tests/split/day.json | diff - tests/split/expected.txt
 	tests/system.sh
+	BUILD=$(BUILD) tests/soak.sh --seconds $(SOAK_S) --seed $(SOAK_SEED)
 
 # Fuzzing for a given time from a given seed on: make fuzz SECONDS=600 SEED=7
 SECONDS = 60
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -611,9 +611,15 @@
 {
   std::shared_ptr<job_t> job;
   int step, index, run;
-  ms_t ends;
+  ms_t began, ends;
   const char *how;
   bool stopping;
+
+  int
+  percent () const
+  {
+    return began ? (int)(100 * (now () - began) / (ends - began + 1)) : 0;
+  }
 };
 struct end_t
 {
@@ -702,9 +708,9 @@
   json_t *finished = json_array ();
 
   for (auto &r : w.runs)
-    json_array_append_new (running,
-                           json_pack ("[s,i,s,i,i]", r.first.first.c_str (),
-                                      r.first.second, "", 50, 0));
+    json_array_append_new (
+        running, json_pack ("[s,i,s,i,i]", r.first.first.c_str (),
+                            r.first.second, "", r.second.percent (), 0));
   for (auto &e : w.ends)
     if (e.n > ack && json_array_size (finished) < 500)
       json_array_append_new (
@@ -822,7 +828,7 @@
 {
   step_t &s = j->steps[step];
   task_t &t = s.tasks[index];
-  run_t r = { j, step, index, run, 0, "done", false };
+  run_t r = { j, step, index, run, 0, 0, "done", false };
   auto bad = [&] (const char *rule, const char *why) {
     violation (rule, format ("%s task=%s run=%d worker=%s", why, task.c_str (),
                              run, w.id.c_str ()));
@@ -855,25 +861,25 @@
       r.how = "failed";
       span /= 2;
     }
-  r.ends = now () + (s.gang ? FOR_GOOD : span);
+  r.began = now ();
+  r.ends = now () + span;
   run_key_t key (task, run);
   w.runs[key] = r;
   if (!s.gang)
     return;
+  /* A member waits for the others; with the last one all are at work. */
   gang_t &g = gangs[gang_name (r)];
   g.members.push_back ({ &w, key });
   g.begun = (int)g.members.size () == s.count;
-  if (g.begun)
-    for (auto &m : g.members)
-      m.first->runs[m.second].ends = now () + span;
-  else
+  for (auto &m : g.members)
     {
-      w.runs[key].how = "alone";
-      w.runs[key].ends = now () + GANG_WAIT_MS;
+      run_t &of = m.first->runs[m.second];
+      if (g.begun && !of.stopping)
+        of = { j, step, of.index, run, r.began, r.ends, r.how, false };
     }
-  if (g.begun)
-    for (auto &m : g.members)
-      m.first->runs[m.second].how = r.how;
+  if (!g.begun)
+    w.runs[key]
+        = { j, step, index, run, 0, now () + GANG_WAIT_MS, "alone", false };
 }
 
 void
@@ -1053,9 +1059,8 @@
       remove_key ("servers/" + w.id);
       w.registered_until = 0;
     }
-  if (!w.runs.empty () && w.clock () >= w.lease)
+  if (w.clock () >= w.lease)
     {
-      note ("lapsed " + w.id);
       for (auto &e : w.ends)
         e.lapsed = true;
       end_all (w, "lapsed", true);
@@ -2084,7 +2089,7 @@
       workers[(size_t)i]->port = base_port + nvms * 6 + i;
       worker_birth (*workers[(size_t)i]);
     }
-  for (int i = 0; i < std::max (30, nworkers * 2); i++)
+  for (int i = 0; i < std::max (60, nworkers * 4); i++)
     {
       callers.push_back (std::make_unique<caller_t> ());
       callers[(size_t)i]->zone = i % 3;
