--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -73,7 +73,11 @@
 ms_t seconds = 40;
 uint64_t seed = 1;
 std::string dir = "run-soak";
-std::mt19937_64 rng;
+/* The schedule of faults has a generator of its own, @plan_rng, and so has
+   each fault, so that a seed gives the same faults at the same times however
+   the run goes. */
+std::mt19937_64 rng, plan_rng;
+std::mt19937_64 *source = &rng;
 FILE *schedule;
 int violations;
 ms_t traffic_end, last_fault;
@@ -116,7 +120,7 @@
 int64_t
 draw (int64_t low, int64_t high)
 {
-  return low + (int64_t)(rng () % (uint64_t)(high - low + 1));
+  return low + (int64_t)((*source) () % (uint64_t)(high - low + 1));
 }
 
 bool
@@ -1802,49 +1806,65 @@
     }
 }
 
+/* Let @fn happen @at milliseconds from now, with a generator of its own. */
+void
+plan (ms_t at, std::function<void ()> fn)
+{
+  uint64_t own = plan_rng ();
+
+  after (at, [own, fn] {
+    std::mt19937_64 r (own);
+    source = &r;
+    fn ();
+    source = &rng;
+  });
+}
+
 /* A phase without faults but planned stops and workers lost at its start. */
 void
-phase_rolls (ms_t end)
+phase_rolls (ms_t begin, ms_t end)
 {
   for (int64_t i = draw (0, 2); i > 0; i--)
-    worker_silent (FOR_GOOD, chance (50));
-  for (ms_t at = draw (500, 3000); now () + at < end - 1000;)
+    plan (begin, [] { worker_silent (FOR_GOOD, chance (50)); });
+  for (ms_t at = begin + draw (500, 3000); at < end - 1000;)
     {
       ms_t gap = draw (500, 2000);
-      after (at, [gap] { roll (gap); });
+      plan (at, [gap] { roll (gap); });
       at += nvms * gap + draw (0, 6000);
     }
 }
 
 void
-phase_mixed (ms_t end, ms_t least, ms_t most)
+phase_mixed (ms_t begin, ms_t end, ms_t least, ms_t most)
 {
-  for (ms_t at = draw (100, least); now () + at < end;
-       at += draw (least, most))
-    after (at, unplanned);
+  for (ms_t at = begin + draw (100, least); at < end; at += draw (least, most))
+    plan (at, unplanned);
   if (chance (50))
-    after (draw (500, 4000), [] { roll (draw (500, 2000)); });
+    plan (begin + draw (500, 4000), [] { roll (draw (500, 2000)); });
 }
 
+/* Draw the whole schedule of @span milliseconds, from now on. */
 void
-next_phase ()
+plan_all (ms_t span)
 {
-  ms_t left = traffic_end - now ();
-  ms_t span = std::min (left, draw (14000, 22000));
-
-  if (left < 2000)
-    return;
-  int64_t kind = draw (0, 9);
-  note (format ("phase %s", kind < 5   ? "rolls"
-                            : kind < 8 ? "faults"
-                                       : "faults close together"));
-  if (kind < 5)
-    phase_rolls (now () + span);
-  else if (kind < 8)
-    phase_mixed (now () + span, 3000, 8000);
-  else
-    phase_mixed (now () + span, 300, 2500);
-  after (span, next_phase);
+  source = &plan_rng;
+  for (ms_t begin = 3000; begin + 2000 < span;)
+    {
+      ms_t end = std::min (span, begin + draw (14000, 22000));
+      int64_t kind = draw (0, 9);
+      const char *name = kind < 5   ? "rolls"
+                         : kind < 8 ? "faults"
+                                    : "faults close together";
+      plan (begin, [name] { note (format ("phase %s", name)); });
+      if (kind < 5)
+        phase_rolls (begin, end);
+      else if (kind < 8)
+        phase_mixed (begin, end, 3000, 8000);
+      else
+        phase_mixed (begin, end, 300, 2500);
+      begin = end;
+    }
+  source = &rng;
 }
 
 /* ---- operator ---- */
@@ -2018,7 +2038,7 @@
   for (int q = 0; q < 4; q++)
     arrivals (q);
   after (2000, change_config);
-  after (3000, next_phase);
+  plan_all (seconds * 1000);
 }
 
 void
@@ -2069,6 +2089,7 @@
     }
   signal (SIGPIPE, SIG_IGN);
   rng.seed (seed);
+  plan_rng.seed (seed);
   loop_base = event_base_new ();
   schedule = fopen ((dir + "/schedule.log").c_str (), "w");
   if (!schedule)
