Release the cell within a second of the stop, settled or not

A cell kept an owner that was being stopped until its process was gone, and had none for some time after, while the store was slow or gave no answers.

Cause: the cell was released only once no write was open, and with callers that go on, on connections that are open, there always was one.

After a second the release is sent all the same. Writes behind it conflict, and callers' requests go to the next owner under their ids. The line release says when it is first sent, and whether all writes had settled.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -660,7 +660,8 @@
  *
  * Ownership (cellown.c):
  * @role: this VM's part in the cell
- * @stopping: this VM hands the cell over and does not claim it again
+ * @stopping, @stop_at: this VM hands the cell over and does not claim it
+ *   again, and since when
  * @generation: of this VM's latest claim; the fencing token
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
@@ -771,6 +772,7 @@
 
   crole_t role;
   int stopping;
+  gl_ms_t stop_at;
   uint64_t generation;
   gl_ownership_t ownership;
   uint64_t ownership_rev;
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -46,6 +46,9 @@
  */
 #define WEAKER_VM_DELAY_MS 250
 #define CLAIM_TIMEOUT_MS 1500
+/* An owner that is being stopped waits this long for its writes to settle; the
+   process ends about 2.5 s after it was asked to stop. */
+#define RELEASE_SETTLE_MS 1000
 /* Pause before a release that was refused, or got no answer, is sent again. */
 #define RELEASE_RETRY_MS 100
 #define TICK_MS 50
@@ -987,15 +990,22 @@
 try_release (cell_t *c)
 {
   if (c->role == CR_OWNER && !c->release_tag && c->now >= c->release_after
-      && (c->releasing || save_idle (c))
+      && (c->releasing || save_idle (c)
+          || c->now >= c->stop_at + RELEASE_SETTLE_MS)
       && !write_ownership (c, c->generation, 1, &c->release_tag))
-    c->releasing = 1;
+    {
+      if (!c->releasing)
+        cell_log (c, "release generation=%llu idle=%d",
+                  (unsigned long long)c->generation, save_idle (c));
+      c->releasing = 1;
+    }
 }
 
 void
 own_stop (cell_t *c)
 {
   c->stopping = 1;
+  c->stop_at = c->now;
   cell_log (c, "stopping role=%d", c->role);
   try_release (c);
 }
