--- a/tests/script.h
+++ b/tests/script.h
@@ -2,6 +2,7 @@
 #ifndef SCRIPT_H
 #define SCRIPT_H
 
+#include <fstream>
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
@@ -88,6 +89,18 @@
   return true;
 }
 
+/* Whether KNOWN-RED.txt has this line, indented by two spaces. */
+inline bool
+is_known_red (const std::string &entry)
+{
+  std::ifstream in ("KNOWN-RED.txt");
+
+  for (std::string line; std::getline (in, line);)
+    if (line == "  " + entry)
+      return true;
+  return false;
+}
+
 /* Paths of the files in a directory, sorted. */
 inline std::vector<std::string>
 scripts_in (const char *dir)
