Let no VM that knows of a succession say that the store is away

A task could run twice. A former owner renews leases for up to 5 s without the store while every other VM says that the store does not answer it; its successor counts on 1.6 s. A successor that lost the store itself while it loaded said so too, and the former owner renewed again. An owner that was frozen could also take answers that it read late for fresh ones.

A VM now tells an owner that was succeeded, as far as it knows, that the store is there, and so does a process that has not read the members yet. What a VM says counts from when it was asked, and the emulator delivers such answers to a frozen VM when it goes on. A VM relies on the short time only if it has heard that owner within 5 s. The clock counts the time for which a machine is suspended; that last point is by reading only. The fuzzer takes the store away in steps.

--- a/src/cell.h
+++ b/src/cell.h
@@ -486,8 +486,10 @@
 gl_ms_t cell_next_tick (const cell_t *c);
 /** cell_ready - 1 while callers' requests can be served */
 int cell_ready (const cell_t *c);
-/** cell_store_age_ms - time since the store last answered this VM */
-uint32_t cell_store_age_ms (const cell_t *c);
+/** cell_store_age_ms - time since the store last answered this VM, as the
+   owner of @generation is told; 0 if that owner must not take the store for
+   away, since it was succeeded or this VM cannot know */
+uint32_t cell_store_age_ms (const cell_t *c, uint64_t generation);
 /** cell_is_owner - 1 while this VM owns the cell */
 int cell_is_owner (const cell_t *c);
 /** cell_jobs_waiting - accepted jobs of @queue of which no task has started */
--- a/src/celld.c
+++ b/src/celld.c
@@ -315,6 +315,7 @@
                  size_t len)
 {
   gl_heartbeat_t heartbeat;
+  gl_heartbeat_ack_t ack;
   cell_event_t ev = { .kind = CELL_EV_HEARTBEAT, .heartbeat = &heartbeat };
 
   memset (&heartbeat, 0, sizeof heartbeat);
@@ -322,7 +323,9 @@
     return;
   rpcmux_set_peer_addr (d->rpc, from, heartbeat.addr);
   handle_event (d, &ev);
+  ack.store_age_ms = cell_store_age_ms (d->cell, heartbeat.generation);
   codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &heartbeat);
+  rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_heartbeat_ack_t, &ack);
 }
 
 static void
@@ -336,13 +339,7 @@
   else if (proc == PROC_CONSULT)
     serve_consult (d, from, data, len);
   else if (proc == PROC_HEARTBEAT)
-    {
-      gl_heartbeat_ack_t ack;
-
-      serve_heartbeat (d, from, data, len);
-      ack.store_age_ms = cell_store_age_ms (d->cell);
-      rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_heartbeat_ack_t, &ack);
-    }
+    serve_heartbeat (d, from, data, len);
   else
     rpcmux_reply (d->rpc, from, NULL, NULL);
 }
--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -19,14 +19,16 @@
 #include <string.h>
 
 /* How long the owner of @generation may go on renewing leases when it is
-   succeeded now.  If it sends heartbeats to this VM, it renews none for longer
-   than CELL_RENEW_GRACE_MS without hearing that the store is away here, too.
- */
+   succeeded now.  If it knows this VM, it renews none for longer than
+   CELL_RENEW_GRACE_MS without hearing that the store is away here, too, and
+   from now on this VM does not say so, see cell_store_age_ms. */
 static gl_ms_t
 grace_ms (const cell_t *c, uint64_t generation)
 {
-  return c->known_by == generation ? CELL_RENEW_GRACE_MS
-                                   : CELL_RENEW_OUTAGE_MS;
+  return c->known_by == generation
+                 && c->now - c->known_at < CELL_RENEW_OUTAGE_MS
+             ? CELL_RENEW_GRACE_MS
+             : CELL_RENEW_OUTAGE_MS;
 }
 
 void
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -30,8 +30,8 @@
    outage of the store.  A successor that the owner may not know has to wait
    for this time. */
 #define CELL_RENEW_OUTAGE_MS 5000
-/* What a VM says of its store is valid for this long, which is more than two
-   heartbeats and well below CELL_RENEW_GRACE_MS. */
+/* What a VM says of its store is valid for this long from when it was asked,
+   which is more than two heartbeats and well below CELL_RENEW_GRACE_MS. */
 #define CELL_STORE_WORD_MS 600
 /* An owner whose ownership no transaction has confirmed for this long sends
    one that only checks it.  Also the timeout of that transaction. */
@@ -468,7 +468,8 @@
  *   is not
  * @cpu_m: its share of a core, in thousandths
  * @answered_at: when it last answered a heartbeat of this VM
- * @store_age_ms: time since the store answered it, as it said then
+ * @asked_at, @store_age_ms: when the heartbeat was sent to which that was the
+ *   answer, and the time since the store answered that VM, as it said then
  * @busy_ms: time that the advisor takes for all consultations in flight
  *   through it
  * @avoid_until: no consultation goes through it before this
@@ -482,6 +483,7 @@
   gl_ms_t unregistered_at;
   uint32_t cpu_m;
   gl_ms_t answered_at;
+  gl_ms_t asked_at;
   uint32_t store_age_ms;
   double busy_ms;
   gl_ms_t avoid_until;
@@ -694,8 +696,9 @@
  *   lease on this VM's keys succeeded, since when that is so, and when a
  *   renewal last succeeded
  * @keys_lost: a key of this VM has gone and must be written again
- * @known_by: generation of the last owner whose heartbeat has arrived since
- *   this VM's key was written, 0 for none: that owner sends heartbeats to it
+ * @known_by, @known_at: generation of the last owner whose heartbeat has
+ *   arrived since this VM's key was written, 0 for none, and when that was:
+ *   that owner knows this VM
  * @confirmed_at: latest time at which this VM is known to have owned the cell
  * @store_answered_at: when the store last carried out a call
  * @heartbeat_due: when the owner sends its next heartbeats
@@ -803,6 +806,7 @@
   int lease_held;
   int keys_lost;
   uint64_t known_by;
+  gl_ms_t known_at;
   gl_ms_t lease_renewed_at;
   gl_ms_t lease_held_since;
   gl_ms_t confirmed_at;
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -49,6 +49,9 @@
 /* An owner that is being stopped waits this long for its writes to settle; the
    process ends about 2.5 s after it was asked to stop. */
 #define RELEASE_SETTLE_MS 1000
+/* The tag of a heartbeat is the time at which it is sent times this, plus the
+   index of the VM. */
+#define HEARTBEAT_TAG_VMS CELL_VMS_MAX
 /* Pause before a release that was refused, or got no answer, is sent again. */
 #define RELEASE_RETRY_MS 100
 #define TICK_MS 50
@@ -577,7 +580,7 @@
       if (strcmp (v->vm, c->vm)
           && (v->registered
               || c->now <= v->unregistered_at + GONE_VM_MAY_CLAIM_MS)
-          && (c->now > v->answered_at + CELL_STORE_WORD_MS
+          && (c->now > v->asked_at + CELL_STORE_WORD_MS
               || v->store_age_ms < CELL_OWNER_STORE_LOST_MS))
         return 1;
     }
@@ -594,10 +597,13 @@
 }
 
 uint32_t
-cell_store_age_ms (const cell_t *c)
+cell_store_age_ms (const cell_t *c, uint64_t generation)
 {
   gl_ms_t age_ms = c->now - c->store_answered_at;
 
+  /* This VM counts on the short time of an owner that was succeeded. */
+  if (!c->members_synced || c->ownership.generation > generation)
+    return 0;
   return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
 }
 
@@ -902,7 +908,10 @@
       c->heartbeat_at = c->now;
       c->owner_refused_at = 0;
       if (!c->keys_lost && !c->keys_tag && c->lease_held)
-        c->known_by = ev->heartbeat->generation;
+        {
+          c->known_by = ev->heartbeat->generation;
+          c->known_at = c->now;
+        }
       c->owner_storeless_at
           = ev->heartbeat->store_age_ms > CELL_OWNER_STORE_LOST_MS ? c->now
                                                                    : 0;
@@ -919,14 +928,19 @@
     }
 }
 
-/* The tag of a heartbeat is the index of the VM, plus 1. */
+/* What a VM says counts from when it was asked: an owner that was frozen reads
+   answers long after. */
 void
 own_heartbeat_ack (cell_t *c, const cell_event_t *ev)
 {
-  if (!ev->tag || ev->tag > (uint64_t)c->nvms)
+  uint64_t i = ev->tag % HEARTBEAT_TAG_VMS;
+  cvm_t *v = i < (uint64_t)c->nvms ? &c->vms[i] : NULL;
+
+  if (!v)
     return;
-  c->vms[ev->tag - 1].answered_at = c->now;
-  c->vms[ev->tag - 1].store_age_ms = ev->store_age_ms;
+  v->answered_at = c->now;
+  v->asked_at = ev->tag / HEARTBEAT_TAG_VMS;
+  v->store_age_ms = ev->store_age_ms;
 }
 
 void
@@ -982,7 +996,7 @@
           || fill_heartbeat (c, v, n, e->heartbeat))
         return;
       cell_strcpy (e->key, c->vms[i].addr);
-      e->tag = (uint64_t)i + 1;
+      e->tag = c->now * HEARTBEAT_TAG_VMS + (uint64_t)i;
     }
 }
 
--- a/src/loop.c
+++ b/src/loop.c
@@ -79,7 +79,9 @@
 {
   struct timespec t;
 
-  clock_gettime (CLOCK_MONOTONIC, &t);
+  /* It goes on while the machine is suspended, unlike CLOCK_MONOTONIC, as
+     leases do. */
+  clock_gettime (CLOCK_BOOTTIME, &t);
   return (gl_ms_t)t.tv_sec * 1000 + (gl_ms_t)t.tv_nsec / 1000000;
 }
 
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -367,18 +367,11 @@
           ev.kind = CELL_EV_HEARTBEAT;
           ev.heartbeat = &b;
           step (to, ev);
+          uint32_t age
+              = cell_store_age_ms (vms[(size_t)to].cell, b.generation);
           codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &b);
-          uint32_t age = cell_store_age_ms (vms[(size_t)to].cell);
-          schedule (NET_MS, [=, this] {
-            cell_event_t ack{};
-            ack.kind = CELL_EV_HEARTBEAT_ACK;
-            ack.tag = tag;
-            ack.store_age_ms = age;
-            if (vms[(size_t)i].alive && !vms[(size_t)i].frozen
-                && vms[(size_t)i].incarnation == incarnation
-                && connected (vms[(size_t)i].domain, vms[(size_t)to].domain))
-              step (i, ack);
-          });
+          schedule (NET_MS,
+                    [=, this] { deliver_ack (i, incarnation, to, tag, age); });
         });
         break;
       }
@@ -391,6 +384,26 @@
     }
 }
 
+/* A frozen VM reads the answer when it goes on. */
+void
+World::deliver_ack (int i, uint64_t incarnation, int from, uint64_t tag,
+                    uint32_t age)
+{
+  const Vm &v = vms[(size_t)i];
+  cell_event_t ev{};
+
+  ev.kind = CELL_EV_HEARTBEAT_ACK;
+  ev.tag = tag;
+  ev.store_age_ms = age;
+  if (!v.alive || v.incarnation != incarnation)
+    return;
+  if (v.frozen)
+    schedule (TICK_MS,
+              [=, this] { deliver_ack (i, incarnation, from, tag, age); });
+  else if (connected (v.domain, vms[(size_t)from].domain))
+    step (i, ev);
+}
+
 /* ---- the store ---- */
 
 void
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -230,6 +230,8 @@
   void consult (int vm, uint64_t tag, const gl_consult_t &c);
   void forward (int vm, cell_effect_t &e);
   void deliver_reply (int vm, const cell_effect_t &e);
+  void deliver_ack (int vm, uint64_t incarnation, int from, uint64_t tag,
+                    uint32_t age);
   void notify_vm (size_t i, const std::string &key, uint64_t incarnation);
   void key_changed (const std::string &key, bool gone);
   void report_key (int vm, const std::string &key, bool gone);
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -20,7 +20,7 @@
 
 /* Kinds of steps in a script, see Simulation::run_step.  Recorded scripts name
    them by number, so new ones are appended. */
-static const int KINDS = 33;
+static const int KINDS = 34;
 /* Scripts of a world from this number on run in a larger one, in which most of
    the time is without faults. */
 static const uint64_t CALM_WORLDS = 1000000;
@@ -157,6 +157,28 @@
           [=, this] { w.set_registered ((int)worker, false); });
   }
 
+  /* The owner loses the store, and alone reaches a worker; soon after, the
+     store is away from all VMs for a while. */
+  void
+  lose_store_in_steps (int owner, size_t worker, uint32_t arg)
+  {
+    std::string addr = w.workers[worker].info.addr;
+
+    w.vms[(size_t)owner].store_cut = true;
+    for (size_t i = 0; i < w.vms.size (); i++)
+      if ((int)i != owner)
+        w.vms[i].unreachable_workers.insert (addr);
+    plan (700 + arg / 16 % 500, [=, this] { w.store_mode = StoreMode::down; });
+    plan (1200 + arg / 64 % 5000, [=, this] {
+      w.store_mode = StoreMode::up;
+      for (Vm &v : w.vms)
+        {
+          v.store_cut = false;
+          v.unreachable_workers.erase (addr);
+        }
+    });
+  }
+
   /* Submit a new job; @arg decides its steps.  Its tasks usually run for
      @run_ms, or as others do if that is 0. */
   void
@@ -281,6 +303,8 @@
         plan (5000 + s.arg / 16 % 12000,
               [=, this] { w.workers[worker].reachable = true; });
       }
+    else if (s.kind == 33 && owner >= 0)
+      lose_store_in_steps (owner, worker, s.arg);
     run ((gl_ms_t)s.gap);
   }
 };
