--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -111,8 +111,9 @@
   gl_cell_str_t addr;
   bool released;
 };
-/* Which process claimed the cell in @generation; it is written with the claim.
-   @process is a random number. */
+/* Which process claimed the cell in @generation; it is written with the claim,
+   and kept until a later owner has completed its census.  @process is a random
+   number. */
 struct gl_claim_t {
   unsigned hyper generation;
   unsigned hyper process;
@@ -186,8 +187,11 @@
   gl_cell_str_t queue;
   unsigned int waiting;
 };
-/* Sent by the owner to all VMs.  store_age_ms is the time since the store
-   last answered it. */
+/* Sent by the owner to all VMs, and their answer.  store_age_ms is the time
+   since the store last answered the sender. */
+struct gl_heartbeat_ack_t {
+  unsigned int store_age_ms;
+};
 struct gl_heartbeat_t {
   unsigned hyper generation;
   gl_cell_str_t vm;
--- a/src/celld.c
+++ b/src/celld.c
@@ -315,6 +315,7 @@
                  size_t len)
 {
   gl_heartbeat_t heartbeat;
+  gl_heartbeat_ack_t ack;
   cell_event_t ev = { .kind = CELL_EV_HEARTBEAT, .heartbeat = &heartbeat };
 
   memset (&heartbeat, 0, sizeof heartbeat);
@@ -322,7 +323,9 @@
     return;
   rpcmux_set_peer_addr (d->rpc, from, heartbeat.addr);
   handle_event (d, &ev);
+  ack.store_age_ms = cell_store_age_ms (d->cell, heartbeat.generation);
   codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &heartbeat);
+  rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_heartbeat_ack_t, &ack);
 }
 
 static void
@@ -336,10 +339,7 @@
   else if (proc == PROC_CONSULT)
     serve_consult (d, from, data, len);
   else if (proc == PROC_HEARTBEAT)
-    {
-      serve_heartbeat (d, from, data, len);
-      rpcmux_reply (d->rpc, from, (xdrproc_t)(void (*) (void))xdr_void, NULL);
-    }
+    serve_heartbeat (d, from, data, len);
   else
     rpcmux_reply (d->rpc, from, NULL, NULL);
 }
@@ -378,6 +378,18 @@
     codec_free ((xdrproc_t)xdr_gl_consult_reply_t, &c);
 }
 
+/* VMs of older versions do not say anything of their store. */
+static void
+heartbeat_done (celld_t *d, uint64_t tag, const char *data, size_t len)
+{
+  gl_heartbeat_ack_t ack = { 0 };
+  cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
+
+  if (!codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, &ack, data, len))
+    ev.store_age_ms = ack.store_age_ms;
+  handle_event (d, &ev);
+}
+
 static void
 call_done (void *ctx, uint64_t tag, uint32_t proc, gl_code_t code,
            const char *data, size_t len)
@@ -389,11 +401,7 @@
   else if (proc == PROC_CONSULT)
     consult_done (d, tag, code, data, len);
   else if (proc == PROC_HEARTBEAT && code == GL_OK)
-    {
-      cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
-
-      handle_event (d, &ev);
-    }
+    heartbeat_done (d, tag, data, len);
 }
 
 static void
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -21,10 +21,18 @@
 /* Longest time that such a lease lasts. */
 #define CELL_LEASE_LASTS_MS                                                   \
   ((gl_ms_t)(CELL_WORKER_LEASE_MS / CELL_CLOCK_RATE_MIN))
-/* An owner stops renewing workers' leases when its ownership has not been
-   confirmed by the store for this long.  This bounds how long its successor
-   has to wait for those leases to end. */
-#define CELL_RENEW_GRACE_MS 5000
+/* An owner renews workers' leases, and starts tasks, for this long after the
+   store last confirmed its ownership.  A successor has to wait for such leases
+   to end. */
+#define CELL_RENEW_GRACE_MS 1600
+/* The same while every other VM says that the store does not answer it either,
+   so that none can have claimed the cell: accepted work goes on through an
+   outage of the store.  A successor that the owner may not know has to wait
+   for this time. */
+#define CELL_RENEW_OUTAGE_MS 5000
+/* What a VM says of its store is valid for this long from when it was asked,
+   which is more than two heartbeats and well below CELL_RENEW_GRACE_MS. */
+#define CELL_STORE_WORD_MS 600
 /* An owner whose ownership no transaction has confirmed for this long sends
    one that only checks it.  Also the timeout of that transaction. */
 #define CELL_CONFIRM_MS 400
@@ -209,6 +217,8 @@
  * @tasks: its tasks, def->count of them
  * @ndone, @nwaiting: how many tasks are done, and how many wait (CT_WAITING)
  * @lateness: due_lateness in the present planning pass
+ * @starved, @starved_checked_at: it may use reserved room, see celldue.c, and
+ *   when that was last checked
  * @ready, @ready_at: its predecessors are done, and since when
  * @started: a task of it has been started
  * @in_waiting: it is in the list of steps that wait for workers
@@ -217,6 +227,8 @@
  * @tickets, @ntickets: its tickets, at most one for each worker
  * @consults_in_flight, @consult_after: number of consultations without an
  *   answer so far, and the earliest time for another
+ * @searched_at: when workers were last searched for a consultation, 0 if never
+ * @put_off: in the present planning pass, no search was left for it
  * @surveyed_workers: workers that were known when it was last surveyed, 0
  *   before its first survey
  * @approved_scarce: the approved workers have no room for it, or only late
@@ -237,6 +249,8 @@
   uint32_t ndone;
   uint32_t nwaiting;
   int lateness;
+  int starved;
+  gl_ms_t starved_checked_at;
   int ready;
   int started;
   int in_waiting;
@@ -247,6 +261,8 @@
   int ntickets;
   int consults_in_flight;
   gl_ms_t consult_after;
+  gl_ms_t searched_at;
+  int put_off;
   int surveyed_workers;
   int approved_scarce;
   creservation_t *reservations;
@@ -285,7 +301,8 @@
  * @inherited: an earlier owner may have started tasks of it
  * @maybe_written: a write of its key got no answer and may have taken effect
  * @started: a task of it has been bound to a worker
- * @nbound: how many of its tasks are bound to a worker
+ * @nbound, @idle_since: how many of its tasks are bound to a worker, and since
+ *   when there have been none
  * @saving: a transaction with it is in flight
  * @in_dirty, @dirty_at: it is in the list of jobs to write, and since when
  * @version, @written_version: version of its task records here and in the
@@ -316,6 +333,7 @@
   int maybe_written;
   int started;
   int nbound;
+  gl_ms_t idle_since;
   int saving;
   int in_dirty;
   uint64_t version;
@@ -365,6 +383,7 @@
  *   is not being removed
  * @record_revision: revision of that record as far as it is known, 0 if there
  *   is none
+ * @heard: it has answered a poll of this owner
  * @accounted: this owner knows what runs there, from its report or because
  *   its leases have ended
  * @dead: this incarnation counts as over, and nothing of it runs: it has
@@ -406,6 +425,7 @@
   int registered;
   int enrolled;
   uint64_t record_revision;
+  int heard;
   int accounted;
   int dead;
   int silent;
@@ -448,6 +468,8 @@
  *   is not
  * @cpu_m: its share of a core, in thousandths
  * @answered_at: when it last answered a heartbeat of this VM
+ * @asked_at, @store_age_ms: when the heartbeat was sent to which that was the
+ *   answer, and the time since the store answered that VM, as it said then
  * @busy_ms: time that the advisor takes for all consultations in flight
  *   through it
  * @avoid_until: no consultation goes through it before this
@@ -461,6 +483,8 @@
   gl_ms_t unregistered_at;
   uint32_t cpu_m;
   gl_ms_t answered_at;
+  gl_ms_t asked_at;
+  uint32_t store_age_ms;
   double busy_ms;
   gl_ms_t avoid_until;
 } cvm_t;
@@ -638,7 +662,8 @@
  *
  * Ownership (cellown.c):
  * @role: this VM's part in the cell
- * @stopping: this VM hands the cell over and does not claim it again
+ * @stopping, @stop_at: this VM hands the cell over and does not claim it
+ *   again, and since when
  * @generation: of this VM's latest claim; the fencing token
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
@@ -671,6 +696,9 @@
  *   lease on this VM's keys succeeded, since when that is so, and when a
  *   renewal last succeeded
  * @keys_lost: a key of this VM has gone and must be written again
+ * @known_by, @known_at: generation of the last owner whose heartbeat has
+ *   arrived since this VM's key was written, 0 for none, and when that was:
+ *   that owner knows this VM
  * @confirmed_at: latest time at which this VM is known to have owned the cell
  * @store_answered_at: when the store last carried out a call
  * @heartbeat_due: when the owner sends its next heartbeats
@@ -747,11 +775,13 @@
 
   crole_t role;
   int stopping;
+  gl_ms_t stop_at;
   uint64_t generation;
   gl_ownership_t ownership;
   uint64_t ownership_rev;
   uint64_t census_generation;
   uint64_t process;
+  uint64_t claim_generation;
   uint64_t claim_revision;
   cformer_t formers[CELL_FORMERS_MAX];
   int nformers;
@@ -775,6 +805,8 @@
   uint64_t keys_tag;
   int lease_held;
   int keys_lost;
+  uint64_t known_by;
+  gl_ms_t known_at;
   gl_ms_t lease_renewed_at;
   gl_ms_t lease_held_since;
   gl_ms_t confirmed_at;
@@ -889,6 +921,9 @@
 /** own_confirmed - a transaction sent at @sent has passed the ownership check
  */
 void own_confirmed (cell_t *c, gl_ms_t sent);
+/** own_may_renew - 1 if leases of workers may be renewed and tasks started: no
+    other VM can have owned the cell for long */
+int own_may_renew (const cell_t *c);
 /** own_confirm_now - confirm the ownership without waiting for the next
     transaction */
 void own_confirm_now (cell_t *c);
@@ -1112,6 +1147,9 @@
 /** room_for - how many tasks of the step the worker has room for now */
 int room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
               int worker);
+/** room_unreserved - the same, if nothing were reserved or kept for others */
+int room_unreserved (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+                     int worker);
 /** room_when_empty - how many it would have room for if it were empty */
 int room_when_empty (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
                      int worker);
@@ -1168,6 +1206,8 @@
 /** due_lateness - 0: the step's job can still end in time, 1: it will be
     late, 2: so late that it is of little use */
 int due_lateness (const cell_t *c, const cstep_t *s);
+/** due_update_starved - set the step's member starved */
+void due_update_starved (cell_t *c, cstep_t *s);
 
 /* cellplan.c */
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -29,12 +29,13 @@
 #include "codec.h"
 
 /* Keys of the store: the ownership record, the owner's leased key, the latest
-   generation whose owner completed its census, the latest claim, what an owner
-   that releases the cell leaves to its successor, and the VMs' leased keys. */
+   generation whose owner completed its census, the claims from that one on by
+   generation, what an owner that releases the cell leaves to its successor,
+   and the VMs' leased keys. */
 #define KEY_OWNERSHIP "gl/m/tenure"
 #define KEY_OWNER "gl/m/owner"
 #define KEY_CENSUS "gl/m/settled"
-#define KEY_CLAIM "gl/m/claim"
+#define KEY_CLAIM "gl/m/claim/"
 #define KEY_HANDOVER "gl/m/handover"
 #define KEY_PROCESS "gl/m/process/"
 #define KEY_VM "gl/m/vm/"
@@ -45,12 +46,21 @@
  */
 #define WEAKER_VM_DELAY_MS 250
 #define CLAIM_TIMEOUT_MS 1500
+/* An owner that is being stopped waits this long for its writes to settle; the
+   process ends about 2.5 s after it was asked to stop. */
+#define RELEASE_SETTLE_MS 1000
+/* The tag of a heartbeat is the time at which it is sent times this, plus the
+   index of the VM. */
+#define HEARTBEAT_TAG_VMS CELL_VMS_MAX
 /* Pause before a release that was refused, or got no answer, is sent again. */
 #define RELEASE_RETRY_MS 100
 #define TICK_MS 50
 /* Heartbeats are still sent to a VM whose key has gone, for this long: it may
    have lost only the store. */
 #define GONE_VM_HEARTBEAT_MS 30000
+/* A VM whose key has gone may have registered again without notice to an owner
+   that is cut off, for this long after the last heartbeat to it. */
+#define GONE_VM_MAY_CLAIM_MS (GONE_VM_HEARTBEAT_MS + 2 * CELL_RENEW_OUTAGE_MS)
 #define PAGE_TIMEOUT_MS 500
 /* No consultation goes through a VM for this long after it refused a
    connection. */
@@ -119,7 +129,10 @@
           c->vms[i - 1].unregistered_at = c->now;
         }
       if (!strcmp (name, c->vm))
-        c->keys_lost = 1;
+        {
+          c->keys_lost = 1;
+          c->known_by = 0;
+        }
       return;
     }
   memset (&info, 0, sizeof info);
@@ -148,6 +161,14 @@
   codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
 }
 
+/* The key of a claim.  They are listed in the order of generations. */
+static void
+claim_key (uint64_t generation, char key[CELL_NAME_SIZE])
+{
+  snprintf (key, CELL_NAME_SIZE, "%s%016llx", KEY_CLAIM,
+            (unsigned long long)generation);
+}
+
 static void
 apply_claim (cell_t *c, const cell_item_t *item)
 {
@@ -156,13 +177,14 @@
   memset (&claim, 0, sizeof claim);
   if (item->revision <= c->claim_revision)
     return;
-  c->claim_revision = item->revision;
   if (codec_decode ((xdrproc_t)xdr_gl_claim_t, &claim, item->value, item->len))
     {
       cell_log (c, "claim_unreadable revision=%llu",
                 (unsigned long long)item->revision);
       return;
     }
+  c->claim_revision = item->revision;
+  c->claim_generation = claim.generation;
   former_claimed (c, &claim, item->revision);
   codec_free ((xdrproc_t)xdr_gl_claim_t, &claim);
 }
@@ -201,7 +223,7 @@
       c->census_generation = strtoull (item->value, NULL, 10);
       former_census_complete (c, c->census_generation);
     }
-  else if (!strcmp (item->key, KEY_CLAIM) && !ev->removed)
+  else if (!strncmp (item->key, KEY_CLAIM, strlen (KEY_CLAIM)) && !ev->removed)
     apply_claim (c, item);
   else if (!strncmp (item->key, KEY_PROCESS, strlen (KEY_PROCESS))
            && !ev->removed)
@@ -252,7 +274,7 @@
   cell_item_t *check = &txn->checks[txn->nchecks++];
   cell_put_t *p = &txn->puts[txn->nputs++];
 
-  cell_strcpy (check->key, KEY_CLAIM);
+  claim_key (c->claim_generation, check->key);
   check->revision = c->claim_revision;
   snprintf (p->key, sizeof p->key, "%s%.100s", KEY_PROCESS, c->vm);
   p->value = codec_encode ((xdrproc_t)xdr_gl_process_t, &process, &p->len);
@@ -303,6 +325,8 @@
     {
       /* The revision is 1 when the lease is new, and so has no keys. */
       is_new = ev->revision == 1;
+      if (is_new)
+        c->known_by = 0;
       if (!c->lease_held)
         c->lease_held_since = c->now;
       if (!c->lease_held && c->lease_renewed_at)
@@ -384,7 +408,7 @@
   p->len = strlen (c->vm);
   p->leased = 1;
   p = &e->txn->puts[e->txn->nputs++];
-  cell_strcpy (p->key, KEY_CLAIM);
+  claim_key (generation, p->key);
   p->value = codec_encode ((xdrproc_t)xdr_gl_claim_t, &claim, &p->len);
   return 0;
 }
@@ -470,6 +494,7 @@
   c->handed_over = c->ownership_known && c->ownership.released
                    && c->handover.generation == c->ownership.generation;
   c->claim_revision = revision;
+  c->claim_generation = c->generation;
   former_claimed (c, &claim, revision);
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
   c->ownership.generation = c->generation;
@@ -536,6 +561,52 @@
     c->confirmed_at = sent;
 }
 
+/* Whether the owner sends heartbeats to the VM, if not prevented. */
+static int
+gets_heartbeats (const cell_t *c, const cvm_t *v)
+{
+  return (v->registered || c->now <= v->unregistered_at + GONE_VM_HEARTBEAT_MS)
+         && strcmp (v->vm, c->vm);
+}
+
+/* Whether some VM may reach the store, and so may claim the cell. */
+static int
+some_vm_can_claim (const cell_t *c)
+{
+  for (int i = 0; i < c->nvms; i++)
+    {
+      const cvm_t *v = &c->vms[i];
+
+      if (strcmp (v->vm, c->vm)
+          && (v->registered
+              || c->now <= v->unregistered_at + GONE_VM_MAY_CLAIM_MS)
+          && (c->now > v->asked_at + CELL_STORE_WORD_MS
+              || v->store_age_ms < CELL_OWNER_STORE_LOST_MS))
+        return 1;
+    }
+  return 0;
+}
+
+int
+own_may_renew (const cell_t *c)
+{
+  gl_ms_t age_ms = c->now - c->confirmed_at;
+
+  return age_ms < CELL_RENEW_GRACE_MS
+         || (age_ms < CELL_RENEW_OUTAGE_MS && !some_vm_can_claim (c));
+}
+
+uint32_t
+cell_store_age_ms (const cell_t *c, uint64_t generation)
+{
+  gl_ms_t age_ms = c->now - c->store_answered_at;
+
+  /* This VM counts on the short time of an owner that was succeeded. */
+  if (!c->members_synced || c->ownership.generation > generation)
+    return 0;
+  return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
+}
+
 /* A claim may be delivered twice; the second copy then conflicts with the
    first.  Returns the revision that our own claim got, or 0 if the conflict is
    with another VM's. */
@@ -773,6 +844,12 @@
   if (asprintf (&p->value, "%llu", (unsigned long long)c->generation) < 0)
     p->value = NULL;
   p->len = p->value ? strlen (p->value) : 0;
+  /* Claims that only the census before needed.  Others are removed by later
+     owners. */
+  for (int i = 0; i < c->nformers && e->txn->nputs < CELL_TXN_KEYS_MAX / 2;
+       i++)
+    if (c->formers[i].generation < c->generation)
+      claim_key (c->formers[i].generation, e->txn->puts[e->txn->nputs++].key);
 }
 
 void
@@ -789,6 +866,7 @@
   c->confirm_tag = 0;
   c->release_tag = 0;
   c->releasing = 0;
+
   save_reset (c);
   plan_reset (c);
   while ((h = pool_next (&c->jobs, &pos)))
@@ -829,6 +907,11 @@
     {
       c->heartbeat_at = c->now;
       c->owner_refused_at = 0;
+      if (!c->keys_lost && !c->keys_tag && c->lease_held)
+        {
+          c->known_by = ev->heartbeat->generation;
+          c->known_at = c->now;
+        }
       c->owner_storeless_at
           = ev->heartbeat->store_age_ms > CELL_OWNER_STORE_LOST_MS ? c->now
                                                                    : 0;
@@ -845,12 +928,19 @@
     }
 }
 
-/* The tag of a heartbeat is the index of the VM, plus 1. */
+/* What a VM says counts from when it was asked: an owner that was frozen reads
+   answers long after. */
 void
 own_heartbeat_ack (cell_t *c, const cell_event_t *ev)
 {
-  if (ev->tag && ev->tag <= (uint64_t)c->nvms)
-    c->vms[ev->tag - 1].answered_at = c->now;
+  uint64_t i = ev->tag % HEARTBEAT_TAG_VMS;
+  cvm_t *v = i < (uint64_t)c->nvms ? &c->vms[i] : NULL;
+
+  if (!v)
+    return;
+  v->answered_at = c->now;
+  v->asked_at = ev->tag / HEARTBEAT_TAG_VMS;
+  v->store_age_ms = ev->store_age_ms;
 }
 
 void
@@ -899,16 +989,14 @@
       /* See cellreach.c. */
       if (maybe_isolated && !strcmp (c->vms[i].domain, c->domain))
         continue;
-      if ((!c->vms[i].registered
-           && c->now > c->vms[i].unregistered_at + GONE_VM_HEARTBEAT_MS)
-          || !strcmp (c->vms[i].vm, c->vm))
+      if (!gets_heartbeats (c, &c->vms[i]))
         continue;
       e = cell_add_effect (c, CELL_FX_HEARTBEAT);
       if (!e || !(e->heartbeat = calloc (1, sizeof *e->heartbeat))
           || fill_heartbeat (c, v, n, e->heartbeat))
         return;
       cell_strcpy (e->key, c->vms[i].addr);
-      e->tag = (uint64_t)i + 1;
+      e->tag = c->now * HEARTBEAT_TAG_VMS + (uint64_t)i;
     }
 }
 
@@ -916,15 +1004,22 @@
 try_release (cell_t *c)
 {
   if (c->role == CR_OWNER && !c->release_tag && c->now >= c->release_after
-      && (c->releasing || save_idle (c))
+      && (c->releasing || save_idle (c)
+          || c->now >= c->stop_at + RELEASE_SETTLE_MS)
       && !write_ownership (c, c->generation, 1, &c->release_tag))
-    c->releasing = 1;
+    {
+      if (!c->releasing)
+        cell_log (c, "release generation=%llu idle=%d",
+                  (unsigned long long)c->generation, save_idle (c));
+      c->releasing = 1;
+    }
 }
 
 void
 own_stop (cell_t *c)
 {
   c->stopping = 1;
+  c->stop_at = c->now;
   cell_log (c, "stopping role=%d", c->role);
   try_release (c);
 }
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -71,8 +71,7 @@
          && w->accounted && !w->dead && !w->silent && !w->info.leaving
          && w->clock && !w->restarted_at
          && (!w->orphans || FAULT (FAULT_CELL_ORPHANS_FREE)) && !w->suspect
-         && c->now >= w->avoid_until
-         && c->now - c->confirmed_at < CELL_RENEW_GRACE_MS;
+         && c->now >= w->avoid_until && own_may_renew (c);
 }
 
 /* ---- registration ---- */
@@ -299,8 +298,8 @@
 }
 
 /* The end of the lease to send, in the worker's clock; 0 sends none, because
-   the clock is not known, the worker is silent, or the ownership has not been
-   confirmed for CELL_RENEW_GRACE_MS. */
+   the clock is not known, the worker is silent, or own_may_renew forbids it.
+ */
 static uint64_t
 lease_until (cell_t *c, cworker_t *w)
 {
@@ -309,8 +308,7 @@
 
   /* A call to a silent worker may arrive late and extend a lease whose end
      this owner waits for. */
-  if (!w->clock || w->silent || w->dead
-      || c->now - c->confirmed_at > CELL_RENEW_GRACE_MS)
+  if (!w->clock || w->silent || w->dead || !own_may_renew (c))
     return 0;
   if (span > c->limits.worker_lease_max_ms)
     span = c->limits.worker_lease_max_ms;
@@ -663,6 +661,7 @@
 {
   w->dead = 0;
   w->restarted_at = 0;
+  w->silent = 0;
   w->lease_bound_at = c->now;
   cell_log (c, "worker_revived id=%s", w->info.id);
 }
@@ -696,6 +695,7 @@
         plan_wake (c);
       if (k->nends < POLL_ENDS_MAX)
         {
+          w->heard = 1;
           census_set_accounted (c, w);
           settle_stopped_runs (c, w, k);
         }
@@ -906,7 +906,11 @@
       return;
     }
   if (!w->accounted && census_leases_ended (c, w))
-    census_set_accounted (c, w);
+    {
+      census_set_accounted (c, w);
+      /* Without a registration it is not polled, which would show this. */
+      w->silent |= !w->registered;
+    }
   if (w->ntasks)
     resend_stops (c, w);
   if (!w->poll_tag && is_poll_due (c, w)
