Write a process's number only over the ownership that it knows

A late write of a process that has ended could pass for a process started after a later claim, since claims have keys of their own: the write was conditional on the latest claim that it knew, and that key stays. Its successor would have taken an owner that runs for ended.

The write is conditional on the ownership record now, which every claim and release changes.

--- a/src/cell.c
+++ b/src/cell.c
@@ -254,7 +254,7 @@
       request_result_read (c, ev);
       break;
     case CELL_EV_LEASE:
-      own_lease_result (c, ev);
+      member_lease_result (c, ev);
       break;
     case CELL_EV_WCALL:
       cworker_answer (c, ev);
--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -16,8 +16,11 @@
  */
 #include "cellint.h"
 
+#include <stdio.h>
 #include <string.h>
 
+#include "codec.h"
+
 /* How long the owner of @generation may go on renewing leases when it is
    succeeded now.  If it knows this VM, it renews none for longer than
    CELL_RENEW_GRACE_MS without hearing that the store is away here, too, and
@@ -113,3 +116,27 @@
   return (gl_ms_t)((double)(renews_until - c->now + CELL_WORKER_LEASE_MS)
                    / CELL_CLOCK_RATE_MIN);
 }
+
+/* The key of a claim.  They are listed in the order of generations. */
+void
+former_claim_key (uint64_t generation, char key[CELL_NAME_SIZE])
+{
+  snprintf (key, CELL_NAME_SIZE, "%s%016llx", KEY_CLAIM,
+            (unsigned long long)generation);
+}
+
+void
+former_claim_changed (cell_t *c, const cell_item_t *item)
+{
+  gl_claim_t claim;
+
+  memset (&claim, 0, sizeof claim);
+  if (codec_decode ((xdrproc_t)xdr_gl_claim_t, &claim, item->value, item->len))
+    {
+      cell_log (c, "claim_unreadable revision=%llu",
+                (unsigned long long)item->revision);
+      return;
+    }
+  former_claimed (c, &claim, item->revision);
+  codec_free ((xdrproc_t)xdr_gl_claim_t, &claim);
+}
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -110,6 +110,13 @@
 #define CELL_OWNER_UNREACHABLE_MS 1500
 /* A request that no owner can have received is refused after this long. */
 #define CELL_NO_OWNER_MS 1500
+/* Keys of the store that several modules use: the ownership record, the
+   owner's key, and the beginnings of the keys of claims, processes and VMs. */
+#define KEY_OWNERSHIP "gl/m/tenure"
+#define KEY_OWNER "gl/m/owner"
+#define KEY_CLAIM "gl/m/claim/"
+#define KEY_PROCESS "gl/m/process/"
+#define KEY_VM "gl/m/vm/"
 /* Table sizes: VMs of the cell, queues whose counts are kept, workers named in
    one consultation, reservations on one worker. */
 #define CELL_VMS_MAX 128
@@ -781,8 +788,6 @@
   uint64_t ownership_rev;
   uint64_t census_generation;
   uint64_t process;
-  uint64_t claim_generation;
-  uint64_t claim_revision;
   cformer_t formers[CELL_FORMERS_MAX];
   int nformers;
   gl_handover_t handover;
@@ -907,7 +912,6 @@
 /** own_key_changed - a key below gl/m/ has changed */
 void own_key_changed (cell_t *c, const cell_event_t *ev);
 void own_members_synced (cell_t *c);
-void own_lease_result (cell_t *c, const cell_event_t *ev);
 /** own_txn_result - hands results that are not its own to the other modules
  */
 void own_txn_result (cell_t *c, const cell_event_t *ev);
@@ -1088,8 +1092,26 @@
     may wait for longest, from time to time */
 void census_log (cell_t *c);
 
+/* cellmember.c */
+
+/** member_vm_changed, member_process_changed - a VM's key has changed */
+void member_vm_changed (cell_t *c, const cell_item_t *item, int removed);
+void member_process_changed (cell_t *c, const cell_item_t *item);
+/** member_renew_lease - renew the lease on this VM's keys */
+void member_renew_lease (cell_t *c);
+void member_lease_result (cell_t *c, const cell_event_t *ev);
+/** member_write_keys - write this VM's keys, and the owner's if it owns the
+    cell */
+void member_write_keys (cell_t *c);
+
 /* cellformer.c */
 
+/** former_claim_key - the key of a claim; keys are listed in the order of
+    generations */
+void former_claim_key (uint64_t generation, char key[CELL_NAME_SIZE]);
+/** former_claim_changed - the key of a claim has been written */
+void former_claim_changed (cell_t *c, const cell_item_t *item);
+
 /** former_claimed - a process has claimed the cell, at @revision of the store;
     this one included */
 void former_claimed (cell_t *c, const gl_claim_t *claim, uint64_t revision);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -28,17 +28,10 @@
 
 #include "codec.h"
 
-/* Keys of the store: the ownership record, the owner's leased key, the latest
-   generation whose owner completed its census, the claims from that one on by
-   generation, what an owner that releases the cell leaves to its successor,
-   and the VMs' leased keys. */
-#define KEY_OWNERSHIP "gl/m/tenure"
-#define KEY_OWNER "gl/m/owner"
+/* Keys of the store: the latest generation whose owner completed its census,
+   and what an owner that releases the cell leaves to its successor. */
 #define KEY_CENSUS "gl/m/settled"
-#define KEY_CLAIM "gl/m/claim/"
 #define KEY_HANDOVER "gl/m/handover"
-#define KEY_PROCESS "gl/m/process/"
-#define KEY_VM "gl/m/vm/"
 /* Standbys wait a random part of this before they claim, so that most see the
    first claim succeed and make none. */
 #define CLAIM_JITTER_MS 60
@@ -113,104 +106,6 @@
   request_owner_changed (c);
 }
 
-static void
-apply_vm_record (cell_t *c, const cell_item_t *item, int removed)
-{
-  const char *name = item->key + strlen (KEY_VM);
-  uintptr_t i = names_get (&c->vm_names, name);
-  gl_vminfo_t info;
-  cvm_t *v;
-
-  if (removed)
-    {
-      if (i && c->vms[i - 1].registered)
-        {
-          c->vms[i - 1].registered = 0;
-          c->vms[i - 1].unregistered_at = c->now;
-        }
-      if (!strcmp (name, c->vm))
-        {
-          c->keys_lost = 1;
-          c->known_by = 0;
-        }
-      return;
-    }
-  memset (&info, 0, sizeof info);
-  if (codec_decode ((xdrproc_t)xdr_gl_vminfo_t, &info, item->value, item->len))
-    {
-      cell_log (c, "vm_unreadable key=%s", item->key);
-      return;
-    }
-  if (!i && c->nvms < CELL_VMS_MAX)
-    {
-      v = &c->vms[c->nvms];
-      memset (v, 0, sizeof *v);
-      cell_strcpy (v->vm, name);
-      if (!names_put (&c->vm_names, v->vm, (uintptr_t)c->nvms + 1))
-        i = (uintptr_t)++c->nvms;
-    }
-  if (i)
-    {
-      v = &c->vms[i - 1];
-      cell_strcpy (v->addr, info.addr);
-      cell_strcpy (v->domain, info.domain);
-      v->cpu_m = info.cpu_m;
-      v->registered = 1;
-      v->avoid_until = 0;
-    }
-  codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
-}
-
-/* The key of a claim.  They are listed in the order of generations. */
-static void
-claim_key (uint64_t generation, char key[CELL_NAME_SIZE])
-{
-  snprintf (key, CELL_NAME_SIZE, "%s%016llx", KEY_CLAIM,
-            (unsigned long long)generation);
-}
-
-static void
-apply_claim (cell_t *c, const cell_item_t *item)
-{
-  gl_claim_t claim;
-
-  memset (&claim, 0, sizeof claim);
-  if (item->revision <= c->claim_revision)
-    return;
-  if (codec_decode ((xdrproc_t)xdr_gl_claim_t, &claim, item->value, item->len))
-    {
-      cell_log (c, "claim_unreadable revision=%llu",
-                (unsigned long long)item->revision);
-      return;
-    }
-  c->claim_revision = item->revision;
-  c->claim_generation = claim.generation;
-  former_claimed (c, &claim, item->revision);
-  codec_free ((xdrproc_t)xdr_gl_claim_t, &claim);
-}
-
-static void
-apply_process (cell_t *c, const cell_item_t *item)
-{
-  gl_process_t process;
-
-  memset (&process, 0, sizeof process);
-  if (codec_decode ((xdrproc_t)xdr_gl_process_t, &process, item->value,
-                    item->len))
-    {
-      cell_log (c, "process_unreadable key=%s", item->key);
-      return;
-    }
-  if (former_process_seen (c, &process, item->revision) && !c->handed_over
-      && (c->role == CR_OWNER || c->role == CR_LOADING))
-    {
-      cell_log (c, "former_owner_ended addr=%s leases_end_in_ms=%llu",
-                process.addr, (unsigned long long)former_lease_ms (c));
-      census_shorten (c, former_lease_ms (c));
-    }
-  codec_free ((xdrproc_t)xdr_gl_process_t, &process);
-}
-
 void
 own_key_changed (cell_t *c, const cell_event_t *ev)
 {
@@ -224,10 +119,10 @@
       former_census_complete (c, c->census_generation);
     }
   else if (!strncmp (item->key, KEY_CLAIM, strlen (KEY_CLAIM)) && !ev->removed)
-    apply_claim (c, item);
+    former_claim_changed (c, item);
   else if (!strncmp (item->key, KEY_PROCESS, strlen (KEY_PROCESS))
            && !ev->removed)
-    apply_process (c, item);
+    member_process_changed (c, item);
   else if (!strcmp (item->key, KEY_HANDOVER) && !ev->removed)
     census_learn_handover (c, item);
   else if (!strcmp (item->key, KEY_OWNER))
@@ -239,7 +134,7 @@
         c->keys_lost = 1;
     }
   else if (!strncmp (item->key, KEY_VM, strlen (KEY_VM)))
-    apply_vm_record (c, item, ev->removed);
+    member_vm_changed (c, item, ev->removed);
 }
 
 void
@@ -250,102 +145,6 @@
   c->members_synced = 1;
 }
 
-/* ---- this VM's lease ---- */
-
-static void
-renew_lease (cell_t *c)
-{
-  cell_effect_t *e = cell_add_effect (c, CELL_FX_LEASE);
-
-  if (!e)
-    return;
-  c->lease_tag = e->tag = cell_new_tag (c);
-  c->lease_requested_at = c->now;
-  e->timeout = CELL_VM_LEASE_MS;
-}
-
-/* Add the key that names this process.  It is written only over the latest
-   claim that this process knows: a late write of an ended process must not
-   look as if it ran after that claim. */
-static void
-add_process_key (cell_t *c, cell_txn_t *txn)
-{
-  gl_process_t process = { c->process, c->addr };
-  cell_item_t *check = &txn->checks[txn->nchecks++];
-  cell_put_t *p = &txn->puts[txn->nputs++];
-
-  claim_key (c->claim_generation, check->key);
-  check->revision = c->claim_revision;
-  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_PROCESS, c->vm);
-  p->value = codec_encode ((xdrproc_t)xdr_gl_process_t, &process, &p->len);
-  p->leased = 1;
-}
-
-/* Writes this VM's leased keys: the VM's own, and the owner's key if it owns
-   the cell.  The latest claim is known once all keys have been reported; until
-   then the keys are written again after the next renewal of the lease. */
-static void
-write_own_keys (cell_t *c)
-{
-  cell_effect_t *e;
-  gl_vminfo_t info = { c->vm, c->addr, c->domain, c->limits.cpu_m };
-  cell_put_t *p;
-
-  e = cell_add_effect (c, CELL_FX_TXN);
-  if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
-    return;
-  c->keys_lost = !c->members_synced;
-  c->keys_tag = e->tag = cell_new_tag (c);
-  e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
-  p = &e->txn->puts[e->txn->nputs++];
-  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
-  p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
-  p->leased = 1;
-  if (c->members_synced)
-    add_process_key (c, e->txn);
-  if (c->role != CR_OWNER && c->role != CR_LOADING)
-    return;
-  own_add_fence (c, e->txn);
-  p = &e->txn->puts[e->txn->nputs++];
-  cell_strcpy (p->key, KEY_OWNER);
-  p->value = strdup (c->vm);
-  p->len = strlen (c->vm);
-  p->leased = 1;
-}
-
-void
-own_lease_result (cell_t *c, const cell_event_t *ev)
-{
-  int is_new;
-
-  if (ev->tag != c->lease_tag)
-    return;
-  c->lease_tag = 0;
-  if (ev->status == GL_ST_OK)
-    {
-      /* The revision is 1 when the lease is new, and so has no keys. */
-      is_new = ev->revision == 1;
-      if (is_new)
-        c->known_by = 0;
-      if (!c->lease_held)
-        c->lease_held_since = c->now;
-      if (!c->lease_held && c->lease_renewed_at)
-        cell_log (c, "store_back outage_ms=%llu",
-                  (unsigned long long)(c->now - c->lease_renewed_at));
-      else if (!c->lease_held)
-        cell_log (c, "store_found");
-      c->lease_held = 1;
-      c->lease_renewed_at = c->now;
-      c->store_answered_at = c->now;
-      if (is_new || c->keys_lost)
-        write_own_keys (c);
-      return;
-    }
-  if (c->lease_held)
-    cell_log (c, "store_lost status=%d", ev->status);
-  c->lease_held = 0;
-}
-
 /* ---- claims ---- */
 
 void
@@ -408,7 +207,7 @@
   p->len = strlen (c->vm);
   p->leased = 1;
   p = &e->txn->puts[e->txn->nputs++];
-  claim_key (generation, p->key);
+  former_claim_key (generation, p->key);
   p->value = codec_encode ((xdrproc_t)xdr_gl_claim_t, &claim, &p->len);
   return 0;
 }
@@ -493,8 +292,6 @@
 
   c->handed_over = c->ownership_known && c->ownership.released
                    && c->handover.generation == c->ownership.generation;
-  c->claim_revision = revision;
-  c->claim_generation = c->generation;
   former_claimed (c, &claim, revision);
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
   c->ownership.generation = c->generation;
@@ -792,7 +589,7 @@
             c->jobs.count, c->nworkers,
             (unsigned long long)(c->now - c->takeover_at), c->unaccounted);
   c->heartbeat_due = c->now;
-  write_own_keys (c);
+  member_write_keys (c);
   plan_wake (c);
   request_owner_changed (c);
 }
@@ -849,7 +646,8 @@
   for (int i = 0; i < c->nformers && e->txn->nputs < CELL_TXN_KEYS_MAX / 2;
        i++)
     if (c->formers[i].generation < c->generation)
-      claim_key (c->formers[i].generation, e->txn->puts[e->txn->nputs++].key);
+      former_claim_key (c->formers[i].generation,
+                        e->txn->puts[e->txn->nputs++].key);
 }
 
 void
@@ -1030,7 +828,7 @@
   cell_t *c = ctx;
 
   if (!c->lease_tag && now >= c->lease_requested_at + CELL_VM_RENEW_MS)
-    renew_lease (c);
+    member_renew_lease (c);
   if (c->role == CR_OWNER && now >= c->heartbeat_due)
     send_heartbeats (c);
   if (c->role == CR_OWNER && !c->confirm_tag
