Do not wait for a claim of this process that got no answer

A VM whose claim was carried out without an answer claims again, and took itself for a former owner that renews leases for 5 s.

--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -43,7 +43,9 @@
   if (last && claim->generation <= last->generation)
     return;
   if (last && claim->generation > last->generation + 1)
-    c->nformers = 0;
+    c->nformers = 0; /* an owner between them is not known */
+  else if (last && last->process == c->process && c->role != CR_OWNER)
+    last->renews_until = c->now; /* an own claim that got no answer */
   else if (last
            && last->renews_until > c->now + grace_ms (c, last->generation))
     last->renews_until = c->now + grace_ms (c, last->generation);
