Let an owner that has noticed its succession pass for ended

Jobs waited for 9 s after an owner had been frozen for 2 s and had stepped down, when a process that had not seen this took over later.

Cause: that the former owner's process still runs was all that the new one could see.

A process takes another number when it loses the cell, and writes it like one that has been started.

--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -113,7 +113,7 @@
 };
 /* Which process claimed the cell in @generation; it is written with the claim,
    and kept until a later owner has completed its census.  @process is a random
-   number. */
+   number, which a process changes when it loses the cell. */
 struct gl_claim_t {
   unsigned hyper generation;
   unsigned hyper process;
--- a/src/cell.c
+++ b/src/cell.c
@@ -29,8 +29,7 @@
       return NULL;
     }
   gsl_rng_set (c->rng, seed);
-  c->process
-      = (uint64_t)gsl_rng_get (c->rng) << 32 | (uint64_t)gsl_rng_get (c->rng);
+  c->process = cell_random (c);
   cell_strcpy (c->vm, vm);
   cell_strcpy (c->addr, addr);
   cell_strcpy (c->domain, domain);
--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -5,9 +5,9 @@
  * leases of workers.  An owner that was succeeded renews them for at most
  * CELL_RENEW_GRACE_MS longer, until it notices, and CELL_RENEW_OUTAGE_MS if it
  * may not know the VM that has the store; one that released the cell
- * renews none; and neither does one whose process has ended.  That shows when
- * another process has been started at its address: each process has a random
- * number, which it writes to the store.
+ * renews none; and neither does one whose process has ended, or has lost the
+ * cell and noticed. Both show in the same way: each process writes a random
+ * number to the store, and takes another one when it loses the cell.
  *
  * Every VM keeps the owners since the last one that completed its census, with
  * the time at which each was succeeded, so that these spans do not begin anew
--- a/src/cellfx.c
+++ b/src/cellfx.c
@@ -78,6 +78,12 @@
   va_end (ap);
 }
 
+uint64_t
+cell_random (const cell_t *c)
+{
+  return (uint64_t)gsl_rng_get (c->rng) << 32 | (uint64_t)gsl_rng_get (c->rng);
+}
+
 uint64_t
 cell_new_tag (cell_t *c)
 {
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -675,7 +675,7 @@
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
  * @census_generation: latest generation whose owner completed its census
- * @process: number of this process
+ * @process: number of this process; another one after it has lost the cell
  * @claim_revision: revision of the latest claim in the store, 0 if there is
  * none
  * @formers, @nformers: owners since @census_generation, oldest first
@@ -899,6 +899,8 @@
     such request */
 void cell_reply (cell_t *c, uint64_t tag, gl_code_t code, uint32_t retry_ms,
                  gl_phase_t phase, const char *reason);
+/** cell_random - a random number of 64 bits */
+uint64_t cell_random (const cell_t *c);
 /** cell_new_tag - a tag for a call, higher than all before */
 uint64_t cell_new_tag (cell_t *c);
 /** handles_add, tags_add - append; -1 without memory */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -653,6 +653,7 @@
 void
 own_step_down (cell_t *c, const char *why)
 {
+  gl_process_t process = { cell_random (c), c->addr };
   size_t pos = 0;
   handle_t h;
 
@@ -664,6 +665,10 @@
   c->confirm_tag = 0;
   c->release_tag = 0;
   c->releasing = 0;
+  /* For all VMs, the process that owned the cell has ended. */
+  c->process = process.process;
+  c->keys_lost = 1;
+  former_process_seen (c, &process, UINT64_MAX);
 
   save_reset (c);
   plan_reset (c);
