Count leases of earlier owners also on workers that have answered

A task could run twice after two planned changes of owners: an owner had heard a worker once, had sent it no lease yet and released the cell; its handover said that nothing was left of the worker's leases, though the one of the owner before ran on. The next owner, which did not reach the worker, started its task elsewhere.

The bound for leases of earlier owners now holds until it is over, whether the worker has answered or not; an answer shortens it, since the worker refuses earlier owners from then on. A bound that was handed over is also shortened by what this VM knows of the owners before.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -38,14 +38,14 @@
   return (gl_ms_t)(((double)w->lease_sent - clock) / CELL_CLOCK_RATE_MIN) + 1;
 }
 
-/* The same for leases of this owner and of earlier ones. */
+/* The same for leases of this owner and of earlier ones, which last on a
+   worker that has answered this one, too. */
 static gl_ms_t
 remaining_lease_ms (const cell_t *c, const cworker_t *w)
 {
   gl_ms_t sent = sent_lease_ms (c, w);
-  gl_ms_t earlier = !w->accounted && w->lease_bound_at > c->now
-                        ? w->lease_bound_at - c->now
-                        : 0;
+  gl_ms_t earlier
+      = w->lease_bound_at > c->now ? w->lease_bound_at - c->now : 0;
 
   if (w->dead)
     return 0;
@@ -93,16 +93,20 @@
 }
 
 /* How long leases from earlier owners can last on the worker.  Every worker
-   that the releasing owner knew is either listed or had answered it. */
+   that the releasing owner knew is either listed or had answered it; this VM
+   may know more of the owners before. */
 static gl_ms_t
 earlier_lease_ms (const cell_t *c, const cworker_t *w)
 {
-  if (!c->handed_over)
-    return c->lease_bound_ms;
-  for (u_int i = 0; i < c->handover.workers.workers_len; i++)
+  gl_ms_t ms = c->lease_bound_ms;
+
+  for (u_int i = 0; c->handed_over && i < c->handover.workers.workers_len; i++)
     if (!strcmp (c->handover.workers.workers_val[i].id, w->info.id))
-      return c->handover.workers.workers_val[i].leases_ms;
-  return c->lease_bound_ms;
+      {
+        ms = c->handover.workers.workers_val[i].leases_ms;
+        return ms < former_lease_ms (c) ? ms : former_lease_ms (c);
+      }
+  return ms;
 }
 
 /* ---- the census ---- */
@@ -127,7 +131,8 @@
 void
 census_shorten (cell_t *c, gl_ms_t lease_ms)
 {
-  c->lease_bound_ms = lease_ms;
+  if (lease_ms < c->lease_bound_ms)
+    c->lease_bound_ms = lease_ms;
   for (int i = 0; i < c->nworkers; i++)
     if (!c->workers[i].accounted
         && c->workers[i].lease_bound_at > c->now + lease_ms)
@@ -153,6 +158,16 @@
   own_census_complete (c);
 }
 
+void
+census_set_heard (cell_t *c, cworker_t *w)
+{
+  /* It refuses earlier owners from now on. */
+  if (!w->heard && w->lease_bound_at > c->now + CELL_LEASE_LASTS_MS)
+    w->lease_bound_at = c->now + CELL_LEASE_LASTS_MS;
+  w->heard = 1;
+  census_set_accounted (c, w);
+}
+
 void
 census_set_accounted (cell_t *c, cworker_t *w)
 {
@@ -183,10 +198,10 @@
 int
 census_leases_ended (const cell_t *c, const cworker_t *w)
 {
-  if (!w->clock || !w->lease_sent)
-    return w->lease_bound_at && c->now >= w->lease_bound_at;
-  if (!w->accounted && c->now < w->lease_bound_at)
+  if (c->now < w->lease_bound_at)
     return 0;
+  if (!w->clock || !w->lease_sent)
+    return w->lease_bound_at != 0;
   return (double)w->clock
              + (double)(c->now - w->clock_at) * CELL_CLOCK_RATE_MIN
          > (double)w->lease_sent + 1;
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -1083,6 +1083,8 @@
 void census_expect (cell_t *c, cworker_t *w);
 /** census_loaded - all records of workers have been read */
 void census_loaded (cell_t *c);
+/** census_set_heard - the worker has listed its runs */
+void census_set_heard (cell_t *c, cworker_t *w);
 /** census_set_accounted - it is now known what runs on the worker; once this
     holds for all workers, the census is complete */
 void census_set_accounted (cell_t *c, cworker_t *w);
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -73,7 +73,7 @@
       cell_log (c, "process_unreadable key=%s", item->key);
       return;
     }
-  if (former_process_seen (c, &process, item->revision) && !c->handed_over
+  if (former_process_seen (c, &process, item->revision)
       && (c->role == CR_OWNER || c->role == CR_LOADING))
     {
       cell_log (c, "former_owner_ended addr=%s leases_end_in_ms=%llu",
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -695,8 +695,7 @@
         plan_wake (c);
       if (k->nends < POLL_ENDS_MAX)
         {
-          w->heard = 1;
-          census_set_accounted (c, w);
+          census_set_heard (c, w);
           settle_stopped_runs (c, w, k);
         }
       ack_written_ends (c, w);
