Decide at the claim whether the cell was handed over

After a planned change of owners, jobs waited 4 s anew for a worker that does not answer, and longer in a series, although the owner had left what remained.

Cause: whether the cell had been released was looked up when the claim was answered. The watch may report that claim before, and then the record is the successor's own.

It is decided when the claim is sent: the claim holds only for the record as it was known then.

--- a/src/cellown.c
+++ b/src/cellown.c
@@ -281,6 +281,9 @@
             (unsigned long long)c->generation,
             (unsigned long long)(c->now - c->heartbeat_at));
   c->claim_sent_at = c->now;
+  /* The claim may be reported by the watch before it is answered. */
+  c->handed_over = c->ownership_known && c->ownership.released
+                   && c->handover.generation == c->ownership.generation;
   if (!write_ownership (c, c->generation, 0, &c->claim_tag))
     c->role = CR_CLAIMING;
 }
@@ -290,8 +293,6 @@
 {
   gl_claim_t claim = { c->generation, c->process, c->addr };
 
-  c->handed_over = c->ownership_known && c->ownership.released
-                   && c->handover.generation == c->ownership.generation;
   former_claimed (c, &claim, revision);
   codec_free ((xdrproc_t)xdr_gl_ownership_t, &c->ownership);
   c->ownership.generation = c->generation;
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -31,6 +31,8 @@
  *   part VM WORKER, join VM WORKER the VM does not reach the worker
  *   store fine|down|silent|loses|late   see StoreMode
  *   store_takes MS                 duration of a call to the store
+ *   answers_after MS               the store's watches report a transaction
+ *                                  this much earlier than its answer arrives
  *   linger MS                      see World::linger_ms
  *   worker N crash|show            N is the worker's number
  *   worker N reachable|listed|unanswered|fails_all|hangs 0|1
@@ -319,6 +321,11 @@
         in >> n;
         w->store_ms = (gl_ms_t)n;
       }
+    else if (cmd == "answers_after")
+      {
+        in >> n;
+        w->answer_ms = (gl_ms_t)n;
+      }
     else if (cmd == "linger")
       {
         in >> n;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -552,6 +552,11 @@
       if (vms[(size_t)i].alive && vms[(size_t)i].incarnation == incarnation)
         step (i, e);
     };
+    if (answer_ms && ev.status == GL_ST_OK && !lost)
+      {
+        schedule (answer_ms, [=] { deliver (ev); });
+        return;
+      }
     if (vms[(size_t)i].frozen || lost)
       {
         cell_event_t e = ev;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -157,6 +157,8 @@
   gl_ms_t linger_ms = 60; /* when one member of a gang ends well, the others
                              are listed as running for this much longer */
   gl_ms_t store_ms = 4;   /* duration of a call to the store */
+  gl_ms_t answer_ms = 0; /* watches report a transaction this much earlier than
+                            its answer arrives */
   std::string cut_domain; /* cut off from the store and the other domains;
                              callers still reach its VMs; "": none */
   std::vector<Vm> vms;
