Soak: plant faults that its checks must notice; practise refusals

Nothing showed that the checks other than idle notice anything, and no job was refused for good, as each was tried six times.

--plant breaks the platform, and gl-cell-faulty is the cell with a deliberate fault of src/fault.h, whose number is in SOAK_FAULT.

--- a/Makefile
+++ b/Makefile
@@ -112,6 +112,12 @@
 
 $(BUILD)/soak: $(BUILD)/tests/soak.o
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ $(LDLIBS)
+# The cell with the fault of src/fault.h that SOAK_FAULT numbers, for the soak.
+$(BUILD)/gl-cell-faulty: $(TBUILD)/tests/soakfault.o \
+		$(PLATFORM:%=$(TBUILD)/platform/%.o) \
+		$(ROUTE:%=$(TBUILD)/src/%.o) $(IO:%=$(TBUILD)/src/%.o) \
+		$(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
+	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
 
 TESTS = unit policy wire calls cell fuzz_sched fuzz_route fuzz_conf fuzz_cell
 
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -61,9 +61,14 @@
 const ms_t TICK_MS = 20;
 /* A tick that is later than this was held up; the platform itself stood. */
 const ms_t HELD_UP_MS = 250;
+/* A job has at most this many tries, so that short outages refuse some. */
 const int TRIES_MAX = 6;
+/* Share of seeds with an outage of the store beside the other faults. */
+const int OUTAGE_PERCENT = 60;
 /* Share of workers that the advisor approves for a step, in percent. */
 const int APPROVED_PERCENT = 70;
+/* Share of writes that a store forgets that is planted to do so. */
+const int FORGOTTEN_PERCENT = 20;
 const int WORKER_CPU = 16000;
 const int WORKER_MB = 32768;
 
@@ -73,6 +78,11 @@
 ms_t seconds = 40;
 uint64_t seed = 1;
 std::string dir = "run-soak";
+/* A fault of the platform that a check must notice, "" for none.  "forgets":
+   the store confirms some writes and forgets them; "obey": workers refuse no
+   order; "omits": they do not list what runs; "double": they register twice
+   their room; "rejects": the advisor approves no worker. */
+std::string plant;
 /* The schedule of faults has a generator of its own, @plan_rng, and so has
    each fault, so that a seed gives the same faults at the same times however
    the run goes. */
@@ -90,6 +100,12 @@
   return json_ref (o, [] (json_t *p) { json_decref (p); });
 }
 
+json_ref
+parse (const message_t &m)
+{
+  return own (json_loadb (m.body.data (), m.body.size (), 0, nullptr));
+}
+
 std::string
 dump (json_t *o)
 {
@@ -218,7 +234,7 @@
   int queue;
   std::vector<step_t> steps;
   int fail_percent = 0;
-  int tries = 0, refusals = 0;
+  int tries = 0, tries_max = 1, refusals = 0;
   bool given_up = false, refused = false, started = false;
   ms_t accepted = 0, cancel_sent = 0, cancelled = 0, ended = 0;
   std::string state;
@@ -458,8 +474,9 @@
       return 403;
   }
   revision++;
-  json_array_foreach (json_object_get (o, "puts"), i, v)
-      put (text (v, "key"), text (v, "value"), (uint64_t)number (v, "lease"));
+  if (plant != "forgets" || !chance (FORGOTTEN_PERCENT))
+    json_array_foreach (json_object_get (o, "puts"), i, v) put (
+        text (v, "key"), text (v, "value"), (uint64_t)number (v, "lease"));
   json_array_foreach (json_object_get (o, "remove"), i, v)
       remove_key (json_string_value (v) ? json_string_value (v) : "");
   *body = format ("{\"revision\":%llu}", (unsigned long long)revision);
@@ -497,7 +514,7 @@
 store_execute (int vm, uint64_t channel, const message_t &m, std::string *body)
 {
   std::string path = m.path ();
-  json_ref o = own (json_loadb (m.body.data (), m.body.size (), 0, nullptr));
+  json_ref o = parse (m);
 
   *body = "{}";
   if (path == "/kv-txn")
@@ -712,9 +729,10 @@
   json_t *finished = json_array ();
 
   for (auto &r : w.runs)
-    json_array_append_new (
-        running, json_pack ("[s,i,s,i,i]", r.first.first.c_str (),
-                            r.first.second, "", r.second.percent (), 0));
+    if (plant != "omits")
+      json_array_append_new (
+          running, json_pack ("[s,i,s,i,i]", r.first.first.c_str (),
+                              r.first.second, "", r.second.percent (), 0));
   for (auto &e : w.ends)
     if (e.n > ack && json_array_size (finished) < 500)
       json_array_append_new (
@@ -924,7 +942,7 @@
 worker_execute (worker_t &w, const std::string &life, uint64_t channel,
                 const message_t &m)
 {
-  json_ref o = own (json_loadb (m.body.data (), m.body.size (), 0, nullptr));
+  json_ref o = parse (m);
   std::string task = text (o.get (), "task"), reason;
   int run = (int)number (o.get (), "run"), step = 0, index = 0;
   int64_t ack = number (o.get (), "ackCursor");
@@ -936,7 +954,7 @@
       answer (channel, 421, "{}", 1);
       return;
     }
-  if (number (o.get (), "fencingToken") < w.fence)
+  if (number (o.get (), "fencingToken") < w.fence && plant != "obey")
     reason = "fence";
   else
     {
@@ -963,6 +981,8 @@
       else if (!w.runs.count (run_key_t (task, run)))
         {
           reason = worker_refuses (w, o.get (), task, run, j.get (), step);
+          if (plant == "obey")
+            reason = "";
           if (reason.empty ())
             begin_run (w, j, step, index, run, task, text (o.get (), "spec"));
         }
@@ -1018,8 +1038,8 @@
       "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
       "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
       "\"labels\":[\"a\",\"r%d-%d\"],\"sequence\":1}",
-      SERVICE, w.port, w.index % 3, WORKER_CPU, WORKER_MB, w.index % 3,
-      w.index / 3);
+      SERVICE, w.port, w.index % 3, (plant == "double" ? 2 : 1) * WORKER_CPU,
+      WORKER_MB, w.index % 3, w.index / 3);
   if (!w.server.open (
           w.port,
           [&w] (uint64_t c, message_t &m) { worker_request (w, c, m); },
@@ -1036,9 +1056,7 @@
 
   w.up = false;
   w.server.close ();
-  for (uint64_t c : w.open)
-    channel_close (c, true);
-  w.open.clear ();
+  channels_fail (w.open, true);
   w.polls.clear ();
   end_all (w, "lost", false);
   lose_ends (w);
@@ -1166,7 +1184,7 @@
   auto [channel, m] = v.advice.front ();
   v.advice.pop_front ();
   v.advising = true;
-  json_ref o = own (json_loadb (m.body.data (), m.body.size (), 0, nullptr));
+  json_ref o = parse (m);
   std::string step = text (o.get (), "step");
   json_t *list = json_array (), *w;
   size_t i;
@@ -1179,7 +1197,7 @@
   {
     std::string id = json_string_value (w) ? json_string_value (w) : "";
     /* The number in a ticket is the time of its end. */
-    if (approved (step, id))
+    if (approved (step, id) && plant != "rejects")
       json_array_append_new (
           list, json_pack ("[s,s]", id.c_str (),
                            format ("%s-%s-%lld", step.c_str (), id.c_str (),
@@ -1447,8 +1465,7 @@
   send ("GET", job_path (*j), "", -1, [j] (int vm, const reply_t &r) {
     if (r.status == 200)
       {
-        json_ref o = own (
-            json_loadb (r.m.body.data (), r.m.body.size (), 0, nullptr));
+        json_ref o = parse (r.m);
         check_state (*j, text (o.get (), "state"), vm);
       }
     else if (r.status == 410 && !j->cancel_sent
@@ -1496,7 +1513,7 @@
         if (r.status == 404)
           violation ("config",
                      format ("vm%d has no queue for %s", vm, j->id.c_str ()));
-        if (j->tries < TRIES_MAX)
+        if (j->tries < j->tries_max)
           {
             ms_t wait = 1000 * atoi (r.m.header ("retry-after").c_str ());
             after (refused && wait ? wait + draw (0, 300) : draw (50, 500),
@@ -1539,6 +1556,7 @@
                             false,
                             i ? std::vector<int>{ i - 1 } : std::vector<int>{},
                             {} });
+  j->tries_max = (int)draw (1, TRIES_MAX);
   j->fail_percent = queue == 3 ? 40 : 1;
   for (step_t &s : j->steps)
     s.tasks.resize ((size_t)s.count);
@@ -1629,18 +1647,30 @@
   return *vms[(size_t)draw (0, nvms - 1)];
 }
 
+/* Signal the VM's process as a fault that lasts @span; false if none runs. */
+bool
+vm_fault (vm_t &v, int sig, const char *name, ms_t span = 0)
+{
+  if (!vm_signal (v, sig))
+    return false;
+  v.disturbed = now () + span;
+  if (sig == SIGKILL)
+    v.killed = v.pid;
+  fault (sig == SIGTERM, span,
+         format ("%s vm%d%s", name, v.index,
+                 last_writer == v.index ? " (owner)" : ""));
+  return true;
+}
+
 void
 vm_term (vm_t &v)
 {
   pid_t pid = v.pid;
 
-  if (v.termed == pid || !vm_signal (v, SIGTERM))
+  if (v.termed == pid || !vm_fault (v, SIGTERM, "SIGTERM"))
     return;
   v.termed = pid;
-  v.term_at = v.disturbed = now ();
-  fault (true, 0,
-         format ("SIGTERM vm%d%s", v.index,
-                 last_writer == v.index ? " (owner)" : ""));
+  v.term_at = now ();
   after (GRACE_MS, [&v, pid] {
     if (v.pid == pid && vm_signal (v, SIGKILL))
       {
@@ -1660,33 +1690,16 @@
     after (1 + i * gap, [=] { vm_term (*vms[(size_t)((first + i) % nvms)]); });
 }
 
-void
-vm_kill (vm_t &v)
-{
-  if (!vm_signal (v, SIGKILL))
-    return;
-  v.killed = v.pid;
-  v.disturbed = now ();
-  fault (false, 0,
-         format ("SIGKILL vm%d%s", v.index,
-                 last_writer == v.index ? " (owner)" : ""));
-}
-
 void
 vm_freeze (vm_t &v, ms_t span)
 {
   pid_t pid = v.pid;
 
-  if (!vm_signal (v, SIGSTOP))
-    return;
-  v.disturbed = now () + span;
-  fault (false, span,
-         format ("SIGSTOP vm%d%s", v.index,
-                 last_writer == v.index ? " (owner)" : ""));
-  after (span, [&v, pid] {
-    if (v.pid == pid)
-      vm_signal (v, SIGCONT);
-  });
+  if (vm_fault (v, SIGSTOP, "SIGSTOP", span))
+    after (span, [&v, pid] {
+      if (v.pid == pid)
+        vm_signal (v, SIGCONT);
+    });
 }
 
 worker_t &
@@ -1718,9 +1731,7 @@
                  span == FOR_GOOD ? " for good" : "", w.index, w.id.c_str (),
                  w.runs.size (), runs ? "going on" : "ended"));
   w.silent_until = span == FOR_GOOD ? span : now () + span;
-  for (uint64_t c : w.open)
-    channel_deafen (c);
-  w.open.clear ();
+  channels_fail (w.open, false);
   w.polls.clear ();
   if (!runs)
     end_all (w, "lost", false);
@@ -1751,12 +1762,7 @@
   fault (false, 0,
          format ("channels of vm%d %s", v.index, reset ? "reset" : "deaf"));
   v.disturbed = now ();
-  for (uint64_t c : v.open)
-    if (reset)
-      channel_close (c, true);
-    else
-      channel_deafen (c);
-  v.open.clear ();
+  channels_fail (v.open, reset);
 }
 
 void
@@ -1770,7 +1776,7 @@
     {
     case 0:
     case 1:
-      vm_kill (v);
+      vm_fault (v, SIGKILL, "SIGKILL");
       break;
     case 2:
       vm_freeze (v, draw (1000, 5000));
@@ -1864,6 +1870,13 @@
         phase_mixed (begin, end, 300, 2500);
       begin = end;
     }
+  if (chance (OUTAGE_PERCENT))
+    {
+      store_mode_t mode = chance (50) ? STORE_REFUSES : STORE_SILENT;
+      ms_t outage = draw (3000, 6000);
+      plan (draw (5000, std::max<ms_t> (5000, span - 8000)),
+            [=] { store_fault (mode, -1, outage); });
+    }
   source = &rng;
 }
 
@@ -2071,22 +2084,18 @@
 int
 main (int argc, char **argv)
 {
+  const std::map<std::string, std::function<void (const char *)> > options
+      = { { "--seconds", [] (const char *v) { seconds = atoi (v); } },
+          { "--seed",
+            [] (const char *v) { seed = strtoull (v, nullptr, 10); } },
+          { "--vms", [] (const char *v) { nvms = atoi (v); } },
+          { "--workers", [] (const char *v) { nworkers = atoi (v); } },
+          { "--port", [] (const char *v) { base_port = atoi (v); } },
+          { "--run", [] (const char *v) { dir = v; } },
+          { "--plant", [] (const char *v) { plant = v; } } };
   for (int i = 1; i + 1 < argc; i += 2)
-    {
-      std::string name = argv[i], value = argv[i + 1];
-      if (name == "--seconds")
-        seconds = atoi (value.c_str ());
-      else if (name == "--seed")
-        seed = strtoull (value.c_str (), nullptr, 10);
-      else if (name == "--vms")
-        nvms = atoi (value.c_str ());
-      else if (name == "--workers")
-        nworkers = atoi (value.c_str ());
-      else if (name == "--port")
-        base_port = atoi (value.c_str ());
-      else if (name == "--run")
-        dir = value;
-    }
+    if (auto o = options.find (argv[i]); o != options.end ())
+      o->second (argv[i + 1]);
   signal (SIGPIPE, SIG_IGN);
   rng.seed (seed);
   plan_rng.seed (seed);
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -2,6 +2,7 @@
 # soak.sh -- fault soak of real processes on loopback
 #
 #   tests/soak.sh [--seconds N] [--seed S] [--vms N] [--workers N]
+#                 [--plant FAULT]
 #
 # Starts N processes of gl-cell, each in a loop that starts it again when it
 # ends, and build/soak, which is the platform, draws the faults and judges.
@@ -11,14 +12,16 @@
 cd "$(dirname "$0")/.." || exit 2
 BUILD=${BUILD:-build}
 RUN=${RUN:-run-soak}
+CELL=${CELL:-$BUILD/gl-cell}
 PORT=${PORT:-19000}
-SECONDS_LONG=40 SEED=1 VMS=6 WORKERS=12
+SECONDS_LONG=40 SEED=1 VMS=6 WORKERS=12 PLANT=
 while [ $# -gt 1 ]; do
   case $1 in
     --seconds) SECONDS_LONG=$2 ;;
     --seed) SEED=$2 ;;
     --vms) VMS=$2 ;;
     --workers) WORKERS=$2 ;;
+    --plant) PLANT=$2 ;;
     *) echo "soak.sh: unknown option $1" && exit 2 ;;
   esac
   shift 2
@@ -47,7 +50,7 @@
 run_vm() {
   local pid status
   while [ ! -e "$RUN/over" ]; do
-    GENTIANLATCH_CONFIG="$RUN/vm$1.ini" "$BUILD/gl-cell" >>"$RUN/vm$1.log" 2>&1 &
+    GENTIANLATCH_CONFIG="$RUN/vm$1.ini" "$CELL" >>"$RUN/vm$1.log" 2>&1 &
     pid=$!
     echo $pid >"$RUN/vm$1.new" && mv "$RUN/vm$1.new" "$RUN/vm$1.pid"
     wait $pid
@@ -79,7 +82,7 @@
   write_settings "$i"
 done
 "$BUILD/soak" --seconds "$SECONDS_LONG" --seed "$SEED" --vms "$VMS" \
-  --workers "$WORKERS" --port "$PORT" --run "$RUN" &
+  --workers "$WORKERS" --port "$PORT" --run "$RUN" --plant "$PLANT" &
 SOAK=$!
 for ((i = 0; i < VMS; i++)); do
   run_vm "$i" 2>/dev/null &
--- a/tests/soakhttp.h
+++ b/tests/soakhttp.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 typedef int64_t ms_t;
@@ -296,4 +297,16 @@
     i->second->deaf = true;
 }
 
+/* All of @open are reset, or fall silent. */
+inline void
+channels_fail (std::set<uint64_t> &open, bool reset)
+{
+  for (uint64_t c : open)
+    if (reset)
+      channel_close (c, true);
+    else
+      channel_deafen (c);
+  open.clear ();
+}
+
 #endif
