Soak: let the owner go just after a worker fell silent; a steady seed for check

What such a worker still runs is what a new owner's census must wait for, and no schedule had both within a second of each other.

--- a/Makefile
+++ b/Makefile
@@ -138,8 +138,8 @@
 	examples/demo.sh
 
 # The soak's run in the checks.
-SOAK_S = 45
-SOAK_SEED = 21
+SOAK_S = 50
+SOAK_SEED = 24
 # Parallel compilers in the builds that the checks start.
 BUILD_JOBS = 6
 check: deps
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -1786,6 +1786,15 @@
       break;
     case 4:
       worker_silent (draw (500, 6000), true);
+      /* Its runs go on, and the next owner has to learn of them. */
+      if (chance (50))
+        after (draw (50, 500), [dies = chance (50)] {
+          vm_t &o = *vms[(size_t)std::max (last_writer, 0)];
+          if (dies)
+            vm_fault (o, SIGKILL, "SIGKILL");
+          else
+            vm_term (o);
+        });
       break;
     case 5:
       if (w.reached ())
