--- a/src/cell.c
+++ b/src/cell.c
@@ -29,8 +29,7 @@
       return NULL;
     }
   gsl_rng_set (c->rng, seed);
-  c->process
-      = (uint64_t)gsl_rng_get (c->rng) << 32 | (uint64_t)gsl_rng_get (c->rng);
+  c->process = cell_random (c);
   cell_strcpy (c->vm, vm);
   cell_strcpy (c->addr, addr);
   cell_strcpy (c->domain, domain);
@@ -254,7 +253,7 @@
       request_result_read (c, ev);
       break;
     case CELL_EV_LEASE:
-      own_lease_result (c, ev);
+      member_lease_result (c, ev);
       break;
     case CELL_EV_WCALL:
       cworker_answer (c, ev);
--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -5,9 +5,9 @@
  * leases of workers.  An owner that was succeeded renews them for at most
  * CELL_RENEW_GRACE_MS longer, until it notices, and CELL_RENEW_OUTAGE_MS if it
  * may not know the VM that has the store; one that released the cell
- * renews none; and neither does one whose process has ended.  That shows when
- * another process has been started at its address: each process has a random
- * number, which it writes to the store.
+ * renews none; and neither does one whose process has ended, or has lost the
+ * cell and noticed. Both show in the same way: each process writes a random
+ * number to the store, and takes another one when it loses the cell.
  *
  * Every VM keeps the owners since the last one that completed its census, with
  * the time at which each was succeeded, so that these spans do not begin anew
@@ -16,17 +16,22 @@
  */
 #include "cellint.h"
 
+#include <stdio.h>
 #include <string.h>
 
+#include "codec.h"
+
 /* How long the owner of @generation may go on renewing leases when it is
-   succeeded now.  If it sends heartbeats to this VM, it renews none for longer
-   than CELL_RENEW_GRACE_MS without hearing that the store is away here, too.
- */
+   succeeded now.  If it knows this VM, it renews none for longer than
+   CELL_RENEW_GRACE_MS without hearing that the store is away here, too, and
+   from now on this VM does not say so, see cell_store_age_ms. */
 static gl_ms_t
 grace_ms (const cell_t *c, uint64_t generation)
 {
-  return c->known_by == generation ? CELL_RENEW_GRACE_MS
-                                   : CELL_RENEW_OUTAGE_MS;
+  return c->known_by == generation
+                 && c->now - c->known_at < CELL_RENEW_OUTAGE_MS
+             ? CELL_RENEW_GRACE_MS
+             : CELL_RENEW_OUTAGE_MS;
 }
 
 void
@@ -38,7 +43,9 @@
   if (last && claim->generation <= last->generation)
     return;
   if (last && claim->generation > last->generation + 1)
-    c->nformers = 0;
+    c->nformers = 0; /* an owner between them is not known */
+  else if (last && last->process == c->process && c->role != CR_OWNER)
+    last->renews_until = c->now; /* an own claim that got no answer */
   else if (last
            && last->renews_until > c->now + grace_ms (c, last->generation))
     last->renews_until = c->now + grace_ms (c, last->generation);
@@ -111,3 +118,27 @@
   return (gl_ms_t)((double)(renews_until - c->now + CELL_WORKER_LEASE_MS)
                    / CELL_CLOCK_RATE_MIN);
 }
+
+/* The key of a claim.  They are listed in the order of generations. */
+void
+former_claim_key (uint64_t generation, char key[CELL_NAME_SIZE])
+{
+  snprintf (key, CELL_NAME_SIZE, "%s%016llx", KEY_CLAIM,
+            (unsigned long long)generation);
+}
+
+void
+former_claim_changed (cell_t *c, const cell_item_t *item)
+{
+  gl_claim_t claim;
+
+  memset (&claim, 0, sizeof claim);
+  if (codec_decode ((xdrproc_t)xdr_gl_claim_t, &claim, item->value, item->len))
+    {
+      cell_log (c, "claim_unreadable revision=%llu",
+                (unsigned long long)item->revision);
+      return;
+    }
+  former_claimed (c, &claim, item->revision);
+  codec_free ((xdrproc_t)xdr_gl_claim_t, &claim);
+}
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -30,8 +30,8 @@
    outage of the store.  A successor that the owner may not know has to wait
    for this time. */
 #define CELL_RENEW_OUTAGE_MS 5000
-/* What a VM says of its store is valid for this long, which is more than two
-   heartbeats and well below CELL_RENEW_GRACE_MS. */
+/* What a VM says of its store is valid for this long from when it was asked,
+   which is more than two heartbeats and well below CELL_RENEW_GRACE_MS. */
 #define CELL_STORE_WORD_MS 600
 /* An owner whose ownership no transaction has confirmed for this long sends
    one that only checks it.  Also the timeout of that transaction. */
@@ -110,6 +110,13 @@
 #define CELL_OWNER_UNREACHABLE_MS 1500
 /* A request that no owner can have received is refused after this long. */
 #define CELL_NO_OWNER_MS 1500
+/* Keys of the store that several modules use: the ownership record, the
+   owner's key, and the beginnings of the keys of claims, processes and VMs. */
+#define KEY_OWNERSHIP "gl/m/tenure"
+#define KEY_OWNER "gl/m/owner"
+#define KEY_CLAIM "gl/m/claim/"
+#define KEY_PROCESS "gl/m/process/"
+#define KEY_VM "gl/m/vm/"
 /* Table sizes: VMs of the cell, queues whose counts are kept, workers named in
    one consultation, reservations on one worker. */
 #define CELL_VMS_MAX 128
@@ -468,7 +475,8 @@
  *   is not
  * @cpu_m: its share of a core, in thousandths
  * @answered_at: when it last answered a heartbeat of this VM
- * @store_age_ms: time since the store answered it, as it said then
+ * @asked_at, @store_age_ms: when the heartbeat was sent to which that was the
+ *   answer, and the time since the store answered that VM, as it said then
  * @busy_ms: time that the advisor takes for all consultations in flight
  *   through it
  * @avoid_until: no consultation goes through it before this
@@ -482,6 +490,7 @@
   gl_ms_t unregistered_at;
   uint32_t cpu_m;
   gl_ms_t answered_at;
+  gl_ms_t asked_at;
   uint32_t store_age_ms;
   double busy_ms;
   gl_ms_t avoid_until;
@@ -666,7 +675,7 @@
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
  * @census_generation: latest generation whose owner completed its census
- * @process: number of this process
+ * @process: number of this process; another one after it has lost the cell
  * @claim_revision: revision of the latest claim in the store, 0 if there is
  * none
  * @formers, @nformers: owners since @census_generation, oldest first
@@ -694,8 +703,9 @@
  *   lease on this VM's keys succeeded, since when that is so, and when a
  *   renewal last succeeded
  * @keys_lost: a key of this VM has gone and must be written again
- * @known_by: generation of the last owner whose heartbeat has arrived since
- *   this VM's key was written, 0 for none: that owner sends heartbeats to it
+ * @known_by, @known_at: generation of the last owner whose heartbeat has
+ *   arrived since this VM's key was written, 0 for none, and when that was:
+ *   that owner knows this VM
  * @confirmed_at: latest time at which this VM is known to have owned the cell
  * @store_answered_at: when the store last carried out a call
  * @heartbeat_due: when the owner sends its next heartbeats
@@ -778,8 +788,6 @@
   uint64_t ownership_rev;
   uint64_t census_generation;
   uint64_t process;
-  uint64_t claim_generation;
-  uint64_t claim_revision;
   cformer_t formers[CELL_FORMERS_MAX];
   int nformers;
   gl_handover_t handover;
@@ -803,6 +811,7 @@
   int lease_held;
   int keys_lost;
   uint64_t known_by;
+  gl_ms_t known_at;
   gl_ms_t lease_renewed_at;
   gl_ms_t lease_held_since;
   gl_ms_t confirmed_at;
@@ -890,6 +899,8 @@
     such request */
 void cell_reply (cell_t *c, uint64_t tag, gl_code_t code, uint32_t retry_ms,
                  gl_phase_t phase, const char *reason);
+/** cell_random - a random number of 64 bits */
+uint64_t cell_random (const cell_t *c);
 /** cell_new_tag - a tag for a call, higher than all before */
 uint64_t cell_new_tag (cell_t *c);
 /** handles_add, tags_add - append; -1 without memory */
@@ -903,7 +914,6 @@
 /** own_key_changed - a key below gl/m/ has changed */
 void own_key_changed (cell_t *c, const cell_event_t *ev);
 void own_members_synced (cell_t *c);
-void own_lease_result (cell_t *c, const cell_event_t *ev);
 /** own_txn_result - hands results that are not its own to the other modules
  */
 void own_txn_result (cell_t *c, const cell_event_t *ev);
@@ -1084,8 +1094,26 @@
     may wait for longest, from time to time */
 void census_log (cell_t *c);
 
+/* cellmember.c */
+
+/** member_vm_changed, member_process_changed - a VM's key has changed */
+void member_vm_changed (cell_t *c, const cell_item_t *item, int removed);
+void member_process_changed (cell_t *c, const cell_item_t *item);
+/** member_renew_lease - renew the lease on this VM's keys */
+void member_renew_lease (cell_t *c);
+void member_lease_result (cell_t *c, const cell_event_t *ev);
+/** member_write_keys - write this VM's keys, and the owner's if it owns the
+    cell */
+void member_write_keys (cell_t *c);
+
 /* cellformer.c */
 
+/** former_claim_key - the key of a claim; keys are listed in the order of
+    generations */
+void former_claim_key (uint64_t generation, char key[CELL_NAME_SIZE]);
+/** former_claim_changed - the key of a claim has been written */
+void former_claim_changed (cell_t *c, const cell_item_t *item);
+
 /** former_claimed - a process has claimed the cell, at @revision of the store;
     this one included */
 void former_claimed (cell_t *c, const gl_claim_t *claim, uint64_t revision);
