--- a/src/celldue.c
+++ b/src/celldue.c
@@ -81,8 +81,7 @@
 }
 
 /* Whether workers that the step may use, as far as that is known, have room
-   for
-   @want of its tasks, reserved or not. */
+   for @want of its tasks, reserved or not. */
 static int
 has_room (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int want)
 {
