--- /dev/null
+++ b/src/cellmods.h
@@ -0,0 +1,377 @@
+/* cellmods.h -- functions that the modules of the cell offer each other;
+   included by cellint.h, which has the types */
+#ifndef GL_CELLMODS_H
+#define GL_CELLMODS_H
+
+/* cellfx.c */
+
+/** cell_add_effect - append a zeroed effect; NULL when out of memory */
+cell_effect_t *cell_add_effect (cell_t *c, cell_fxkind_t kind);
+/** cell_log - log one line, "event key=value ..." */
+void cell_log (cell_t *c, const char *fmt, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/** cell_reply - answer request @tag and forget it; does nothing if there is no
+    such request */
+void cell_reply (cell_t *c, uint64_t tag, gl_code_t code, uint32_t retry_ms,
+                 gl_phase_t phase, const char *reason);
+/** cell_random - a random number of 64 bits */
+uint64_t cell_random (const cell_t *c);
+/** cell_new_tag - a tag for a call, higher than all before */
+uint64_t cell_new_tag (cell_t *c);
+/** handles_add, tags_add - append; -1 without memory */
+int handles_add (handles_t *h, handle_t v);
+int tags_add (tags_t *t, uint64_t v);
+/** cell_strcpy - copy string @s into the array @d, truncated if too long */
+#define cell_strcpy(d, s) snprintf (d, sizeof (d), "%s", s)
+
+/* cellown.c */
+
+/** own_key_changed - a key below gl/m/ has changed */
+void own_key_changed (cell_t *c, const cell_event_t *ev);
+void own_members_synced (cell_t *c);
+/** own_txn_result - hands results that are not its own to the other modules
+ */
+void own_txn_result (cell_t *c, const cell_event_t *ev);
+/** own_load_page - a page of the state that a new owner loads */
+void own_load_page (cell_t *c, const cell_event_t *ev);
+void own_heartbeat (cell_t *c, const cell_event_t *ev);
+void own_heartbeat_ack (cell_t *c, const cell_event_t *ev);
+void own_peer_down (cell_t *c, const char *addr);
+void own_tick (void *ctx, gl_ms_t now);
+void own_stop (cell_t *c);
+/** own_confirmed - a transaction sent at @sent has passed the ownership check
+ */
+void own_confirmed (cell_t *c, gl_ms_t sent);
+/** own_may_renew - 1 if leases of workers may be renewed and tasks started: no
+    other VM can have owned the cell for long */
+int own_may_renew (const cell_t *c);
+/** own_confirm_now - confirm the ownership without waiting for the next
+    transaction */
+void own_confirm_now (cell_t *c);
+/** own_census_complete - all workers are accounted for; write this to the
+    store, so that a successor need not wait for leases from owners before this
+    one */
+void own_census_complete (cell_t *c);
+/** own_step_down - another VM owns the cell: forget the owner's state */
+void own_step_down (cell_t *c, const char *why);
+/** own_add_fence - add the check that this VM still owns the cell */
+void own_add_fence (const cell_t *c, cell_txn_t *txn);
+/** own_fence_failed - 1 if the transaction conflicted because another VM owns
+    the cell */
+int own_fence_failed (const cell_t *c, const cell_event_t *ev);
+/** own_conflicting_item - present state of a key that a transaction checked
+    and that conflicted; NULL if the key is absent */
+const cell_item_t *own_conflicting_item (const cell_event_t *ev,
+                                         const char *key);
+
+/* cellreach.c */
+
+/** reach_note_time - the clock advances to @now */
+void reach_note_time (cell_t *c, gl_ms_t now);
+/** reach_is_isolated - 1 if neither the store nor other failure domains can be
+    reached, though other VMs may be served */
+int reach_is_isolated (const cell_t *c);
+/** reach_may_be_isolated - the same, after a shorter silence */
+int reach_may_be_isolated (const cell_t *c);
+/** reach_owner_is_heard - 1 if the owner's heartbeats arrive, so that a
+   request forwarded to it is likely to be answered */
+int reach_owner_is_heard (const cell_t *c);
+
+/* cellsave.c */
+
+/** save_job - add @j to the jobs to write; without a delay when @at_once */
+void save_job (cell_t *c, cjob_t *j, int at_once);
+/** save_flush - start transactions for the jobs that are due to be written */
+void save_flush (cell_t *c);
+void save_tick (void *ctx, gl_ms_t now);
+/** save_txn_result - 1 if the result was for a transaction of this module */
+int save_txn_result (cell_t *c, const cell_event_t *ev);
+/** save_store_answered - the store has answered a call sent at @sent: earlier
+    transactions that are overdue get no answer any more */
+void save_store_answered (cell_t *c, gl_ms_t sent);
+/** save_store_down - the last call failed and none has succeeded for a while:
+    no new job can be accepted now */
+int save_store_down (const cell_t *c);
+/** save_idle - 1 when nothing is dirty or in flight */
+int save_idle (const cell_t *c);
+/** save_reset - forget all writes, when the ownership is lost */
+void save_reset (cell_t *c);
+
+/* celljob.c */
+
+/** cjob_find - the job with this id, or NULL */
+cjob_t *cjob_find (cell_t *c, const char *id);
+/** cjobs_waiting - count, by queue, accepted jobs of which no task has
+    started; queues without any are left out; returns the number of rows */
+int cjobs_waiting (const cell_t *c, cqueue_count_t v[CELL_QUEUES_MAX]);
+/** cjob_new - a job of @spec, which is taken over; NULL without memory */
+cjob_t *cjob_new (cell_t *c, gl_cell_job_t *spec);
+void cjob_free (cell_t *c, cjob_t *j);
+/** cjob_records - fill @p with the task records to write; the caller frees
+    them */
+void cjob_records (cell_t *c, cjob_t *j, gl_progress_t *p);
+/** cjob_restore - set the job's tasks from the records of an earlier owner */
+void cjob_restore (cell_t *c, cjob_t *j, const gl_progress_t *p);
+/** cjob_ready_steps - make due iterations and mark the steps whose
+    predecessors are done as ready */
+void cjob_ready_steps (cell_t *c, cjob_t *j);
+/** cjob_finish - end the job with @phase and stop its tasks */
+void cjob_finish (cell_t *c, cjob_t *j, gl_phase_t phase);
+/** cjob_end_written - the job's end is in the store: answer the requests that
+    wait for it */
+void cjob_end_written (cell_t *c, cjob_t *j, gl_phase_t phase);
+cjob_t *cstep_job (cell_t *c, const cstep_t *s);
+/** ctask_name - the task's name, JOB.ITERATION.STEP.INDEX */
+void ctask_name (const cell_t *c, const cstep_t *s, uint32_t index,
+                 char out[CELL_NAME_SIZE]);
+/** ctask_find - the task with this name, with its step and number; NULL when
+    it is not known */
+ctask_t *ctask_find (cell_t *c, const char *name, cstep_t **step,
+                     uint32_t *index);
+/** ctask_failure_known - 1 if run @run is counted as a failure already */
+int ctask_failure_known (const ctask_t *t, uint32_t run);
+/** ctask_late_failure - count the failure of a run that is not the task's
+    latest; returns the job's version that records it */
+uint64_t ctask_late_failure (cell_t *c, cstep_t *s, uint32_t index,
+                             uint32_t run);
+/** ctask_bind - bind the task to a worker, where it takes room from then on;
+    -1 without memory */
+int ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker);
+/** ctask_unbind - release the task's room on its worker */
+void ctask_unbind (cell_t *c, cstep_t *s, uint32_t index);
+/** ctask_requeue - unbind it and let it wait again */
+void ctask_requeue (cell_t *c, cstep_t *s, uint32_t index);
+/** ctask_ended - run @run has ended with @outcome and @checkpoint, which may
+    be NULL; returns the job's version that records it */
+uint64_t ctask_ended (cell_t *c, cstep_t *s, uint32_t index, uint32_t run,
+                      cell_outcome_t outcome, const char *checkpoint);
+/** cstep_enqueue - add the step to those that wait for workers */
+void cstep_enqueue (cell_t *c, cstep_t *s);
+/** cjobs_tick - timer: make iterations that are due, forget old jobs */
+void cjobs_tick (void *ctx, gl_ms_t now);
+
+/* cellwork.c */
+
+/** cworker_find - the worker with this id, or NULL */
+cworker_t *cworker_find (cell_t *c, const char *id);
+/** cworker_registration - a worker has registered, changed its registration or
+    lost it */
+void cworker_registration (cell_t *c, const cell_event_t *ev);
+void cworkers_synced (cell_t *c);
+/** cworker_answer - the result of a call to a worker */
+void cworker_answer (cell_t *c, const cell_event_t *ev);
+void cworkers_tick (void *ctx, gl_ms_t now);
+/** cworkers_take_over - as a new owner, begin the census of all workers;
+   leases from earlier owners can last for @lease_ms */
+void cworkers_take_over (cell_t *c, gl_ms_t lease_ms);
+/** cworkers_reset - drop calls in flight, when the ownership is lost */
+void cworkers_reset (cell_t *c);
+/** cworker_poll_now - poll the worker at once, without a delayed answer */
+void cworker_poll_now (cell_t *c, int worker);
+/** cworkers_ack_saved - records were written: acknowledge the ends in them */
+void cworkers_ack_saved (cell_t *c);
+/** cworker_start, cworker_stop - start or stop the latest run of a task on
+    the worker that it is bound to; @ticket may be NULL */
+void cworker_start (cell_t *c, cstep_t *s, uint32_t index, const char *ticket);
+void cworker_stop (cell_t *c, cstep_t *s, uint32_t index);
+/** cworker_usable - 1 if new tasks may be started on it */
+int cworker_usable (const cell_t *c, const cworker_t *w);
+
+/** cworker_add - a new incarnation of a worker; NULL without memory */
+cworker_t *cworker_add (cell_t *c, const cell_worker_t *info);
+
+/* cellcensus.c */
+
+/** census_handover - what this owner leaves to its successor on releasing the
+    cell, encoded and malloc'd; NULL without memory */
+char *census_handover (const cell_t *c, size_t *len);
+/** census_learn_handover - what the last owner that released the cell has left
+ */
+void census_learn_handover (cell_t *c, const cell_item_t *item);
+/** census_begin - begin the census of all workers as a new owner; leases from
+    earlier owners can last for @lease_ms */
+void census_begin (cell_t *c, gl_ms_t lease_ms);
+/** census_shorten - leases from earlier owners can last for @lease_ms only */
+void census_shorten (cell_t *c, gl_ms_t lease_ms);
+/** census_expect - the census waits for the worker, which is not accounted for
+ */
+void census_expect (cell_t *c, cworker_t *w);
+/** census_loaded - all records of workers have been read */
+void census_loaded (cell_t *c);
+/** census_set_heard - the worker has listed its runs */
+void census_set_heard (cell_t *c, cworker_t *w);
+/** census_set_accounted - it is now known what runs on the worker; once this
+    holds for all workers, the census is complete */
+void census_set_accounted (cell_t *c, cworker_t *w);
+/** census_leases_ended - 1 if every lease that the worker can hold has ended:
+    those sent by this owner by the worker's own clock, those of earlier owners
+    by its lease_bound_at */
+int census_leases_ended (const cell_t *c, const cworker_t *w);
+/** census_log - log how many workers the census waits for, and the one that it
+    may wait for longest, from time to time */
+void census_log (cell_t *c);
+
+/* cellmember.c */
+
+/** member_vm_changed, member_process_changed - a VM's key has changed */
+void member_vm_changed (cell_t *c, const cell_item_t *item, int removed);
+void member_process_changed (cell_t *c, const cell_item_t *item);
+/** member_renew_lease - renew the lease on this VM's keys */
+void member_renew_lease (cell_t *c);
+void member_lease_result (cell_t *c, const cell_event_t *ev);
+/** member_write_keys - write this VM's keys, and the owner's if it owns the
+    cell */
+void member_write_keys (cell_t *c);
+
+/* cellformer.c */
+
+/** former_claim_key - the key of a claim; keys are listed in the order of
+    generations */
+void former_claim_key (uint64_t generation, char key[CELL_NAME_SIZE]);
+/** former_claim_changed - the key of a claim has been written */
+void former_claim_changed (cell_t *c, const cell_item_t *item);
+
+/** former_claimed - a process has claimed the cell, at @revision of the store;
+    this one included */
+void former_claimed (cell_t *c, const gl_claim_t *claim, uint64_t revision);
+/** former_released - the owner of @generation has released the cell */
+void former_released (cell_t *c, uint64_t generation);
+/** former_process_seen - a process runs at an address; returns how many former
+    owners are known to have ended by that */
+int former_process_seen (cell_t *c, const gl_process_t *process,
+                         uint64_t revision);
+/** former_census_complete - the owner of @generation had completed its census,
+    so leases from owners before it have ended */
+void former_census_complete (cell_t *c, uint64_t generation);
+/** former_lease_ms - how long leases from owners before this one can last */
+gl_ms_t former_lease_ms (const cell_t *c);
+
+/* cellpoll.c */
+
+/** poll_next - when to poll the worker next */
+gl_ms_t poll_next (const cell_t *c, const cworker_t *w);
+/** poll_wait - how long a poll that is sent now may wait, in ms; it may be
+   sent up to @early_ms before it is due */
+uint32_t poll_wait (const cell_t *c, const cworker_t *w, gl_ms_t early_ms);
+/** poll_task_started - poll the task's worker in time for its end */
+void poll_task_started (cell_t *c, const cstep_t *s, const ctask_t *t);
+/** poll_task_ended - a task of the step has ended: if one is left, poll its
+    worker in time for its end */
+void poll_task_ended (cell_t *c, const cstep_t *s);
+/** poll_note_waiting - after a planning pass: set c->room_wanted */
+void poll_note_waiting (cell_t *c);
+
+/* cellenrol.c */
+
+/** enrol_update - write the records of new workers, remove those of workers
+    that are gone */
+void enrol_update (cell_t *c);
+/** enrol_load - a record that an earlier owner has written */
+void enrol_load (cell_t *c, const cell_item_t *item);
+/** enrol_txn_result - 1 if the result was for a transaction of this module */
+int enrol_txn_result (cell_t *c, const cell_event_t *ev);
+
+/* cellhealth.c */
+
+/** health_run_ended - learn from a run of @t that has ended on the worker */
+void health_run_ended (cell_t *c, cworker_t *w, const cstep_t *s,
+                       const ctask_t *t, cell_outcome_t outcome);
+/** health_stalled - 1 if the run makes no progress and is to be stopped */
+int health_stalled (cell_t *c, cworker_t *w, const cstep_t *s, ctask_t *t,
+                    int percent);
+/** health_speed_class - 0 for a worker as fast as most, 1 for a slower one, 2
+    for one far slower */
+int health_speed_class (const cworker_t *w);
+
+/* cellroom.c */
+
+/** room_for - how many tasks of the step the worker has room for now */
+int room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+              int worker);
+/** room_unreserved - the same, if nothing were reserved or kept for others */
+int room_unreserved (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+                     int worker);
+/** room_when_empty - how many it would have room for if it were empty */
+int room_when_empty (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+                     int worker);
+/** room_has_label - 1 if the worker has the label, or @label is empty */
+int room_has_label (const cworker_t *w, const char *label);
+/** room_is_unreserved - 1 if one more task of the step takes no room that is
+    reserved for other steps */
+int room_is_unreserved (const cell_t *c, const cstep_t *s, int worker);
+/** room_on_wanted_rack - 1 if the worker is on the rack that the step wants,
+    or it wants none */
+int room_on_wanted_rack (const cworker_t *w, const cstep_t *s);
+/** room_waits_for_rack - 1 while the step should wait for its rack */
+int room_waits_for_rack (const cell_t *c, const cstep_t *s);
+
+/* cellhold.c */
+
+/** reserve_pass - reserve room for all waiting gangs, the oldest first */
+void reserve_pass (cell_t *c);
+/** reserve_drop - release the step's reservations */
+void reserve_drop (cell_t *c, cstep_t *s);
+/** reserved_by_others - room reserved on the worker for other steps that @s
+    may not use */
+gl_res_t reserved_by_others (const cell_t *c, const cstep_t *s, int worker);
+
+/* cellconsult.c */
+
+/** consult_step - ask the advisor for tickets that the step lacks */
+void consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q);
+void consult_answer (cell_t *c, const cell_event_t *ev);
+/** consult_ticket - the step's ticket for the worker, or NULL */
+const char *consult_ticket (const cstep_t *s, int worker);
+/** consult_drop_expired - forget tickets that are no longer valid */
+void consult_drop_expired (const cell_t *c, cstep_t *s);
+/** consult_verdict - 0: the advisor was not asked, 1: approved, 2: refused */
+int consult_verdict (const cstep_t *s, int worker);
+/** consult_earliest_start - when a task of the step could start on a worker
+    that has room at @when: then, or once a ticket asked for now arrives */
+gl_ms_t consult_earliest_start (const cell_t *c, const cstep_t *s,
+                                const cell_queue_t *q, int worker,
+                                gl_ms_t when);
+/** consult_survey_wait - span of waiting for room that is worth another
+    survey */
+gl_ms_t consult_survey_wait (const cell_queue_t *q);
+/** consult_is_costly - 1 if even one worker takes the advisor long */
+int consult_is_costly (const cell_queue_t *q);
+
+/* celldue.c */
+
+/** DUE_LATENESS_MAX - highest value of due_lateness */
+#define DUE_LATENESS_MAX 2
+/** due_compute_paths - set the path lengths of a new job; -1 without memory
+ */
+int due_compute_paths (cjob_t *j);
+/** due_lateness - 0: the step's job can still end in time, 1: it will be
+    late, 2: so late that it is of little use */
+int due_lateness (const cell_t *c, const cstep_t *s);
+/** due_update_starved - set the step's member starved */
+void due_update_starved (cell_t *c, cstep_t *s);
+
+/* cellplan.c */
+
+/** plan_wake - request a planning pass at the end of the present event */
+void plan_wake (cell_t *c);
+/** plan_queue - the job's queue, or NULL when it is not known here */
+const cell_queue_t *plan_queue (const cell_t *c, const cjob_t *j);
+/** plan_run - make a planning pass if one is due */
+void plan_run (cell_t *c);
+void plan_tick (void *ctx, gl_ms_t now);
+/** plan_reset - forget what waits, when the ownership is lost */
+void plan_reset (cell_t *c);
+
+/* cellask.c */
+
+/** request_receive - add a new request, to be served, forwarded or refused */
+void request_receive (cell_t *c, const cell_event_t *ev);
+/** request_forward_reply - the owner's answer to a forwarded request */
+void request_forward_reply (cell_t *c, const cell_event_t *ev);
+/** request_result_read - the stored result of a job that is not in memory */
+void request_result_read (cell_t *c, const cell_event_t *ev);
+void request_tick (void *ctx, gl_ms_t now);
+/** request_owner_changed - forward or serve all open requests again */
+void request_owner_changed (cell_t *c);
+
+#endif
