Consult the advisor before the lease of a silent worker ends

Cause: a task on a worker that does not answer waits only once the worker's leases have ended, and only then was the advisor consulted, although the time is known. A job whose other tasks had ended stayed idle for the advisor's time on top. Change: a planning pass consults for the steps of such tasks as early as the answer needs.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -38,10 +38,8 @@
   return (gl_ms_t)(((double)w->lease_sent - clock) / CELL_CLOCK_RATE_MIN) + 1;
 }
 
-/* The same for leases of this owner and of earlier ones, which last on a
-   worker that has answered this one, too. */
-static gl_ms_t
-remaining_lease_ms (const cell_t *c, const cworker_t *w)
+gl_ms_t
+census_lease_remaining (const cell_t *c, const cworker_t *w)
 {
   gl_ms_t sent = sent_lease_ms (c, w);
   gl_ms_t earlier
@@ -71,7 +69,7 @@
         continue;
       record.workers.workers_val[record.workers.workers_len++]
           = (gl_unheard_worker_t){ (char *)w->info.id,
-                                   (u_int)remaining_lease_ms (c, w) };
+                                   (u_int)census_lease_remaining (c, w) };
     }
   value = codec_encode ((xdrproc_t)xdr_gl_handover_t, &record, len);
   free (record.workers.workers_val);
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -523,6 +523,18 @@
   free (v);
 }
 
+void
+consult_ahead (cell_t *c, cstep_t *s, const cell_queue_t *q, gl_ms_t in_ms)
+{
+  double cost = q->consult_base_ms
+                + NAMED_WORKERS_MIN * q->consult_per_worker_ms
+                + TICKET_RENEW_EARLY_MS;
+
+  consult_drop_expired (c, s);
+  if (!s->ntickets && (double)in_ms <= cost)
+    consult_step (c, s, q);
+}
+
 /* Update the queue's share of approvals from one answer.  It stays above a
    floor, since the size of a survey is divided by it. */
 static void
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -207,6 +207,9 @@
     those sent by this owner by the worker's own clock, those of earlier owners
     by its lease_bound_at */
 int census_leases_ended (const cell_t *c, const cworker_t *w);
+/** census_lease_remaining - longest span for which a lease of this owner or of
+    an earlier one can last on the worker, whether it answers or not */
+gl_ms_t census_lease_remaining (const cell_t *c, const cworker_t *w);
 /** census_log - log how many workers the census waits for, and the one that it
     may wait for longest, from time to time */
 void census_log (cell_t *c);
@@ -319,6 +322,10 @@
 
 /** consult_step - ask the advisor for tickets that the step lacks */
 void consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q);
+/** consult_ahead - the same for a step without tickets of which tasks will wait
+    @in_ms from now, unless it is too early for that */
+void consult_ahead (cell_t *c, cstep_t *s, const cell_queue_t *q,
+                    gl_ms_t in_ms);
 void consult_answer (cell_t *c, const cell_event_t *ev);
 /** consult_ticket - the step's ticket for the worker, or NULL */
 const char *consult_ticket (const cstep_t *s, int worker);
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -269,6 +269,30 @@
     consult_step (c, s, q);
 }
 
+/* The leases of a worker that does not answer end at a known time, and its
+   tasks wait from then on: the advisor is consulted for their steps early
+   enough for tickets to be there by that time. */
+static void
+consult_before_leases_end (cell_t *c)
+{
+  c->scans_left = SCANS_BY_TURN;
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      const cworker_t *w = &c->workers[i];
+
+      for (int k = 0; w->silent && !w->dead && k < w->ntasks; k++)
+        {
+          cstep_t *s = pool_get (&c->steps, w->tasks[k].step);
+          cjob_t *j = cstep_job (c, s);
+          const cell_queue_t *q = plan_queue (c, j);
+
+          if (q && q->advised && !s->nwaiting && !s->def->gang && j->durable
+              && j->next_phase < GL_PHASE_COMPLETED)
+            consult_ahead (c, s, q, census_lease_remaining (c, w));
+        }
+    }
+}
+
 /* Workers that the step may use, regardless of room. */
 static int
 count_allowed (const cell_t *c, const cstep_t *s, const cell_queue_t *q)
@@ -451,6 +475,7 @@
         idle_lines += log_idle (c, s);
     }
   some_put_off = serve_put_off (c);
+  consult_before_leases_end (c);
   poll_note_waiting (c);
   timer_arm_before (&c->timers, c->plan_timer,
                     c->now + (some_put_off ? PUT_OFF_TICK_MS : TICK_MS));
