Count a job as begun only when a worker has reported a run

Cause: a job left the count of waiting jobs when its first task was bound to a worker, and stayed so when the order got no answer; a new owner took any task record for a run; a VM without heartbeats showed old counts, or none. Change: a job has begun once a start is confirmed, listed or ended; a record counts if it tells of an end or a checkpoint. The time to the first start is taken when it is confirmed.

--- a/src/cell.c
+++ b/src/cell.c
@@ -10,6 +10,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* How old the counts of waiting jobs may be that a VM other than the owner
+   gives. */
+#define COUNTS_VALID_MS 2000
+
 #include "codec.h"
 
 cell_t *
@@ -194,7 +198,7 @@
   return best;
 }
 
-uint32_t
+int64_t
 cell_jobs_waiting (const cell_t *c, const char *queue)
 {
   if (c->role == CR_OWNER)
@@ -207,6 +211,8 @@
           return v[i].waiting;
       return 0;
     }
+  if (!c->owner_queues_at || c->now > c->owner_queues_at + COUNTS_VALID_MS)
+    return -1;
   for (int i = 0; i < c->nowner_queues; i++)
     if (!strcmp (c->owner_queues[i].queue, queue))
       return c->owner_queues[i].waiting;
@@ -319,6 +325,17 @@
             c->jobs.count);
   text_add (t, "cell_steps_waiting %zu\ncell_requests_open %zu\n",
             c->waiting.n, c->nrequests);
+  for (int i = 0; i < c->conf.nqueues; i++)
+    {
+      int64_t waiting = cell_jobs_waiting (c, c->conf.queues[i].name);
+
+      if (waiting > 0)
+        text_add (t, "cell_jobs_waiting{queue=\"%s\"} %lld\n",
+                  c->conf.queues[i].name, (long long)waiting);
+    }
+  text_add (t, "cell_jobs_waiting_known %d\n",
+            !c->conf.nqueues
+                || cell_jobs_waiting (c, c->conf.queues[0].name) >= 0);
   text_add (t, "cell_census_complete %d\ncell_workers_unaccounted %d\n",
             c->role == CR_OWNER && c->census_complete, c->unaccounted);
   hist_print (t, "cell_accept_ms", "kind", "submit", &c->accept_time);
--- a/src/cell.h
+++ b/src/cell.h
@@ -492,8 +492,9 @@
 uint32_t cell_store_age_ms (const cell_t *c, uint64_t generation);
 /** cell_is_owner - 1 while this VM owns the cell */
 int cell_is_owner (const cell_t *c);
-/** cell_jobs_waiting - accepted jobs of @queue of which no task has started */
-uint32_t cell_jobs_waiting (const cell_t *c, const char *queue);
+/** cell_jobs_waiting - accepted jobs of @queue of which no task is known to
+    have started, -1 if this VM has not heard of them from the owner in time */
+int64_t cell_jobs_waiting (const cell_t *c, const char *queue);
 /** cell_find_queue - the queue that takes requests for @host and @path, with
     the rest of the path in @rest; NULL when there is none */
 const cell_queue_t *cell_find_queue (const cell_t *c, const char *host,
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -187,7 +187,7 @@
 {
   if (j->phase >= GL_PHASE_COMPLETED)
     return j->phase;
-  return j->started ? GL_PHASE_RUNNING : GL_PHASE_PENDING;
+  return j->begun ? GL_PHASE_RUNNING : GL_PHASE_PENDING;
 }
 
 static void
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -227,7 +227,7 @@
  * @starved, @starved_checked_at: it may use reserved room, see celldue.c, and
  *   when that was last checked
  * @ready, @ready_at: its predecessors are done, and since when
- * @started: a task of it has been started
+ * @started: a worker has confirmed a start of a task of it
  * @in_waiting: it is in the list of steps that wait for workers
  * @verdicts, @nverdicts: by worker index, see consult_verdict; workers from
  *   @nverdicts on have none
@@ -302,12 +302,13 @@
  * @spec: the job as submitted
  * @queue: index of its queue, -1 while that is not known
  * @phase: GL_PHASE_PENDING until its end is in the store, then that end; the
- *   running phase is derived from @started
+ *   running phase is derived from @begun
  * @next_phase: phase to be written
  * @durable: its key is in the store
  * @inherited: an earlier owner may have started tasks of it
  * @maybe_written: a write of its key got no answer and may have taken effect
- * @started: a task of it has been bound to a worker
+ * @begun: a worker is known to have started a task of it; an order without an
+ *   answer tells nothing
  * @nbound, @idle_since: how many of its tasks are bound to a worker, and since
  *   when there have been none
  * @saving: a transaction with it is in flight
@@ -338,7 +339,7 @@
   int durable;
   int inherited;
   int maybe_written;
-  int started;
+  int begun;
   int nbound;
   gl_ms_t idle_since;
   int saving;
@@ -713,6 +714,7 @@
  * @members_synced, @workers_synced: all keys below gl/m/, and all
  *   registrations, have been reported once
  * @load_tag, @load_prefix: page in flight while loading
+ * @owner_queues_at: when the owner's last heartbeat arrived, 0 if none has
  * @owner_queues, @nowner_queues: counts of waiting jobs from the owner's last
  *   heartbeat
  * @vms, @nvms, @vm_names: known VMs, and the index of each plus 1 by its name
@@ -828,6 +830,7 @@
 
   cqueue_count_t owner_queues[CELL_QUEUES_MAX];
   int nowner_queues;
+  gl_ms_t owner_queues_at;
 
   cvm_t *vms;
   int nvms;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -324,6 +324,12 @@
   return &s->tasks[*index];
 }
 
+void
+cjob_set_begun (cjob_t *j)
+{
+  j->begun = 1;
+}
+
 int
 ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker)
 {
@@ -355,8 +361,6 @@
   if (t->state == CT_WAITING)
     s->nwaiting--;
   j->nbound++;
-  if (!j->started)
-    j->started = 1;
   return 0;
 }
 
@@ -640,7 +644,9 @@
         memcpy (t->failed_runs, r->failed_runs.failed_runs_val,
                 t->nfailed_runs * sizeof *t->failed_runs);
       cell_strcpy (t->checkpoint, r->checkpoint);
-      j->started = 1;
+      /* A record alone tells nothing: the run may never have begun. */
+      if (r->done || t->nfailed_runs || t->checkpoint[0])
+        cjob_set_begun (j);
       if (r->done)
         task_set_done (c, s, r->index);
     }
@@ -661,7 +667,7 @@
     {
       const cjob_t *j = pool_get (&c->jobs, h);
 
-      if (j->durable && !j->started && j->next_phase < GL_PHASE_COMPLETED
+      if (j->durable && !j->begun && j->next_phase < GL_PHASE_COMPLETED
           && j->queue >= 0)
         counts[j->queue]++;
     }
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -120,6 +120,8 @@
 /** cjob_end_written - the job's end is in the store: answer the requests that
     wait for it */
 void cjob_end_written (cell_t *c, cjob_t *j, gl_phase_t phase);
+/** cjob_set_begun - a worker has reported a run of the job */
+void cjob_set_begun (cjob_t *j);
 cjob_t *cstep_job (cell_t *c, const cstep_t *s);
 /** ctask_name - the task's name, JOB.ITERATION.STEP.INDEX */
 void ctask_name (const cell_t *c, const cstep_t *s, uint32_t index,
@@ -322,7 +324,8 @@
 
 /** consult_step - ask the advisor for tickets that the step lacks */
 void consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q);
-/** consult_ahead - the same for a step without tickets of which tasks will wait
+/** consult_ahead - the same for a step without tickets of which tasks will
+   wait
     @in_ms from now, unless it is too early for that */
 void consult_ahead (cell_t *c, cstep_t *s, const cell_queue_t *q,
                     gl_ms_t in_ms);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -720,6 +720,7 @@
           = ev->heartbeat->store_age_ms > CELL_OWNER_STORE_LOST_MS ? c->now
                                                                    : 0;
       c->nowner_queues = 0;
+      c->owner_queues_at = c->now;
       for (u_int i = 0; i < ev->heartbeat->queues.queues_len
                         && c->nowner_queues < CELL_QUEUES_MAX;
            i++)
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -320,11 +320,16 @@
   return w->lease_sent;
 }
 
+/* A worker has confirmed a start of the step. */
 static void
-note_first_start (cell_t *c, cstep_t *s, const cjob_t *j)
+note_start (cell_t *c, cstep_t *s)
 {
+  cjob_t *j = cstep_job (c, s);
   const cell_queue_t *q = plan_queue (c, j);
 
+  cjob_set_begun (j);
+  if (s->started)
+    return;
   s->started = 1;
   if (q && q->priority >= 0 && q->priority < CELL_PRIORITIES)
     hist_add (&c->start_time[q->priority], (double)(c->now - s->ready_at));
@@ -342,8 +347,6 @@
   t->inherited = 0;
   t->sent_at = c->now;
   t->expected_end = c->now + s->def->estimate_ms;
-  if (!s->started)
-    note_first_start (c, s, j);
   if (!k)
     return;
   ctask_name (c, s, index, k->task);
@@ -501,6 +504,8 @@
   int here = t && t->worker == (int)(w - c->workers);
   cjob_t *j = t ? cstep_job (c, s) : NULL;
 
+  if (j)
+    cjob_set_begun (j);
   if (t && t->inherited && t->state == CT_WAITING && j->durable
       && j->next_phase < GL_PHASE_COMPLETED
       && !ctask_failure_known (t, listed->run))
@@ -591,6 +596,8 @@
   if (e->seq <= w->taken_seq)
     return;
   t = ctask_find (c, e->task, &s, &index);
+  if (t)
+    cjob_set_begun (cstep_job (c, s));
   is_current = t && t->state != CT_DONE
                && ((t->worker == (int)(w - c->workers) && t->run == e->run)
                    || (t->inherited && t->state == CT_WAITING
@@ -740,6 +747,8 @@
   if (k->status == CELL_W_OK)
     {
       c->counters.starts++;
+      if (t)
+        note_start (c, s);
       if (is_current && t->state == CT_STARTING)
         t->state = CT_RUNNING;
       return;
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -48,6 +48,7 @@
  *                                  urgent, batch and digest, in the order of
  *                                  their priority; digest is not configured at
  *                                  first
+ *   waiting VM QUEUE               print how many waiting jobs the VM shows
  *   routes VM                      print the queues that the VM serves
  *   owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
@@ -384,6 +385,16 @@
           }
         out.push_back (line);
       }
+    else if (cmd == "waiting")
+      {
+        std::string name;
+
+        in >> a >> name;
+        int64_t shown
+            = cell_jobs_waiting (w->vms[(size_t)vm (a)].cell, name.c_str ());
+        out.push_back (name + " waiting "
+                       + (shown < 0 ? "unknown" : std::to_string (shown)));
+      }
     else if (cmd == "owners")
       {
         n = 0;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -23,7 +23,9 @@
    it, CALM_MS, were without faults. */
 static const gl_ms_t IDLE_MAX_MS = 3000;
 static const gl_ms_t CALM_MS = 4000;
-/* Period of check_idle. */
+/* An accepted job must be counted as waiting after this span. */
+static const gl_ms_t COUNTED_AFTER_MS = 5000;
+/* Period of check_idle and check_counts. */
 static const gl_ms_t IDLE_CHECK_MS = 50;
 /* Part of a worker's processors that is kept for priority 0: one in this
    many. */
@@ -159,6 +161,7 @@
   v.stopping = false;
   v.frozen = false;
   v.lease_id = 0;
+  v.started_at = now;
   v.incarnation++;
   send_initial_state (i);
 }
@@ -899,6 +902,8 @@
   int memory = r.need.memory_mb;
 
   starts++;
+  if (jobs.count (id))
+    jobs[id].begun = true;
   for (auto &o : w.running)
     {
       cpus += o.second.need.cpus_m;
@@ -1311,8 +1316,13 @@
   ev.deadline = now + 3000;
   reply_handlers_[ev.tag] = [=, this] (const gl_reply_t &t) {
     JobView &k = jobs[id];
-    if (t.code == GL_OK)
-      k.accepted = true;
+    if (t.code == GL_OK && !k.accepted)
+      {
+        k.accepted = true;
+        k.accepted_at = now;
+      }
+    else if (t.code == GL_OK)
+      return;
     else if (t.code == GL_RETRY)
       k.refusals++;
     else
@@ -1577,6 +1587,38 @@
     }
 }
 
+/* ---- counts of waiting jobs ---- */
+
+void
+World::check_counts ()
+{
+  std::map<std::string, int> wait; /* by queue */
+
+  for (auto &it : jobs)
+    if (it.second.accepted && !it.second.begun && !it.second.cancel_sent
+        && it.second.queues.size () == 1
+        && now > it.second.accepted_at + COUNTED_AFTER_MS)
+      wait[*it.second.queues.begin ()]++;
+  for (size_t i = 0; i < vms.size () && !wait.empty (); i++)
+    {
+      if (!vms[i].alive || vms[i].frozen || !in_touch (i)
+          || now < vms[i].started_at + CONTACT_MS
+          || now < store_fault_at_ + CONTACT_MS)
+        continue;
+      for (auto &q : wait)
+        {
+          int64_t shown = cell_jobs_waiting (vms[i].cell, q.first.c_str ());
+
+          if (shown < 0 || 2 * shown >= q.second || counts_reported_)
+            continue;
+          counts_reported_ = true;
+          report_violation (vms[i].name + " shows " + std::to_string (shown)
+                            + " waiting jobs of " + q.first + ", "
+                            + std::to_string (q.second) + " wait");
+        }
+    }
+}
+
 /* ---- clock ---- */
 
 void
@@ -1600,8 +1642,13 @@
         if (vms[i].frozen || !reaches_store (i))
           vms[i].impaired_at = now;
       note_faults ();
+      if (store_mode != StoreMode::up || store_ms > STORE_SLOW_MS)
+        store_fault_at_ = now;
       if (now % IDLE_CHECK_MS == 0)
-        check_idle ();
+        {
+          check_idle ();
+          check_counts ();
+        }
       for (size_t i = 0; i < vms.size (); i++)
         if (vms[i].alive && !vms[i].frozen
             && cell_next_tick (vms[i].cell) <= now && now % TICK_MS == 0)
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -85,6 +85,7 @@
   bool frozen = false;     /* handles no events for a while */
   bool store_cut = false;  /* does not reach the store */
   gl_ms_t impaired_at = 0; /* when it was last frozen or cut off */
+  gl_ms_t started_at = 0;
   std::set<std::string> unreachable_workers; /* addresses */
   uint64_t lease_id = 0;
   uint64_t incarnation = 0;
@@ -98,6 +99,8 @@
   std::vector<gl_res_t> needs;
   std::vector<int> is_gang;
   bool accepted = false;
+  gl_ms_t accepted_at = 0;
+  bool begun = false;           /* a worker has started a task of it */
   bool outcome_unknown = false; /* a submission got no certain answer */
   int refusals = 0;
   int submissions = 0;
@@ -267,6 +270,9 @@
   /* Report jobs of which nothing runs although a task could: its turn has
      come, and workers have room for it twice over, by what runs on them. */
   void check_idle ();
+  /* Report VMs that show fewer than half of a queue's jobs that have waited
+     for long and have begun nowhere. */
+  void check_counts ();
   /* A step of the job that could run, or -1. */
   int runnable_step (const std::string &id, JobView &j);
   bool has_unfinished_jobs () const;
@@ -313,6 +319,8 @@
   /* Tasks of whose good end a poll was answered. */
   std::set<std::string> done_reported_;
   gl_ms_t last_fault_at_ = 0;
+  gl_ms_t store_fault_at_ = 0; /* when the store was last down or slow */
+  bool counts_reported_ = false;
   size_t surroundings_ = 0; /* what note_faults has seen last */
   uint64_t rng_;
   uint64_t random ();
