Let the tables of consultations, VMs, racks and approvals grow

Cause: on a cell of 97 VMs more than 64 consultations are in flight. The same class: VMs beyond 128 got no heartbeats and were not consulted through; racks beyond 256 counted as one; the learned share of approvals stopped at queue 128; counts of waiting jobs beyond 128 queues read as 0; a gang lost its whole reservation to one worker with eight others. Change: these tables grow; send_consult returns whether it was sent, and a metric counts those that were not; workers without a place for a reservation are not offered; counts that did not fit, and handovers that would not be whole, are unknown.

--- a/src/cell.c
+++ b/src/cell.c
@@ -25,9 +25,8 @@
   if (!c)
     return NULL;
   c->rng = gsl_rng_alloc (gsl_rng_taus2);
-  c->vms = calloc (CELL_VMS_MAX, sizeof *c->vms);
-  if (!c->rng || !c->vms || names_init (&c->vm_names)
-      || names_init (&c->worker_names) || names_init (&c->job_names))
+  if (!c->rng || names_init (&c->vm_names) || names_init (&c->worker_names)
+      || names_init (&c->job_names))
     {
       cell_free (c);
       return NULL;
@@ -84,6 +83,9 @@
   free (c->requests);
   free (c->workers);
   free (c->vms);
+  free (c->consults);
+  free (c->racks);
+  free (c->approval_share);
   free (c->conf.queues);
   free (c->dirty.v);
   free (c->waiting.v);
@@ -216,7 +218,7 @@
   for (int i = 0; i < c->nowner_queues; i++)
     if (!strcmp (c->owner_queues[i].queue, queue))
       return c->owner_queues[i].waiting;
-  return 0;
+  return c->nowner_queues < CELL_QUEUES_MAX ? 0 : -1;
 }
 
 int
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -71,6 +71,13 @@
           = (gl_unheard_worker_t){ (char *)w->info.id,
                                    (u_int)census_lease_remaining (c, w) };
     }
+  /* A list that is not whole would tell of the others that they were heard. */
+  if (record.workers.workers_len == GL_HANDOVER_MAX)
+    {
+      cell_log (c, "handover_dropped workers=%d", c->nworkers);
+      free (record.workers.workers_val);
+      return NULL;
+    }
   value = codec_encode ((xdrproc_t)xdr_gl_handover_t, &record, len);
   free (record.workers.workers_val);
   return value;
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -284,7 +284,9 @@
 static double
 approval_share_of (const cell_t *c, const cjob_t *j)
 {
-  double p = j->queue < CELL_QUEUES_MAX ? c->approval_share[j->queue] : 0;
+  double p = j->queue >= 0 && j->queue < c->napproval_shares
+                 ? c->approval_share[j->queue]
+                 : 0;
 
   return p > 0 ? p : APPROVAL_SHARE_INITIAL;
 }
@@ -311,15 +313,6 @@
   return k;
 }
 
-static cconsult_t *
-find_free_consult (cell_t *c)
-{
-  for (int i = 0; i < CELL_CONSULTS_MAX; i++)
-    if (!c->consults[i].tag)
-      return &c->consults[i];
-  return NULL;
-}
-
 static int
 count_idle_vms (const cell_t *c)
 {
@@ -375,18 +368,28 @@
                                                                         : best;
 }
 
-static void
+/* Send a consultation through VM @vm that names the workers in @v.  Returns 0,
+   or -1 without memory: the step has to be consulted for again then. */
+static int
 send_consult (cell_t *c, cstep_t *s, const cell_queue_t *q,
               const candidate_t *v, int n, int vm, int survey)
 {
   double cost = q->consult_base_ms + n * q->consult_per_worker_ms;
-  cconsult_t *k = find_free_consult (c);
-  cell_effect_t *e = k ? cell_add_effect (c, CELL_FX_CONSULT) : NULL;
   const cjob_t *j = cstep_job (c, s);
   char name[CELL_NAME_SIZE];
+  cell_effect_t *e;
+  cconsult_t *k;
 
-  if (!e || !(e->consult = calloc (1, sizeof *e->consult)))
-    return;
+  if (array_reserve (&c->consults, &c->capconsults, c->nconsults, sizeof *k)
+      || !(e = cell_add_effect (c, CELL_FX_CONSULT))
+      || !(e->consult = calloc (1, sizeof *e->consult)))
+    {
+      c->counters.consults_unsent++;
+      cell_log (c, "consult_unsent id=%s step=%u why=memory", j->id, s->index);
+      s->consult_after = c->now + CONSULT_RETRY_MS;
+      return -1;
+    }
+  k = &c->consults[c->nconsults++];
   memset (k, 0, sizeof *k);
   k->tag = e->tag = cell_new_tag (c);
   k->step = s->self;
@@ -411,6 +414,7 @@
   c->vms[vm].busy_ms += cost;
   c->counters.consults++;
   c->counters.consulted += (uint64_t)n;
+  return 0;
 }
 
 /* How many of @n workers a survey has to name, so that those approved have
@@ -457,9 +461,8 @@
           = choose_vm (c, q->priority,
                        q->consult_base_ms + named * q->consult_per_worker_ms);
 
-      if (vm < 0)
+      if (vm < 0 || send_consult (c, s, q, v + sent, named, vm, 1))
         break;
-      send_consult (c, s, q, v + sent, named, vm, 1);
       sent += named;
       n -= named;
     }
@@ -543,8 +546,15 @@
 {
   double *p;
 
-  if (j->queue < 0 || j->queue >= CELL_QUEUES_MAX || !k->nworkers)
+  if (j->queue < 0 || !k->nworkers)
     return;
+  while (c->napproval_shares <= j->queue)
+    {
+      if (array_reserve (&c->approval_share, &c->capapproval_shares,
+                         c->napproval_shares, sizeof *c->approval_share))
+        return;
+      c->napproval_shares++;
+    }
   p = &c->approval_share[j->queue];
   if (*p <= 0)
     *p = APPROVAL_SHARE_INITIAL;
@@ -649,12 +659,12 @@
 void
 consult_answer (cell_t *c, const cell_event_t *ev)
 {
-  for (int i = 0; i < CELL_CONSULTS_MAX; i++)
-    if (c->consults[i].tag == ev->tag && ev->tag)
+  for (int i = 0; i < c->nconsults; i++)
+    if (c->consults[i].tag == ev->tag)
       {
         cconsult_t k = c->consults[i];
 
-        c->consults[i].tag = 0;
+        c->consults[i] = c->consults[--c->nconsults];
         handle_reply (c, &k, ev->consult_reply);
         return;
       }
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -240,12 +240,13 @@
   return n;
 }
 
-/* Whether the worker is approved for the step, if that is needed, and large
-   enough for a task of it. */
+/* Whether the worker is approved for the step, if that is needed, large enough
+   for a task of it, and has a place for one more reservation. */
 static int
 may_use (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int worker)
 {
   return (!q->advised || consult_verdict (s, worker) == 1)
+         && c->workers[worker].nreservations < CELL_RESERVATIONS_MAX
          && room_when_empty (c, s, q, worker);
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -117,9 +117,8 @@
 #define KEY_CLAIM "gl/m/claim/"
 #define KEY_PROCESS "gl/m/process/"
 #define KEY_VM "gl/m/vm/"
-/* Table sizes: VMs of the cell, queues whose counts are kept, workers named in
-   one consultation, reservations on one worker. */
-#define CELL_VMS_MAX 128
+/* Table sizes: queues whose counts are kept, workers named in one
+   consultation, reservations on one worker. */
 #define CELL_QUEUES_MAX 128
 #define CELL_CONSULT_WORKERS_MAX 128
 #define CELL_RESERVATIONS_MAX 8
@@ -532,7 +531,6 @@
 
 /**
  * struct cconsult_t - a consultation in flight
- * @tag: 0 when the slot is free
  * @step: handle of the step for which it is
  * @vm: index of the VM through which it goes
  * @cost_ms: time that the advisor takes for it
@@ -551,9 +549,6 @@
   int workers[CELL_CONSULT_WORKERS_MAX];
 } cconsult_t;
 
-/* Most consultations in flight at once. */
-#define CELL_CONSULTS_MAX 64
-
 /**
  * struct crequest_t - a caller's request that has no answer yet
  * @tag, @body: tag of the event that brought it, and a copy of the request
@@ -637,6 +632,7 @@
   X (consults, "consultations")                                               \
   X (consulted, "workers named in consultations")                             \
   X (consults_failed, "consultations without an answer")                      \
+  X (consults_unsent, "consultations not sent for want of memory")            \
   X (scans, "searches of all workers for room")                               \
   X (approved, "workers approved")                                            \
   X (forwards, "requests forwarded to the owner")                             \
@@ -653,8 +649,6 @@
 #undef X
 } ccounters_t;
 
-/* Size of the table of racks; see rack_number for further ones. */
-#define CELL_RACKS_MAX 256
 /* Queues have the priorities 0 to CELL_PRIORITIES - 1; any other one is served
    after these. */
 #define CELL_PRIORITIES 8
@@ -745,8 +739,8 @@
  * @room_wanted: a step that is not a gang waits for room
  * @plan_due, @planned_at: a planning pass is due; time of the last one
  * @scans_left: searches of all workers that this pass may still make
- * @approval_share: learned share of named workers that the advisor approves,
- *   by queue
+ * @approval_share, @napproval_shares: learned share of named workers that the
+ * advisor approves, by queue
  *
  * Writing (cellsave.c):
  * @dirty: jobs to write
@@ -759,7 +753,7 @@
  * @store_failures: failed calls to the store since the last success
  *
  * Consultations and requests (cellconsult.c, cellask.c):
- * @consults: consultations in flight
+ * @consults, @nconsults: consultations in flight, in no order
  * @requests, @nrequests: requests that have no answer yet
  */
 struct cell
@@ -834,6 +828,7 @@
 
   cvm_t *vms;
   int nvms;
+  int capvms;
   names_t vm_names;
   cell_conf_t conf;
 
@@ -841,8 +836,9 @@
   int nworkers;
   int capworkers;
   names_t worker_names;
-  char racks[CELL_RACKS_MAX][32];
+  char (*racks)[32];
   int nracks;
+  int capracks;
   int unaccounted;
   int census_complete;
   gl_ms_t census_logged_at;
@@ -866,7 +862,9 @@
   int plan_due;
   gl_ms_t planned_at;
   int scans_left;
-  double approval_share[CELL_QUEUES_MAX];
+  double *approval_share;
+  int napproval_shares;
+  int capapproval_shares;
 
   handles_t dirty;
   csave_txn_t save_txns[CELL_SAVE_TXNS_MAX];
@@ -876,7 +874,9 @@
   double write_budget;
   gl_ms_t budget_at;
   int store_failures;
-  cconsult_t consults[CELL_CONSULTS_MAX];
+  cconsult_t *consults;
+  int nconsults;
+  int capconsults;
 
   crequest_t *requests;
   size_t nrequests;
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -13,6 +13,35 @@
 
 #include "codec.h"
 
+/* Add a VM; returns its index plus 1, or 0 without memory.  The name table
+   points to the names inside the elements, which move when the table grows. */
+static uintptr_t
+vm_new (cell_t *c, const char *name)
+{
+  int moves = c->nvms == c->capvms;
+  int failed;
+  cvm_t *v;
+
+  for (int i = 0; moves && i < c->nvms; i++)
+    names_del (&c->vm_names, c->vms[i].vm);
+  failed = array_reserve (&c->vms, &c->capvms, c->nvms, sizeof *v);
+  for (int i = 0; moves && i < c->nvms; i++)
+    failed |= names_put (&c->vm_names, c->vms[i].vm, (uintptr_t)i + 1);
+  if (!failed)
+    {
+      v = &c->vms[c->nvms];
+      memset (v, 0, sizeof *v);
+      cell_strcpy (v->vm, name);
+      failed = names_put (&c->vm_names, v->vm, (uintptr_t)c->nvms + 1);
+    }
+  if (failed)
+    {
+      cell_log (c, "vm_not_added vm=%s why=memory", name);
+      return 0;
+    }
+  return (uintptr_t)++c->nvms;
+}
+
 void
 member_vm_changed (cell_t *c, const cell_item_t *item, int removed)
 {
@@ -41,14 +70,8 @@
       cell_log (c, "vm_unreadable key=%s", item->key);
       return;
     }
-  if (!i && c->nvms < CELL_VMS_MAX)
-    {
-      v = &c->vms[c->nvms];
-      memset (v, 0, sizeof *v);
-      cell_strcpy (v->vm, name);
-      if (!names_put (&c->vm_names, v->vm, (uintptr_t)c->nvms + 1))
-        i = (uintptr_t)++c->nvms;
-    }
+  if (!i)
+    i = vm_new (c, name);
   if (i)
     {
       v = &c->vms[i - 1];
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -44,7 +44,7 @@
 #define RELEASE_SETTLE_MS 1000
 /* The tag of a heartbeat is the time at which it is sent times this, plus the
    index of the VM. */
-#define HEARTBEAT_TAG_VMS CELL_VMS_MAX
+#define HEARTBEAT_TAG_VMS 65536
 /* Pause before a release that was refused, or got no answer, is sent again. */
 #define RELEASE_RETRY_MS 100
 #define TICK_MS 50
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -493,7 +493,7 @@
 void
 plan_reset (cell_t *c)
 {
-  memset (c->consults, 0, sizeof c->consults);
+  c->nconsults = 0;
   for (int i = 0; i < c->nvms; i++)
     c->vms[i].busy_ms = 0;
   c->waiting.n = 0;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -76,7 +76,7 @@
 
 /* ---- registration ---- */
 
-/* The index of the worker's rack in c->racks; once that table is full, racks
+/* The index of the worker's rack in c->racks; without memory for it, racks
    that are not in it count as number 0. */
 static int
 rack_number (cell_t *c, const cell_worker_t *info)
@@ -86,7 +86,7 @@
   for (int i = 0; i < c->nracks; i++)
     if (!strcmp (c->racks[i], rack))
       return i;
-  if (c->nracks == CELL_RACKS_MAX)
+  if (array_reserve (&c->racks, &c->capracks, c->nracks, sizeof *c->racks))
     return 0;
   cell_strcpy (c->racks[c->nracks], rack);
   return c->nracks++;
--- a/src/pool.c
+++ b/src/pool.c
@@ -141,3 +141,21 @@
       }
   return 0;
 }
+
+int
+array_reserve (void *v, int *cap, int n, size_t size)
+{
+  void **array = v;
+  int more = *cap ? 2 * *cap : 16;
+  char *p;
+
+  if (n < *cap)
+    return 0;
+  p = realloc (*array, (size_t)more * size);
+  if (!p)
+    return -1;
+  memset (p + (size_t)*cap * size, 0, (size_t)(more - *cap) * size);
+  *array = p;
+  *cap = more;
+  return 0;
+}
--- a/src/pool.h
+++ b/src/pool.h
@@ -51,4 +51,16 @@
     set to the index after it; 0 at the end.  Start with *@pos 0. */
 handle_t pool_next (const pool_t *p, size_t *pos);
 
+/**
+ * array_reserve - make room for one more element in a growing array
+ * @v: address of the array's pointer
+ * @cap: elements that it has room for; doubled when @n reaches it
+ * @n: elements in use
+ * @size: of an element in bytes
+ *
+ * New elements are zero.  Elements may move.  Returns 0, or -1 without memory;
+ * the array is unchanged then.
+ */
+int array_reserve (void *v, int *cap, int n, size_t size);
+
 #endif
