Pace starts and consultations by the rate of the owner's link

Cause: on links of 2 Mbit/s a burst of starts fills the owner's link. Change: the settings tell the link's rate (link_mbps). The reducer notes what it sends, and holds starts and consultations back while the link needs more than 50 ms for what was sent before; timeouts begin when a message leaves; task records wait longer while the link is behind; a silent worker gets no stops until it answers. Metrics count HTTP calls and bytes by kind. The test world has links with a rate and a queue; one fuzzed world in five has slow ones.

--- a/src/calls.c
+++ b/src/calls.c
@@ -38,11 +38,25 @@
    arriving: a large response on a slow link takes longer than the timeout,
    which is meant for small ones. */
 #define EXTENSIONS_MAX 20
+/* Kinds of calls whose bytes are counted; further ones count as the last. */
+#define KINDS_MAX 16
+/* Bytes of a request beside its path, address, own headers and body. */
+#define REQUEST_LINES_BYTES 50
 /* Longest response body that is accepted, in bytes. */
 #define BODY_MAX (2 * 1024 * 1024)
 
 typedef struct host host_t;
 
+/** struct kind_t - what calls of one kind, the first part of their path, have
+    carried; the thread writes, others read */
+typedef struct
+{
+  char name[24];
+  uint64_t calls;
+  uint64_t bytes_out;
+  uint64_t bytes_in;
+} kind_t;
+
 /**
  * struct conn_t - a connection
  * @http: libevent's connection
@@ -128,6 +142,7 @@
  * @host_names: host_t by address
  * @open: calls that the thread has taken and that have not ended
  * @dead: broken connections, to be freed once libevent no longer uses them
+ * @kinds, @nkinds: bytes by kind of call, which other threads read
  * @ring, @slots: calls on their way from other threads to the thread
  *
  * @sleeping, @quit, @generation and @ring are shared between threads; all else
@@ -147,6 +162,8 @@
   host_t *hosts;
   call_t *open;
   conn_t *dead;
+  kind_t kinds[KINDS_MAX];
+  unsigned int nkinds;
   ck_ring_t ring;
   ck_ring_buffer_t slots[QUEUE_SLOTS];
 };
@@ -242,6 +259,66 @@
   call_free (k);
 }
 
+/* ---- counts ---- */
+
+static kind_t *
+kind_of (calls_t *c, const char *path)
+{
+  char name[sizeof c->kinds->name];
+  size_t len = strcspn (path + 1, "/?");
+  unsigned int n = c->nkinds;
+
+  snprintf (name, sizeof name, "%.*s", (int)len, path + 1);
+  for (unsigned int i = 0; i < n; i++)
+    if (!strcmp (c->kinds[i].name, name))
+      return &c->kinds[i];
+  if (n == KINDS_MAX)
+    return &c->kinds[KINDS_MAX - 1];
+  memcpy (c->kinds[n].name, name, sizeof name);
+  ck_pr_fence_store ();
+  ck_pr_store_uint (&c->nkinds, n + 1);
+  return &c->kinds[n];
+}
+
+/* Count a call that is sent: its request line, headers and body. */
+static void
+count_sent (calls_t *c, const call_t *k)
+{
+  kind_t *kind = kind_of (c, k->path);
+  size_t n
+      = REQUEST_LINES_BYTES + strlen (k->path) + strlen (k->addr) + k->len;
+
+  for (size_t i = 0; i < k->nheaders; i++)
+    n += strlen (k->headers[i]);
+  ck_pr_inc_64 (&kind->calls);
+  ck_pr_add_64 (&kind->bytes_out, n);
+}
+
+static void
+count_received (calls_t *c, const call_t *k, const httpc_result_t *res)
+{
+  ck_pr_add_64 (&kind_of (c, k->path)->bytes_in, res->len);
+}
+
+void
+calls_metrics (const calls_t *c, text_t *t)
+{
+  unsigned int n = ck_pr_load_uint (&c->nkinds);
+
+  for (unsigned int i = 0; i < n; i++)
+    {
+      const kind_t *k = &c->kinds[i];
+
+      text_add (t,
+                "cell_http_calls{call=\"%s\"} %llu\n"
+                "cell_http_bytes{call=\"%s\",direction=\"out\"} %llu\n"
+                "cell_http_bytes{call=\"%s\",direction=\"in\"} %llu\n",
+                k->name, (unsigned long long)ck_pr_load_64 (&k->calls),
+                k->name, (unsigned long long)ck_pr_load_64 (&k->bytes_out),
+                k->name, (unsigned long long)ck_pr_load_64 (&k->bytes_in));
+    }
+}
+
 /* ---- connections ---- */
 
 static host_t *
@@ -379,6 +456,7 @@
     res.outcome = HTTPC_NOT_SENT;
   c = k->client;
   h = k->host;
+  count_received (c, k, &res);
   if (res.outcome == HTTPC_COMPLETE)
     conn_release (k->conn);
   else
@@ -511,6 +589,7 @@
   k->req = evhttp_request_new (on_response, k);
   if (!k->req)
     return -1;
+  count_sent (k->client, k);
   add_headers (k, k->req);
   if (k->len)
     evbuffer_add (evhttp_request_get_output_buffer (k->req), k->body, k->len);
--- a/src/calls.h
+++ b/src/calls.h
@@ -3,6 +3,7 @@
 #define GL_CALLS_H
 
 #include "httpc.h"
+#include "metrics.h"
 
 /** struct calls - a client: a thread, its connections and its open calls */
 typedef struct calls calls_t;
@@ -37,6 +38,10 @@
 int calls_send (calls_t *c, const char *addr, const char *path,
                 const httpc_request_t *r);
 
+/** calls_metrics - append calls and bytes by kind of call, the first part of
+    the path; bytes in are those of response bodies; any thread */
+void calls_metrics (const calls_t *c, text_t *t);
+
 /** calls_retire_conns - let no call sent from now on use a connection that
     was opened before; any thread */
 void calls_retire_conns (calls_t *c);
--- a/src/cell.h
+++ b/src/cell.h
@@ -102,6 +102,7 @@
  * @retention_ms: how long the result of an ended job can be queried
  * @writes_per_s: transactions that the store takes from all VMs together
  * @cpu_m: this VM's share of a core, in thousandths
+ * @link_kbps: rate of this VM's link in kilobits per second, 0 if not known
  */
 typedef struct
 {
@@ -110,6 +111,7 @@
   uint32_t retention_ms;
   uint32_t writes_per_s;
   uint32_t cpu_m;
+  uint32_t link_kbps;
 } cell_limits_t;
 
 /**
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -51,7 +51,7 @@
 }
 
 char *
-census_handover (const cell_t *c, size_t *len)
+census_handover (cell_t *c, size_t *len)
 {
   gl_handover_t record = { c->generation, { 0, NULL } };
   char *value;
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -57,6 +57,9 @@
 /* Timeout of a consultation, beyond the time that the advisor takes for it and
    for earlier ones through the same VM. */
 #define CONSULT_GRACE_MS 600
+/* Bytes of a consultation on its way to a VM, and for each worker named. */
+#define CONSULT_BYTES 160
+#define NAMED_BYTES 18
 /* After a failed consultation, the step is not consulted for, and the VM that
    it went through is not used, for this long. */
 #define CONSULT_RETRY_MS 40
@@ -398,7 +401,8 @@
   k->survey = survey;
   k->sent_at = c->now;
   cell_strcpy (e->key, c->vms[vm].addr);
-  e->timeout = (gl_ms_t)(cost + c->vms[vm].busy_ms) + CONSULT_GRACE_MS;
+  e->timeout = (gl_ms_t)(cost + c->vms[vm].busy_ms) + CONSULT_GRACE_MS
+               + flow_send (c, CONSULT_BYTES + (size_t)n * NAMED_BYTES);
   snprintf (name, sizeof name, "%s.%u.%u", j->id, s->iteration, s->index);
   e->consult->priority = (u_int)q->priority;
   e->consult->step = strdup (name);
--- a/src/celld.c
+++ b/src/celld.c
@@ -567,15 +567,12 @@
   celld_post_call (d, do_quit, d);
 }
 
-char *
-celld_metrics (celld_t *d)
+void
+celld_metrics (celld_t *d, text_t *t)
 {
-  text_t t = { 0 };
-
-  cell_metrics (d->cell, &t);
-  text_add (&t, "line_waiting %zu\nlog_lines_dropped %lu\n",
-            d->consult_queue.n, logs_dropped ());
-  return t.s;
+  cell_metrics (d->cell, t);
+  text_add (t, "line_waiting %zu\nlog_lines_dropped %lu\n", d->consult_queue.n,
+            logs_dropped ());
 }
 
 celld_t *
--- a/src/celld.h
+++ b/src/celld.h
@@ -74,8 +74,7 @@
 int celld_ready (celld_t *d);
 /** celld_is_owner - 1 while this VM owns the cell; any thread */
 int celld_is_owner (celld_t *d);
-/** celld_metrics - counters and histograms as text, to be freed by the caller;
-    control thread only */
-char *celld_metrics (celld_t *d);
+/** celld_metrics - append counters and histograms; control thread only */
+void celld_metrics (celld_t *d, text_t *t);
 
 #endif
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -520,11 +520,12 @@
 } csave_t;
 
 /** struct csave_txn_t - a transaction in flight, with the jobs in it; @tag 0:
-    the slot is free */
+    the slot is free; @leaves_at: when it will have left this VM's link */
 typedef struct
 {
   uint64_t tag;
   gl_ms_t sent_at;
+  gl_ms_t leaves_at;
   csave_t saves[CELL_TXN_KEYS_MAX];
   int nsaves;
 } csave_txn_t;
@@ -618,6 +619,7 @@
   X (failed, "jobs failed")                                                   \
   X (cancelled, "jobs cancelled")                                             \
   X (starts, "tasks started")                                                 \
+  X (starts_held, "times that starts waited for the link")                    \
   X (start_unsure, "starts without an answer")                                \
   X (start_refused, "starts refused by workers")                              \
   X (ends_done, "runs ended well")                                            \
@@ -659,6 +661,7 @@
  * @now, @wall: time of the present event, monotonic and wall clock
  * @awake_since: since when this VM has run without a pause
  * @fx: list to which the effects of the present event are appended
+ * @link_free_at: when this VM's link has sent what was given to it, in ms
  * @next_tag: the last tag that was assigned to a call
  * @own_timer etc.: timer subscriptions of the modules
  *
@@ -767,6 +770,7 @@
   gl_ms_t awake_since;
   uint64_t wall;
   cell_effects_t *fx;
+  double link_free_at;
   uint64_t next_tag;
   timer_service_t timers;
   int own_timer;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -186,7 +186,7 @@
 
 /** census_handover - what this owner leaves to its successor on releasing the
     cell, encoded and malloc'd; NULL without memory */
-char *census_handover (const cell_t *c, size_t *len);
+char *census_handover (cell_t *c, size_t *len);
 /** census_learn_handover - what the last owner that released the cell has left
  */
 void census_learn_handover (cell_t *c, const cell_item_t *item);
@@ -310,6 +310,19 @@
 /** room_waits_for_rack - 1 while the step should wait for its rack */
 int room_waits_for_rack (const cell_t *c, const cstep_t *s);
 
+/* cellflow.c */
+
+/** flow_send - note a message of @bytes; returns the time in ms until it has
+    left this VM's link, 0 if the link's rate is not known */
+gl_ms_t flow_send (cell_t *c, size_t bytes);
+/** flow_backlog - time in ms that the link needs for what was sent before */
+gl_ms_t flow_backlog (const cell_t *c);
+/** flow_is_behind - 1 if the link is too far behind for starts and
+    consultations */
+int flow_is_behind (const cell_t *c);
+/** flow_next_start - from when on it will not be */
+gl_ms_t flow_next_start (const cell_t *c);
+
 /* cellhold.c */
 
 /** reserve_pass - reserve room for all waiting gangs, the oldest first */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -45,6 +45,8 @@
 /* The tag of a heartbeat is the time at which it is sent times this, plus the
    index of the VM. */
 #define HEARTBEAT_TAG_VMS 65536
+/* Bytes of a heartbeat and its acknowledgement. */
+#define HEARTBEAT_BYTES 180
 /* Pause before a release that was refused, or got no answer, is sent again. */
 #define RELEASE_RETRY_MS 100
 #define TICK_MS 50
@@ -325,7 +327,7 @@
     return;
   c->confirm_tag = e->tag = cell_new_tag (c);
   c->confirm_sent_at = c->now;
-  e->timeout = CELL_CONFIRM_MS;
+  e->timeout = CELL_CONFIRM_MS + flow_backlog (c);
   own_add_fence (c, e->txn);
 }
 
@@ -800,6 +802,7 @@
       if (!e || !(e->heartbeat = calloc (1, sizeof *e->heartbeat))
           || fill_heartbeat (c, v, n, e->heartbeat))
         return;
+      flow_send (c, HEARTBEAT_BYTES);
       cell_strcpy (e->key, c->vms[i].addr);
       e->tag = c->now * HEARTBEAT_TAG_VMS + (uint64_t)i;
     }
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -132,6 +132,11 @@
 
       if (!may_start (c, t))
         continue;
+      if (flow_is_behind (c))
+        {
+          c->counters.starts_held++;
+          return;
+        }
       w = choose_worker (c, s, q, -1, t->failed_worker);
       if (w < 0)
         return;
@@ -201,7 +206,7 @@
   char checkpoint[sizeof s->tasks->checkpoint] = "";
   int bound = 0;
 
-  if (s->nwaiting < s->def->count)
+  if (s->nwaiting < s->def->count || flow_is_behind (c))
     return;
   for (uint32_t i = 0; i < s->def->count; i++)
     {
@@ -265,7 +270,8 @@
     }
   /* A job that is not durable yet cannot use tickets: it is consulted for only
      while it has none. */
-  if (q->advised && s->nwaiting && (j->durable || !s->ntickets))
+  if (q->advised && s->nwaiting && (j->durable || !s->ntickets)
+      && !flow_is_behind (c))
     consult_step (c, s, q);
 }
 
@@ -479,6 +485,8 @@
   poll_note_waiting (c);
   timer_arm_before (&c->timers, c->plan_timer,
                     c->now + (some_put_off ? PUT_OFF_TICK_MS : TICK_MS));
+  if (c->waiting.n && flow_next_start (c) > c->now)
+    timer_arm_before (&c->timers, c->plan_timer, flow_next_start (c));
 }
 
 void
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -57,6 +57,13 @@
 #define OVERDUE_MIN_MS 40
 /* Period of the checks while the store may be silent. */
 #define DOUBT_TICK_MS 50
+/* Bytes of a transaction, and of each check and write in it beside the value.
+ */
+#define TXN_BYTES 300
+#define ENTRY_BYTES 60
+/* Task records wait longer while the link is behind, by this many times its
+   backlog: one write then takes more of them. */
+#define SAVE_DELAY_FACTOR 4
 /* Pause when the budget is used up. */
 #define BUDGET_WAIT_MS 5
 /* Pause after a transaction that was refused or got no answer. */
@@ -236,7 +243,7 @@
   gl_ms_t span = overdue_ms (c);
 
   for (int i = 0; i < CELL_SAVE_TXNS_MAX; i++)
-    if (c->save_txns[i].tag && c->now >= c->save_txns[i].sent_at + span)
+    if (c->save_txns[i].tag && c->now >= c->save_txns[i].leaves_at + span)
       return 1;
   return c->store_failures > 0;
 }
@@ -310,7 +317,9 @@
       if (!j || j->saving || (doubtful && is_unsent (j)))
         continue;
       urgent += is_urgent (j);
-      due = is_urgent (j) ? j->dirty_at : j->dirty_at + CELL_SAVE_DELAY_MS;
+      due = j->dirty_at;
+      if (!is_urgent (j))
+        due += CELL_SAVE_DELAY_MS + SAVE_DELAY_FACTOR * flow_backlog (c);
       if (due < spaced)
         due = spaced;
       if (due <= c->now || c->stopping || urgent >= FULL_TXN_JOBS)
@@ -334,6 +343,17 @@
   return ms > CELL_TXN_TIMEOUT_MAX_MS ? CELL_TXN_TIMEOUT_MAX_MS : (gl_ms_t)ms;
 }
 
+/* Bytes of the transaction as it is sent: values are base64 text. */
+static size_t
+txn_bytes (const cell_txn_t *txn)
+{
+  size_t n = TXN_BYTES + (size_t)txn->nchecks * ENTRY_BYTES;
+
+  for (int i = 0; i < txn->nputs; i++)
+    n += ENTRY_BYTES + txn->puts[i].len * 4 / 3;
+  return n;
+}
+
 /* Adds what the elapsed time allows to the write budget. */
 static void
 refill_write_budget (cell_t *c)
@@ -370,9 +390,10 @@
       memset (slot, 0, sizeof *slot);
       own_add_fence (c, e->txn);
       fill_txn (c, e->txn, slot);
-      e->timeout = txn_timeout (c);
       slot->tag = e->tag = cell_new_tag (c);
       slot->sent_at = c->txn_sent_at = c->now;
+      slot->leaves_at = c->now + flow_send (c, txn_bytes (e->txn));
+      e->timeout = txn_timeout (c) + (slot->leaves_at - c->now);
       timer_arm_before (&c->timers, c->save_timer, c->now + overdue_ms (c));
       c->counters.txns++;
       if (!slot->nsaves)
@@ -588,7 +609,7 @@
     {
       csave_txn_t *slot = &c->save_txns[i];
 
-      if (!slot->tag || slot->sent_at + span > sent)
+      if (!slot->tag || slot->leaves_at + span > sent)
         continue;
       cell_log (c, "txn_overdue jobs=%d ms=%llu", slot->nsaves,
                 (unsigned long long)(c->now - slot->sent_at));
@@ -602,12 +623,14 @@
 static void
 handle_result (cell_t *c, const csave_txn_t *slot, const cell_event_t *ev)
 {
-  hist_add (&c->txn_time, (double)(c->now - slot->sent_at));
+  double ms
+      = c->now > slot->leaves_at ? (double)(c->now - slot->leaves_at) : 1;
+
+  hist_add (&c->txn_time, ms);
   if (ev->status == GL_ST_UNKNOWN)
     c->usual_txn_ms *= TXN_LOST_FACTOR;
   else
-    c->usual_txn_ms += TXN_AVG_WEIGHT
-                       * ((double)(c->now - slot->sent_at) - c->usual_txn_ms);
+    c->usual_txn_ms += TXN_AVG_WEIGHT * (ms - c->usual_txn_ms);
   if (c->usual_txn_ms < 1)
     c->usual_txn_ms = 1;
   if (ev->status == GL_ST_OK)
--- a/src/cellset.c
+++ b/src/cellset.c
@@ -28,6 +28,7 @@
   TEXT ("vm", "name", KIND_NAME, name),
   TEXT ("vm", "domain", KIND_NAME, domain),
   REAL ("vm", "cpu_share", cpu_share, 0, 1024, 1),
+  REAL ("vm", "link_mbps", link_mbps, 0, 1000000, 0),
   TEXT ("listen", "requests", KIND_ADDR, requests),
   TEXT ("listen", "ready", KIND_ADDR, ready),
   TEXT ("listen", "rpc", KIND_ADDR, rpc),
@@ -80,4 +81,5 @@
   limits->retention_ms = (uint32_t)s->retention_s * 1000 + 30000;
   limits->writes_per_s = (uint32_t)s->writes_per_s;
   limits->cpu_m = (uint32_t)(s->cpu_share * 1000);
+  limits->link_kbps = (uint32_t)(s->link_mbps * 1000);
 }
--- a/src/cellset.h
+++ b/src/cellset.h
@@ -15,6 +15,7 @@
  * @store, @advisor: services of the platform; without an advisor "" stands
  * @writes_per_s: transactions that the store takes from all VMs together
  * @cpu_share: this VM's share of a core
+ * @link_mbps: rate of its link in megabits per second, 0 if not known
  * @drain_s: time from SIGTERM to the end of the process
  * @worker_lease_max_ms: longest lease that a worker accepts
  * @stop_max_ms: longest time that a worker takes to stop a run
@@ -33,6 +34,7 @@
   char advisor[64];
   int writes_per_s;
   double cpu_share;
+  double link_mbps;
   double drain_s;
   int worker_lease_max_ms;
   int stop_max_ms;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -275,6 +275,10 @@
 
 /* ---- calls ---- */
 
+/* Bytes of a call to a worker and of its acknowledgements, without the task's
+   payload. */
+#define CALL_BYTES 240
+
 /* A call to the worker with its common fields set; NULL without memory. */
 static cell_wcall_t *
 new_wcall (cell_t *c, cworker_t *w, cell_wop_t op)
@@ -355,6 +359,7 @@
   cell_strcpy (k->checkpoint, t->checkpoint);
   cell_strcpy (k->ticket, ticket ? ticket : "");
   k->lease_until = lease_until (c, w);
+  k->timeout += flow_send (c, CALL_BYTES + strlen (j->spec.payload));
   poll_task_started (c, s, t);
   cell_log (c, "start task=%s run=%u worker=%s wait_ms=%llu", k->task, t->run,
             w->info.id, (unsigned long long)(c->now - s->ready_at));
@@ -369,6 +374,7 @@
     return;
   cell_strcpy (k->task, task);
   k->run = run;
+  k->timeout += flow_send (c, CALL_BYTES);
 }
 
 void
@@ -448,8 +454,9 @@
   k->ack_cursor = w->ack_cursor;
   k->lease_until = lease_until (c, w);
   k->wait_ms = wait_ms;
-  k->timeout
-      = k->wait_ms + (k->wait_ms ? CELL_POLL_GRACE_MS : CELL_CALL_TIMEOUT_MS);
+  k->timeout = k->wait_ms
+               + (k->wait_ms ? CELL_POLL_GRACE_MS : CELL_CALL_TIMEOUT_MS)
+               + flow_send (c, CALL_BYTES);
   w->poll_now = 0;
   w->poll_tag = k->tag;
   c->counters.looks++;
@@ -863,19 +870,21 @@
 /* ---- timer ---- */
 
 /* Send stops again whose effect has not shown in time: those that got no
-   answer, and those whose run has neither ended nor been found absent. */
+   answer, and those whose run has neither ended nor been found absent.  A
+   silent worker gets them once it answers: the runs end with its lease in any
+   case. */
 static void
 resend_stops (cell_t *c, cworker_t *w)
 {
-  gl_ms_t stop_max = c->limits.stop_max_ms + CELL_CALL_TIMEOUT_MS;
+  gl_ms_t call_max = CELL_CALL_TIMEOUT_MS + flow_backlog (c);
+  gl_ms_t stop_max = c->limits.stop_max_ms + call_max;
 
-  for (int i = 0; i < w->ntasks; i++)
+  for (int i = 0; !w->silent && i < w->ntasks; i++)
     {
       cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
       ctask_t *t = &s->tasks[w->tasks[i].index];
 
-      if (t->state == CT_UNKNOWN
-          && c->now - t->sent_at > CELL_CALL_TIMEOUT_MS + 50)
+      if (t->state == CT_UNKNOWN && c->now - t->sent_at > call_max + 50)
         cworker_stop (c, s, w->tasks[i].index);
       else if (t->state == CT_STOPPING && c->now - t->sent_at > stop_max)
         cworker_stop (c, s, w->tasks[i].index);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -40,17 +40,15 @@
  *   worker N slow FACTOR           see struct Worker
  *   poison TASK                    all runs of the task fail
  *   luck N                         one run in N fails, 0 for none
- *   work MS                        usual duration of a run
- *   advisor fails N                N consultations get no answer
- *   advisor approves_in N          one worker in N is approved
- *   advisor decides_in MS          base time of a consultation
- *   conf VERSION QUEUE...          send a configuration to all VMs; queues are
- *                                  urgent, batch and digest, in the order of
- *                                  their priority; digest is not configured at
- *                                  first
- *   waiting VM QUEUE               print how many waiting jobs the VM shows
- *   routes VM                      print the queues that the VM serves
- *   owners                         print how many VMs own the cell
+ *   links BYTES PAYLOAD            links carry so many bytes a millisecond,
+ * and jobs have payloads of so many bytes; all VMs are started anew work MS
+ * usual duration of a run advisor fails N                N consultations get
+ * no answer advisor approves_in N          one worker in N is approved advisor
+ * decides_in MS          base time of a consultation conf VERSION QUEUE...
+ * send a configuration to all VMs; queues are urgent, batch and digest, in the
+ * order of their priority; digest is not configured at first waiting VM QUEUE
+ * print how many waiting jobs the VM shows routes VM print the queues that the
+ * VM serves owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
  *                                  most N
  *   broken                         print the violations of guarantees
@@ -354,6 +352,13 @@
         in >> n;
         w->fail_one_in = n;
       }
+    else if (cmd == "links")
+      {
+        int payload = 0;
+
+        in >> n >> payload;
+        w->set_links (n, payload);
+      }
     else if (cmd == "work")
       {
         in >> n;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -13,6 +13,10 @@
 #include "codec.h"
 }
 
+/* Bytes of a message, beside what it carries. */
+static const size_t MESSAGE_BYTES = 350;
+/* Bytes of a run or of an end in an answer to a poll. */
+static const size_t ROW_BYTES = 70;
 /* Duration of a message to a VM or worker. */
 static const gl_ms_t NET_MS = 1;
 /* A VM is in touch this long after it was last frozen or cut off. */
@@ -92,6 +96,27 @@
   timers_.push ({ now + ms, next_seq_++, fn });
 }
 
+void
+World::set_links (double rate, int payload)
+{
+  link_rate = rate;
+  payload_bytes = payload;
+  for (size_t i = 0; i < vms.size (); i++)
+    {
+      kill_vm ((int)i);
+      start_vm ((int)i);
+    }
+}
+
+gl_ms_t
+World::link_ms (double *free_at, size_t bytes)
+{
+  if (link_rate <= 0)
+    return 0;
+  *free_at = std::max (*free_at, (double)now) + (double)bytes / link_rate;
+  return (gl_ms_t)(*free_at - (double)now);
+}
+
 void
 World::report_violation (const std::string &what)
 {
@@ -154,6 +179,7 @@
   b.worker_lease_max_ms = 10000;
   b.stop_max_ms = 200;
   b.writes_per_s = 400;
+  b.link_kbps = (uint32_t)(link_rate * 8);
   b.retention_ms = 900000;
   v.cell = cell_new (v.name.c_str (), v.name.c_str (), v.domain.c_str (), &b,
                      random ());
@@ -360,7 +386,9 @@
             = codec_encode ((xdrproc_t)xdr_gl_heartbeat_t, e.heartbeat, &len);
         std::string copy (data, len);
         free (data);
-        schedule (NET_MS, [=, this] {
+        gl_ms_t out_ms
+            = link_ms (&vms[(size_t)i].out_free_at, MESSAGE_BYTES / 2);
+        schedule (NET_MS + out_ms, [=, this] {
           gl_heartbeat_t b{};
           cell_event_t ev{};
           if (!vms[(size_t)to].alive || vms[(size_t)to].frozen
@@ -507,7 +535,11 @@
         { x.puts[k].key,
           x.puts[k].value ? std::string (x.puts[k].value, x.puts[k].len) : "",
           x.puts[k].leased != 0, !x.puts[k].value });
-  schedule (store_ms, [=, this] {
+  size_t bytes = MESSAGE_BYTES;
+  for (auto &p : txn.puts)
+    bytes += p.key.size () + p.value.size () * 4 / 3;
+  gl_ms_t out_ms = link_ms (&vms[(size_t)i].out_free_at, bytes);
+  schedule (store_ms + out_ms, [=, this] {
     cell_event_t ev{};
     std::vector<cell_item_t> items;
     std::vector<std::string> values;
@@ -661,8 +693,9 @@
 World::renew_lease (int i, uint64_t tag, gl_ms_t ttl)
 {
   uint64_t incarnation = vms[(size_t)i].incarnation;
+  gl_ms_t out_ms = link_ms (&vms[(size_t)i].out_free_at, MESSAGE_BYTES);
 
-  schedule (store_ms, [=, this] {
+  schedule (store_ms + out_ms, [=, this] {
     cell_event_t ev{};
     Vm &v = vms[(size_t)i];
 
@@ -1037,6 +1070,7 @@
   };
 
   c->k = call;
+  size_t bytes = MESSAGE_BYTES + (call.payload ? strlen (call.payload) : 0);
   c->k.payload = nullptr;
   c->k.status = CELL_W_UNKNOWN;
   schedule (call.timeout, answer);
@@ -1078,7 +1112,12 @@
         if (e.outcome == CELL_RUN_DONE)
           done_reported_.insert (e.task);
       }
-    schedule (NET_MS, answer);
+    schedule (
+        NET_MS
+            + link_ms (&vms[(size_t)i].in_free_at,
+                       MESSAGE_BYTES / 2
+                           + (c->runs.size () + c->ends.size ()) * ROW_BYTES),
+        answer);
   };
   auto arrive = [=, this] (bool answered) {
     Worker *w = find_worker ();
@@ -1143,7 +1182,8 @@
   int late = w && c->k.op != CELL_OP_POLL && w->late_ms && random () % 2
                  ? w->late_ms
                  : 0;
-  schedule (NET_MS + (gl_ms_t)late, [=] { arrive (!late); });
+  gl_ms_t out_ms = link_ms (&vms[(size_t)i].out_free_at, bytes);
+  schedule (NET_MS + out_ms + (gl_ms_t)late, [=] { arrive (!late); });
 }
 
 /* ---- advisor ---- */
@@ -1304,7 +1344,8 @@
   j.submissions++;
   spec.id = (char *)id.c_str ();
   spec.queue = (char *)queue.c_str ();
-  spec.payload = (char *)"x";
+  std::string payload ((size_t)payload_bytes, 'x');
+  spec.payload = payload.data ();
   spec.steps.steps_len = (u_int)copy.size ();
   spec.steps.steps_val = copy.data ();
   request.verb = GL_VERB_SUBMIT;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -86,6 +86,9 @@
   bool store_cut = false;  /* does not reach the store */
   gl_ms_t impaired_at = 0; /* when it was last frozen or cut off */
   gl_ms_t started_at = 0;
+  double out_free_at
+      = 0;               /* when its link has sent, and received, what is on */
+  double in_free_at = 0; /* its way */
   std::set<std::string> unreachable_workers; /* addresses */
   uint64_t lease_id = 0;
   uint64_t incarnation = 0;
@@ -130,6 +133,9 @@
   void cancel (const std::string &id);
   /* Ask a live VM for the job's phase; the answer is in jobs[id].phase. */
   void query (const std::string &id);
+  /* All VMs' links carry @rate bytes a ms in each direction, jobs have
+     payloads of @payload bytes, and all VMs start anew. */
+  void set_links (double rate, int payload);
   /* End the VM's process: a fault, unless the VM was asked to stop. */
   void kill_vm (int vm);
   void start_vm (int vm);
@@ -160,6 +166,9 @@
   gl_ms_t linger_ms = 60; /* when one member of a gang ends well, the others
                              are listed as running for this much longer */
   gl_ms_t store_ms = 4;   /* duration of a call to the store */
+  double link_rate = 0;  /* bytes a ms of each VM's link, in each direction; 0:
+                            links take no time */
+  int payload_bytes = 1; /* length of the payload of jobs */
   gl_ms_t answer_ms = 0; /* watches report a transaction this much earlier than
                             its answer arrives */
   std::string cut_domain; /* cut off from the store and the other domains;
@@ -221,6 +230,8 @@
     }
   };
 
+  /* Time for a message on a VM's link, behind those that are on it. */
+  gl_ms_t link_ms (double *free_at, size_t bytes);
   void schedule (gl_ms_t ms, Fn fn);
   void step (int vm, cell_event_t &ev);
   void run_effect (int vm, cell_effect_t &e);
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -30,6 +30,11 @@
                                   26, 27, 28, 29, 29, 30, 30, 31, 31, 32 };
 static const int CALM_GAP_MAX_MS = 2500;
 static const int CALM_STEPS_MAX = 24;
+/* In one world in this many, links are slow: bytes a ms, and bytes of a job's
+   payload. */
+static const uint64_t SLOW_LINK_WORLDS = 5;
+static const double SLOW_LINK_RATE = 20;
+static const int SLOW_LINK_PAYLOAD = 400;
 /* Longest time between two steps. */
 static const int GAP_MAX_MS = 700;
 /* Longest time that a domain is cut off, beyond one second. */
@@ -69,6 +74,8 @@
       w.workers[i].stop_ms = 900;
     if (seed >= CALM_WORLDS && seed % 3)
       w.consult_base_ms = seed % 3 == 1 ? 300 : 900;
+    if (seed % SLOW_LINK_WORLDS == SLOW_LINK_WORLDS - 1)
+      w.set_links (SLOW_LINK_RATE, SLOW_LINK_PAYLOAD);
     w.run (800);
   }
 
