--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -824,10 +824,13 @@
     schedule (0, fn);
 }
 
-static std::string
-step_of (const std::string &task)
+static bool
+same_step (const std::string &a, const std::string &b)
 {
-  return task.substr (0, task.rfind ('.') + 1);
+  size_t len = a.rfind ('.') + 1;
+
+  return b.size () > len && b.find ('.', len) == std::string::npos
+         && !a.compare (0, len, b, 0, len);
 }
 
 /* How many members of the gang run; *@last is when the last one started. */
@@ -840,7 +843,7 @@
   for (Worker &w : workers)
     for (auto &r : w.running)
       if (w.alive && r.second.run == run
-          && step_of (r.first) == step_of (task))
+          && same_step (task, r.first))
         {
           n++;
           *last = std::max (*last, r.second.started_at);
@@ -857,7 +860,7 @@
 
       for (auto &r : w.running)
         if (w.alive && r.second.run == run
-            && step_of (r.first) == step_of (task))
+            && same_step (task, r.first))
           names.push_back (r.first);
       for (auto &n : names)
         {
