Take unexpected answers for what they tell

Cause, by reading: a store's answer of 500, 502 or 504 to a write counted as "nothing was done", so a job that was written could be refused as not run; a phase that does not exist, in another VM's answer, was used as an index; a number beyond 64 bits was converted to an integer.

--- a/src/cellask.c
+++ b/src/cellask.c
@@ -43,6 +43,13 @@
   if (!r)
     return;
   /* An earlier owner may have accepted the job, so it may run after all. */
+  if (phase > GL_PHASE_CANCELLED)
+    {
+      cell_log (c, "phase_unknown id=%s phase=%u", r->body.id,
+                (unsigned)phase);
+      code = GL_UNKNOWN;
+      phase = GL_PHASE_PENDING;
+    }
   if (code == GL_RETRY && r->maybe_taken && r->body.verb == GL_VERB_SUBMIT)
     code = GL_UNKNOWN;
   e = cell_add_effect (c, CELL_FX_REPLY);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -39,6 +39,8 @@
  *   worker N late|stops_in|leaves_in MS
  *   worker N slow FACTOR           see struct Worker
  *   poison TASK                    all runs of the task fail
+ *   peers PHASE                    forwarded requests are answered with this
+ *                                  phase, whatever it is
  *   luck N                         one run in N fails, 0 for none
  *   links BYTES PAYLOAD            links carry so many bytes a millisecond,
  * and jobs have payloads of so many bytes; all VMs are started anew work MS
@@ -359,6 +361,8 @@
         in >> n >> payload;
         w->set_links (n, payload);
       }
+    else if (cmd == "peers")
+      in >> w->peers_phase;
     else if (cmd == "work")
       {
         in >> n;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -842,8 +842,7 @@
   *last = 0;
   for (Worker &w : workers)
     for (auto &r : w.running)
-      if (w.alive && r.second.run == run
-          && same_step (task, r.first))
+      if (w.alive && r.second.run == run && same_step (task, r.first))
         {
           n++;
           *last = std::max (*last, r.second.started_at);
@@ -859,8 +858,7 @@
       std::vector<std::string> names;
 
       for (auto &r : w.running)
-        if (w.alive && r.second.run == run
-            && same_step (task, r.first))
+        if (w.alive && r.second.run == run && same_step (task, r.first))
           names.push_back (r.first);
       for (auto &n : names)
         {
@@ -1293,6 +1291,8 @@
         if (!connected (vms[(size_t)i].domain, vms[(size_t)to].domain))
           return;
         gl_reply_t u = copy_of;
+        if (peers_phase >= 0)
+          u.phase = (gl_phase_t)peers_phase;
         u.reason = (char *)why.c_str ();
         deliver (GL_OK, &u);
       });
@@ -1433,6 +1433,11 @@
       ev.deadline = now + 3000;
       reply_handlers_[ev.tag] = [=, this] (const gl_reply_t &t) {
         JobView &j = jobs[id];
+        if (t.code == GL_OK && t.phase > GL_PHASE_CANCELLED)
+          {
+            report_violation ("a phase that does not exist: " + id);
+            return;
+          }
         j.phase = t.code == GL_OK          ? names[t.phase]
                   : t.code == GL_NOT_FOUND ? "none"
                                            : "unknown";
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -169,6 +169,7 @@
   double link_rate = 0;  /* bytes a ms of each VM's link, in each direction; 0:
                             links take no time */
   int payload_bytes = 1; /* length of the payload of jobs */
+  int peers_phase = -1;  /* answers of other VMs name this phase; -1: theirs */
   gl_ms_t answer_ms = 0; /* watches report a transaction this much earlier than
                             its answer arrives */
   std::string cut_domain; /* cut off from the store and the other domains;
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -135,3 +135,35 @@
   store_items_free (v, n);
   json_decref (list);
 }
+
+/* Guards against an accepted job that is refused as not run, because the store
+   answered its write with an error that does not say that nothing was done. */
+TEST (StoreStatus, OfAnotherServerErrorIsUnknown)
+{
+  httpc_result_t res{};
+
+  res.outcome = HTTPC_COMPLETE;
+  for (int status : { 429, 503, 400, 403 })
+    {
+      res.status = status;
+      EXPECT_EQ (GL_ST_REFUSED, store_status (&res)) << status;
+    }
+  for (int status : { 500, 502, 504, 204, 302 })
+    {
+      res.status = status;
+      EXPECT_EQ (GL_ST_UNKNOWN, store_status (&res)) << status;
+    }
+}
+
+TEST (Fields, WithNumbersThatDoNotFitAreAbsent)
+{
+  json_t *o = json_loads ("{\"a\":1e300,\"b\":-1e300,\"c\":7.9}", 0, nullptr);
+  json_int_t v = 5;
+
+  EXPECT_EQ (0, field_int (o, "a", &v));
+  EXPECT_EQ (0, field_int (o, "b", &v));
+  EXPECT_EQ (5, v);
+  EXPECT_EQ (1, field_int (o, "c", &v));
+  EXPECT_EQ (7, v);
+  json_decref (o);
+}
