Keep reservations within the cell, and ask for all approved workers of a gang

Cause: in a backlog every gang is starved, and starved gangs were exempt from the limit of reservations: up to 17,000 processors of 8,400 were reserved, a third of the cell stayed free for gangs that did not start. A gang had tickets only for the workers that it had reserved, and waited for the last of them while others that were approved came free first. Change: the limit holds for all but the oldest gang, at three tenths of the cell; a starved gang beyond it asks for workers that have room now; a consultation for reserved workers names the step's other approved ones, too.

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -13,7 +13,9 @@
  * several times the room that it needs, since verdicts stay valid.  A survey
  * is divided among idle VMs, and each step names other workers, so that the
  * gangs of a burst do not all wait for the same ones.  Later consultations
- * renew the tickets for workers on which the gang has reserved room.
+ * renew the tickets for workers on which the gang has reserved room, and for
+ * the others that were approved, since room may come free there first; a
+ * starved gang without a reservation asks for workers that have room now.
  */
 #include "cellint.h"
 
@@ -258,6 +260,30 @@
   return answer_at > when ? answer_at : when;
 }
 
+/* Add the other workers that are approved for the gang to the @n in @out, as
+   far as their tickets expire before @start_at: if room comes free there
+   first, the gang need not wait for those that it has reserved.  Returns how
+   many there are. */
+static int
+add_approved (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
+              candidate_t *out, int n, gl_ms_t start_at)
+{
+  int nreserved = n;
+
+  for (int i = 0; i < c->nworkers && n < NAMED_WORKERS_MAX; i++)
+    {
+      int listed = consult_verdict (s, i) != 1
+                   || ticket_expiry (s, i) >= start_at + TICKET_SPARE_MS
+                   || !room_when_empty (c, s, q, i);
+
+      for (int k = 0; k < nreserved && !listed; k++)
+        listed = out[k].worker == i;
+      if (!listed)
+        out[n++] = (candidate_t){ i, 1, 1, 1 };
+    }
+  return n;
+}
+
 /* Fill @out with the workers that the gang has reserved and whose tickets
    would expire before it can start; returns how many there are.  There are
    none while the answer would come more than TICKET_RENEW_EARLY_MS before the
@@ -279,7 +305,7 @@
     if (ticket_expiry (s, s->reservations[i].worker)
         < start_at + TICKET_SPARE_MS)
       out[n++] = (candidate_t){ s->reservations[i].worker, 1, 1, 1 };
-  return n;
+  return n ? add_approved (c, s, q, out, n, start_at) : 0;
 }
 
 /* Share of named workers that the advisor is expected to approve for the job's
@@ -490,9 +516,9 @@
   if (s->consults_in_flight || c->now < s->consult_after)
     return;
   /* Between surveys, a gang of a costly queue asks only for tickets for the
-     workers that it has reserved. */
+     workers that it has reserved, or for room now if it is starved. */
   if (consult_is_costly (q) && s->def->gang && !needs_survey (c, s, q)
-      && !s->nreservations)
+      && !s->nreservations && !s->starved)
     return;
   if (choose_vm (c, q->priority, q->consult_base_ms) < 0)
     {
@@ -512,7 +538,8 @@
     return;
   if (needs_survey (c, s, q) && send_survey (c, s, q, v))
     goto out;
-  if (consult_is_costly (q) && s->def->gang)
+  if (consult_is_costly (q) && s->def->gang
+      && (s->nreservations || !s->starved))
     n = list_reserved (c, s, q, v);
   else
     {
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -17,7 +17,8 @@
  * for gangs behind it.  A gang keeps a worker that it has reserved unless
  * another one is clearly better.  Except for the oldest gang, reservations are
  * limited to a share of the cell's processors, so that they cannot leave the
- * cell idle.
+ * cell idle.  A gang beyond the limit that has waited long beside enough room
+ * asks for tickets for that room instead; see cellconsult.c.
  */
 #include "cellint.h"
 
@@ -39,7 +40,7 @@
 /* The processors of the usable workers are counted again after this time. */
 #define CPU_COUNT_INTERVAL_MS 500
 /* Largest share of the usable workers' processors that may be reserved. */
-#define RESERVED_SHARE_MAX 0.55
+#define RESERVED_SHARE_MAX 0.3
 /* Tasks are expected to run this many times their estimate. */
 #define ESTIMATE_MARGIN 1.2
 /* Most running tasks of one worker whose ends are considered. */
@@ -324,7 +325,7 @@
   size_t usable = 0;
   size_t n = 0;
 
-  if (c->reserved_cpus_m && !s->starved
+  if (c->reserved_cpus_m
       && (double)(c->reserved_cpus_m + want_cpus_m)
              > RESERVED_SHARE_MAX * (double)count_usable_cpus (c))
     {
