--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -1,12 +1,17 @@
 /* wire.cc -- decoding of registrations, configurations and items of the
    platform's store, valid and invalid ones */
+#include <algorithm>
+#include <atomic>
 #include <cstring>
 #include <gtest/gtest.h>
 #include <string>
+#include <unistd.h>
 
 extern "C"
 {
 #include "../platform/wire.h"
+#include "../src/httpd.h"
+#include "../src/loop.h"
 }
 
 #ifdef GL_TEST_FAULTS
@@ -167,3 +172,67 @@
   EXPECT_EQ (7, v);
   json_decref (o);
 }
+
+/* A store whose workers have written EVENTS registrations, of which a watch
+   returns PER_RESPONSE at a time. */
+struct FakeStore
+{
+  static constexpr int EVENTS = 1200;
+  static constexpr int PER_RESPONSE = 200;
+  static constexpr int PORT = 18467;
+  std::atomic<int> sent{ 0 };
+
+  static void
+  answer (void *ctx, httpd_call_t *call)
+  {
+    FakeStore *s = (FakeStore *)ctx;
+    const char *prefix = httpd_query (call, "prefix");
+    const char *after = httpd_query (call, "after");
+    bool workers = prefix && !strcmp (prefix, "servers/");
+    std::string events;
+    int from = after ? atoi (after) : 0;
+    int to = workers ? std::min (from + PER_RESPONSE, EVENTS) : from;
+
+    if (!strcmp (call->path, "/kv-range"))
+      {
+        httpd_text (call, 200, "{\"currentRev\":0,\"items\":[]}");
+        return;
+      }
+    for (int i = from; i < to; i++)
+      events += std::string (i > from ? "," : "") + "{\"key\":\"servers/i-"
+                + std::to_string (i) + "\",\"value\":\"AAEC\",\"revision\":1}";
+    if (workers)
+      s->sent = to;
+    httpd_text (call, 200, "{\"currentRev\":%d,\"events\":[%s]}", to,
+                events.c_str ());
+  }
+};
+
+/* Guards against a standby that still uses workers that have left when it
+   takes the cell over: on a large cell its watch of registrations paused after
+   each response although there were more events, and fell behind by many
+   seconds. */
+TEST (Watch, OfManyRegistrationsDoesNotFallBehind)
+{
+  static adapter_t a;
+  static FakeStore store;
+  std::string addr = "127.0.0.1:" + std::to_string (FakeStore::PORT);
+  httpd_t *server
+      = httpd_new (addr.c_str (), 4096, 32, 2, FakeStore::answer, &store);
+  gl_ms_t end;
+
+  ASSERT_NE (nullptr, server);
+  snprintf (a.set.name, sizeof a.set.name, "vm");
+  snprintf (a.set.domain, sizeof a.set.domain, "d");
+  snprintf (a.set.rpc, sizeof a.set.rpc, "127.0.0.1:%d", FakeStore::PORT + 1);
+  snprintf (a.set.store, sizeof a.set.store, "%s", addr.c_str ());
+  a.http = calls_new (8);
+  a.cell = celld_new (&a.set);
+  ASSERT_NE (nullptr, a.cell);
+  ASSERT_EQ (0, watch_start (&a));
+  for (end = clock_ms () + 4000;
+       store.sent < FakeStore::EVENTS && clock_ms () < end;)
+    usleep (10000);
+  EXPECT_EQ (FakeStore::EVENTS, store.sent.load ());
+  /* The watches go on until the process ends. */
+}
