Count waiting jobs once for the metrics page, and take a job without a payload

Cause: the page counted all jobs once for each queue, on the control thread; a start measured the job's payload even where there is none.

--- a/src/cell.c
+++ b/src/cell.c
@@ -200,6 +200,15 @@
   return best;
 }
 
+/* Whether this VM knows how many jobs wait. */
+static int
+counts_known (const cell_t *c)
+{
+  return c->role == CR_OWNER
+         || (c->owner_queues_at
+             && c->now <= c->owner_queues_at + COUNTS_VALID_MS);
+}
+
 int64_t
 cell_jobs_waiting (const cell_t *c, const char *queue)
 {
@@ -213,7 +222,7 @@
           return v[i].waiting;
       return 0;
     }
-  if (!c->owner_queues_at || c->now > c->owner_queues_at + COUNTS_VALID_MS)
+  if (!counts_known (c))
     return -1;
   for (int i = 0; i < c->nowner_queues; i++)
     if (!strcmp (c->owner_queues[i].queue, queue))
@@ -313,6 +322,26 @@
 
 /* ---- metrics ---- */
 
+/* Jobs that wait, by queue; the queues that are left out have none. */
+static void
+print_waiting (const cell_t *c, text_t *t)
+{
+  cqueue_count_t own[CELL_QUEUES_MAX];
+  const cqueue_count_t *v = c->owner_queues;
+  int n = c->nowner_queues;
+  int known = counts_known (c);
+
+  if (c->role == CR_OWNER)
+    {
+      v = own;
+      n = cjobs_waiting (c, own);
+    }
+  for (int i = 0; known && i < n; i++)
+    text_add (t, "cell_jobs_waiting{queue=\"%s\"} %u\n", v[i].queue,
+              v[i].waiting);
+  text_add (t, "cell_jobs_waiting_known %d\n", known);
+}
+
 void
 cell_metrics (const cell_t *c, text_t *t)
 {
@@ -327,17 +356,7 @@
             c->jobs.count);
   text_add (t, "cell_steps_waiting %zu\ncell_requests_open %zu\n",
             c->waiting.n, c->nrequests);
-  for (int i = 0; i < c->conf.nqueues; i++)
-    {
-      int64_t waiting = cell_jobs_waiting (c, c->conf.queues[i].name);
-
-      if (waiting > 0)
-        text_add (t, "cell_jobs_waiting{queue=\"%s\"} %lld\n",
-                  c->conf.queues[i].name, (long long)waiting);
-    }
-  text_add (t, "cell_jobs_waiting_known %d\n",
-            !c->conf.nqueues
-                || cell_jobs_waiting (c, c->conf.queues[0].name) >= 0);
+  print_waiting (c, t);
   text_add (t, "cell_reserved_cpus %lld\ncell_usable_cpus %lld\n",
             (long long)c->reserved_cpus_m / 1000,
             (long long)c->usable_cpus_m / 1000);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -359,7 +359,8 @@
   cell_strcpy (k->checkpoint, t->checkpoint);
   cell_strcpy (k->ticket, ticket ? ticket : "");
   k->lease_until = lease_until (c, w);
-  k->timeout += flow_send (c, CALL_BYTES + strlen (j->spec.payload));
+  k->timeout
+      += flow_send (c, CALL_BYTES + (k->payload ? strlen (k->payload) : 0));
   poll_task_started (c, s, t);
   cell_log (c, "start task=%s run=%u worker=%s wait_ms=%llu", k->task, t->run,
             w->info.id, (unsigned long long)(c->now - s->ready_at));
