--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -50,7 +50,8 @@
   local p=$((PORT + $1 * 6)) a=127.0.0.1
   sed -e '/{{#advice}}/s/.*/advisor = {{advice}}/' -e 's/{{\/advice}}//' \
     -e "s/{{nodeName}}/vm$1/" -e "s/{{zone}}/${DOMAINS[$1 % 3]}/" \
-    -e "s/{{limits.cpuShare}}/1/" -e "s/{{listenAddrs.front}}/$a:$p/" \
+    -e "s/{{limits.cpuShare}}/1/" -e "s/{{limits.linkMbps}}/1000/" \
+    -e "s/{{listenAddrs.front}}/$a:$p/" \
     -e "s/{{listenAddrs.ready}}/$a:$((p + 1))/" -e "s/{{ip}}/$a/" \
     -e "s/{{internalPorts.0}}/$((p + 2))/" \
     -e "s/{{internalPorts.1}}/$((p + 3))/" \
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -179,7 +179,6 @@
 {
   static constexpr int EVENTS = 1200;
   static constexpr int PER_RESPONSE = 200;
-  static constexpr int PORT = 18467;
   std::atomic<int> sent{ 0 };
 
   static void
@@ -216,7 +215,9 @@
 {
   static adapter_t a;
   static FakeStore store;
-  std::string addr = "127.0.0.1:" + std::to_string (FakeStore::PORT);
+  /* Several of these tests may run at once. */
+  int port = 20000 + 2 * (int)(getpid () % 5000);
+  std::string addr = "127.0.0.1:" + std::to_string (port);
   httpd_t *server
       = httpd_new (addr.c_str (), 4096, 32, 2, FakeStore::answer, &store);
   gl_ms_t end;
@@ -224,7 +225,7 @@
   ASSERT_NE (nullptr, server);
   snprintf (a.set.name, sizeof a.set.name, "vm");
   snprintf (a.set.domain, sizeof a.set.domain, "d");
-  snprintf (a.set.rpc, sizeof a.set.rpc, "127.0.0.1:%d", FakeStore::PORT + 1);
+  snprintf (a.set.rpc, sizeof a.set.rpc, "127.0.0.1:%d", port + 1);
   snprintf (a.set.store, sizeof a.set.store, "%s", addr.c_str ());
   a.http = calls_new (8);
   a.cell = celld_new (&a.set);
