Log the requests that a stopping process gives up, and decide in the reducer when to stop accepting

A request without an answer at the end of a process left no trace: its caller saw the connection close, and no line had the id.

--- a/src/cell.c
+++ b/src/cell.c
@@ -294,7 +294,10 @@
       own_peer_down (c, ev->peer_addr);
       break;
     case CELL_EV_STOP:
-      own_stop (c);
+      own_stop (c, ev);
+      break;
+    case CELL_EV_END:
+      requests_give_up (c);
       break;
     }
 }
--- a/src/cell.h
+++ b/src/cell.h
@@ -231,7 +231,8 @@
  * @CELL_EV_HEARTBEAT_ACK: a VM has answered a heartbeat, result of
  *   CELL_FX_HEARTBEAT
  * @CELL_EV_PEER_DOWN: a VM's address refused a connection
- * @CELL_EV_STOP: this VM is to hand the cell over and must not claim it again
+ * @CELL_EV_STOP: the planned stop of this VM begins
+ * @CELL_EV_END: the process ends now
  */
 typedef enum
 {
@@ -252,7 +253,8 @@
   CELL_EV_HEARTBEAT,
   CELL_EV_HEARTBEAT_ACK,
   CELL_EV_PEER_DOWN,
-  CELL_EV_STOP
+  CELL_EV_STOP,
+  CELL_EV_END
 } cell_evkind_t;
 
 /**
@@ -341,7 +343,8 @@
  * @request: of CELL_EV_REQUEST
  * @from_peer: the request was forwarded by another VM and is not forwarded
  *   again
- * @deadline: instant by which the request must be answered
+ * @deadline: instant by which the request must be answered; of CELL_EV_STOP,
+ *   the instant at which the process ends at the latest
  * @call_code: outcome of forwarding; @reply is valid when it is GL_OK
  * @heartbeat: of CELL_EV_HEARTBEAT
  * @store_age_ms: of CELL_EV_HEARTBEAT_ACK, the time since the store answered
@@ -461,6 +464,20 @@
   size_t cap;
 } cell_effects_t;
 
+/**
+ * enum cell_stop_stage_t - how far the planned stop of a VM has got
+ * @CELL_STOP_NONE: the VM is not stopping
+ * @CELL_STOP_SERVING: it takes requests, on new connections too
+ * @CELL_STOP_CLOSING: it takes no new connections; its process may end once
+ *   every request is answered
+ */
+typedef enum
+{
+  CELL_STOP_NONE = 0,
+  CELL_STOP_SERVING,
+  CELL_STOP_CLOSING
+} cell_stop_stage_t;
+
 typedef struct cell cell_t;
 
 /**
@@ -488,6 +505,10 @@
 gl_ms_t cell_next_tick (const cell_t *c);
 /** cell_ready - 1 while callers' requests can be served */
 int cell_ready (const cell_t *c);
+/** cell_stop_stage - how far the planned stop has got */
+cell_stop_stage_t cell_stop_stage (const cell_t *c);
+/** cell_open_requests - number of requests without an answer */
+size_t cell_open_requests (const cell_t *c);
 /** cell_store_age_ms - time since the store last answered this VM, as the
    owner of @generation is told; 0 if that owner must not take the store for
    away, since it was succeeded or this VM cannot know */
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -23,6 +23,8 @@
 #define RETRY_PAUSE_MS 40
 /* Timeout of a forwarded request. */
 #define FORWARD_TIMEOUT_MS 2500
+/* Most requests that are named in the log when the process ends. */
+#define GIVEN_UP_LINES_MAX 64
 
 static crequest_t *
 find_request (cell_t *c, uint64_t tag)
@@ -70,6 +72,28 @@
   *r = c->requests[--c->nrequests];
 }
 
+size_t
+cell_open_requests (const cell_t *c)
+{
+  return c->nrequests;
+}
+
+void
+requests_give_up (cell_t *c)
+{
+  for (size_t i = 0; i < c->nrequests && i < GIVEN_UP_LINES_MAX; i++)
+    {
+      const crequest_t *r = &c->requests[i];
+
+      cell_log (c,
+                "given_up id=%s verb=%d age_ms=%llu from_peer=%d "
+                "dispatched=%d maybe_taken=%d",
+                r->body.id, r->body.verb,
+                (unsigned long long)(c->now - r->arrived_at), r->from_peer,
+                r->dispatched, r->maybe_taken);
+    }
+}
+
 /* ---- requests at the owner ---- */
 
 static int
--- a/src/celld.c
+++ b/src/celld.c
@@ -76,7 +76,9 @@
  * @settings, @platform: as given to celld_new and celld_run
  * @consult_queue: consultations that wait for the advisor or are in flight
  * @requests, @consults: requests and consultations that have no answer yet
- * @ready, @is_owner: copies of the reducer's state, read by any thread
+ * @ready, @is_owner, @stop_stage, @open_requests: copies of the reducer's
+ *   state, read by any thread
+ * @stop_ends_at: when a process that stops ends at the latest
  * @flushed_at: when log lines were last written
  */
 struct celld
@@ -91,6 +93,9 @@
   pool_t consults;
   unsigned int ready;
   unsigned int is_owner;
+  unsigned int stop_stage;
+  unsigned int open_requests;
+  gl_ms_t stop_ends_at;
   gl_ms_t flushed_at;
 };
 
@@ -114,6 +119,18 @@
   return (int)ck_pr_load_uint (&d->is_owner);
 }
 
+cell_stop_stage_t
+celld_stop_stage (celld_t *d)
+{
+  return (cell_stop_stage_t)ck_pr_load_uint (&d->stop_stage);
+}
+
+unsigned int
+celld_open_requests (celld_t *d)
+{
+  return ck_pr_load_uint (&d->open_requests);
+}
+
 static uint64_t
 wall_ms (void)
 {
@@ -484,6 +501,9 @@
   cell_effects_destroy (&fx);
   ck_pr_store_uint (&d->ready, (unsigned int)cell_ready (d->cell));
   ck_pr_store_uint (&d->is_owner, (unsigned int)cell_is_owner (d->cell));
+  ck_pr_store_uint (&d->stop_stage, (unsigned int)cell_stop_stage (d->cell));
+  ck_pr_store_uint (&d->open_requests,
+                    (unsigned int)cell_open_requests (d->cell));
 }
 
 /* ---- the control thread ---- */
@@ -542,14 +562,16 @@
 static void
 do_stop (void *arg)
 {
-  cell_event_t ev = { .kind = CELL_EV_STOP };
+  celld_t *d = arg;
+  cell_event_t ev = { .kind = CELL_EV_STOP, .deadline = d->stop_ends_at };
 
-  handle_event (arg, &ev);
+  handle_event (d, &ev);
 }
 
 void
-celld_stop (celld_t *d)
+celld_stop (celld_t *d, gl_ms_t ms)
 {
+  d->stop_ends_at = clock_ms () + ms;
   celld_post_call (d, do_stop, d);
 }
 
@@ -557,7 +579,9 @@
 do_quit (void *arg)
 {
   celld_t *d = arg;
+  cell_event_t ev = { .kind = CELL_EV_END };
 
+  handle_event (d, &ev);
   loop_quit (d->loop);
 }
 
--- a/src/celld.h
+++ b/src/celld.h
@@ -44,8 +44,14 @@
 void celld_free (celld_t *d);
 /** celld_run - run the control thread until celld_quit */
 void celld_run (celld_t *d, const celld_platform_t *platform);
-/** celld_stop - hand the cell over and do not claim it again; any thread */
-void celld_stop (celld_t *d);
+/** celld_stop - begin the planned stop; the process ends within @ms; any
+    thread */
+void celld_stop (celld_t *d, gl_ms_t ms);
+/** celld_stop_stage - how far the planned stop has got; any thread */
+cell_stop_stage_t celld_stop_stage (celld_t *d);
+/** celld_open_requests - number of requests, also of other VMs, that the cell
+    has not answered; any thread */
+unsigned int celld_open_requests (celld_t *d);
 /** celld_quit - end celld_run; any thread */
 void celld_quit (celld_t *d);
 /**
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -667,8 +667,10 @@
  *
  * Ownership (cellown.c):
  * @role: this VM's part in the cell
- * @stopping, @stop_at: this VM hands the cell over and does not claim it
- *   again, and since when
+ * @stopping, @stop_at, @stop_ends_at: this VM is stopping, since when, and
+ *   when its process ends at the latest; it hands the cell over and does not
+ *   claim it
+ *   again
  * @generation: of this VM's latest claim; the fencing token
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
@@ -783,6 +785,7 @@
   crole_t role;
   int stopping;
   gl_ms_t stop_at;
+  gl_ms_t stop_ends_at;
   uint64_t generation;
   gl_ownership_t ownership;
   uint64_t ownership_rev;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -38,7 +38,7 @@
 void own_heartbeat_ack (cell_t *c, const cell_event_t *ev);
 void own_peer_down (cell_t *c, const char *addr);
 void own_tick (void *ctx, gl_ms_t now);
-void own_stop (cell_t *c);
+void own_stop (cell_t *c, const cell_event_t *ev);
 /** own_confirmed - a transaction sent at @sent has passed the ownership check
  */
 void own_confirmed (cell_t *c, gl_ms_t sent);
@@ -385,6 +385,12 @@
 /** plan_reset - forget what waits, when the ownership is lost */
 void plan_reset (cell_t *c);
 
+/* cellstop.c */
+
+/** stop_begin - the planned stop begins; the process ends at @ends_at at the
+    latest */
+void stop_begin (cell_t *c, gl_ms_t ends_at);
+
 /* cellask.c */
 
 /** request_receive - add a new request, to be served, forwarded or refused */
@@ -394,6 +400,9 @@
 /** request_result_read - the stored result of a job that is not in memory */
 void request_result_read (cell_t *c, const cell_event_t *ev);
 void request_tick (void *ctx, gl_ms_t now);
+/** requests_give_up - log the requests that get no answer, as the process ends
+ */
+void requests_give_up (cell_t *c);
 /** request_owner_changed - forward or serve all open requests again */
 void request_owner_changed (cell_t *c);
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -824,11 +824,9 @@
 }
 
 void
-own_stop (cell_t *c)
+own_stop (cell_t *c, const cell_event_t *ev)
 {
-  c->stopping = 1;
-  c->stop_at = c->now;
-  cell_log (c, "stopping role=%d", c->role);
+  stop_begin (c, ev->deadline);
   try_release (c);
 }
 
