Planned stops in the simulated world, as the process makes them

The simulated VM went on after a stop until a script killed it, so no test saw requests that are open when the process ends. It now says its deadline, ends once the cell takes no connections and no caller's request is open, or at the deadline, and starts anew. New guarantees: no request is given up at a planned stop; a job of which all submissions were refused does not start; without faults for 4 s, the cell has no owner for at most 1.5 s, and a submission is answered within 700 ms while every VM is stopping.

--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -31,6 +31,17 @@
 static const gl_ms_t COUNTED_AFTER_MS = 5000;
 /* Period of check_idle and check_counts. */
 static const gl_ms_t IDLE_CHECK_MS = 50;
+/* Longest time without an owner, and to the answer of a submission while every
+   VM is stopping, in a cell without faults for CALM_MS. */
+static const gl_ms_t OWNERLESS_MAX_MS = 1500;
+static const gl_ms_t STOP_ANSWER_MAX_MS = 700;
+/* A process that stops looks this often whether it may end. */
+static const gl_ms_t END_CHECK_MS = 50;
+/* One caller in this many has an open connection to a VM that takes no new
+   ones. */
+static const uint64_t OPEN_CONNECTION_ONE_IN = 4;
+/* Time within which callers want an answer. */
+static const gl_ms_t CALLER_TIMEOUT_MS = 3000;
 /* Part of a worker's processors that is kept for priority 0: one in this
    many. */
 static const int PRIORITY0_SHARE = 10;
@@ -201,6 +212,8 @@
     return;
   if (!v.stopping)
     last_fault_at_ = now;
+  std::erase_if (open_requests_,
+                 [=] (const auto &r) { return r.second.vm == i; });
   cell_free (v.cell);
   v.cell = nullptr;
   v.alive = false;
@@ -222,17 +235,84 @@
 }
 
 void
-World::stop_vm (int i)
+World::stop_vm (int i, gl_ms_t ends_in)
 {
   cell_event_t ev{};
 
   ev.kind = CELL_EV_STOP;
+  ev.deadline = now + ends_in;
   if (!vms[(size_t)i].alive)
     return;
   vms[(size_t)i].stopping = true;
+  vms[(size_t)i].ends_at = ev.deadline;
   step (i, ev);
 }
 
+void
+World::restart_vm (int i, gl_ms_t ends_in, gl_ms_t starts_in)
+{
+  const Vm &v = vms[(size_t)i];
+
+  if (!v.alive || v.frozen || v.stopping)
+    return;
+  stop_vm (i, ends_in);
+  end_when_due (i, v.incarnation, starts_in);
+}
+
+void
+World::end_when_due (int i, uint64_t incarnation, gl_ms_t starts_in)
+{
+  Vm &v = vms[(size_t)i];
+  bool open = false;
+
+  if (!v.alive || v.incarnation != incarnation)
+    return;
+  for (const auto &r : open_requests_)
+    open |= r.second.vm == i;
+  if (now < v.ends_at
+      && (v.frozen || open || cell_stop_stage (v.cell) != CELL_STOP_CLOSING))
+    {
+      schedule (std::min (END_CHECK_MS, v.ends_at - now),
+                [=, this] { end_when_due (i, incarnation, starts_in); });
+      return;
+    }
+  /* The platform kills a process that has not ended in time. */
+  if (v.frozen)
+    last_fault_at_ = now;
+  else
+    check_given_up (i);
+  kill_vm (i);
+  uint64_t ended = v.incarnation;
+  schedule (starts_in, [=, this] {
+    if (vms[(size_t)i].incarnation == ended)
+      start_vm (i);
+  });
+}
+
+void
+World::check_given_up (int i)
+{
+  Vm &v = vms[(size_t)i];
+  cell_event_t ev{};
+  cell_effects_t fx{};
+
+  for (const auto &r : open_requests_)
+    if (r.second.vm == i)
+      report_violation ("request given up at a planned stop: verb "
+                        + std::to_string (r.second.verb) + " of " + r.second.id
+                        + " at " + v.name + ", taken "
+                        + std::to_string (now - r.second.taken_at)
+                        + " ms before");
+  /* What the cell does now is not sent any more; its log lines are kept. */
+  ev.kind = CELL_EV_END;
+  ev.wall = 1000000 + now;
+  cell_step (v.cell, &ev, now, &fx);
+  for (size_t k = 0; k < fx.n; k++)
+    if (fx.v[k].kind == CELL_FX_LOG)
+      run_effect (i, fx.v[k]);
+  cell_effects_destroy (&fx);
+}
+
 void
 World::send_conf (int i, uint64_t version)
 {
@@ -937,7 +1017,10 @@
 
   starts++;
   if (jobs.count (id))
-    jobs[id].begun = true;
+    {
+      jobs[id].begun = true;
+      check_refusal (id);
+    }
   for (auto &o : w.running)
     {
       cpus += o.second.need.cpus_m;
@@ -1315,23 +1398,82 @@
   fn (e.reply);
 }
 
+void
+World::check_refusal (const std::string &id)
+{
+  const JobView &j = jobs[id];
+
+  if (j.begun && j.submissions && j.refusals == j.submissions)
+    report_violation ("refused but started: " + id);
+}
+
+bool
+World::takes_requests (size_t i) const
+{
+  return vms[i].alive && !vms[i].frozen;
+}
+
+bool
+World::takes_connections (size_t i) const
+{
+  return takes_requests (i)
+         && cell_stop_stage (vms[i].cell) != CELL_STOP_CLOSING;
+}
+
+int
+World::pick_vm_at_random ()
+{
+  bool turned_away = false;
+
+  for (size_t k = 0; k < vms.size (); k++)
+    {
+      size_t at = (random () + k) % vms.size ();
+
+      if (takes_connections (at)
+          || (takes_requests (at) && random () % OPEN_CONNECTION_ONE_IN == 0))
+        return (int)at;
+      turned_away |= takes_requests (at);
+    }
+  for (size_t k = 0; turned_away && k < vms.size (); k++)
+    if (takes_connections (k))
+      return (int)k;
+  return -1;
+}
+
+void
+World::ask (int vm, gl_verb_t verb, const std::string &id, gl_cell_job_t *job,
+            ReplyFn fn)
+{
+  gl_request_t request{};
+  cell_event_t ev{};
+  uint64_t tag = ++last_request_;
+
+  request.verb = verb;
+  request.id = (char *)id.c_str ();
+  request.job = job;
+  ev.kind = CELL_EV_REQUEST;
+  ev.request = &request;
+  ev.tag = tag;
+  ev.deadline = now + CALLER_TIMEOUT_MS;
+  open_requests_[tag] = { vm, verb, id, now };
+  reply_handlers_[tag] = [=, this] (const gl_reply_t &t) {
+    open_requests_.erase (tag);
+    fn (t);
+  };
+  step (vm, ev);
+}
+
 void
 World::submit (const std::string &id, const std::string &queue,
                const std::vector<gl_step_t> &steps, int vm)
 {
   gl_cell_job_t spec{};
-  gl_request_t request{};
-  cell_event_t ev{};
   JobView &j = jobs[id];
   std::vector<gl_step_t> copy = steps;
 
-  for (size_t k = 0; vm < 0 && k < vms.size (); k++)
-    {
-      size_t at = (random () + k) % vms.size ();
-      if (vms[at].alive && !vms[at].frozen)
-        vm = (int)at;
-    }
-  if (vm < 0 || !vms[(size_t)vm].alive || vms[(size_t)vm].frozen)
+  if (vm < 0)
+    vm = pick_vm_at_random ();
+  if (vm < 0 || !takes_requests ((size_t)vm))
     return;
   j.queues.insert (queue);
   if (j.task_counts.empty ())
@@ -1351,14 +1493,7 @@
   spec.payload = payload.data ();
   spec.steps.steps_len = (u_int)copy.size ();
   spec.steps.steps_val = copy.data ();
-  request.verb = GL_VERB_SUBMIT;
-  request.id = (char *)id.c_str ();
-  request.job = &spec;
-  ev.kind = CELL_EV_REQUEST;
-  ev.request = &request;
-  ev.tag = ++last_request_;
-  ev.deadline = now + 3000;
-  reply_handlers_[ev.tag] = [=, this] (const gl_reply_t &t) {
+  ask (vm, GL_VERB_SUBMIT, id, &spec, [=, this] (const gl_reply_t &t) {
     JobView &k = jobs[id];
     if (t.code == GL_OK && !k.accepted)
       {
@@ -1368,40 +1503,41 @@
     else if (t.code == GL_OK)
       return;
     else if (t.code == GL_RETRY)
-      k.refusals++;
+      {
+        k.refusals++;
+        check_refusal (id);
+      }
     else
       k.outcome_unknown = true;
-  };
-  step (vm, ev);
+  });
+}
+
+int
+World::pick_vm ()
+{
+  int vm = -1;
+
+  for (size_t k = 0; k < vms.size (); k++)
+    if (takes_requests (k) && (vm < 0 || !takes_connections ((size_t)vm)))
+      vm = (int)k;
+  return vm;
 }
 
 void
 World::cancel (const std::string &id)
 {
-  gl_request_t request{};
-  cell_event_t ev{};
+  int vm = pick_vm ();
 
-  for (size_t k = 0; k < vms.size (); k++)
-    {
-      if (!vms[k].alive || vms[k].frozen)
-        continue;
-      request.verb = GL_VERB_CANCEL;
-      request.id = (char *)id.c_str ();
-      ev.kind = CELL_EV_REQUEST;
-      ev.request = &request;
-      ev.tag = ++last_request_;
-      ev.deadline = now + 3000;
-      reply_handlers_[ev.tag] = [=, this] (const gl_reply_t &t) {
-        if (t.code == GL_OK && !jobs[id].cancelled)
-          {
-            jobs[id].cancelled = true;
-            jobs[id].cancelled_at = now;
-          }
-      };
-      jobs[id].cancel_sent = true;
-      step ((int)k, ev);
-      return;
-    }
+  if (vm < 0)
+    return;
+  jobs[id].cancel_sent = true;
+  ask (vm, GL_VERB_CANCEL, id, nullptr, [=, this] (const gl_reply_t &t) {
+    if (t.code == GL_OK && !jobs[id].cancelled)
+      {
+        jobs[id].cancelled = true;
+        jobs[id].cancelled_at = now;
+      }
+  });
 }
 
 bool
@@ -1418,45 +1554,32 @@
 {
   static const char *const names[]
       = { "pending", "running", "completed", "failed", "cancelled" };
-  gl_request_t request{};
-  cell_event_t ev{};
+  int vm = pick_vm ();
 
-  for (size_t k = 0; k < vms.size (); k++)
-    {
-      if (!vms[k].alive || vms[k].frozen)
-        continue;
-      request.verb = GL_VERB_STATE;
-      request.id = (char *)id.c_str ();
-      ev.kind = CELL_EV_REQUEST;
-      ev.request = &request;
-      ev.tag = ++last_request_;
-      ev.deadline = now + 3000;
-      reply_handlers_[ev.tag] = [=, this] (const gl_reply_t &t) {
-        JobView &j = jobs[id];
-        if (t.code == GL_OK && t.phase > GL_PHASE_CANCELLED)
-          {
-            report_violation ("a phase that does not exist: " + id);
-            return;
-          }
-        j.phase = t.code == GL_OK          ? names[t.phase]
-                  : t.code == GL_NOT_FOUND ? "none"
-                                           : "unknown";
-        if (j.phase == "none" && j.accepted && !j.cancel_sent)
-          report_violation ("accepted job lost: " + id);
-        if (j.phase == "failed" && !attempts_used_up (id))
-          report_violation ("failed with attempts left: " + id);
-        if (j.phase != "completed")
-          return;
-        for (size_t s = 0; s < j.task_counts.size (); s++)
-          for (int n = 0; n < j.task_counts[s] && !j.is_gang[s]; n++)
-            if (done_[id + ".0." + std::to_string (s) + "."
-                      + std::to_string (n)]
-                    .empty ())
-              report_violation ("completed before its tasks: " + id);
-      };
-      step ((int)k, ev);
+  if (vm < 0)
+    return;
+  ask (vm, GL_VERB_STATE, id, nullptr, [=, this] (const gl_reply_t &t) {
+    JobView &j = jobs[id];
+    if (t.code == GL_OK && t.phase > GL_PHASE_CANCELLED)
+      {
+        report_violation ("a phase that does not exist: " + id);
+        return;
+      }
+    j.phase = t.code == GL_OK          ? names[t.phase]
+              : t.code == GL_NOT_FOUND ? "none"
+                                       : "unknown";
+    if (j.phase == "none" && j.accepted && !j.cancel_sent)
+      report_violation ("accepted job lost: " + id);
+    if (j.phase == "failed" && !attempts_used_up (id))
+      report_violation ("failed with attempts left: " + id);
+    if (j.phase != "completed")
       return;
-    }
+    for (size_t s = 0; s < j.task_counts.size (); s++)
+      for (int n = 0; n < j.task_counts[s] && !j.is_gang[s]; n++)
+        if (done_[id + ".0." + std::to_string (s) + "." + std::to_string (n)]
+                .empty ())
+          report_violation ("completed before its tasks: " + id);
+  });
 }
 
 /* ---- jobs of which nothing runs ---- */
@@ -1464,21 +1587,16 @@
 bool
 World::fault_acts () const
 {
-  bool vm_serves = false;
-
   for (const Vm &v : vms)
-    {
-      vm_serves |= v.alive && !v.stopping;
-      if (v.alive
-          && (v.frozen || v.store_cut || !v.unreachable_workers.empty ()))
-        return true;
-    }
+    if (v.alive
+        && (v.frozen || v.store_cut || !v.unreachable_workers.empty ()))
+      return true;
   for (const Worker &w : workers)
     if (w.alive
         && (w.loses_answers || w.late_ms || w.fails_all || w.hangs
             || w.slowdown != 1))
       return true;
-  return !vm_serves || store_mode != StoreMode::up || store_ms > STORE_SLOW_MS
+  return store_mode != StoreMode::up || store_ms > STORE_SLOW_MS
          || !cut_domain.empty () || advisor_fails > 0;
 }
 
@@ -1496,6 +1614,60 @@
   surroundings_ = seen;
 }
 
+gl_ms_t
+World::disturbed_at () const
+{
+  return std::max (last_fault_at_, unserved_at_);
+}
+
+void
+World::check_stops ()
+{
+  bool serves = false;
+  bool reached = false; /* a VM that serves reaches the store */
+  bool owned = false;
+  bool can_be_owned = false;
+
+  for (size_t i = 0; i < vms.size (); i++)
+    {
+      const Vm &v = vms[i];
+      bool can_own = v.alive && !v.frozen && reaches_store (i);
+
+      serves |= v.alive && !v.stopping;
+      reached |= can_own && !v.stopping;
+      owned |= v.alive && !v.frozen && cell_is_owner (v.cell);
+      can_be_owned |= can_own;
+    }
+  if (!serves)
+    unserved_at_ = now;
+  if (reached)
+    served_at_ = now;
+  had_owner_ |= owned;
+  if (owned)
+    ownerless_ms_ = 0;
+  else if (had_owner_ && can_be_owned)
+    ownerless_ms_++;
+  longest_ownerless_ms = std::max (longest_ownerless_ms, ownerless_ms_);
+  if (ownerless_ms_ == OWNERLESS_MAX_MS + 1
+      && now > last_fault_at_ + CALM_MS + OWNERLESS_MAX_MS)
+    report_violation ("no owner for " + std::to_string (ownerless_ms_)
+                      + " ms");
+  for (const auto &r : open_requests_)
+    {
+      gl_ms_t since = std::max (r.second.taken_at, served_at_);
+
+      if (r.second.verb != GL_VERB_SUBMIT)
+        continue;
+      longest_stop_answer_ms = std::max (longest_stop_answer_ms, now - since);
+      if (now <= since + STOP_ANSWER_MAX_MS || slow_answer_reported_
+          || since < last_fault_at_ + CALM_MS)
+        continue;
+      slow_answer_reported_ = true;
+      report_violation ("no answer while every VM is stopping: " + r.second.id
+                        + " for " + std::to_string (now - since) + " ms");
+    }
+}
+
 World::Done
 World::task_done (const std::string &task) const
 {
@@ -1603,7 +1775,7 @@
 {
   std::set<std::string> at_work;
 
-  if (now < last_fault_at_ + CALM_MS)
+  if (now < disturbed_at () + CALM_MS)
     return;
   for (const Worker &w : workers)
     if (w.alive)
@@ -1626,7 +1798,7 @@
           j.idle_since = 0;
           continue;
         }
-      if (!j.idle_since || j.idle_since < last_fault_at_ + CALM_MS)
+      if (!j.idle_since || j.idle_since < disturbed_at () + CALM_MS)
         j.idle_since = now;
       if (now < j.idle_since + IDLE_MAX_MS || j.idle_reported)
         continue;
@@ -1691,6 +1863,7 @@
         if (vms[i].frozen || !reaches_store (i))
           vms[i].impaired_at = now;
       note_faults ();
+      check_stops ();
       if (store_mode != StoreMode::up || store_ms > STORE_SLOW_MS)
         store_fault_at_ = now;
       if (now % IDLE_CHECK_MS == 0)
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -82,6 +82,7 @@
   cell_t *cell = nullptr; /* its reducer */
   bool alive = true;
   bool stopping = false;   /* asked to stop; its process has not ended yet */
+  gl_ms_t ends_at = 0;     /* when it ends at the latest, while stopping */
   bool frozen = false;     /* handles no events for a while */
   bool store_cut = false;  /* does not reach the store */
   gl_ms_t impaired_at = 0; /* when it was last frozen or cut off */
@@ -140,8 +141,15 @@
   void kill_vm (int vm);
   void start_vm (int vm);
   void freeze_vm (int vm, bool frozen);
-  /* Ask the VM to stop; its process goes on until kill_vm. */
-  void stop_vm (int vm);
+  /* Ask the VM to stop and say that its process ends within @ends_in ms; it
+     goes on until kill_vm. */
+  void stop_vm (int vm, gl_ms_t ends_in = DRAIN_MS);
+  /* A planned stop: the process ends as the platform's does, at the latest
+     after @ends_in ms, and another one starts @starts_in ms later. */
+  void restart_vm (int vm, gl_ms_t ends_in = DRAIN_MS,
+                   gl_ms_t starts_in = START_MS);
+  /* Call @fn in @ms. */
+  void schedule (gl_ms_t ms, std::function<void ()> fn);
   /* End the worker's incarnation and start another one at its address. */
   void crash_worker (int w);
   /* Add a worker at the address of worker @same_addr_as, or at a new one if
@@ -162,6 +170,10 @@
      accepted jobs have not ended; then every accepted job must have ended. */
   void settle (gl_ms_t ms, gl_ms_t more_ms = 0);
 
+  /* Time that a process has from a planned stop to its end, and from there to
+     the start of another one. */
+  static const gl_ms_t DRAIN_MS = 5300;
+  static const gl_ms_t START_MS = 600;
   StoreMode store_mode = StoreMode::up;
   gl_ms_t linger_ms = 60; /* when one member of a gang ends well, the others
                              are listed as running for this much longer */
@@ -191,6 +203,10 @@
   uint64_t conf_version = 1;
   std::set<std::string> queues{ "urgent", "batch" };
   uint64_t starts = 0;
+  gl_ms_t longest_ownerless_ms = 0;   /* longest time without an owner, of the
+                                         time in which a VM reached the store */
+  gl_ms_t longest_stop_answer_ms = 0; /* longest time that a submission had no
+                                         answer while every VM was stopping */
 
 private:
   /* A key of the store; lease_id 0: it has no lease. */
@@ -218,6 +234,15 @@
     uint64_t lease_id;
   };
   typedef std::function<void ()> Fn;
+  typedef std::function<void (const gl_reply_t &)> ReplyFn;
+  /* A caller's request that a VM has taken and not answered. */
+  struct Open
+  {
+    int vm;
+    gl_verb_t verb;
+    std::string id;
+    gl_ms_t taken_at;
+  };
   /* A scheduled call; those of the same time run in the order of @seq. */
   struct Timer
   {
@@ -233,7 +258,6 @@
 
   /* Time for a message on a VM's link, behind those that are on it. */
   gl_ms_t link_ms (double *free_at, size_t bytes);
-  void schedule (gl_ms_t ms, Fn fn);
   void step (int vm, cell_event_t &ev);
   void run_effect (int vm, cell_effect_t &e);
   void run_txn (int vm, uint64_t tag, const cell_txn_t &x);
@@ -247,6 +271,24 @@
   void consult (int vm, uint64_t tag, const gl_consult_t &c);
   void forward (int vm, cell_effect_t &e);
   void deliver_reply (int vm, const cell_effect_t &e);
+  /* Whether the VM takes requests, on open connections at least, and whether
+     it takes new connections. */
+  bool takes_requests (size_t vm) const;
+  bool takes_connections (size_t vm) const;
+  /* A VM for a submission, seldom one that takes no new connections; -1 if the
+     caller finds none. */
+  int pick_vm_at_random ();
+  /* A VM for another request, -1 if there is none. */
+  int pick_vm ();
+  /* Report a job that runs although all submissions of it were refused. */
+  void check_refusal (const std::string &id);
+  /* Give the VM a caller's request; @fn takes the answer. */
+  void ask (int vm, gl_verb_t verb, const std::string &id, gl_cell_job_t *job,
+            ReplyFn fn);
+  /* End the process of a planned stop once its time has come. */
+  void end_when_due (int vm, uint64_t incarnation, gl_ms_t starts_in);
+  /* Report the requests that the process gives up when it ends now. */
+  void check_given_up (int vm);
   void deliver_ack (int vm, uint64_t incarnation, int from, uint64_t tag,
                     uint32_t age);
   void notify_vm (size_t i, const std::string &key, uint64_t incarnation);
@@ -279,6 +321,12 @@
      is alive, reachable or registered, except VMs that end or start as
      planned. */
   void note_faults ();
+  /* When a fault last acted, or no VM served. */
+  gl_ms_t disturbed_at () const;
+  /* Measure how long the cell has no owner, and how long submissions have no
+     answer while every VM is stopping; report what is too long for a cell
+     without faults. */
+  void check_stops ();
   /* Report jobs of which nothing runs although a task could: its turn has
      come, and workers have room for it twice over, by what runs on them. */
   void check_idle ();
@@ -318,8 +366,8 @@
   int ndomains_;
   std::map<std::string, Item> items_;
   std::map<uint64_t, Lease> leases_;
-  std::map<uint64_t, std::function<void (const gl_reply_t &)> >
-      reply_handlers_;
+  std::map<uint64_t, ReplyFn> reply_handlers_;
+  std::map<uint64_t, Open> open_requests_; /* by tag */
   /* By task: whether a good end, and which failed runs, the owner has
      acknowledged. */
   std::set<std::string> done_acked_;
@@ -331,6 +379,12 @@
   /* Tasks of whose good end a poll was answered. */
   std::set<std::string> done_reported_;
   gl_ms_t last_fault_at_ = 0;
+  gl_ms_t unserved_at_ = 0; /* when every VM was last stopping or not alive */
+  gl_ms_t served_at_ = 0;   /* when one that was not last reached the store */
+  bool had_owner_ = false;
+  gl_ms_t ownerless_ms_ = 0; /* time without an owner, as
+                                longest_ownerless_ms, since the last one */
+  bool slow_answer_reported_ = false;
   gl_ms_t store_fault_at_ = 0; /* when the store was last down or slow */
   bool counts_reported_ = false;
   size_t surroundings_ = 0; /* what note_faults has seen last */
