--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -1,3 +1,4 @@
+/* clang-format off */
 /*
  * cell.cc -- scripted runs of the cell with expected output
  *
@@ -13,15 +14,27 @@
  *   submit ID QUEUE STEP...        submit a job; for STEP see parse_step
  *   burst N PREFIX QUEUE STEP...   submit N jobs at once
  *   stream MS N PREFIX QUEUE STEP...   submit N jobs, one every MS
+ *   stream_at VM MS N PREFIX QUEUE STEP...   the same through this VM
  *   cancel ID                      cancel a job
  *   accepted ID                    print whether a submission was accepted
  *   refused PREFIX                 print how many jobs of a burst or stream
  *                                  were refused as not run
+ *   unanswered PREFIX              print how many jobs of a burst or stream a
+ *                                  VM took and did not answer
+ *   at_least PERCENT PREFIX        print whether of the jobs of a burst or
+ *                                  stream that a VM took, so many were
+ *                                  accepted
  *   show ID                        print a job's phase
  *   completed PREFIX               print how many jobs of a burst have
  *                                  completed
  *   kill VM, start VM, stop VM     stop hands the cell over first
  *   killall, startall              the same for all VMs
+ *   restart VM [ENDS_IN [STARTS_IN]]   a planned stop; see World::restart_vm
+ *   restartall [GAP [ENDS_IN [STARTS_IN]]]   the same for all VMs that do not
+ *                                  stop yet, one every GAP
+ *   restartrest [GAP [ENDS_IN [STARTS_IN]]]   the same without the owner
+ *   await VM                       let time pass until the VM is alive and is
+ *                                  not stopping
  *   freeze VM, thaw VM             a frozen VM handles no events
  *   cut VM, heal VM                a cut VM does not reach the store
  *   split DOMAIN, unsplit          cut a domain (a, b, ...) off; see
@@ -43,18 +56,27 @@
  *                                  phase, whatever it is
  *   luck N                         one run in N fails, 0 for none
  *   links BYTES PAYLOAD            links carry so many bytes a millisecond,
- * and jobs have payloads of so many bytes; all VMs are started anew work MS
- * usual duration of a run advisor fails N                N consultations get
- * no answer advisor approves_in N          one worker in N is approved advisor
- * decides_in MS          base time of a consultation conf VERSION QUEUE...
- * send a configuration to all VMs; queues are urgent, batch and digest, in the
- * order of their priority; digest is not configured at first waiting VM QUEUE
- * print how many waiting jobs the VM shows routes VM print the queues that the
- * VM serves owners                         print how many VMs own the cell
+ *                                  and jobs have payloads of so many bytes;
+ *                                  all VMs are started anew
+ *   work MS                        usual duration of a run
+ *   advisor fails N                N consultations get no answer
+ *   advisor approves_in N          one worker in N is approved
+ *   advisor decides_in MS          base time of a consultation
+ *   conf VERSION QUEUE...          send a configuration to all VMs; queues are
+ *                                  urgent, batch and digest, in the order of
+ *                                  their priority; digest is not configured at
+ *                                  first
+ *   waiting VM QUEUE               print how many waiting jobs the VM shows
+ *   routes VM                      print the queues that the VM serves
+ *   owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
- *                                  most N
+ *                                  most N, or what the world has measured:
+ *                                  ownerless_ms, stop_answer_ms; see
+ *                                  World::longest_ownerless_ms and
+ *                                  World::longest_stop_answer_ms
  *   broken                         print the violations of guarantees
  */
+/* clang-format on */
 #include "cellworld.h"
 
 #include <fstream>
@@ -72,6 +94,9 @@
 }
 #endif
 
+/* Longest time that "await" lets pass. */
+static const int AWAIT_MAX_MS = 20000;
+
 /* A step such as "3x2000ge5000@0,1": 3 tasks of 2000 thousandths of a
    processor; "g": they are a gang; "e5000": their estimate; "@0,1": steps 0
    and 1 are its predecessors. */
@@ -111,7 +136,8 @@
     return atoi (name.c_str ());
   }
 
-  /* Value of one of the owner's counters; -1 without an owner. */
+  /* Value of one of the owner's counters, -1 without an owner; or a measure of
+     the world. */
   long
   counter (const std::string &name)
   {
@@ -119,6 +145,10 @@
     long value = -1;
     int o = w->owner ();
 
+    if (name == "ownerless_ms")
+      return (long)w->longest_ownerless_ms;
+    if (name == "stop_answer_ms")
+      return (long)w->longest_stop_answer_ms;
     if (o < 0)
       return value;
     cell_metrics (w->vms[(size_t)o].cell, &t);
@@ -166,6 +196,26 @@
       out.push_back ("unknown worker command " + what);
   }
 
+  /* Restart @vm, or all VMs but @but if that is -1, one every @gap. */
+  void
+  restart (std::istringstream &in, int vm, int but, gl_ms_t gap)
+  {
+    gl_ms_t ends_in = World::DRAIN_MS;
+    gl_ms_t starts_in = World::START_MS;
+    gl_ms_t at = 0;
+
+    if (in >> ends_in)
+      in >> starts_in;
+    for (int i = 0; i < (int)w->vms.size (); i++)
+      {
+        if (i == but || (vm >= 0 && i != vm))
+          continue;
+        w->schedule (at, [=, this] { w->restart_vm (i, ends_in, starts_in); });
+        at += gap;
+      }
+    w->run (1);
+  }
+
   void
   run_command (const std::string &text)
   {
@@ -216,13 +266,16 @@
         out.push_back (cell_ready (w->vms[(size_t)vm (a)].cell) ? "ready"
                                                                 : "not ready");
       }
-    else if (cmd == "burst" || cmd == "stream")
+    else if (cmd == "burst" || cmd == "stream" || cmd == "stream_at")
       {
         std::string queue;
         std::string s;
         std::vector<gl_step_t> steps;
         int gap = 0;
-        if (cmd == "stream")
+        int at = -1;
+        if (cmd == "stream_at" && in >> a)
+          at = vm (a);
+        if (cmd != "burst")
           in >> gap;
         in >> n >> a >> queue;
         while (in >> s)
@@ -231,7 +284,7 @@
           {
             char id[20];
             snprintf (id, sizeof id, "%.8s%08d", (a + "00000000").c_str (), i);
-            w->submit (id, queue, steps);
+            w->submit (id, queue, steps, at);
             w->run ((gl_ms_t)gap);
           }
       }
@@ -254,6 +307,54 @@
                && !j.second.outcome_unknown;
         out.push_back (a + " refused " + std::to_string (n));
       }
+    else if (cmd == "unanswered")
+      {
+        in >> a;
+        for (auto &j : w->jobs)
+          n += j.first.rfind (a, 0) == 0 && j.second.submissions
+               && !j.second.accepted && !j.second.refusals
+               && !j.second.outcome_unknown;
+        out.push_back (a + " unanswered " + std::to_string (n));
+      }
+    else if (cmd == "at_least")
+      {
+        int taken = 0;
+        int accepted = 0;
+        in >> n >> a;
+        for (auto &j : w->jobs)
+          if (j.first.rfind (a, 0) == 0 && j.second.submissions)
+            {
+              taken++;
+              accepted += j.second.accepted;
+            }
+        out.push_back (taken && accepted * 100 >= n * taken
+                           ? a + " accepted often enough"
+                           : a + " accepted " + std::to_string (accepted)
+                                 + " of " + std::to_string (taken));
+      }
+    else if (cmd == "restart")
+      {
+        in >> a;
+        int i = vm (a);
+        if (i < 0)
+          out.push_back ("no owner");
+        else
+          restart (in, i, -1, 0);
+      }
+    else if (cmd == "restartall" || cmd == "restartrest")
+      {
+        in >> n;
+        restart (in, -1, cmd == "restartrest" ? w->owner () : -1, (gl_ms_t)n);
+      }
+    else if (cmd == "await")
+      {
+        in >> a;
+        const Vm &v = w->vms[(size_t)vm (a)];
+        for (n = 0; n < AWAIT_MAX_MS && (!v.alive || v.stopping); n++)
+          w->run (1);
+        if (n == AWAIT_MAX_MS)
+          out.push_back (a + " has not returned");
+      }
     else if (cmd == "at_most")
       {
         in >> n >> a;
