Answer every request before a stopping process ends

Callers saw their connection close without an answer when all VMs stopped. A request waited for an owner for 1.5 s, or for an answer until its caller's deadline, and the process ended 0.7 s before the platform kills it, whatever was open; an answer that came in the last tick was not sent any more.

The planned stop now bounds every deadline: what is open 0.4 s before the process ends at the latest is answered, and what arrives later is answered at once.

--- a/src/cellask.c
+++ b/src/cellask.c
@@ -341,6 +341,32 @@
     forward (c, r);
 }
 
+/* Whether the request must be answered now: its caller's deadline is near, or
+   the end of this process. */
+static int
+is_due (const cell_t *c, const crequest_t *r)
+{
+  return c->now + CELL_REPLY_MARGIN_MS >= r->deadline
+         || c->now >= stop_answers_until (c);
+}
+
+static void
+expire (cell_t *c, crequest_t *r)
+{
+  int maybe_done = r->maybe_taken || r->dispatched;
+  int ending = c->now >= stop_answers_until (c);
+
+  if (r->body.verb == GL_VERB_SUBMIT && !maybe_done)
+    {
+      c->counters.no_owner++;
+      cell_reply (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0,
+                  ending ? "the process ends" : "no owner");
+    }
+  else
+    cell_reply (c, r->tag, GL_UNKNOWN, 0, 0,
+                ending ? "the process ends" : "no answer in time");
+}
+
 void
 request_receive (cell_t *c, const cell_event_t *ev)
 {
@@ -365,7 +391,10 @@
   r->arrived_at = c->now;
   r->deadline = ev->deadline;
   r->from_peer = ev->from_peer;
-  route (c, r);
+  if (is_due (c, r))
+    expire (c, r);
+  else
+    route (c, r);
 }
 
 void
@@ -408,20 +437,6 @@
     }
 }
 
-static void
-expire (cell_t *c, crequest_t *r)
-{
-  int maybe_done = r->maybe_taken || r->dispatched;
-
-  if (r->body.verb == GL_VERB_SUBMIT && !maybe_done)
-    {
-      c->counters.no_owner++;
-      cell_reply (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0, "no owner");
-    }
-  else
-    cell_reply (c, r->tag, GL_UNKNOWN, 0, 0, "no answer in time");
-}
-
 void
 request_tick (void *ctx, gl_ms_t now)
 {
@@ -431,7 +446,7 @@
     {
       crequest_t *r = &c->requests[i];
 
-      if (now + CELL_REPLY_MARGIN_MS >= r->deadline
+      if (is_due (c, r)
           || (!r->dispatched && !r->maybe_taken
               && now - r->arrived_at > CELL_NO_OWNER_MS))
         expire (c, r);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -668,9 +668,7 @@
  * Ownership (cellown.c):
  * @role: this VM's part in the cell
  * @stopping, @stop_at, @stop_ends_at: this VM is stopping, since when, and
- *   when its process ends at the latest; it hands the cell over and does not
- *   claim it
- *   again
+ *   when its process ends at the latest
  * @generation: of this VM's latest claim; the fencing token
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -390,6 +390,9 @@
 /** stop_begin - the planned stop begins; the process ends at @ends_at at the
     latest */
 void stop_begin (cell_t *c, gl_ms_t ends_at);
+/** stop_answers_until - instant by which every request must be answered, since
+    the process ends; TIMER_NEVER unless this VM is stopping */
+gl_ms_t stop_answers_until (const cell_t *c);
 
 /* cellask.c */
 
--- a/src/cellstop.c
+++ b/src/cellstop.c
@@ -10,6 +10,9 @@
    probes once a second and takes the VM out after two misses; one probe may be
    in flight already. */
 #define ACCEPT_MS 2500
+/* Every request is answered this long before the process ends at the latest,
+   so that the answers can still be sent. */
+#define ANSWER_MARGIN_MS 400
 
 void
 stop_begin (cell_t *c, gl_ms_t ends_at)
@@ -21,6 +24,14 @@
             (unsigned long long)(ends_at > c->now ? ends_at - c->now : 0));
 }
 
+gl_ms_t
+stop_answers_until (const cell_t *c)
+{
+  if (!c->stopping)
+    return TIMER_NEVER;
+  return c->stop_ends_at - ANSWER_MARGIN_MS;
+}
+
 cell_stop_stage_t
 cell_stop_stage (const cell_t *c)
 {
