An owner that stops owns the cell until a VM that stays can claim it

Callers were refused, or waited 1.5 s for nothing, for 5.7 s whenever all VMs were in a planned stop: the owner released the cell 0.2 s after its SIGTERM, and no VM that is stopping claims it. A role was laid down before there was anyone to take it.

VMs now say with their key in the store and with their answers to heartbeats that they are stopping, and whether they could claim the cell. An owner goes on until a VM that stays could claim it, or until a release can just be written before its end. A VM that is stopping claims only while no VM stays. When no VM stays, every second VM of a failure domain ends first, and the others serve until these are back. If nobody can own the cell, requests are refused at once with a Retry-After from how long restarts have taken. Consultations avoid VMs that may end before the advisor has answered. Fences and leases are as they were.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -157,6 +157,12 @@
 };
 typedef struct gl_vminfo_t gl_vminfo_t;
 
+struct gl_vmstate_t {
+	bool_t stopping;
+	u_int ends_in_ms;
+};
+typedef struct gl_vmstate_t gl_vmstate_t;
+
 enum gl_verb_t {
 	GL_VERB_SUBMIT = 0,
 	GL_VERB_STATE = 1,
@@ -213,6 +219,7 @@
 
 struct gl_heartbeat_ack_t {
 	u_int store_age_ms;
+	bool_t may_claim;
 };
 typedef struct gl_heartbeat_ack_t gl_heartbeat_ack_t;
 
@@ -245,6 +252,7 @@
 extern  bool_t xdr_gl_unheard_worker_t (XDR *, gl_unheard_worker_t*);
 extern  bool_t xdr_gl_handover_t (XDR *, gl_handover_t*);
 extern  bool_t xdr_gl_vminfo_t (XDR *, gl_vminfo_t*);
+extern  bool_t xdr_gl_vmstate_t (XDR *, gl_vmstate_t*);
 extern  bool_t xdr_gl_verb_t (XDR *, gl_verb_t*);
 extern  bool_t xdr_gl_request_t (XDR *, gl_request_t*);
 extern  bool_t xdr_gl_reply_t (XDR *, gl_reply_t*);
@@ -270,6 +278,7 @@
 extern bool_t xdr_gl_unheard_worker_t ();
 extern bool_t xdr_gl_handover_t ();
 extern bool_t xdr_gl_vminfo_t ();
+extern bool_t xdr_gl_vmstate_t ();
 extern bool_t xdr_gl_verb_t ();
 extern bool_t xdr_gl_request_t ();
 extern bool_t xdr_gl_reply_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -142,6 +142,13 @@
   gl_cell_str_t domain;
   unsigned int cpu_m;
 };
+/* Follows gl_vminfo_t in a VM's key, unless the VM is of an older version.
+   stopping: its planned stop has begun, and its process ends within ends_in_ms
+   of the writing. */
+struct gl_vmstate_t {
+  bool stopping;
+  unsigned int ends_in_ms;
+};
 
 /* ---- calls between VMs ---- */
 
@@ -188,9 +195,11 @@
   unsigned int waiting;
 };
 /* Sent by the owner to all VMs, and their answer.  store_age_ms is the time
-   since the store last answered the sender. */
+   since the store last answered the sender; may_claim: the sender could take
+   the cell over now. */
 struct gl_heartbeat_ack_t {
   unsigned int store_age_ms;
+  bool may_claim;
 };
 struct gl_heartbeat_t {
   unsigned hyper generation;
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -399,6 +399,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_vmstate_t (XDR *xdrs, gl_vmstate_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->stopping))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ends_in_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_verb_t (XDR *xdrs, gl_verb_t *objp)
 {
@@ -500,6 +512,8 @@
 
 	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->may_claim))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/cell.h
+++ b/src/cell.h
@@ -349,6 +349,7 @@
  * @heartbeat: of CELL_EV_HEARTBEAT
  * @store_age_ms: of CELL_EV_HEARTBEAT_ACK, the time since the store answered
  *   that VM; 0 if it did not say
+ * @may_claim: of CELL_EV_HEARTBEAT_ACK, that VM could take the cell over
  * @peer_addr: address that refused a connection
  * @wall: wall clock, milliseconds since the epoch; 0 when not known
  */
@@ -373,6 +374,7 @@
   const gl_reply_t *reply;
   const gl_heartbeat_t *heartbeat;
   uint32_t store_age_ms;
+  int may_claim;
   const char *peer_addr;
   uint64_t wall;
 } cell_event_t;
@@ -468,14 +470,16 @@
  * enum cell_stop_stage_t - how far the planned stop of a VM has got
  * @CELL_STOP_NONE: the VM is not stopping
  * @CELL_STOP_SERVING: it takes requests, on new connections too
- * @CELL_STOP_CLOSING: it takes no new connections; its process may end once
- *   every request is answered
+ * @CELL_STOP_CLOSING: it takes no new connections
+ * @CELL_STOP_DONE: it does not own the cell, and has answered every request;
+ *   the process may end once the answers are sent
  */
 typedef enum
 {
   CELL_STOP_NONE = 0,
   CELL_STOP_SERVING,
-  CELL_STOP_CLOSING
+  CELL_STOP_CLOSING,
+  CELL_STOP_DONE
 } cell_stop_stage_t;
 
 typedef struct cell cell_t;
@@ -513,6 +517,8 @@
    owner of @generation is told; 0 if that owner must not take the store for
    away, since it was succeeded or this VM cannot know */
 uint32_t cell_store_age_ms (const cell_t *c, uint64_t generation);
+/** cell_may_claim - 1 if this VM could take the cell over now */
+int cell_may_claim (const cell_t *c);
 /** cell_is_owner - 1 while this VM owns the cell */
 int cell_is_owner (const cell_t *c);
 /** cell_jobs_waiting - accepted jobs of @queue of which no task is known to
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -302,26 +302,36 @@
   c->counters.forwards++;
 }
 
-/* 1 if the request is to be refused at once, because this VM is isolated.  A
-   submission that an owner may have carried out is not refused.  While the
-   store answers, a new owner may still take over within the request's
-   deadline. */
+/* Why nobody can serve the caller's request before its deadline, or NULL.
+   While the store answers, a new owner may take over in time. */
+static const char *
+why_unserved (const cell_t *c)
+{
+  if (stop_nobody_can_own (c))
+    return "all VMs are stopping";
+  return reach_is_isolated (c) ? "neither owner nor store" : NULL;
+}
+
+/* 1 if the request is to be refused at once, because nobody can serve it.  A
+   submission that an owner may have carried out is not refused. */
 static int
 cannot_be_served_soon (const cell_t *c, const crequest_t *r)
 {
   /* Reading a state may be repeated anywhere, whoever has read it. */
   int is_repeatable = r->body.verb == GL_VERB_STATE;
 
-  return c->role == CR_STANDBY && !r->from_peer && reach_is_isolated (c)
+  return c->role == CR_STANDBY && !r->from_peer && why_unserved (c)
          && (is_repeatable || (!r->maybe_taken && !r->dispatched));
 }
 
 static void
-refuse_isolated (cell_t *c, const crequest_t *r)
+refuse_unserved (cell_t *c, const crequest_t *r)
 {
+  uint32_t retry_ms
+      = stop_nobody_can_own (c) ? stop_retry_ms (c) : CELL_RETRY_MS;
+
   c->counters.no_owner++;
-  cell_reply (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0,
-              "neither owner nor store");
+  cell_reply (c, r->tag, GL_RETRY, retry_ms, 0, why_unserved (c));
 }
 
 /* Serves the request if this VM owns the cell, else forwards or refuses it, or
@@ -334,7 +344,7 @@
   else if (r->from_peer && c->role != CR_LOADING)
     cell_reply (c, r->tag, GL_NOT_OWNER, 0, 0, "not the owner");
   else if (cannot_be_served_soon (c, r))
-    refuse_isolated (c, r);
+    refuse_unserved (c, r);
   else if (c->role == CR_STANDBY && c->ownership_known
            && !c->ownership.released && strcmp (c->ownership.vm, c->vm)
            && !c->owner_refused_at && reach_owner_is_heard (c))
@@ -451,7 +461,7 @@
               && now - r->arrived_at > CELL_NO_OWNER_MS))
         expire (c, r);
       else if (cannot_be_served_soon (c, r))
-        refuse_isolated (c, r);
+        refuse_unserved (c, r);
       else if (!r->dispatched && now >= r->retry_at)
         route (c, r);
     }
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -342,13 +342,21 @@
   return k;
 }
 
+/* Whether consultations may go through the VM. */
+static int
+is_usable (const cell_t *c, const cvm_t *v)
+{
+  return v->registered && c->now >= v->avoid_until
+         && stop_takes_consults (c, v);
+}
+
 static int
 count_idle_vms (const cell_t *c)
 {
   int n = 0;
 
   for (int i = 0; i < c->nvms; i++)
-    n += c->vms[i].registered && c->now >= c->vms[i].avoid_until
+    n += is_usable (c, &c->vms[i])
          && c->vms[i].busy_ms <= VM_BUSY_URGENT_MAX_MS;
   return n;
 }
@@ -360,7 +368,7 @@
   int n = 0;
 
   for (int i = 0; i < c->nvms; i++)
-    n += c->vms[i].registered && c->now >= c->vms[i].avoid_until;
+    n += is_usable (c, &c->vms[i]);
   return n;
 }
 
@@ -370,7 +378,7 @@
 takes_last_vm (const cell_t *c, int vm)
 {
   for (int i = 0; i < c->nvms; i++)
-    if (i != vm && c->vms[i].registered && c->now >= c->vms[i].avoid_until
+    if (i != vm && is_usable (c, &c->vms[i])
         && c->vms[i].busy_ms <= LONG_CONSULT_MS)
       return 0;
   return count_vms (c) > 1;
@@ -389,7 +397,7 @@
     {
       const cvm_t *v = &c->vms[i];
 
-      if (v->registered && c->now >= v->avoid_until && v->busy_ms <= limit
+      if (is_usable (c, v) && v->busy_ms <= limit
           && (best < 0 || v->busy_ms < c->vms[best].busy_ms))
         best = i;
     }
--- a/src/celld.c
+++ b/src/celld.c
@@ -341,6 +341,7 @@
   rpcmux_set_peer_addr (d->rpc, from, heartbeat.addr);
   handle_event (d, &ev);
   ack.store_age_ms = cell_store_age_ms (d->cell, heartbeat.generation);
+  ack.may_claim = cell_may_claim (d->cell);
   codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &heartbeat);
   rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_heartbeat_ack_t, &ack);
 }
@@ -395,15 +396,20 @@
     codec_free ((xdrproc_t)xdr_gl_consult_reply_t, &c);
 }
 
-/* VMs of older versions do not say anything of their store. */
+/* VMs of older versions say nothing of their store or of claims; they do claim
+   the cell. */
 static void
 heartbeat_done (celld_t *d, uint64_t tag, const char *data, size_t len)
 {
   gl_heartbeat_ack_t ack = { 0 };
-  cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
+  cell_event_t ev
+      = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag, .may_claim = 1 };
 
   if (!codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, &ack, data, len))
-    ev.store_age_ms = ack.store_age_ms;
+    {
+      ev.store_age_ms = ack.store_age_ms;
+      ev.may_claim = ack.may_claim;
+    }
   handle_event (d, &ev);
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -108,6 +108,8 @@
 /* A VM that has heard no heartbeat for this long, although the owner's key is
    there, cannot reach the owner: it is not ready for requests. */
 #define CELL_OWNER_UNREACHABLE_MS 1500
+/* VMs that are told to stop at the same time learn of it within this span. */
+#define STOP_SPREAD_MS 150
 /* A request that no owner can have received is refused after this long. */
 #define CELL_NO_OWNER_MS 1500
 /* Keys of the store that several modules use: the ownership record, the
@@ -474,6 +476,10 @@
  * @registered, @unregistered_at: its key is in the store, else since when it
  *   is not
  * @cpu_m: its share of a core, in thousandths
+ * @stopping, @stop_at, @stop_ends_at: it is in a planned stop, when this VM
+ *   learned that, and when its process ends at the latest
+ * @staying_since: since when it has been registered and not stopping
+ * @may_claim: it said with its last answer that it could take the cell over
  * @answered_at: when it last answered a heartbeat of this VM
  * @asked_at, @store_age_ms: when the heartbeat was sent to which that was the
  *   answer, and the time since the store answered that VM, as it said then
@@ -489,6 +495,11 @@
   int registered;
   gl_ms_t unregistered_at;
   uint32_t cpu_m;
+  int stopping;
+  gl_ms_t stop_at;
+  gl_ms_t stop_ends_at;
+  gl_ms_t staying_since;
+  int may_claim;
   gl_ms_t answered_at;
   gl_ms_t asked_at;
   uint32_t store_age_ms;
@@ -669,6 +680,12 @@
  * @role: this VM's part in the cell
  * @stopping, @stop_at, @stop_ends_at: this VM is stopping, since when, and
  *   when its process ends at the latest
+ * @stop_closing: it takes no new connections any more
+ * @stop_tag: transaction in flight that tells the others of the stop, or 0
+ * @hand_over_at: when the release of the cell began to wait for writes, 0
+ *   before
+ * @usual_stop_ms: learned time from the beginning of a VM's stop until it is
+ *   back, 0 if not known
  * @generation: of this VM's latest claim; the fencing token
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
@@ -784,6 +801,10 @@
   int stopping;
   gl_ms_t stop_at;
   gl_ms_t stop_ends_at;
+  int stop_closing;
+  uint64_t stop_tag;
+  gl_ms_t hand_over_at;
+  double usual_stop_ms;
   uint64_t generation;
   gl_ownership_t ownership;
   uint64_t ownership_rev;
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -42,12 +42,29 @@
   return (uintptr_t)++c->nvms;
 }
 
+/* The state begins at @used in the key's value; a VM of an older version gives
+   none. */
+static void
+decode_state (cell_t *c, const cell_item_t *item, size_t used,
+              gl_vmstate_t *state)
+{
+  memset (state, 0, sizeof *state);
+  if (item->len > used
+      && codec_decode ((xdrproc_t)xdr_gl_vmstate_t, state, item->value + used,
+                       item->len - used))
+    {
+      memset (state, 0, sizeof *state);
+      cell_log (c, "vm_state_unreadable key=%s", item->key);
+    }
+}
+
 void
 member_vm_changed (cell_t *c, const cell_item_t *item, int removed)
 {
   const char *name = item->key + strlen (KEY_VM);
   uintptr_t i = names_get (&c->vm_names, name);
   gl_vminfo_t info;
+  gl_vmstate_t state;
   cvm_t *v;
 
   if (removed)
@@ -78,8 +95,11 @@
       cell_strcpy (v->addr, info.addr);
       cell_strcpy (v->domain, info.domain);
       v->cpu_m = info.cpu_m;
-      v->registered = 1;
       v->avoid_until = 0;
+      decode_state (c, item, xdr_sizeof ((xdrproc_t)xdr_gl_vminfo_t, &info),
+                    &state);
+      stop_vm_changed (c, v, &state);
+      v->registered = 1;
     }
   codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
 }
@@ -135,6 +155,66 @@
   p->leased = 1;
 }
 
+/* Add the VM's own key: its description, and then its state. */
+static void
+add_vm_key (const cell_t *c, cell_txn_t *txn)
+{
+  gl_vminfo_t info
+      = { (char *)c->vm, (char *)c->addr, (char *)c->domain, c->limits.cpu_m };
+  gl_vmstate_t state = { c->stopping, 0 };
+  cell_put_t *p = &txn->puts[txn->nputs++];
+  size_t more = 0;
+  char *tail;
+  char *whole = NULL;
+
+  if (c->stopping && c->stop_ends_at > c->now)
+    state.ends_in_ms = (u_int)(c->stop_ends_at - c->now);
+  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
+  p->leased = 1;
+  p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
+  tail = codec_encode ((xdrproc_t)xdr_gl_vmstate_t, &state, &more);
+  if (p->value && tail)
+    whole = realloc (p->value, p->len + more);
+  if (whole)
+    {
+      memcpy (whole + p->len, tail, more);
+      p->value = whole;
+      p->len += more;
+    }
+  free (tail);
+}
+
+void
+member_announce_stop (cell_t *c)
+{
+  cell_effect_t *e = cell_add_effect (c, CELL_FX_TXN);
+
+  /* Keys in flight do not tell of the stop and may be written after these. */
+  c->keys_lost |= c->keys_tag != 0;
+  if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
+    {
+      c->keys_lost = 1;
+      return;
+    }
+  c->stop_tag = e->tag = cell_new_tag (c);
+  e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
+  add_vm_key (c, e->txn);
+}
+
+int
+member_txn_result (cell_t *c, const cell_event_t *ev)
+{
+  if (ev->tag == c->keys_tag && c->keys_tag)
+    c->keys_tag = 0;
+  else if (ev->tag == c->stop_tag && c->stop_tag)
+    c->stop_tag = 0;
+  else
+    return 0;
+  /* They are written again after the next renewal of the lease. */
+  c->keys_lost |= ev->status != GL_ST_OK;
+  return 1;
+}
+
 /* Writes this VM's leased keys: the VM's own, and the owner's key if it owns
    the cell.  The ownership is known once all keys have been reported; until
    then, and after a conflict, the keys are written again after the next
@@ -143,7 +223,6 @@
 member_write_keys (cell_t *c)
 {
   cell_effect_t *e;
-  gl_vminfo_t info = { c->vm, c->addr, c->domain, c->limits.cpu_m };
   cell_put_t *p;
 
   e = cell_add_effect (c, CELL_FX_TXN);
@@ -152,10 +231,7 @@
   c->keys_lost = !c->members_synced;
   c->keys_tag = e->tag = cell_new_tag (c);
   e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
-  p = &e->txn->puts[e->txn->nputs++];
-  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
-  p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
-  p->leased = 1;
+  add_vm_key (c, e->txn);
   if (c->members_synced)
     add_process_key (c, e->txn);
   if (c->role != CR_OWNER && c->role != CR_LOADING)
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -227,6 +227,11 @@
 /** member_write_keys - write this VM's keys, and the owner's if it owns the
     cell */
 void member_write_keys (cell_t *c);
+/** member_announce_stop - tell the other VMs by this VM's key that it is
+    stopping */
+void member_announce_stop (cell_t *c);
+/** member_txn_result - 1 if the transaction wrote this VM's keys */
+int member_txn_result (cell_t *c, const cell_event_t *ev);
 
 /* cellformer.c */
 
@@ -393,6 +398,27 @@
 /** stop_answers_until - instant by which every request must be answered, since
     the process ends; TIMER_NEVER unless this VM is stopping */
 gl_ms_t stop_answers_until (const cell_t *c);
+/** stop_update - decide whether to take no more connections; every tick */
+void stop_update (cell_t *c);
+/** stop_vm_changed - a VM has said whether it is stopping */
+void stop_vm_changed (cell_t *c, cvm_t *v, const gl_vmstate_t *state);
+/** stop_count_staying - number of other VMs that are registered and do not
+    stop */
+int stop_count_staying (const cell_t *c);
+/** stop_takes_consults - 0 if the VM may end before the advisor has answered
+    a consultation through it */
+int stop_takes_consults (const cell_t *c, const cvm_t *v);
+/** stop_may_claim - 0 if this VM is stopping and must not claim the cell */
+int stop_may_claim (const cell_t *c);
+/** stop_must_release - whether an owner that is stopping is to release the
+   cell now */
+int stop_must_release (cell_t *c);
+/** stop_nobody_can_own - 1 if every VM is stopping, nobody owns the cell, and
+    nobody can claim it before a VM comes back */
+int stop_nobody_can_own (const cell_t *c);
+/** stop_retry_ms - after what time to retry when nobody can own the cell: when
+    the first VM is expected back */
+uint32_t stop_retry_ms (const cell_t *c);
 
 /* cellask.c */
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -39,9 +39,6 @@
  */
 #define WEAKER_VM_DELAY_MS 250
 #define CLAIM_TIMEOUT_MS 1500
-/* An owner that is being stopped waits this long for its writes to settle; the
-   process ends about 2.5 s after it was asked to stop. */
-#define RELEASE_SETTLE_MS 1000
 /* The tag of a heartbeat is the time at which it is sent times this, plus the
    index of the VM. */
 #define HEARTBEAT_TAG_VMS 65536
@@ -257,14 +254,20 @@
   return 1;
 }
 
+int
+cell_may_claim (const cell_t *c)
+{
+  return c->role == CR_STANDBY && stop_may_claim (c) && c->members_synced
+         && c->workers_synced && c->lease_held && c->conf.version
+         && c->now >= c->claim_not_before;
+}
+
 static void
 try_claim (cell_t *c)
 {
   const char *why;
 
-  if (c->role != CR_STANDBY || c->stopping || !c->members_synced
-      || !c->workers_synced || !c->lease_held || !c->conf.version
-      || c->now < c->claim_not_before)
+  if (!cell_may_claim (c))
     return;
   why = why_claim (c);
   if (!why)
@@ -465,14 +468,8 @@
       confirm_result (c, ev);
       return;
     }
-  if (ev->tag == c->keys_tag && c->keys_tag)
-    {
-      /* They are written again after the next renewal of the lease. */
-      c->keys_tag = 0;
-      c->keys_lost |= ev->status != GL_ST_OK;
-      return;
-    }
-  if (save_txn_result (c, ev) || enrol_txn_result (c, ev))
+  if (member_txn_result (c, ev) || save_txn_result (c, ev)
+      || enrol_txn_result (c, ev))
     return;
   if (ev->tag == c->release_tag && c->release_tag)
     {
@@ -584,6 +581,7 @@
   handle_t h;
 
   c->role = CR_OWNER;
+  c->hand_over_at = 0;
   hist_add (&c->takeover_time, (double)(c->now - c->takeover_at));
   while ((h = pool_next (&c->jobs, &pos)))
     cjob_ready_steps (c, pool_get (&c->jobs, h));
@@ -748,6 +746,7 @@
   v->answered_at = c->now;
   v->asked_at = ev->tag / HEARTBEAT_TAG_VMS;
   v->store_age_ms = ev->store_age_ms;
+  v->may_claim = ev->may_claim;
 }
 
 void
@@ -812,8 +811,7 @@
 try_release (cell_t *c)
 {
   if (c->role == CR_OWNER && !c->release_tag && c->now >= c->release_after
-      && (c->releasing || save_idle (c)
-          || c->now >= c->stop_at + RELEASE_SETTLE_MS)
+      && stop_must_release (c)
       && !write_ownership (c, c->generation, 1, &c->release_tag))
     {
       if (!c->releasing)
@@ -827,6 +825,9 @@
 own_stop (cell_t *c, const cell_event_t *ev)
 {
   stop_begin (c, ev->deadline);
+  member_announce_stop (c);
+  if (c->heartbeat_due > c->now + STOP_SPREAD_MS)
+    c->heartbeat_due = c->now + STOP_SPREAD_MS;
   try_release (c);
 }
 
@@ -845,5 +846,6 @@
   if (c->stopping)
     try_release (c);
   try_claim (c);
+  stop_update (c);
   timer_arm (&c->timers, c->own_timer, now + TICK_MS);
 }
--- a/src/cellstop.c
+++ b/src/cellstop.c
@@ -1,27 +1,79 @@
 /*
- * cellstop.c -- planned stop of a VM: how long it goes on serving
+ * cellstop.c -- planned stops: who goes on, who ends first, what is promised
  *
- * The balancer sends new connections until it has noticed that the VM is not
- * ready any more, so the VM accepts them for a while.
+ * A VM that is told to stop has until @stop_ends_at.  Its key in the store and
+ * its answers to heartbeats tell the others.
+ *
+ * Promises: every request is answered before the process ends, so that time
+ * bounds all deadlines.
+ *
+ * Ownership: an owner that stops hands the cell over once a VM that stays
+ * could claim it, or so long before its end that a release is certain to be
+ * written.  Until then it goes on as owner.  A VM that stops claims the cell
+ * only while no VM stays, and if it has time left to be of use.
+ *
+ * Connections: a VM accepts new ones until the balancer has taken it out.
+ * When no VM stays, the balancer cannot do so.  Then the VMs of a failure
+ * domain end in turns: by name, every second one ends as usual, and the others
+ * and the owner serve on until a VM has come back, or their end is near.  When
+ * nobody can own the cell before a VM comes back, requests are refused at
+ * once, and the VMs end without delay.
  */
 #include "cellint.h"
 
+#include <string.h>
+
 /* How long new connections are accepted after the stop began.  The balancer
    probes once a second and takes the VM out after two misses; one probe may be
    in flight already. */
 #define ACCEPT_MS 2500
+/* A VM that serves on ends this long after another one has come back: the
+   balancer has probed that one by then. */
+#define RETURNED_MS 1200
+/* New connections are refused this long before the process ends at the
+   latest. */
+#define CLOSE_MARGIN_MS 900
 /* Every request is answered this long before the process ends at the latest,
    so that the answers can still be sent. */
 #define ANSWER_MARGIN_MS 400
+/* The cell is released this long before the process ends at the latest: time
+   for writes to settle and for the release itself. */
+#define RELEASE_MARGIN_MS 1400
+/* Before the release, writes may take this long to settle, from the beginning
+   of the stop and from the decision to hand over. */
+#define SETTLE_MS 800
+#define LATE_SETTLE_MS 300
+/* A VM that stops claims the cell only if it can own it for this long. */
+#define OWN_MIN_MS 1000
+/* No consultation goes through a VM that has been stopping for this long,
+   since it may end before the advisor has answered. */
+#define CONSULT_MS 1500
+/* Assumed time from the end of a process to the next start of the VM, while
+   none has been seen. */
+#define RESTART_MS 1000
+/* Weight of one restart in the learned time that a stop takes. */
+#define USUAL_WEIGHT 0.3
+
+/* ---- the VM's own stop ---- */
 
 void
 stop_begin (cell_t *c, gl_ms_t ends_at)
 {
+  if (c->stopping)
+    return;
   c->stopping = 1;
   c->stop_at = c->now;
   c->stop_ends_at = ends_at;
-  cell_log (c, "stopping role=%d ends_in_ms=%llu", c->role,
-            (unsigned long long)(ends_at > c->now ? ends_at - c->now : 0));
+  cell_log (c, "stopping role=%d ends_in_ms=%llu staying=%d", c->role,
+            (unsigned long long)(ends_at > c->now ? ends_at - c->now : 0),
+            stop_count_staying (c));
+}
+
+/* Whether @margin_ms or less is left until @ends_at. */
+static int
+is_near (const cell_t *c, gl_ms_t ends_at, gl_ms_t margin_ms)
+{
+  return c->now + margin_ms >= ends_at;
 }
 
 gl_ms_t
@@ -29,7 +81,223 @@
 {
   if (!c->stopping)
     return TIMER_NEVER;
-  return c->stop_ends_at - ANSWER_MARGIN_MS;
+  return c->stop_ends_at > ANSWER_MARGIN_MS
+             ? c->stop_ends_at - ANSWER_MARGIN_MS
+             : 0;
+}
+
+/* ---- the other VMs ---- */
+
+void
+stop_vm_changed (cell_t *c, cvm_t *v, const gl_vmstate_t *state)
+{
+  int stayed = v->registered && !v->stopping;
+  double span_ms = (double)(c->now - v->stop_at);
+
+  if (state->stopping)
+    {
+      if (!v->stopping)
+        v->stop_at = c->now;
+      v->stopping = 1;
+      v->stop_ends_at = c->now + state->ends_in_ms;
+      return;
+    }
+  if (v->stopping && c->members_synced)
+    c->usual_stop_ms += (span_ms - c->usual_stop_ms)
+                        * (c->usual_stop_ms > 0 ? USUAL_WEIGHT : 1);
+  v->stopping = 0;
+  if (!stayed)
+    v->staying_since = c->now;
+}
+
+static int
+is_other (const cell_t *c, const cvm_t *v)
+{
+  return v->registered && strcmp (v->vm, c->vm);
+}
+
+int
+stop_count_staying (const cell_t *c)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nvms; i++)
+    n += is_other (c, &c->vms[i]) && !c->vms[i].stopping;
+  return n;
+}
+
+/* Whether another VM has stayed for @ms. */
+static int
+other_stays_for (const cell_t *c, gl_ms_t ms)
+{
+  for (int i = 0; i < c->nvms; i++)
+    if (is_other (c, &c->vms[i]) && !c->vms[i].stopping
+        && c->now >= c->vms[i].staying_since + ms)
+      return 1;
+  return 0;
+}
+
+int
+stop_takes_consults (const cell_t *c, const cvm_t *v)
+{
+  return !is_other (c, v) || !v->stopping || c->now < v->stop_at + CONSULT_MS;
+}
+
+/* ---- ownership ---- */
+
+/* Whether a VM that ends at @ends_at has time to own the cell. */
+static int
+has_time_to_own (const cell_t *c, gl_ms_t ends_at)
+{
+  return !is_near (c, ends_at, RELEASE_MARGIN_MS + OWN_MIN_MS);
+}
+
+int
+stop_may_claim (const cell_t *c)
+{
+  return !c->stopping
+         || (!stop_count_staying (c) && has_time_to_own (c, c->stop_ends_at));
+}
+
+/* Whether a VM that stays has said since the stop began that it could claim
+   the cell.  Its word counts only from STOP_SPREAD_MS on, since others may be
+   told to stop at the same time. */
+static int
+successor_is_ready (const cell_t *c)
+{
+  for (int i = 0; i < c->nvms; i++)
+    {
+      const cvm_t *v = &c->vms[i];
+
+      if (is_other (c, v) && !v->stopping && v->may_claim
+          && v->asked_at >= c->stop_at + STOP_SPREAD_MS
+          && c->now <= v->answered_at + CELL_HEARTBEAT_LOST_MS)
+        return 1;
+    }
+  return 0;
+}
+
+/* The reason to hand the cell over now, or NULL. */
+static const char *
+why_hand_over (const cell_t *c)
+{
+  if (is_near (c, c->stop_ends_at, RELEASE_MARGIN_MS))
+    return "end_is_near";
+  return successor_is_ready (c) ? "successor_ready" : NULL;
+}
+
+int
+stop_must_release (cell_t *c)
+{
+  const char *why;
+
+  /* A release that was sent may be carried out, so it is sent again. */
+  if (c->releasing)
+    return 1;
+  if (c->hand_over_at && !stop_count_staying (c)
+      && !is_near (c, c->stop_ends_at, RELEASE_MARGIN_MS))
+    c->hand_over_at = 0;
+  if (!c->hand_over_at)
+    {
+      why = why_hand_over (c);
+      if (!why)
+        return 0;
+      c->hand_over_at = c->now;
+      cell_log (c, "hand_over why=%s stopping_ms=%llu staying=%d", why,
+                (unsigned long long)(c->now - c->stop_at),
+                stop_count_staying (c));
+    }
+  return save_idle (c)
+         || (c->now >= c->stop_at + SETTLE_MS
+             && c->now >= c->hand_over_at + LATE_SETTLE_MS);
+}
+
+int
+stop_nobody_can_own (const cell_t *c)
+{
+  if (!c->stopping || c->role != CR_STANDBY || !c->ownership_known
+      || (!c->ownership.released && !c->owner_refused_at)
+      || stop_count_staying (c) || has_time_to_own (c, c->stop_ends_at))
+    return 0;
+  for (int i = 0; i < c->nvms; i++)
+    if (is_other (c, &c->vms[i])
+        && has_time_to_own (c, c->vms[i].stop_ends_at))
+      return 0;
+  return 1;
+}
+
+uint32_t
+stop_retry_ms (const cell_t *c)
+{
+  gl_ms_t usual_ms = c->usual_stop_ms > 0
+                         ? (gl_ms_t)c->usual_stop_ms
+                         : c->stop_ends_at - c->stop_at + RESTART_MS;
+  gl_ms_t began = c->stop_at;
+  gl_ms_t ms;
+
+  for (int i = 0; i < c->nvms; i++)
+    if (c->vms[i].stopping && c->vms[i].stop_at < began)
+      began = c->vms[i].stop_at;
+  ms = began + usual_ms > c->now ? began + usual_ms - c->now : 0;
+  if (ms < CELL_RETRY_MS)
+    ms = CELL_RETRY_MS;
+  if (ms > CELL_RETRY_MAX_MS)
+    ms = CELL_RETRY_MAX_MS;
+  return (uint32_t)ms + (uint32_t)gsl_rng_uniform_int (c->rng, CELL_RETRY_MS);
+}
+
+/* ---- when to take no more connections ---- */
+
+/* Whether this VM is among those of its failure domain that end first when no
+   VM stays: every second one by name, the owner left out. */
+static int
+ends_first (const cell_t *c)
+{
+  int before = 0;
+
+  for (int i = 0; i < c->nvms; i++)
+    {
+      const cvm_t *v = &c->vms[i];
+
+      before += is_other (c, v) && v->stopping
+                && !strcmp (v->domain, c->domain)
+                && strcmp (v->vm, c->ownership.vm ? c->ownership.vm : "")
+                && strcmp (v->vm, c->vm) < 0;
+    }
+  return before % 2 == 0;
+}
+
+/* The reason to take no more connections, or NULL. */
+static const char *
+why_close (const cell_t *c)
+{
+  if (is_near (c, c->stop_ends_at, CLOSE_MARGIN_MS))
+    return "end_is_near";
+  if (c->role != CR_STANDBY)
+    return NULL;
+  if (stop_nobody_can_own (c))
+    return "nobody_can_own";
+  if (c->now < c->stop_at + ACCEPT_MS)
+    return NULL;
+  if (other_stays_for (c, RETURNED_MS))
+    return "others_serve";
+  return !stop_count_staying (c) && ends_first (c) ? "ends_first" : NULL;
+}
+
+void
+stop_update (cell_t *c)
+{
+  const char *why;
+
+  if (!c->stopping || c->stop_closing)
+    return;
+  why = why_close (c);
+  if (!why)
+    return;
+  c->stop_closing = 1;
+  cell_log (c, "closing why=%s stopping_ms=%llu staying=%d requests=%zu", why,
+            (unsigned long long)(c->now - c->stop_at), stop_count_staying (c),
+            c->nrequests);
 }
 
 cell_stop_stage_t
@@ -37,7 +305,8 @@
 {
   if (!c->stopping)
     return CELL_STOP_NONE;
-  return c->now < c->stop_at + ACCEPT_MS && c->now < c->stop_ends_at
-             ? CELL_STOP_SERVING
-             : CELL_STOP_CLOSING;
+  if (!c->stop_closing)
+    return CELL_STOP_SERVING;
+  return c->role == CR_STANDBY && !c->nrequests ? CELL_STOP_DONE
+                                                : CELL_STOP_CLOSING;
 }
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -236,12 +236,24 @@
 
 void
 World::stop_vm (int i, gl_ms_t ends_in)
+{
+  uint64_t incarnation = vms[(size_t)i].incarnation;
+
+  tell_to_stop (i, ends_in);
+  schedule (ends_in, [=, this] {
+    if (vms[(size_t)i].incarnation == incarnation)
+      kill_vm (i);
+  });
+}
+
+void
+World::tell_to_stop (int i, gl_ms_t ends_in)
 {
   cell_event_t ev{};
 
   ev.kind = CELL_EV_STOP;
   ev.deadline = now + ends_in;
-  if (!vms[(size_t)i].alive)
+  if (!vms[(size_t)i].alive || vms[(size_t)i].stopping)
     return;
   vms[(size_t)i].stopping = true;
   vms[(size_t)i].ends_at = ev.deadline;
@@ -255,7 +267,7 @@
 
   if (!v.alive || v.frozen || v.stopping)
     return;
-  stop_vm (i, ends_in);
+  tell_to_stop (i, ends_in);
   end_when_due (i, v.incarnation, starts_in);
 }
 
@@ -270,7 +282,7 @@
   for (const auto &r : open_requests_)
     open |= r.second.vm == i;
   if (now < v.ends_at
-      && (v.frozen || open || cell_stop_stage (v.cell) != CELL_STOP_CLOSING))
+      && (v.frozen || open || cell_stop_stage (v.cell) != CELL_STOP_DONE))
     {
       schedule (std::min (END_CHECK_MS, v.ends_at - now),
                 [=, this] { end_when_due (i, incarnation, starts_in); });
@@ -478,11 +490,13 @@
           ev.kind = CELL_EV_HEARTBEAT;
           ev.heartbeat = &b;
           step (to, ev);
-          uint32_t age
+          gl_heartbeat_ack_t ack{};
+          ack.store_age_ms
               = cell_store_age_ms (vms[(size_t)to].cell, b.generation);
+          ack.may_claim = cell_may_claim (vms[(size_t)to].cell);
           codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &b);
           schedule (NET_MS,
-                    [=, this] { deliver_ack (i, incarnation, to, tag, age); });
+                    [=, this] { deliver_ack (i, incarnation, to, tag, ack); });
         });
         break;
       }
@@ -498,19 +512,20 @@
 /* A frozen VM reads the answer when it goes on. */
 void
 World::deliver_ack (int i, uint64_t incarnation, int from, uint64_t tag,
-                    uint32_t age)
+                    const gl_heartbeat_ack_t &ack)
 {
   const Vm &v = vms[(size_t)i];
   cell_event_t ev{};
 
   ev.kind = CELL_EV_HEARTBEAT_ACK;
   ev.tag = tag;
-  ev.store_age_ms = age;
+  ev.store_age_ms = ack.store_age_ms;
+  ev.may_claim = ack.may_claim;
   if (!v.alive || v.incarnation != incarnation)
     return;
   if (v.frozen)
     schedule (TICK_MS,
-              [=, this] { deliver_ack (i, incarnation, from, tag, age); });
+              [=, this] { deliver_ack (i, incarnation, from, tag, ack); });
   else if (connected (v.domain, vms[(size_t)from].domain))
     step (i, ev);
 }
@@ -1417,7 +1432,7 @@
 World::takes_connections (size_t i) const
 {
   return takes_requests (i)
-         && cell_stop_stage (vms[i].cell) != CELL_STOP_CLOSING;
+         && cell_stop_stage (vms[i].cell) < CELL_STOP_CLOSING;
 }
 
 int
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -141,8 +141,8 @@
   void kill_vm (int vm);
   void start_vm (int vm);
   void freeze_vm (int vm, bool frozen);
-  /* Ask the VM to stop and say that its process ends within @ends_in ms; it
-     goes on until kill_vm. */
+  /* Ask the VM to stop; its process goes on until kill_vm, or for @ends_in ms.
+   */
   void stop_vm (int vm, gl_ms_t ends_in = DRAIN_MS);
   /* A planned stop: the process ends as the platform's does, at the latest
      after @ends_in ms, and another one starts @starts_in ms later. */
@@ -257,6 +257,7 @@
   };
 
   /* Time for a message on a VM's link, behind those that are on it. */
+  void tell_to_stop (int vm, gl_ms_t ends_in);
   gl_ms_t link_ms (double *free_at, size_t bytes);
   void step (int vm, cell_event_t &ev);
   void run_effect (int vm, cell_effect_t &e);
@@ -290,7 +291,7 @@
   /* Report the requests that the process gives up when it ends now. */
   void check_given_up (int vm);
   void deliver_ack (int vm, uint64_t incarnation, int from, uint64_t tag,
-                    uint32_t age);
+                    const gl_heartbeat_ack_t &ack);
   void notify_vm (size_t i, const std::string &key, uint64_t incarnation);
   void key_changed (const std::string &key, bool gone);
   void report_key (int vm, const std::string &key, bool gone);
