Refuse requests for which there is no memory

A request whose record, copy or queue item could not be allocated was dropped, and its caller waited until the connection ended. Found by reading, as another place where a request that was read gets no answer; no run shows it, since no test makes an allocation fail.

--- a/src/cellask.c
+++ b/src/cellask.c
@@ -377,6 +377,21 @@
                 ending ? "the process ends" : "no answer in time");
 }
 
+/* Refuse a request that was not added. */
+static void
+refuse_without_memory (cell_t *c, uint64_t tag)
+{
+  cell_effect_t *e = cell_add_effect (c, CELL_FX_REPLY);
+
+  cell_log (c, "request_dropped why=memory answered=%d", e != NULL);
+  if (!e)
+    return;
+  e->tag = tag;
+  e->reply.code = GL_RETRY;
+  e->reply.retry_ms = CELL_RETRY_MS;
+  e->reply.reason = strdup ("out of memory");
+}
+
 void
 request_receive (cell_t *c, const cell_event_t *ev)
 {
@@ -388,14 +403,20 @@
       crequest_t *v = realloc (c->requests, cap * sizeof *v);
 
       if (!v)
-        return;
+        {
+          refuse_without_memory (c, ev->tag);
+          return;
+        }
       c->requests = v;
       c->caprequests = cap;
     }
   r = &c->requests[c->nrequests];
   memset (r, 0, sizeof *r);
   if (copy_request (ev->request, &r->body))
-    return;
+    {
+      refuse_without_memory (c, ev->tag);
+      return;
+    }
   c->nrequests++;
   r->tag = ev->tag;
   r->arrived_at = c->now;
--- a/src/celld.c
+++ b/src/celld.c
@@ -160,16 +160,17 @@
   loop_must_post (d->loop, p);
 }
 
-void
+int
 celld_post_call (celld_t *d, void (*fn) (void *arg), void *arg)
 {
   post_t *p = calloc (1, sizeof *p);
 
   if (!p)
-    return;
+    return -1;
   p->fn = fn;
   p->arg = arg;
   loop_must_post (d->loop, p);
+  return 0;
 }
 
 /* ---- consultations ---- */
@@ -244,6 +245,10 @@
 
 /* ---- requests ---- */
 
+/* The answer to a request for which there is no memory; nothing was done. */
+static gl_reply_t no_memory
+    = { GL_RETRY, 1000, GL_PHASE_PENDING, "out of memory" };
+
 void
 celld_request (celld_t *d, const gl_request_t *request, gl_ms_t wait,
                celld_reply_fn_t reply_fn, void *ctx)
@@ -251,11 +256,10 @@
   handle_t h = pool_add (&d->requests);
   pending_request_t *a = pool_get (&d->requests, h);
   cell_event_t ev = { .kind = CELL_EV_REQUEST, .request = request };
-  gl_reply_t none = { GL_RETRY, 1000, GL_PHASE_PENDING, "out of memory" };
 
   if (!a)
     {
-      reply_fn (ctx, &none);
+      reply_fn (ctx, &no_memory);
       return;
     }
   a->reply_fn = reply_fn;
@@ -308,6 +312,8 @@
       ev.deadline = clock_ms () + PEER_TIMEOUT_MS;
       handle_event (d, &ev);
     }
+  else
+    rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_reply_t, &no_memory);
   codec_free ((xdrproc_t)xdr_gl_request_t, &request);
 }
 
@@ -578,7 +584,8 @@
 celld_stop (celld_t *d, gl_ms_t ms)
 {
   d->stop_ends_at = clock_ms () + ms;
-  celld_post_call (d, do_stop, d);
+  if (celld_post_call (d, do_stop, d))
+    log_error ("stop_not_posted why=memory");
 }
 
 static void
@@ -594,7 +601,8 @@
 void
 celld_quit (celld_t *d)
 {
-  celld_post_call (d, do_quit, d);
+  if (celld_post_call (d, do_quit, d))
+    log_error ("quit_not_posted why=memory");
 }
 
 void
--- a/src/celld.h
+++ b/src/celld.h
@@ -61,8 +61,9 @@
  */
 void celld_post_event (celld_t *d, const cell_event_t *ev,
                        void (*release) (void *owned), void *owned);
-/** celld_post_call - call @fn with @arg on the control thread; any thread */
-void celld_post_call (celld_t *d, void (*fn) (void *arg), void *arg);
+/** celld_post_call - call @fn with @arg on the control thread; any thread.
+    Returns -1 without memory, and then does not call it. */
+int celld_post_call (celld_t *d, void (*fn) (void *arg), void *arg);
 
 /** celld_reply_fn_t - takes the answer to a request, borrowed for the call */
 typedef void (*celld_reply_fn_t) (void *ctx, const gl_reply_t *reply);
