Close idle connections at a planned stop, and tell callers from its beginning

Answers said "Connection: close" only after the listening socket was closed, and connections without a request stayed open until the process ended, which cut what callers had just sent on them.

A connection is ended by shutting down its reading side. So a connection on which a header's end has arrived is left alone, and a request that begins after the shutdown is refused with 503. Behind a part of a header the library did not see the end; such a connection is shut down in both directions.

--- a/src/httpd.h
+++ b/src/httpd.h
@@ -60,9 +60,19 @@
  */
 httpd_t *httpd_new (const char *addr, size_t max_body, unsigned int max_conns,
                     unsigned int threads, httpd_fn_t fn, void *ctx);
-/** httpd_quiesce - accept no more connections, and answer each further request
-    with "Connection: close", after which its connection is closed */
+/** httpd_set_closing - answer each further request with "Connection: close",
+    after which its connection is closed; connections are still accepted */
+void httpd_set_closing (httpd_t *h);
+/**
+ * httpd_quiesce - accept no more connections and close idle ones
+ *
+ * Implies httpd_set_closing.  A request whose header has arrived is answered;
+ * one whose header ends at this moment may be refused with 503.  A part of a
+ * header is cut.
+ */
 void httpd_quiesce (httpd_t *h);
+/** httpd_connections - number of open connections */
+unsigned int httpd_connections (const httpd_t *h);
 /** httpd_open_requests - number of requests whose response is not sent yet */
 unsigned int httpd_open_requests (httpd_t *h);
 /** httpd_free - stop the server and free it; every request must have been
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -841,6 +841,176 @@
   t.join ();
 }
 
+/* A server that keeps a request for "/held" until the test answers it, keeps
+   its thread in one for "/busy" until BUSY is cleared, and answers others. */
+struct StopServer
+{
+  static constexpr size_t BIG_BYTES = 16 << 20;
+  std::atomic<httpd_call_t *> held{};
+  std::atomic<bool> busy{};
+  int port = free_port ();
+  httpd_t *server;
+  explicit StopServer (unsigned int threads)
+  {
+    std::string addr = "127.0.0.1:" + std::to_string (port);
+    server = httpd_new (addr.c_str (), 1000, 20, threads, on_call, this);
+  }
+  ~StopServer () { httpd_free (server); }
+  static void
+  on_call (void *ctx, httpd_call_t *call)
+  {
+    StopServer *s = (StopServer *)ctx;
+    if (!strcmp (call->path, "/held"))
+      {
+        s->held = call;
+        return;
+      }
+    if (!strcmp (call->path, "/busy"))
+      for (s->busy = true; s->busy;)
+        usleep (1000);
+    if (!strcmp (call->path, "/big"))
+      httpd_reply (call, 200, NULL, (char *)calloc (1, BIG_BYTES), BIG_BYTES);
+    else
+      httpd_text (call, 200, "done");
+  }
+  /* A connection on which TEXT was sent; -1 when it is refused. */
+  int
+  open (const char *text)
+  {
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+    struct timeval wait = { 5, 0 };
+    struct sockaddr_in sa
+    {
+    };
+    sa.sin_family = AF_INET;
+    sa.sin_port = htons ((uint16_t)port);
+    sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    if (connect (fd, (struct sockaddr *)&sa, sizeof sa))
+      {
+        close (fd);
+        return -1;
+      }
+    say (fd, text);
+    return fd;
+  }
+  static void
+  say (int fd, const char *text)
+  {
+    EXPECT_EQ ((ssize_t)strlen (text), write (fd, text, strlen (text)));
+  }
+  bool
+  reaches (unsigned int connections)
+  {
+    for (int i = 0; i < 2000 && httpd_connections (server) != connections; i++)
+      usleep (1000);
+    return httpd_connections (server) == connections;
+  }
+};
+
+/* Reads up to and with END; with NULL, up to the end of the connection, which
+   is then closed.  "still open" is added when neither comes. */
+static std::string
+hear (int fd, const char *end)
+{
+  static char buf[65536];
+  std::string got;
+  ssize_t n = 1;
+
+  while ((!end || got.find (end) == std::string::npos)
+         && (n = read (fd, buf, end ? 1 : sizeof buf)) > 0)
+    got.append (buf, (size_t)n);
+  if (n < 0 && errno == EAGAIN)
+    got += " still open";
+  if (!end)
+    close (fd);
+  return got;
+}
+
+static const char get_a[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/* A stopping process waited for clients that had nothing to ask. */
+TEST (Http, IdleConnectionsEndWhenTheServerStops)
+{
+  for (unsigned int threads : { 0, 1, 2 })
+    {
+      StopServer w (threads);
+      int fds[] = { w.open (""), w.open ("GET /a HTT"), w.open (get_a) };
+      EXPECT_NE (std::string::npos, hear (fds[2], "done").find ("200 OK"));
+      EXPECT_TRUE (w.reaches (3));
+      httpd_quiesce (w.server);
+      for (int fd : fds)
+        EXPECT_EQ ("", hear (fd, NULL)) << threads << " threads";
+      EXPECT_TRUE (w.reaches (0)) << threads << " threads";
+      EXPECT_EQ (-1, w.open (""));
+    }
+}
+
+/* Callers sent on a connection that a stopping process was about to close. */
+TEST (Http, AnswersSayThatTheConnectionClosesOnceStopping)
+{
+  StopServer w (1);
+  int fd = w.open (get_a);
+  EXPECT_EQ (std::string::npos, hear (fd, "done").find ("close"));
+  httpd_set_closing (w.server);
+  w.say (fd, get_a);
+  for (int c : { fd, w.open (get_a) })
+    {
+      std::string got = hear (c, NULL);
+      EXPECT_NE (std::string::npos, got.find ("Connection: close")) << got;
+      EXPECT_EQ ("done", got.substr (got.size () - 4));
+    }
+  EXPECT_TRUE (w.reaches (0));
+}
+
+/* Requests that were read, or had arrived, got no answer at a stop. */
+TEST (Http, ARequestThatWasReadIsAnsweredWhileTheServerStops)
+{
+  StopServer w (1);
+  int held = w.open ("POST /held HTTP/1.1\r\nHost: h\r\n"
+                     "Content-Length: 2\r\n\r\nab");
+  int unread = w.open (get_a), late = w.open (get_a), half = w.open (get_a);
+  int busy;
+  for (int fd : { unread, late, half })
+    hear (fd, "done");
+  busy = w.open ("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (!w.busy || !w.held)
+    usleep (1000);
+  w.say (unread, get_a);
+  w.say (half, "GET /a HTT");
+  httpd_quiesce (w.server);
+  w.say (late, get_a);
+  w.busy = false;
+  EXPECT_EQ ("", hear (half, NULL));
+  for (int fd : { unread, late, busy, held })
+    {
+      if (fd == held)
+        {
+          EXPECT_TRUE (w.reaches (1));
+          EXPECT_EQ (1u, httpd_open_requests (w.server));
+          httpd_text (w.held, 200, "done");
+        }
+      std::string got = hear (fd, NULL);
+      EXPECT_NE (std::string::npos, got.find ("Connection: close")) << got;
+      /* The end of LATE's connection was ordered before, so it may be refused,
+         but not dropped. */
+      EXPECT_TRUE (got.ends_with ("done")
+                   || (fd == late && got.ends_with ("\"not_run\":true}\n")));
+    }
+  EXPECT_TRUE (w.reaches (0));
+}
+
+/* An answer without "Connection: close" left its connection open. */
+TEST (Http, AnAnswerBegunBeforeTheStopIsWholeAndEndsItsConnection)
+{
+  StopServer w (1);
+  int fd = w.open ("GET /big HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ (std::string::npos, hear (fd, "\r\n\r\n").find ("close"));
+  httpd_quiesce (w.server);
+  EXPECT_EQ (w.BIG_BYTES, hear (fd, NULL).size ());
+  EXPECT_TRUE (w.reaches (0));
+}
+
 static int
 answer_cancel (void *, const void *in, void *out)
 {
