Keep a released cell idle until the release has an outcome

A task could run on two workers: the store refused a release that was repeated, and the owner went on, though the release before had got no answer. That one was carried out later, and since the generation is the same the owner's own fence passed on a released record, while its successor relied on the handover.

Once a release has got no answer, refusals of later ones no longer let the owner go on.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -709,9 +709,9 @@
  *   time for one
  * @claim_tag, @release_tag, @confirm_tag, @lease_tag, @keys_tag: calls in
  *   flight, or 0
- * @releasing, @release_after: the cell may be released already, so that no
- *   worker's lease is renewed and no task started; earliest time to send the
- *   release
+ * @releasing, @release_unanswered, @release_after: the cell may be released
+ *   already, so that no worker's lease is renewed and no task started; a
+ *   release got no answer; earliest time to send the next one
  * @claim_sent_at, @confirm_sent_at, @lease_requested_at: when the latest of
  *   these calls were sent
  * @lease_held, @lease_held_since, @lease_renewed_at: the last renewal of the
@@ -826,6 +826,7 @@
   uint64_t claim_tag;
   uint64_t release_tag;
   int releasing;
+  int release_unanswered;
   gl_ms_t release_after;
   gl_ms_t lease_requested_at;
   uint64_t lease_tag;
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -438,8 +438,8 @@
 
 /* While a release has not been carried out, this VM's key keeps others from
    claiming the cell, so it is sent again until its outcome is known.  After a
-   refusal the owner goes on in the meantime; after no answer it does not,
-   since the cell may be released already. */
+   refusal the owner goes on in the meantime; once a release got no answer it
+   does not, since that one may still be carried out. */
 static void
 release_result (cell_t *c, gl_store_status_t status)
 {
@@ -452,7 +452,8 @@
       return;
     }
   c->release_after = c->now + RELEASE_RETRY_MS;
-  if (status != GL_ST_UNKNOWN)
+  c->release_unanswered |= status == GL_ST_UNKNOWN;
+  if (!c->release_unanswered)
     c->releasing = 0;
 }
 
@@ -666,6 +667,7 @@
   c->confirm_tag = 0;
   c->release_tag = 0;
   c->releasing = 0;
+  c->release_unanswered = 0;
   /* For all VMs, the process that owned the cell has ended. */
   c->process = process.process;
   c->keys_lost = 1;
