Stops: decide turns once, bound margins by the stop, do not count overdue VMs

Findings of a review of the planned stop, by reading unless said: - VMs that end in turns counted those that are registered, so the count changed as the leases of ended ones ran out, and VMs that should serve on ended, too (shown with restarts of 6 s); the turn is decided once; - a release without an answer was not repeated before the process ended; - Retry-After counted from VMs that had been killed while they stopped (shown: 1212 ms where 2350 to 3350 were due); - answers of older versions to heartbeats were not decoded; - a peer's request to a VM that does not own the cell was refused near the end, not sent back; - a VM that has closed could still claim the cell; - margins exceeded short stops; - a late write of an ended process could keep a VM flagged as stopping.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -223,6 +223,11 @@
 };
 typedef struct gl_heartbeat_ack_t gl_heartbeat_ack_t;
 
+struct gl_old_heartbeat_ack_t {
+	u_int store_age_ms;
+};
+typedef struct gl_old_heartbeat_ack_t gl_old_heartbeat_ack_t;
+
 struct gl_heartbeat_t {
 	u_quad_t generation;
 	gl_cell_str_t vm;
@@ -261,6 +266,7 @@
 extern  bool_t xdr_gl_consult_reply_t (XDR *, gl_consult_reply_t*);
 extern  bool_t xdr_gl_queue_count_t (XDR *, gl_queue_count_t*);
 extern  bool_t xdr_gl_heartbeat_ack_t (XDR *, gl_heartbeat_ack_t*);
+extern  bool_t xdr_gl_old_heartbeat_ack_t (XDR *, gl_old_heartbeat_ack_t*);
 extern  bool_t xdr_gl_heartbeat_t (XDR *, gl_heartbeat_t*);
 
 #else /* K&R C */
@@ -287,6 +293,7 @@
 extern bool_t xdr_gl_consult_reply_t ();
 extern bool_t xdr_gl_queue_count_t ();
 extern bool_t xdr_gl_heartbeat_ack_t ();
+extern bool_t xdr_gl_old_heartbeat_ack_t ();
 extern bool_t xdr_gl_heartbeat_t ();
 
 #endif /* K&R C */
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -201,6 +201,10 @@
   unsigned int store_age_ms;
   bool may_claim;
 };
+/* The answer of a VM of an older version. */
+struct gl_old_heartbeat_ack_t {
+  unsigned int store_age_ms;
+};
 struct gl_heartbeat_t {
   unsigned hyper generation;
   gl_cell_str_t vm;
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -517,6 +517,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_old_heartbeat_ack_t (XDR *xdrs, gl_old_heartbeat_ack_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_heartbeat_t (XDR *xdrs, gl_heartbeat_t *objp)
 {
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -55,14 +55,14 @@
   if (code == GL_RETRY && r->maybe_taken && r->body.verb == GL_VERB_SUBMIT)
     code = GL_UNKNOWN;
   e = cell_add_effect (c, CELL_FX_REPLY);
-  if (e)
-    {
-      e->tag = tag;
-      e->reply.code = code;
-      e->reply.retry_ms = retry_ms;
-      e->reply.phase = phase;
-      e->reply.reason = strdup (reason ? reason : "");
-    }
+  /* Without memory it is answered at its deadline. */
+  if (!e)
+    return;
+  e->tag = tag;
+  e->reply.code = code;
+  e->reply.retry_ms = retry_ms;
+  e->reply.phase = phase;
+  e->reply.reason = strdup (reason ? reason : "");
   if (code != GL_OK && !r->from_peer)
     cell_log (c, "answer id=%s verb=%d code=%s retry_ms=%u age_ms=%llu why=%s",
               r->body.id, r->body.verb, gl_code_name (code), retry_ms,
@@ -369,8 +369,10 @@
   if (r->body.verb == GL_VERB_SUBMIT && !maybe_done)
     {
       c->counters.no_owner++;
-      cell_reply (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0,
-                  ending ? "the process ends" : "no owner");
+      cell_reply (c, r->tag, GL_RETRY,
+                  ending && !stop_count_staying (c) ? stop_retry_ms (c)
+                                                    : CELL_RETRY_MS,
+                  0, ending ? "the process ends" : "no owner");
     }
   else
     cell_reply (c, r->tag, GL_UNKNOWN, 0, 0,
@@ -422,7 +424,8 @@
   r->arrived_at = c->now;
   r->deadline = ev->deadline;
   r->from_peer = ev->from_peer;
-  if (is_due (c, r))
+  /* What another VM has forwarded here by mistake it may forward again. */
+  if (is_due (c, r) && !(r->from_peer && c->role == CR_STANDBY))
     expire (c, r);
   else
     route (c, r);
--- a/src/celld.c
+++ b/src/celld.c
@@ -175,6 +175,23 @@
 
 /* ---- consultations ---- */
 
+/* @reply is NULL when the advisor gave none. */
+static void
+answer_consult (celld_t *d, const pending_consult_t *entry,
+                const gl_consult_reply_t *reply)
+{
+  gl_consult_reply_t none = { .code = GL_RETRY };
+  cell_event_t ev = { .kind = CELL_EV_CONSULT_REPLY,
+                      .tag = entry->tag,
+                      .consult_reply = reply };
+
+  if (entry->remote)
+    rpcmux_reply (d->rpc, entry->from, (xdrproc_t)xdr_gl_consult_reply_t,
+                  reply ? reply : &none);
+  else
+    handle_event (d, &ev);
+}
+
 static void
 finish_consult (celld_t *d, uint64_t tag, const gl_consult_reply_t *reply)
 {
@@ -185,20 +202,7 @@
     return;
   entry = *k;
   pool_del (&d->consults, (handle_t)tag);
-  if (entry.remote)
-    {
-      gl_consult_reply_t none = { .code = GL_RETRY };
-
-      rpcmux_reply (d->rpc, entry.from, (xdrproc_t)xdr_gl_consult_reply_t,
-                    reply ? reply : &none);
-    }
-  else
-    {
-      cell_event_t ev = { .kind = CELL_EV_CONSULT_REPLY,
-                          .tag = entry.tag,
-                          .consult_reply = reply };
-      handle_event (d, &ev);
-    }
+  answer_consult (d, &entry, reply);
 }
 
 static void
@@ -227,7 +231,11 @@
   pending_consult_t *k = pool_get (&d->consults, h);
 
   if (!k)
-    return;
+    {
+      log_error ("consult_dropped why=memory remote=%d", entry->remote);
+      answer_consult (d, entry, NULL);
+      return;
+    }
   *k = *entry;
   if (consult_queue_add (&d->consult_queue, h, consult, clock_ms () + timeout))
     finish_consult (d, h, NULL);
@@ -402,20 +410,24 @@
     codec_free ((xdrproc_t)xdr_gl_consult_reply_t, &c);
 }
 
-/* VMs of older versions say nothing of their store or of claims; they do claim
-   the cell. */
+/* VMs of older versions do not say whether they could claim the cell. */
 static void
 heartbeat_done (celld_t *d, uint64_t tag, const char *data, size_t len)
 {
-  gl_heartbeat_ack_t ack = { 0 };
-  cell_event_t ev
-      = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag, .may_claim = 1 };
+  gl_heartbeat_ack_t ack = { 0, 1 };
+  gl_old_heartbeat_ack_t old = { 0 };
+  cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
 
-  if (!codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, &ack, data, len))
+  if (codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, &ack, data, len))
     {
-      ev.store_age_ms = ack.store_age_ms;
-      ev.may_claim = ack.may_claim;
+      ack.may_claim = 1;
+      ack.store_age_ms = codec_decode ((xdrproc_t)xdr_gl_old_heartbeat_ack_t,
+                                       &old, data, len)
+                             ? 0
+                             : old.store_age_ms;
     }
+  ev.store_age_ms = ack.store_age_ms;
+  ev.may_claim = ack.may_claim;
   handle_event (d, &ev);
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -109,7 +109,7 @@
    there, cannot reach the owner: it is not ready for requests. */
 #define CELL_OWNER_UNREACHABLE_MS 1500
 /* VMs that are told to stop at the same time learn of it within this span. */
-#define STOP_SPREAD_MS 150
+#define CELL_STOP_SPREAD_MS 150
 /* A request that no owner can have received is refused after this long. */
 #define CELL_NO_OWNER_MS 1500
 /* Keys of the store that several modules use: the ownership record, the
@@ -469,6 +469,14 @@
   int nreservations;
 } cworker_t;
 
+/** enum cstop_turn_t - when a VM ends that stops while no VM stays */
+typedef enum
+{
+  CSTOP_UNDECIDED = 0,
+  CSTOP_ENDS_FIRST,
+  CSTOP_SERVES_ON
+} cstop_turn_t;
+
 /**
  * struct cvm_t - a VM of the cell, this one included
  * @vm: its name
@@ -681,9 +689,9 @@
  * @stopping, @stop_at, @stop_ends_at: this VM is stopping, since when, and
  *   when its process ends at the latest
  * @stop_closing: it takes no new connections any more
+ * @stop_turn: whether this VM ends first or serves on while no VM stays
  * @stop_tag: transaction in flight that tells the others of the stop, or 0
- * @hand_over_at: when the release of the cell began to wait for writes, 0
- *   before
+ * @hand_over_at: when it was decided to release the cell, 0 before
  * @usual_stop_ms: learned time from the beginning of a VM's stop until it is
  *   back, 0 if not known
  * @generation: of this VM's latest claim; the fencing token
@@ -802,6 +810,7 @@
   gl_ms_t stop_at;
   gl_ms_t stop_ends_at;
   int stop_closing;
+  cstop_turn_t stop_turn;
   uint64_t stop_tag;
   gl_ms_t hand_over_at;
   double usual_stop_ms;
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -100,6 +100,9 @@
                     &state);
       stop_vm_changed (c, v, &state);
       v->registered = 1;
+      /* A write of this VM's process before may have come late. */
+      if (!strcmp (name, c->vm) && state.stopping && !c->stopping)
+        c->keys_lost = 1;
     }
   codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
 }
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -410,11 +410,11 @@
 int stop_takes_consults (const cell_t *c, const cvm_t *v);
 /** stop_may_claim - 0 if this VM is stopping and must not claim the cell */
 int stop_may_claim (const cell_t *c);
-/** stop_must_release - whether an owner that is stopping is to release the
-   cell now */
-int stop_must_release (cell_t *c);
-/** stop_nobody_can_own - 1 if every VM is stopping, nobody owns the cell, and
-    nobody can claim it before a VM comes back */
+/** stop_release_due - decide whether an owner that is stopping is to release
+    the cell now */
+int stop_release_due (cell_t *c);
+/** stop_nobody_can_own - 1 if this VM and all others are stopping, nobody owns
+    the cell, and nobody can claim it before a VM comes back */
 int stop_nobody_can_own (const cell_t *c);
 /** stop_retry_ms - after what time to retry when nobody can own the cell: when
     the first VM is expected back */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -39,6 +39,8 @@
  */
 #define WEAKER_VM_DELAY_MS 250
 #define CLAIM_TIMEOUT_MS 1500
+/* Short enough that a release is repeated before the process ends. */
+#define RELEASE_TIMEOUT_MS 400
 /* The tag of a heartbeat is the time at which it is sent times this, plus the
    index of the VM. */
 #define HEARTBEAT_TAG_VMS 65536
@@ -188,7 +190,7 @@
   if (!e || !(e->txn = calloc (1, sizeof *e->txn)))
     return -1;
   *tag = e->tag = cell_new_tag (c);
-  e->timeout = CLAIM_TIMEOUT_MS;
+  e->timeout = released ? RELEASE_TIMEOUT_MS : CLAIM_TIMEOUT_MS;
   own_add_fence (c, e->txn);
   p = &e->txn->puts[e->txn->nputs++];
   cell_strcpy (p->key, KEY_OWNERSHIP);
@@ -813,7 +815,7 @@
 try_release (cell_t *c)
 {
   if (c->role == CR_OWNER && !c->release_tag && c->now >= c->release_after
-      && stop_must_release (c)
+      && stop_release_due (c)
       && !write_ownership (c, c->generation, 1, &c->release_tag))
     {
       if (!c->releasing)
@@ -828,8 +830,8 @@
 {
   stop_begin (c, ev->deadline);
   member_announce_stop (c);
-  if (c->heartbeat_due > c->now + STOP_SPREAD_MS)
-    c->heartbeat_due = c->now + STOP_SPREAD_MS;
+  if (c->heartbeat_due > c->now + CELL_STOP_SPREAD_MS)
+    c->heartbeat_due = c->now + CELL_STOP_SPREAD_MS;
   try_release (c);
 }
 
--- a/src/cellstop.c
+++ b/src/cellstop.c
@@ -30,15 +30,22 @@
 /* A VM that serves on ends this long after another one has come back: the
    balancer has probed that one by then. */
 #define RETURNED_MS 1200
-/* New connections are refused this long before the process ends at the
-   latest. */
+/* Times before the process ends at the latest.  First the cell is released:
+   there is time for writes to settle, and for a release that gets no answer to
+   be repeated.  From RELEASE_LATEST_MS on it no longer waits for writes. */
+#define RELEASE_MARGIN_MS 1400
+#define RELEASE_LATEST_MS 1000
+/* New connections are refused. */
 #define CLOSE_MARGIN_MS 900
-/* Every request is answered this long before the process ends at the latest,
-   so that the answers can still be sent. */
+/* Every request is answered, so that the answers can still be sent. */
 #define ANSWER_MARGIN_MS 400
-/* The cell is released this long before the process ends at the latest: time
-   for writes to settle and for the release itself. */
-#define RELEASE_MARGIN_MS 1400
+_Static_assert(RELEASE_MARGIN_MS > RELEASE_LATEST_MS
+                   && RELEASE_LATEST_MS > CLOSE_MARGIN_MS
+                   && CLOSE_MARGIN_MS > ANSWER_MARGIN_MS,
+               "a stop releases, closes, and answers in this order");
+/* In a stop that is shorter than this many times the margin, the margins of
+   connections and answers are this part of it. */
+#define MARGIN_PART 3
 /* Before the release, writes may take this long to settle, from the beginning
    of the stop and from the decision to hand over. */
 #define SETTLE_MS 800
@@ -76,14 +83,21 @@
   return c->now + margin_ms >= ends_at;
 }
 
+/* The margin before the end of this VM's process, less in a short stop. */
+static gl_ms_t
+margin_ms (const cell_t *c, gl_ms_t usual_ms)
+{
+  gl_ms_t part = (c->stop_ends_at - c->stop_at) / MARGIN_PART;
+
+  return usual_ms < part ? usual_ms : part;
+}
+
 gl_ms_t
 stop_answers_until (const cell_t *c)
 {
   if (!c->stopping)
     return TIMER_NEVER;
-  return c->stop_ends_at > ANSWER_MARGIN_MS
-             ? c->stop_ends_at - ANSWER_MARGIN_MS
-             : 0;
+  return c->stop_ends_at - margin_ms (c, ANSWER_MARGIN_MS);
 }
 
 /* ---- the other VMs ---- */
@@ -116,13 +130,20 @@
   return v->registered && strcmp (v->vm, c->vm);
 }
 
+/* Whether the VM is another one, and not stopping. */
+static int
+stays (const cell_t *c, const cvm_t *v)
+{
+  return is_other (c, v) && !v->stopping;
+}
+
 int
 stop_count_staying (const cell_t *c)
 {
   int n = 0;
 
   for (int i = 0; i < c->nvms; i++)
-    n += is_other (c, &c->vms[i]) && !c->vms[i].stopping;
+    n += stays (c, &c->vms[i]);
   return n;
 }
 
@@ -131,8 +152,7 @@
 other_stays_for (const cell_t *c, gl_ms_t ms)
 {
   for (int i = 0; i < c->nvms; i++)
-    if (is_other (c, &c->vms[i]) && !c->vms[i].stopping
-        && c->now >= c->vms[i].staying_since + ms)
+    if (stays (c, &c->vms[i]) && c->now >= c->vms[i].staying_since + ms)
       return 1;
   return 0;
 }
@@ -156,12 +176,13 @@
 stop_may_claim (const cell_t *c)
 {
   return !c->stopping
-         || (!stop_count_staying (c) && has_time_to_own (c, c->stop_ends_at));
+         || (!c->stop_closing && !stop_count_staying (c)
+             && has_time_to_own (c, c->stop_ends_at));
 }
 
 /* Whether a VM that stays has said since the stop began that it could claim
-   the cell.  Its word counts only from STOP_SPREAD_MS on, since others may be
-   told to stop at the same time. */
+   the cell.  Its word counts only from CELL_STOP_SPREAD_MS on, since others
+   may be told to stop at the same time. */
 static int
 successor_is_ready (const cell_t *c)
 {
@@ -169,8 +190,8 @@
     {
       const cvm_t *v = &c->vms[i];
 
-      if (is_other (c, v) && !v->stopping && v->may_claim
-          && v->asked_at >= c->stop_at + STOP_SPREAD_MS
+      if (stays (c, v) && v->may_claim
+          && v->asked_at >= c->stop_at + CELL_STOP_SPREAD_MS
           && c->now <= v->answered_at + CELL_HEARTBEAT_LOST_MS)
         return 1;
     }
@@ -187,7 +208,7 @@
 }
 
 int
-stop_must_release (cell_t *c)
+stop_release_due (cell_t *c)
 {
   const char *why;
 
@@ -207,7 +228,7 @@
                 (unsigned long long)(c->now - c->stop_at),
                 stop_count_staying (c));
     }
-  return save_idle (c)
+  return save_idle (c) || is_near (c, c->stop_ends_at, RELEASE_LATEST_MS)
          || (c->now >= c->stop_at + SETTLE_MS
              && c->now >= c->hand_over_at + LATE_SETTLE_MS);
 }
@@ -226,19 +247,31 @@
   return 1;
 }
 
+/* When the VM that began to stop at @stop_at is expected back. */
+static gl_ms_t
+expected_back (const cell_t *c, gl_ms_t stop_at)
+{
+  return stop_at
+         + (c->usual_stop_ms > 0 ? (gl_ms_t)c->usual_stop_ms
+                                 : c->stop_ends_at - c->stop_at + RESTART_MS);
+}
+
 uint32_t
 stop_retry_ms (const cell_t *c)
 {
-  gl_ms_t usual_ms = c->usual_stop_ms > 0
-                         ? (gl_ms_t)c->usual_stop_ms
-                         : c->stop_ends_at - c->stop_at + RESTART_MS;
-  gl_ms_t began = c->stop_at;
+  gl_ms_t back = expected_back (c, c->stop_at);
   gl_ms_t ms;
 
   for (int i = 0; i < c->nvms; i++)
-    if (c->vms[i].stopping && c->vms[i].stop_at < began)
-      began = c->vms[i].stop_at;
-  ms = began + usual_ms > c->now ? began + usual_ms - c->now : 0;
+    {
+      const cvm_t *v = &c->vms[i];
+      gl_ms_t at = expected_back (c, v->stop_at);
+
+      /* One that is overdue may be gone for good. */
+      if (v->stopping && at >= c->now && at < back)
+        back = at;
+    }
+  ms = back > c->now ? back - c->now : 0;
   if (ms < CELL_RETRY_MS)
     ms = CELL_RETRY_MS;
   if (ms > CELL_RETRY_MAX_MS)
@@ -269,9 +302,9 @@
 
 /* The reason to take no more connections, or NULL. */
 static const char *
-why_close (const cell_t *c)
+why_close (cell_t *c)
 {
-  if (is_near (c, c->stop_ends_at, CLOSE_MARGIN_MS))
+  if (is_near (c, c->stop_ends_at, margin_ms (c, CLOSE_MARGIN_MS)))
     return "end_is_near";
   if (c->role != CR_STANDBY)
     return NULL;
@@ -281,7 +314,12 @@
     return NULL;
   if (other_stays_for (c, RETURNED_MS))
     return "others_serve";
-  return !stop_count_staying (c) && ends_first (c) ? "ends_first" : NULL;
+  if (stop_count_staying (c))
+    return NULL;
+  /* Decided once: VMs that have ended drop out of the count. */
+  if (c->stop_turn == CSTOP_UNDECIDED)
+    c->stop_turn = ends_first (c) ? CSTOP_ENDS_FIRST : CSTOP_SERVES_ON;
+  return c->stop_turn == CSTOP_ENDS_FIRST ? "ends_first" : NULL;
 }
 
 void
