--- a/src/httpd.c
+++ b/src/httpd.c
@@ -20,7 +20,6 @@
 #include <string.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "logs.h"
@@ -29,11 +28,6 @@
 /* Seconds after which an idle connection is closed. */
 #define IDLE_S 120
 
-/* Interval at which the server's thread is checked to have stopped listening,
-   and the longest wait for it. */
-#define QUIESCE_POLL_MS 2
-#define QUIESCE_WAIT_MS 300
-
 /* How many unread bytes are searched for the end of a header. */
 #define HEADER_LOOK 8192
 
@@ -75,10 +69,6 @@
  *   connections
  * @conns: the open connections
  * @quiesced: httpd_quiesce was called
- * @addr: where it listens
- * @own_thread: a single thread does all of the library's work
- * @quiesce: that thread is to stop listening; accessed atomically
- * @listening: it has not done so; accessed atomically
  */
 struct httpd
 {
@@ -93,10 +83,6 @@
   pthread_mutex_t lock;
   LIST_HEAD (, conn) conns;
   int quiesced;
-  struct sockaddr_in addr;
-  int own_thread;
-  unsigned int quiesce;
-  unsigned int listening;
 };
 
 int
@@ -157,23 +143,6 @@
     log_error ("http_shutdown_failed errno=%d", errno);
 }
 
-/* Take no more connections. */
-static void
-stop_listening (httpd_t *h)
-{
-  MHD_socket fd = MHD_quiesce_daemon (h->mhd);
-
-  if (fd == MHD_INVALID_SOCKET)
-    log_error ("http_quiesce_failed");
-  else
-    {
-      /* A thread that waits for it may keep the socket open for a while. */
-      shutdown (fd, SHUT_RDWR);
-      close (fd);
-    }
-  ck_pr_store_uint (&h->listening, 0);
-}
-
 static void
 conn_open (httpd_t *h, struct MHD_Connection *c, void **socket_context)
 {
@@ -181,8 +150,6 @@
       = MHD_get_connection_info (c, MHD_CONNECTION_INFO_CONNECTION_FD);
   conn_t *k = calloc (1, sizeof *k);
 
-  if (ck_pr_load_uint (&h->quiesce) && ck_pr_load_uint (&h->listening))
-    stop_listening (h);
   *socket_context = k;
   if (!k || !i)
     {
@@ -399,34 +366,31 @@
            unsigned int threads, httpd_fn_t fn, void *ctx)
 {
   httpd_t *h = calloc (1, sizeof *h);
+  struct sockaddr_in sa;
   unsigned int flags;
 
   if (!h)
     return NULL;
-  if (split_addr (addr, &h->addr) || pthread_mutex_init (&h->lock, NULL))
+  if (split_addr (addr, &sa) || pthread_mutex_init (&h->lock, NULL))
     goto free_server;
   LIST_INIT (&h->conns);
   h->fn = fn;
   h->ctx = ctx;
   h->max_body = max_body;
   h->blocking = !threads;
-  h->own_thread = threads == 1;
-  h->listening = 1;
-  flags = threads ? MHD_ALLOW_SUSPEND_RESUME : MHD_USE_THREAD_PER_CONNECTION;
-  /* Several threads use poll: with epoll, the library may abort the process
-     when it stops listening, see quiesce_in_thread. */
-  flags |= threads == 1 ? MHD_USE_EPOLL_INTERNAL_THREAD
-                        : MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+  flags = threads ? MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME
+                  : MHD_USE_THREAD_PER_CONNECTION
+                        | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
   if (threads > 1)
     h->mhd = MHD_start_daemon (
-        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, &h->addr,
+        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, &sa,
         MHD_OPTION_CONNECTION_LIMIT, max_conns, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, h,
         MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, MHD_OPTION_THREAD_POOL_SIZE,
         threads, MHD_OPTION_END);
   else
     h->mhd = MHD_start_daemon (
-        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, &h->addr,
+        flags, 0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, &sa,
         MHD_OPTION_CONNECTION_LIMIT, max_conns, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, h,
         MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, MHD_OPTION_END);
@@ -447,37 +411,17 @@
   ck_pr_store_uint (&h->closing, 1);
 }
 
-/* Have the server's own thread stop listening, which it does when it accepts
-   a connection.  The library aborts the process if that thread takes the
-   socket out of its set at the same time as another one.  Returns -1 if it
-   does not. */
-static int
-quiesce_in_thread (httpd_t *h)
-{
-  struct timespec pause = { 0, QUIESCE_POLL_MS * 1000000 };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-
-  if (fd < 0)
-    return -1;
-  ck_pr_store_uint (&h->quiesce, 1);
-  if (connect (fd, (struct sockaddr *)&h->addr, sizeof h->addr)
-      && errno != EINPROGRESS)
-    log_error ("http_wake_failed errno=%d", errno);
-  for (int ms = 0; ck_pr_load_uint (&h->listening) && ms < QUIESCE_WAIT_MS;
-       ms += QUIESCE_POLL_MS)
-    nanosleep (&pause, NULL);
-  close (fd);
-  return ck_pr_load_uint (&h->listening) ? -1 : 0;
-}
-
 void
 httpd_quiesce (httpd_t *h)
 {
+  MHD_socket fd;
+
   httpd_set_closing (h);
-  if (!h->own_thread)
-    stop_listening (h);
-  else if (quiesce_in_thread (h))
-    log_error ("http_still_listening");
+  fd = MHD_quiesce_daemon (h->mhd);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+  else
+    log_error ("http_quiesce_failed");
   pthread_mutex_lock (&h->lock);
   h->quiesced = 1;
   for (conn_t *k = LIST_FIRST (&h->conns); k; k = LIST_NEXT (k, link))
