Stop accepting without a race that aborts the process

MHD_quiesce_daemon and the server's thread may both remove the listening socket from the epoll set, when a request or a connection comes in at that moment; the library aborts the process when the second removal fails. Every stopping process called it, and its open requests ended without an answer.

With a thread pool the library is no longer told: the number of its listening socket becomes that of an eventfd which is never readable. The last reference to the socket goes, and it with its entry in the set.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -11,6 +11,7 @@
 #include <arpa/inet.h>
 #include <ck_pr.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <pthread.h>
@@ -18,6 +19,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/eventfd.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -62,6 +64,8 @@
  * @fn, @ctx: callback for requests and its first argument
  * @max_body: longest request body, in bytes
  * @blocking: one thread per connection; the callback replies before it returns
+ * @silent: a descriptor that is never readable, which takes the place of the
+ *   listening socket's at a stop; -1 when blocking
  * @open_requests: requests begun and not completed
  * @closing: httpd_set_closing or httpd_quiesce was called
  * @nconns: connections in @conns
@@ -77,6 +81,7 @@
   void *ctx;
   size_t max_body;
   int blocking;
+  int silent;
   unsigned int open_requests;
   unsigned int closing;
   unsigned int nconns;
@@ -374,10 +379,13 @@
   if (split_addr (addr, &sa) || pthread_mutex_init (&h->lock, NULL))
     goto free_server;
   LIST_INIT (&h->conns);
+  h->silent = -1;
   h->fn = fn;
   h->ctx = ctx;
   h->max_body = max_body;
   h->blocking = !threads;
+  if (!h->blocking && (h->silent = eventfd (0, EFD_CLOEXEC)) < 0)
+    goto destroy_lock;
   flags = threads ? MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME
                   : MHD_USE_THREAD_PER_CONNECTION
                         | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
@@ -395,9 +403,12 @@
         on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, h,
         MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, MHD_OPTION_END);
   if (!h->mhd)
-    goto destroy_lock;
+    goto close_silent;
   return h;
 
+close_silent:
+  if (h->silent >= 0)
+    close (h->silent);
 destroy_lock:
   pthread_mutex_destroy (&h->lock);
 free_server:
@@ -411,17 +422,28 @@
   ck_pr_store_uint (&h->closing, 1);
 }
 
+/* With epoll, MHD_quiesce_daemon and the server's thread may both remove the
+   listening socket from the epoll set; the second to do so aborts the process.
+   So the library is not told: its descriptor becomes another file, which
+   closes the socket and thereby removes it from the set. */
+static void
+stop_listening (httpd_t *h)
+{
+  const union MHD_DaemonInfo *i
+      = MHD_get_daemon_info (h->mhd, MHD_DAEMON_INFO_LISTEN_FD);
+  int fd = h->blocking ? MHD_quiesce_daemon (h->mhd) : -1;
+
+  if (fd >= 0)
+    close (fd);
+  else if (h->blocking || !i || dup3 (h->silent, i->listen_fd, O_CLOEXEC) < 0)
+    log_error ("http_quiesce_failed errno=%d", errno);
+}
+
 void
 httpd_quiesce (httpd_t *h)
 {
-  MHD_socket fd;
-
   httpd_set_closing (h);
-  fd = MHD_quiesce_daemon (h->mhd);
-  if (fd != MHD_INVALID_SOCKET)
-    close (fd);
-  else
-    log_error ("http_quiesce_failed");
+  stop_listening (h);
   pthread_mutex_lock (&h->lock);
   h->quiesced = 1;
   for (conn_t *k = LIST_FIRST (&h->conns); k; k = LIST_NEXT (k, link))
@@ -447,6 +469,8 @@
   if (!h)
     return;
   MHD_stop_daemon (h->mhd);
+  if (h->silent >= 0)
+    close (h->silent);
   pthread_mutex_destroy (&h->lock);
   free (h);
 }
