--- a/src/httpd.c
+++ b/src/httpd.c
@@ -434,7 +434,11 @@
   int fd = h->blocking ? MHD_quiesce_daemon (h->mhd) : -1;
 
   if (fd >= 0)
-    close (fd);
+    {
+      /* A thread that waits for it keeps the socket open for a while. */
+      shutdown (fd, SHUT_RDWR);
+      close (fd);
+    }
   else if (h->blocking || !i || dup3 (h->silent, i->listen_fd, O_CLOEXEC) < 0)
     log_error ("http_quiesce_failed errno=%d", errno);
 }
