--- a/src/cellask.c
+++ b/src/cellask.c
@@ -23,6 +23,9 @@
 #define RETRY_PAUSE_MS 40
 /* Timeout of a forwarded request. */
 #define FORWARD_TIMEOUT_MS 2500
+/* How long a request that an owner may have carried out waits for the answer,
+   once nobody can own the cell. */
+#define LAST_ANSWER_MS 200
 /* Most requests that are named in the log when the process ends. */
 #define GIVEN_UP_LINES_MAX 64
 
@@ -462,7 +465,10 @@
 
       /* The former owner may have carried it out. */
       if (r->dispatched)
-        r->maybe_taken = 1;
+        {
+          r->maybe_taken = 1;
+          r->retry_at = c->now;
+        }
       r->dispatched = 0;
       if (r->from_peer && r->maybe_taken)
         cell_reply (c, r->tag, GL_UNKNOWN, 0, 0, "the owner has changed");
@@ -486,6 +492,9 @@
         expire (c, r);
       else if (cannot_be_served_soon (c, r))
         refuse_unserved (c, r);
+      else if (!r->from_peer && stop_nobody_can_own (c)
+               && now >= r->retry_at + LAST_ANSWER_MS)
+        cell_reply (c, r->tag, GL_UNKNOWN, 0, 0, why_unserved (c));
       else if (!r->dispatched && now >= r->retry_at)
         route (c, r);
     }
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -245,14 +245,20 @@
   return NULL;
 }
 
-/* 1 if no registered VM has a larger share of a core.  The owner does most of
-   the work of the cell, so such a VM should become it. */
+/* 1 if no VM that may claim the cell has a larger share of a core.  The owner
+   does most of the work of the cell, so such a VM should become it.  The VM
+   that loses the cell is not among them, nor are VMs that stop. */
 static int
 is_strongest (const cell_t *c)
 {
   for (int i = 0; i < c->nvms; i++)
-    if (c->vms[i].registered && c->vms[i].cpu_m > c->limits.cpu_m)
-      return 0;
+    {
+      const cvm_t *v = &c->vms[i];
+
+      if (v->registered && !v->stopping && v->cpu_m > c->limits.cpu_m
+          && (!c->ownership.vm || strcmp (v->vm, c->ownership.vm)))
+        return 0;
+    }
   return 1;
 }
 
