Cancel the system test's gang while it certainly runs

With a small enough job number it has completed by then, and a completed job is not canceled; load has no part in it. A new check asks that the four tasks run just before the cancel.

--- a/tests/system.sh
+++ b/tests/system.sh
@@ -114,8 +114,10 @@
 holds "the winner's in force everywhere" until_true 9 revision_everywhere 2
 
 echo "-- a service and a gang, then failures"
+# All bounds up to the gang's cancel add up to less than the 600 s that the
+# stand-in runs it at least: half of --runtime-s.
 svc=$(submit --name svc --team t1 --class service --tasks 4 --cpus-m 1000 --memory-mb 512 --domain rennes)
-gang=$(submit --name gang --team t1 --class gang --tasks 4 --cpus-m 2000 --memory-mb 512 --accels 1 --runtime-s 60 --domain rennes)
+gang=$(submit --name gang --team t1 --class gang --tasks 4 --cpus-m 2000 --memory-mb 512 --accels 1 --runtime-s 1200 --domain rennes)
 holds "the service runs" until_true 15 running_is "$svc" 4
 holds "the gang runs whole" until_true 15 running_is "$gang" 4
 
@@ -168,6 +170,7 @@
 holds "tasks of a silent worker run again" until_true 40 restarted $((first_attempts > 0 ? first_attempts : 1))
 holds "a cordon holds" until_true 10 CTL cordon "$victim"
 until_true 10 CTL uncordon "$victim"
+holds "the gang runs when it is canceled" until_true 40 running_is "$gang" 4
 until_true 10 CTL cancel "$gang"
 holds "a canceled gang stops" until_true 15 job_is "$gang" canceled
 
