Stop members of a gang whose others run nowhere, after a takeover

A job never ended: a gang's only end was listed by a worker that crashed just before the next owner asked it, and that owner took another member, listed by its worker, for running. It disappeared there without an end of its own, so the gang was neither done nor started again.

When the census is complete, members of such a gang are stopped; what the stop finds tells whether they run, have ended, or are gone.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -161,6 +161,7 @@
   cell_log (c, "census_complete ms=%llu",
             (unsigned long long)(c->now - c->takeover_at));
   own_census_complete (c);
+  cjobs_stop_partial_gangs (c);
 }
 
 void
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -518,6 +518,28 @@
       cworker_stop (c, s, i);
 }
 
+void
+cjobs_stop_partial_gangs (cell_t *c)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  while ((h = pool_next (&c->steps, &pos)))
+    {
+      cstep_t *s = pool_get (&c->steps, h);
+      uint32_t bound = 0;
+
+      for (uint32_t i = 0; s->def->gang && i < s->def->count; i++)
+        bound += s->tasks[i].worker >= 0 && s->tasks[i].state != CT_DONE;
+      if (bound && s->nwaiting)
+        {
+          cell_log (c, "gang_partial id=%s step=%u bound=%u waiting=%u",
+                    cstep_job (c, s)->id, s->index, bound, s->nwaiting);
+          gang_stop (c, s);
+        }
+    }
+}
+
 uint64_t
 ctask_ended (cell_t *c, cstep_t *s, uint32_t index, uint32_t run,
              cell_outcome_t outcome, const char *checkpoint)
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -143,6 +143,10 @@
 void ctask_unbind (cell_t *c, cstep_t *s, uint32_t index);
 /** ctask_requeue - unbind it and let it wait again */
 void ctask_requeue (cell_t *c, cstep_t *s, uint32_t index);
+/** cjobs_stop_partial_gangs - once the census is complete: stop the members of
+    gangs of which others run nowhere, since no end may be left that tells what
+    became of the gang */
+void cjobs_stop_partial_gangs (cell_t *c);
 /** ctask_ended - run @run has ended with @outcome and @checkpoint, which may
     be NULL; returns the job's version that records it */
 uint64_t ctask_ended (cell_t *c, cstep_t *s, uint32_t index, uint32_t run,
