Answer every request before a stopping entry ends

A stopping entry waited for its open requests until their own deadlines, 10 s by default and up to 600 s, whatever time it had: what was open when it was killed got no answer. An entry has no setting for its kill time. The stop now bounds all deadlines, and answers what is open 7 s after the listener was closed: 503 "not run" if no upstream has it, else 504.

--- a/src/route.c
+++ b/src/route.c
@@ -18,6 +18,9 @@
  * that is known: on arrival, if the queue is full or the expected wait is too
  * long, and at each later sweep.  The answer says when to retry.  A request
  * that is bound to fail is never kept waiting for its error.
+ *
+ * A stop bounds all deadlines, since what is open when the process ends gets
+ * no answer.
  */
 #include "routeint.h"
 
@@ -589,6 +592,45 @@
   r->conf.nteams = 0;
 }
 
+static void
+on_stop (gl_router_t *r)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  if (r->stopping)
+    return;
+  r->stopping = 1;
+  r->stop_answer_at = r->now + STOP_ANSWER_MS;
+  while ((h = pool_next (&r->requests, &pos)))
+    {
+      request_t *q = pool_get (&r->requests, h);
+
+      if (q->deadline > r->stop_answer_at)
+        q->deadline = r->stop_answer_at;
+    }
+}
+
+/* Answer all open requests once a stop must end. */
+static void
+answer_for_stop (gl_router_t *r)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  if (!r->stopping || r->now < r->stop_answer_at)
+    return;
+  while ((h = pool_next (&r->requests, &pos)))
+    {
+      request_t *q = pool_get (&r->requests, h);
+      int not_run = q->state != REQ_SENT && !q->may_have_run;
+
+      r->c.cut_by_stop++;
+      request_error (r, h, not_run ? 503 : 504, "stopping", not_run,
+                     RETRY_AFTER_MS);
+    }
+}
+
 /* Report the stop as complete once all requests are answered. */
 static void
 finish_stop (gl_router_t *r)
@@ -632,9 +674,10 @@
       on_conf (r, ev->u.conf);
       break;
     case GL_ROUTE_EV_STOP:
-      r->stopping = 1;
+      on_stop (r);
       break;
     }
+  answer_for_stop (r);
   timer_run (&r->timers, now);
   if (r->requests.count)
     timer_arm_before (&r->timers, r->t_sweep, now + SWEEP_MS);
--- a/src/routeint.h
+++ b/src/routeint.h
@@ -48,6 +48,9 @@
 /* Delay after which a caller is told to retry, unless a better estimate is
    known. */
 #define RETRY_AFTER_MS 1000
+/* Every request is answered this long after the listener was closed, at the
+   latest; entry.c sends the answers before it ends the process. */
+#define STOP_ANSWER_MS 7000
 /* Interval of the sweep that ends requests which cannot be served in time. */
 #define SWEEP_MS 20
 
@@ -205,6 +208,7 @@
   X (refused_service, "no such service, or no instance of it")                \
   X (expired, "deadline passed before sending")                               \
   X (unknown, "sent and not answered, outcome unknown")                       \
+  X (cut_by_stop, "given up when a stop had to end")                          \
   X (not_run, "ended as not run after trying")                                \
   X (no_budget, "not sent again for lack of retry budget")                    \
   X (claims, "claims of idempotency keys")                                    \
@@ -236,6 +240,8 @@
  * @claim_tokens: token bucket of claims
  * @claim_refilled_at: when the bucket was last refilled
  * @list_received: a VM list has arrived
+ * @stopping, @stopped: a stop was requested; it is complete
+ * @stop_answer_at: when the requests still open are answered in a stop
  * @claim_serial: number that makes claim_id unique, from a random start
  * @latency: time from arrival to answer by urgency, ms
  */
@@ -265,6 +271,7 @@
   int list_received;
   int stopping;
   int stopped;
+  gl_ms_t stop_answer_at;
   uint64_t claim_serial;
   route_counters_t c;
   hist_t latency[URGENCIES];
--- a/tests/fuzz_route.cc
+++ b/tests/fuzz_route.cc
@@ -39,6 +39,8 @@
 /* Time after which a leaving instance must get no new request. */
 static const uint64_t LEAVE_BOUND_MS = 3000;
 static const int RETRY_PERCENT = 10;
+/* An entry that stops is ended this long after it closed its listener. */
+static const uint64_t STOP_MS = 8000;
 
 /* The simulated entries, instances and key-value service, and the checks. */
 class World
@@ -201,8 +203,9 @@
   conf_init (&c);
   c.revision = rev;
   c.retry_percent = RETRY_PERCENT;
-  c.deadline_ms = 4000;
-  c.first_byte_ms = 1500;
+  /* Every third revision allows longer than a stop may take. */
+  c.deadline_ms = rev % 3 ? 4000 : 20000;
+  c.first_byte_ms = rev % 3 ? 1500 : 15000;
   c.queue_len = 30;
   c.claims_per_s = 20;
   ev.kind = GL_ROUTE_EV_CONF;
@@ -296,6 +299,8 @@
           violate ("a request that ran was answered \"not run\"");
         if ((x.status == 503 || x.status == 504) && !x.retry_after)
           violate ("a 503 or 504 answer has no retry time");
+        if (!strcmp (x.code, "stopping") && x.not_run != (x.status == 503))
+          violate ("a stop's answer is not 503 and \"not run\", or 504");
         en.open.erase (x.token);
         break;
       }
@@ -549,9 +554,12 @@
         ev.kind = GL_ROUTE_EV_STOP;
         entries[e].stopping = true;
         step_router (e, ev);
-        schedule (now + 5000, [=, this] {
-          if (entries[e].incarnation == incarnation)
-            boot (e);
+        schedule (now + STOP_MS, [=, this] {
+          if (entries[e].incarnation != incarnation)
+            return;
+          if (!entries[e].open.empty ())
+            violate ("a stopping entry was ended with open requests");
+          boot (e);
         });
         break;
       }
@@ -632,7 +640,7 @@
   store_down_until = replies_lost_until = 0;
   for (auto &n : inst)
     n.dead_until = n.slow_until = n.drop_until = 0;
-  run (20000);
+  run (40000);
   finish_checks ();
 }
 
@@ -662,6 +670,23 @@
   return w.violation;
 }
 
+/* Requests whose deadline is after the entry's end wait for instances that do
+   not respond, and behind them in the queue. */
+TEST (Route, AnswersBeforeAStopEnds)
+{
+  std::vector<Step> script = { { 8, 1, 0 }, { 8, 1, 0 } };
+  uint64_t steps = 0;
+
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    script.push_back ({ 0, 8000 - INSTANCES + i, 0 });
+  for (uint32_t i = 0; i < 4; i++)
+    script.push_back ({ 31, i, 10 });
+  for (uint32_t e = 0; e < ENTRIES; e++)
+    script.push_back ({ 7, e, 10 });
+  script.push_back ({ 8, 1, 9000 });
+  EXPECT_EQ ("", run_script (script, 1, &steps));
+}
+
 TEST (FuzzRoute, PromisesHold)
 {
   uint64_t steps = 0;
