Bound the end of an entry, and close connections from the stop's beginning

While it lingered, a stopping entry kept connections open, so that callers sent their next requests to it until its listener was closed. Its wait for answers to be sent was 5 s from the answers on, whatever time had passed. Answers now say "Connection: close" from the signal on, and the process ends at the latest 8 s after the listener was closed.

The bound of the end is not tested on a process.

--- a/src/entry.c
+++ b/src/entry.c
@@ -41,8 +41,10 @@
 #define CLAIM_TTL_S 86400
 /* Longest idempotency key, characters. */
 #define KEY_MAX 64
-/* Longest wait at exit until open calls are answered, milliseconds. */
-#define DRAIN_MS 5000
+/* The process ends this long after it closed the listener, at the latest,
+   milliseconds: after STOP_ANSWER_MS of routeint.h, with time to send the
+   answers.  With the default linger_ms that is 10 s, as in gl-scheduler. */
+#define STOP_MS 8000
 
 /**
  * enum item_kind_t - kind of an item for the control thread
@@ -103,6 +105,7 @@
  * @list: watch of the VM list
  * @stop_at: time at which the router gets GL_ROUTE_EV_STOP: 0 before a stop is
  * requested, UINT64_MAX once the event was sent
+ * @ends_at: when the process ends at the latest, set with that event
  * @stopping: a stop was requested; read by the server's threads, so atomic
  * @current: item that the control thread handles now, or NULL
  */
@@ -118,6 +121,7 @@
   httpd_t *server;
   conf_pull_t *pull;
   gl_ms_t stop_at;
+  gl_ms_t ends_at;
   unsigned int stopping;
   item_t *current;
 } daemon_t;
@@ -468,8 +472,9 @@
       reply_slot_complete (it->reply_slot, GL_OK, 0, 0, NULL, text);
       break;
     case ITEM_STOP:
-      /* /-/healthz fails from now on; until stop_at the load balancer has
-         time to notice and to send requests elsewhere. */
+      /* /-/healthz fails and connections end from now on; until stop_at the
+         load balancer has time to notice and to send requests elsewhere. */
+      httpd_set_closing (d->server);
       if (!d->stop_at)
         d->stop_at = clock_ms () + (gl_ms_t)d->settings.linger_ms;
       break;
@@ -489,6 +494,7 @@
   if (d->stop_at && d->stop_at <= clock_ms ())
     {
       d->stop_at = UINT64_MAX;
+      d->ends_at = clock_ms () + STOP_MS;
       httpd_quiesce (d->server);
       ev.kind = GL_ROUTE_EV_STOP;
       step_router (d, &ev);
@@ -667,19 +673,18 @@
   return d->pull && d->server ? 0 : -1;
 }
 
-/* Handle the items that were posted while the loop ended, and wait up to
-   DRAIN_MS until all replies are sent; returns the number that are not. */
+/* Handle the items that were posted while the loop ended, and wait at most
+   until ends_at for all replies to be sent; returns the number that are not.
+   */
 static unsigned int
 drain_replies (daemon_t *d, const loop_handlers_t *part)
 {
-  gl_ms_t end = clock_ms () + DRAIN_MS;
-
   do
     {
       loop_drain (d->loop, part);
       usleep (10000);
     }
-  while (httpd_open_requests (d->server) && clock_ms () < end);
+  while (httpd_open_requests (d->server) && clock_ms () < d->ends_at);
   return httpd_open_requests (d->server);
 }
 
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -190,6 +190,15 @@
 check "an instance dies: answers to repeatable requests" "$(load 60 "$E")" "200:60 "
 check "late work for a leaving instance" "$(truth "$UPSTREAMS" late_after_leaving)" 0
 
+echo "-- planned stops"
+kill "${PIDS[entry6]}"
+sleep 0.5
+curl -s -m 15 -o /dev/null -D "$RUN/head" -w '%{http_code}' "http://$(entry_of 6)/gait/last" >"$RUN/status"
+check "a stopping entry serves on" "$(cat "$RUN/status")" 200
+holds "and says that the connection closes" grep -qi '^connection: close' "$RUN/head"
+stop entry6
+holds "no answer was cut" grep -q 'stopped, 0 answers cut' "$RUN/entry6.log"
+
 echo "-- what must hold, as the stand-ins saw it"
 check "keys run twice" "$(truth "$UPSTREAMS" key_doubles)" 0
 check "workers overfilled" "$(truth "$WORKERS" overfilled)" 0
