End a stopping entry only when no caller is connected

The wait for answers counted requests that the server has begun to read. One that lies unread in an open connection was cut. The process now waits until its callers' connections have ended, at most until its end.

--- a/src/entry.c
+++ b/src/entry.c
@@ -673,9 +673,10 @@
   return d->pull && d->server ? 0 : -1;
 }
 
-/* Handle the items that were posted while the loop ended, and wait at most
-   until ends_at for all replies to be sent; returns the number that are not.
-   */
+/* Handle the items that are posted while the loop ends, and wait at most until
+   ends_at for all replies to be sent and all connections to end, since an
+   open one may hold a request that is not read; returns the number of replies
+   that are not sent.  */
 static unsigned int
 drain_replies (daemon_t *d, const loop_handlers_t *part)
 {
@@ -684,7 +685,7 @@
       loop_drain (d->loop, part);
       usleep (10000);
     }
-  while (httpd_open_requests (d->server) && clock_ms () < d->ends_at);
+  while (httpd_connections (d->server) && clock_ms () < d->ends_at);
   return httpd_open_requests (d->server);
 }
 
