Answer operators' requests that come while a scheduler ends

The process ended at once when its reducer had stopped, and cut the requests that were posted or lay unread at that time. It now refuses new ones, handles those that are posted, and waits up to 1 s until they are answered and the connections for metrics have ended. A call by RPC that is not read by then still ends without an answer, which its caller reports as "unknown".

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -23,6 +23,11 @@
 /* How long a server thread waits for the control thread's answer,
    milliseconds; longer than the reducer's COMMIT_WAIT_MAX_MS. */
 #define REQUEST_TIMEOUT_MS 3500
+/* How long the end of the process waits until operators' requests are
+   answered, milliseconds. */
+#define DRAIN_MS 1000
+/* Interval at which it looks for them, microseconds. */
+#define DRAIN_STEP_US 5000
 
 typedef enum
 {
@@ -68,6 +73,8 @@
  * @pull: thread that fetches the configuration and reports the status
  * @epoch, @active: as gl_sched_active gave them last; the configuration
  *   thread reads them too
+ * @open_calls: operators' requests that wait for the control thread
+ * @ending: the control thread will take no more of them
  */
 typedef struct
 {
@@ -83,6 +90,8 @@
   conf_pull_t *pull;
   uint64_t epoch;
   unsigned int active;
+  unsigned int open_calls;
+  unsigned int ending;
 } daemon_t;
 
 /* ---- items ---- */
@@ -370,19 +379,21 @@
   it->reply_slot = a;
   /* The token is the first member of every request in the union. */
   it->ev.u.submit.token = (uint64_t)(uintptr_t)a;
-  if (loop_post (d->loop, it))
+  ck_pr_inc_uint (&d->open_calls);
+  ck_pr_fence_memory ();
+  if (ck_pr_load_uint (&d->ending) || loop_post (d->loop, it))
     {
       reply_slot_release (a);
       item_free (it);
       a->code = GL_RETRY;
       a->retry_after = 1000;
-      return a;
     }
-  if (reply_slot_wait (a, REQUEST_TIMEOUT_MS))
+  else if (reply_slot_wait (a, REQUEST_TIMEOUT_MS))
     {
       a->code = GL_UNKNOWN;
       a->retry_after = 1000;
     }
+  ck_pr_dec_uint (&d->open_calls);
   return a;
 }
 
@@ -557,11 +568,40 @@
   return d->pull ? 0 : -1;
 }
 
+/* Answer the operators' requests that are posted while the loop ends, and wait
+   up to DRAIN_MS until all answers are sent and all connections for metrics
+   have ended, since an open one may hold a request that is not read; returns
+   the number of those that are left.  */
+static unsigned int
+drain_replies (daemon_t *d, const loop_handlers_t *handlers)
+{
+  gl_ms_t end = clock_ms () + DRAIN_MS;
+  unsigned int open;
+
+  ck_pr_store_uint (&d->ending, 1);
+  ck_pr_fence_memory ();
+  httpd_quiesce (d->metrics);
+  do
+    {
+      loop_drain (d->loop, handlers);
+      open = ck_pr_load_uint (&d->open_calls) + httpd_connections (d->metrics);
+      if (open)
+        usleep (DRAIN_STEP_US);
+    }
+  while (open && clock_ms () < end);
+  /* Ends after the answer to the call that is being served; without an open
+     call it waits for nothing. */
+  if (!open)
+    rpcd_free (d->rpc);
+  return open;
+}
+
 int
 main (int argc, char **argv)
 {
   static daemon_t d;
   loop_handlers_t handlers = { on_item, on_tick, next_due, &d };
+  unsigned int open_calls;
   int rc = daemon_options (argc, argv, "gl-scheduler", &d.settings);
 
   if (rc)
@@ -573,7 +613,8 @@
     }
   log_info ("serving domain %s", d.settings.domain);
   loop_run (d.loop, &handlers);
-  log_info ("stopped");
+  open_calls = drain_replies (&d, &handlers);
+  log_info ("stopped, %u calls left", open_calls);
   logs_close ();
   return 0;
 }
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -191,6 +191,33 @@
 check "late work for a leaving instance" "$(truth "$UPSTREAMS" late_after_leaving)" 0
 
 echo "-- planned stops"
+# cut_at_stop NAME PORT PATH: stop the process while connections hold a request
+# that it has not read; prints how many get no answer
+cut_at_stop() {
+  local fds=() fd cut=0
+  printf 'GET %s HTTP/1.1\r\nHost: x\r\n\r\n' "$3" >"$RUN/request"
+  for _ in $(seq 12); do
+    exec {fd}<>"/dev/tcp/127.0.0.1/$2"
+    fds+=("$fd")
+    cat "$RUN/request" >&"$fd"
+    timeout 0.1 cat <&"$fd" >/dev/null
+  done
+  kill -STOP "${PIDS[$1]}"
+  for fd in "${fds[@]}"; do cat "$RUN/request" >&"$fd"; done
+  kill -TERM "${PIDS[$1]}"
+  kill -CONT "${PIDS[$1]}"
+  for fd in "${fds[@]}"; do
+    timeout 5 cat <&"$fd" 2>/dev/null | grep -q '^HTTP' || cut=$((cut + 1))
+    exec {fd}>&-
+  done
+  echo $cut
+}
+for i in 1 2 3 4 5; do
+  check "requests that a stopping scheduler cuts, round $i" "$(cut_at_stop scheduler6 "$(vm_port 6 5)" /metrics)" 0
+  stop scheduler6
+  start scheduler6 "$BUILD/gl-scheduler" --settings "$RUN/vm6.ini"
+  until_true 5 curl -sf -o /dev/null "http://127.0.0.1:$(vm_port 6 5)/metrics"
+done
 kill "${PIDS[entry6]}"
 sleep 0.5
 curl -s -m 15 -o /dev/null -D "$RUN/head" -w '%{http_code}' "http://$(entry_of 6)/gait/last" >"$RUN/status"
