Bound the administration daemon's calls by its stop

A stopping daemon waits 5 s for open requests, and a request calls schedulers one after the other with 4 s each, so two that do not answer made it cut the request. A stop now bounds the timeouts of these calls, and of those to the other VMs' daemons, so that an answer can be sent 0.5 s before the end. If no time is left to ask, the answer is 503 and not "no such job". The daemon ends when no operator is connected.

Changes of the configuration are not bounded; their waits for the store are as before.

--- a/src/admin.c
+++ b/src/admin.c
@@ -5,7 +5,8 @@
  * scheduler of the domain concerned; changes of the configuration are made in
  * the configuration record (record.c).  Each HTTP connection has a thread of
  * its own, so a handler may block; every call that a handler makes has a
- * timeout.
+ * timeout, which a stop shortens, so that the request is answered before the
+ * process ends.
  */
 #include <ck_pr.h>
 #include <jansson.h>
@@ -27,36 +28,75 @@
 #define SCHED_RPC_TIMEOUT_MS 4000
 /* How long a stop waits for open requests, milliseconds. */
 #define DRAIN_MAX_MS 5000
+/* Before that, time to send the answers, milliseconds. */
+#define ANSWER_MARGIN_MS 500
+/* A call that a stop would leave less time is not made, milliseconds. */
+#define RPC_TIMEOUT_MIN_MS 20
 
 /* ---- calls to schedulers ---- */
 
+gl_ms_t
+admin_rpc_timeout (const admin_t *a, gl_ms_t timeout)
+{
+  uint64_t end = ck_pr_load_64 (&a->stop_answer_at);
+  gl_ms_t now = clock_ms ();
+
+  if (!end)
+    return timeout;
+  if (now + RPC_TIMEOUT_MIN_MS > end)
+    return 0;
+  return end - now < timeout ? end - now : timeout;
+}
+
+/* Whether a stop leaves no time for another call. */
+static int
+no_time_left (const admin_t *a)
+{
+  return !admin_rpc_timeout (a, SCHED_RPC_TIMEOUT_MS);
+}
+
+/* Call a scheduler as rpcc_call does; GL_RETRY if a stop leaves no time. */
+static gl_code_t
+sched_call (const admin_t *a, const owner_t *o, rpcproc_t proc,
+            xdrproc_t in_proc, const void *in, xdrproc_t out_proc, void *out)
+{
+  gl_ms_t timeout = admin_rpc_timeout (a, SCHED_RPC_TIMEOUT_MS);
+  rpcc_t r = { 0 };
+  gl_code_t rc;
+
+  if (!timeout)
+    return GL_RETRY;
+  rc = rpcc_call (&r, o->rpc, proc, in_proc, in, out_proc, out, timeout);
+  rpcc_close (&r);
+  return rc;
+}
+
 /* The view @what of the domain's scheduler, see gl_sched_view; NULL if it
    does not answer or has none. */
 static json_t *
-fetch_view (const owner_t *o, const char *what, uint64_t job)
+fetch_view (const admin_t *a, const owner_t *o, const char *what, uint64_t job)
 {
-  rpcc_t r = { 0 };
   gl_view_ask_t in = { (char *)what, job };
   gl_view_reply_t out = { 0 };
   json_t *j = NULL;
 
-  if (!rpcc_call (&r, o->rpc, GL_VIEW, (xdrproc_t)xdr_gl_view_ask_t, &in,
-                  (xdrproc_t)xdr_gl_view_reply_t, &out, SCHED_RPC_TIMEOUT_MS)
+  if (!sched_call (a, o, GL_VIEW, (xdrproc_t)xdr_gl_view_ask_t, &in,
+                   (xdrproc_t)xdr_gl_view_reply_t, &out)
       && !out.status)
     j = json_loads (out.json, 0, NULL);
   xdr_free ((xdrproc_t)xdr_gl_view_reply_t, (void *)&out);
-  rpcc_close (&r);
   return j;
 }
 
 /* Index of the owner whose domain has the job, -1 for none; stores its view of
    the job in *@view. */
 static int
-find_job (const owner_t *o, int n, uint64_t job, json_t **view)
+find_job (const admin_t *a, const owner_t *o, int n, uint64_t job,
+          json_t **view)
 {
   for (int i = 0; i < n; i++)
     {
-      *view = fetch_view (&o[i], "job", job);
+      *view = fetch_view (a, &o[i], "job", job);
       if (*view)
         return i;
     }
@@ -86,6 +126,13 @@
                          "retry_ms", (int)retry_ms));
 }
 
+/* Reply that a stop left no time to ask the schedulers. */
+static void
+reply_stopping (httpd_call_t *call)
+{
+  reply_error (call, 503, "retry", "this daemon is stopping", 2000);
+}
+
 static int
 http_status (gl_code_t code)
 {
@@ -197,14 +244,15 @@
    answers: the one with the most free CPUs, less the need of one task for
    each waiting job. */
 static int
-choose_domain (const owner_t *o, int n, const gl_jobspec_t *p)
+choose_domain (const admin_t *a, const owner_t *o, int n,
+               const gl_jobspec_t *p)
 {
   json_int_t best_room = -1;
   int best = -1;
 
   for (int i = 0; i < n; i++)
     {
-      json_t *j = fetch_view (&o[i], "summary", 0);
+      json_t *j = fetch_view (a, &o[i], "summary", 0);
       json_int_t cpus
           = json_integer_value (json_object_get (j, "free_cpus_m"));
       json_int_t accels
@@ -266,7 +314,6 @@
   gl_jobspec_t spec = { 0 };
   gl_submit_t in = { 0 };
   gl_answer_t out = { 0 };
-  rpcc_t r = { 0 };
   const char *why = json_is_object (j) ? parse_job (j, &spec)
                                        : "the body is not a JSON object";
   size_t len = 0;
@@ -283,10 +330,16 @@
   n = nodes_owners (a, owners, OWNERS_MAX);
   in.job = job_number (j);
   /* A repeated submission goes to the domain that has the job already. */
-  i = json_object_get (j, "id") ? find_job (owners, n, in.job, &existing) : -1;
+  i = json_object_get (j, "id") ? find_job (a, owners, n, in.job, &existing)
+                                : -1;
   if (i < 0)
     i = domain ? domain_index (owners, n, domain)
-               : choose_domain (owners, n, &spec);
+               : choose_domain (a, owners, n, &spec);
+  if (i < 0 && no_time_left (a))
+    {
+      reply_stopping (call);
+      goto done;
+    }
   if (i < 0)
     {
       reply_error (call, 503, "not_owner",
@@ -297,15 +350,14 @@
     }
   in.spec.spec_val = codec_encode ((xdrproc_t)xdr_gl_jobspec_t, &spec, &len);
   in.spec.spec_len = (u_int)len;
-  rc = rpcc_call (&r, owners[i].rpc, GL_SUBMIT, (xdrproc_t)xdr_gl_submit_t,
-                  &in, (xdrproc_t)xdr_gl_answer_t, &out, SCHED_RPC_TIMEOUT_MS);
+  rc = sched_call (a, &owners[i], GL_SUBMIT, (xdrproc_t)xdr_gl_submit_t, &in,
+                   (xdrproc_t)xdr_gl_answer_t, &out);
   reply_answer (call, rc, &out, &owners[i]);
 
 done:
   json_decref (existing);
   free (in.spec.spec_val);
   xdr_free ((xdrproc_t)xdr_gl_answer_t, (void *)&out);
-  rpcc_close (&r);
   json_decref (j);
 }
 
@@ -317,24 +369,23 @@
   int n = nodes_owners (a, owners, OWNERS_MAX);
   uint64_t job = strtoull (rest, NULL, 10);
   json_t *view = NULL;
-  int i = find_job (owners, n, job, &view);
+  int i = find_job (a, owners, n, job, &view);
   gl_cancel_t in = { job };
   gl_answer_t out = { 0 };
-  rpcc_t r = { 0 };
   gl_code_t rc;
 
-  if (i < 0)
+  if (i < 0 && no_time_left (a))
+    reply_stopping (call);
+  else if (i < 0)
     reply_error (call, n ? 404 : 503, n ? "not_found" : "not_owner",
                  n ? "no such job" : "no active scheduler", n ? 0 : 2000);
   else if (!strcmp (call->method, "DELETE"))
     {
       json_decref (view);
-      rc = rpcc_call (&r, owners[i].rpc, GL_CANCEL, (xdrproc_t)xdr_gl_cancel_t,
-                      &in, (xdrproc_t)xdr_gl_answer_t, &out,
-                      SCHED_RPC_TIMEOUT_MS);
+      rc = sched_call (a, &owners[i], GL_CANCEL, (xdrproc_t)xdr_gl_cancel_t,
+                       &in, (xdrproc_t)xdr_gl_answer_t, &out);
       reply_answer (call, rc, &out, &owners[i]);
       xdr_free ((xdrproc_t)xdr_gl_answer_t, (void *)&out);
-      rpcc_close (&r);
     }
   else
     reply_json (call, 200, view);
@@ -351,7 +402,7 @@
 
   for (int i = 0; i < n; i++)
     {
-      json_t *v = fetch_view (&owners[i], what, 0);
+      json_t *v = fetch_view (a, &owners[i], what, 0);
       json_object_set_new (out, owners[i].domain, v ? v : json_null ());
     }
   reply_json (call, 200, out);
@@ -374,16 +425,14 @@
   for (int i = 0; i < n; i++)
     {
       gl_answer_t out = { 0 };
-      rpcc_t r = { 0 };
-      gl_code_t rc = rpcc_call (
-          &r, owners[i].rpc, GL_CORDON, (xdrproc_t)xdr_gl_cordon_t, &in,
-          (xdrproc_t)xdr_gl_answer_t, &out, SCHED_RPC_TIMEOUT_MS);
+      gl_code_t rc
+          = sched_call (a, &owners[i], GL_CORDON, (xdrproc_t)xdr_gl_cordon_t,
+                        &in, (xdrproc_t)xdr_gl_answer_t, &out);
       int found = rc || out.status != GL_NOT_FOUND;
 
       if (found)
         reply_answer (call, rc, &out, &owners[i]);
       xdr_free ((xdrproc_t)xdr_gl_answer_t, (void *)&out);
-      rpcc_close (&r);
       if (found)
         return;
     }
@@ -488,6 +537,9 @@
 {
   admin_t *a = ctx;
 
+  if (!ck_pr_load_64 (&a->stop_answer_at))
+    ck_pr_store_64 (&a->stop_answer_at,
+                    clock_ms () + DRAIN_MAX_MS - ANSWER_MARGIN_MS);
   ck_pr_store_uint (&a->stopping, 1);
   if (write (a->stop_pipe[1], "q", 1) != 1)
     _exit (1);
@@ -535,9 +587,10 @@
   while (read (a.stop_pipe[0], &c, 1) < 0)
     continue;
   httpd_quiesce (a.server);
-  for (int i = 0; i < DRAIN_MAX_MS / 10 && httpd_open_requests (a.server); i++)
+  while (httpd_connections (a.server)
+         && clock_ms () < a.stop_answer_at + ANSWER_MARGIN_MS)
     usleep (10000);
-  log_info ("stopped");
+  log_info ("stopped, %u answers cut", httpd_open_requests (a.server));
   logs_close ();
   return 0;
 }
--- a/src/adminint.h
+++ b/src/adminint.h
@@ -38,6 +38,8 @@
  * @server: serves operators over HTTP
  * @rpc: serves daemons and peers over RPC
  * @stopping: set once a stop is requested; read with ck_pr
+ * @stop_answer_at: time by which every request must be answered, by clock_ms;
+ * 0 while no stop is requested; read with ck_pr
  * @stop_pipe: a byte in it ends main's wait
  * @lock: guards doc, doc_text, local_daemons and their number
  * @doc: the configuration record with the highest revision seen
@@ -54,6 +56,7 @@
   httpd_t *server;
   rpcd_t *rpc;
   unsigned int stopping;
+  uint64_t stop_answer_at;
   int stop_pipe[2];
   pthread_mutex_t lock;
   conf_doc_t doc;
@@ -80,6 +83,12 @@
   uint64_t epoch;
 } owner_t;
 
+/* admin.c */
+
+/** admin_rpc_timeout - @timeout, or what a stop leaves of it; 0 if that is too
+    little for a call */
+gl_ms_t admin_rpc_timeout (const admin_t *a, gl_ms_t timeout);
+
 /* record.c */
 
 /** record_start - start the threads that watch the record and poll peers for
--- a/src/nodes.c
+++ b/src/nodes.c
@@ -157,12 +157,14 @@
   xdr_free ((xdrproc_t)xdr_gl_nodes_reply_t, (void *)&reply);
   for (int p = 0; p < a->settings.npeers; p++)
     {
+      gl_ms_t timeout = admin_rpc_timeout (a, PEER_RPC_TIMEOUT_MS / 2);
       rpcc_t r = { 0 };
 
+      if (!timeout)
+        break;
       memset (&reply, 0, sizeof reply);
       if (!rpcc_call (&r, a->settings.peers[p], GL_NODES, xdr_nothing, NULL,
-                      (xdrproc_t)xdr_gl_nodes_reply_t, &reply,
-                      PEER_RPC_TIMEOUT_MS / 2))
+                      (xdrproc_t)xdr_gl_nodes_reply_t, &reply, timeout))
         add_nodes (a, &reply);
       xdr_free ((xdrproc_t)xdr_gl_nodes_reply_t, (void *)&reply);
       rpcc_close (&r);
--- a/tests/system.sh
+++ b/tests/system.sh
@@ -226,6 +226,22 @@
 stop entry6
 holds "no answer was cut" grep -q 'stopped, 0 answers cut' "$RUN/entry6.log"
 
+# The call of one of the paused owners ends 4 s after it began, and that of
+# the other would end after the daemon.
+paused=()
+for d in rennes brest; do
+  owner=$(owner_of $d)
+  paused+=("${PIDS[scheduler${owner#vm}]}")
+done
+kill -STOP "${paused[@]}"
+curl -s -m 15 -o /dev/null -w '%{http_code}' -X DELETE "http://$(admin_of 6)/v1/jobs/123" >"$RUN/status" &
+asking=$!
+sleep 0.3
+kill "${PIDS[admin6]}"
+wait $asking
+check "a stopping admin daemon answers although owners do not" "$(cat "$RUN/status")" 503
+kill -CONT "${paused[@]}"
+
 echo "-- what must hold, as the stand-ins saw it"
 check "keys run twice" "$(truth "$UPSTREAMS" key_doubles)" 0
 check "workers overfilled" "$(truth "$WORKERS" overfilled)" 0
