--- a/tests/system.sh
+++ b/tests/system.sh
@@ -218,11 +218,17 @@
   start scheduler6 "$BUILD/gl-scheduler" --settings "$RUN/vm6.ini"
   until_true 5 curl -sf -o /dev/null "http://127.0.0.1:$(vm_port 6 5)/metrics"
 done
+sed -E 's/^(deadline|first_byte)_ms.*/\1_ms = 30000/' "$RUN/base.ini" >"$RUN/slow.ini"
+CTL config apply "$RUN/slow.ini" >/dev/null
+holds "long deadlines are in force" until_true 9 revision_everywhere "$(CTL --json config | sed -nE 's/.*"revision": ([0-9]+).*/\1/p' | tail -1)"
 kill "${PIDS[entry6]}"
 sleep 0.5
 curl -s -m 15 -o /dev/null -D "$RUN/head" -w '%{http_code}' "http://$(entry_of 6)/gait/last" >"$RUN/status"
 check "a stopping entry serves on" "$(cat "$RUN/status")" 200
 holds "and says that the connection closes" grep -qi '^connection: close' "$RUN/head"
+for i in $(seq 0 11); do fault "$UPSTREAMS" "instance=${DOMAINS[$((i / 4))]}-u$i&kind=dead&ms=12000"; done
+check "what is open when a stopping entry must end is answered" \
+  "$(status_of -d x "http://$(entry_of 6)/gait/open") $(sed -nE 's/.*"error":"([a-z_]+)".*/\1/p' "$RUN/body")" "504 stopping"
 stop entry6
 holds "no answer was cut" grep -q 'stopped, 0 answers cut' "$RUN/entry6.log"
 
