--- a/tests/system.sh
+++ b/tests/system.sh
@@ -193,6 +193,64 @@
 check "an instance dies: answers to repeatable requests" "$(load 60 "$E")" "200:60 "
 check "late work for a leaving instance" "$(truth "$UPSTREAMS" late_after_leaving)" 0
 
+echo "-- planned stops"
+# cut_at_stop NAME PORT PATH: stop the process while connections hold a request
+# that it has not read; prints how many get no answer
+cut_at_stop() {
+  local fds=() fd cut=0
+  printf 'GET %s HTTP/1.1\r\nHost: x\r\n\r\n' "$3" >"$RUN/request"
+  for _ in $(seq 12); do
+    exec {fd}<>"/dev/tcp/127.0.0.1/$2"
+    fds+=("$fd")
+    cat "$RUN/request" >&"$fd"
+    timeout 0.1 cat <&"$fd" >/dev/null
+  done
+  kill -STOP "${PIDS[$1]}"
+  for fd in "${fds[@]}"; do cat "$RUN/request" >&"$fd"; done
+  kill -TERM "${PIDS[$1]}"
+  kill -CONT "${PIDS[$1]}"
+  for fd in "${fds[@]}"; do
+    timeout 5 cat <&"$fd" 2>/dev/null | grep -q '^HTTP' || cut=$((cut + 1))
+    exec {fd}>&-
+  done
+  echo $cut
+}
+for i in 1 2 3 4 5; do
+  check "requests that a stopping scheduler cuts, round $i" "$(cut_at_stop scheduler6 "$(vm_port 6 5)" /metrics)" 0
+  stop scheduler6
+  start scheduler6 "$BUILD/gl-scheduler" --settings "$RUN/vm6.ini"
+  until_true 5 curl -sf -o /dev/null "http://127.0.0.1:$(vm_port 6 5)/metrics"
+done
+sed -E 's/^(deadline|first_byte)_ms.*/\1_ms = 30000/' "$RUN/base.ini" >"$RUN/slow.ini"
+CTL config apply "$RUN/slow.ini" >/dev/null
+holds "long deadlines are in force" until_true 9 revision_everywhere "$(CTL --json config | sed -nE 's/.*"revision": ([0-9]+).*/\1/p' | tail -1)"
+kill "${PIDS[entry6]}"
+sleep 0.5
+curl -s -m 15 -o /dev/null -D "$RUN/head" -w '%{http_code}' "http://$(entry_of 6)/gait/last" >"$RUN/status"
+check "a stopping entry serves on" "$(cat "$RUN/status")" 200
+holds "and says that the connection closes" grep -qi '^connection: close' "$RUN/head"
+for i in $(seq 0 11); do fault "$UPSTREAMS" "instance=${DOMAINS[$((i / 4))]}-u$i&kind=dead&ms=12000"; done
+check "what is open when a stopping entry must end is answered" \
+  "$(status_of -d x "http://$(entry_of 6)/gait/open") $(sed -nE 's/.*"error":"([a-z_]+)".*/\1/p' "$RUN/body")" "504 stopping"
+stop entry6
+holds "no answer was cut" grep -q 'stopped, 0 answers cut' "$RUN/entry6.log"
+
+# The call of one of the paused owners ends 4 s after it began, and that of
+# the other would end after the daemon.
+paused=()
+for d in rennes brest; do
+  owner=$(owner_of $d)
+  paused+=("${PIDS[scheduler${owner#vm}]}")
+done
+kill -STOP "${paused[@]}"
+curl -s -m 15 -o /dev/null -w '%{http_code}' -X DELETE "http://$(admin_of 6)/v1/jobs/123" >"$RUN/status" &
+asking=$!
+sleep 0.3
+kill "${PIDS[admin6]}"
+wait $asking
+check "a stopping admin daemon answers although owners do not" "$(cat "$RUN/status")" 503
+kill -CONT "${paused[@]}"
+
 echo "-- what must hold, as the stand-ins saw it"
 check "keys run twice" "$(truth "$UPSTREAMS" key_doubles)" 0
 check "workers overfilled" "$(truth "$WORKERS" overfilled)" 0
