--- a/src/cell.c
+++ b/src/cell.c
@@ -363,7 +363,7 @@
   text_add (t, "cell_reserved_cpus %lld\ncell_usable_cpus %lld\n",
             (long long)c->reserved_cpus_m / 1000,
             (long long)c->usable_cpus_m / 1000);
-  text_add (t, "cell_stopping %d\ncell_vms_staying %d\n", c->stopping,
+  text_add (t, "cell_stopping %d\ncell_vms_staying %d\n", c->stop.stopping,
             stop_count_staying (c));
   text_add (t, "cell_census_complete %d\ncell_workers_unaccounted %d\n",
             c->role == CR_OWNER && c->census_complete, c->unaccounted);
--- a/src/celld.c
+++ b/src/celld.c
@@ -78,7 +78,7 @@
  * @requests, @consults: requests and consultations that have no answer yet
  * @ready, @is_owner, @stop_stage, @open_requests: copies of the reducer's
  *   state, read by any thread
- * @stop_ends_at: when a process that stops ends at the latest
+ * its deadline: when a process that stops ends at the latest
  * @flushed_at: when log lines were last written
  */
 struct celld
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -101,7 +101,7 @@
       stop_vm_changed (c, v, &state);
       v->registered = 1;
       /* A write of this VM's process before may have come late. */
-      if (!strcmp (name, c->vm) && state.stopping && !c->stopping)
+      if (!strcmp (name, c->vm) && state.stopping && !c->stop.stopping)
         c->keys_lost = 1;
     }
   codec_free ((xdrproc_t)xdr_gl_vminfo_t, &info);
@@ -164,14 +164,14 @@
 {
   gl_vminfo_t info
       = { (char *)c->vm, (char *)c->addr, (char *)c->domain, c->limits.cpu_m };
-  gl_vmstate_t state = { c->stopping, 0 };
+  gl_vmstate_t state = { c->stop.stopping, 0 };
   cell_put_t *p = &txn->puts[txn->nputs++];
   size_t more = 0;
   char *tail;
   char *whole = NULL;
 
-  if (c->stopping && c->stop_ends_at > c->now)
-    state.ends_in_ms = (u_int)(c->stop_ends_at - c->now);
+  if (c->stop.stopping && c->stop.ends_at > c->now)
+    state.ends_in_ms = (u_int)(c->stop.ends_at - c->now);
   snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
   p->leased = 1;
   p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
@@ -199,7 +199,7 @@
       c->keys_lost = 1;
       return;
     }
-  c->stop_tag = e->tag = cell_new_tag (c);
+  c->stop.announce_tag = e->tag = cell_new_tag (c);
   e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
   add_vm_key (c, e->txn);
 }
@@ -209,8 +209,8 @@
 {
   if (ev->tag == c->keys_tag && c->keys_tag)
     c->keys_tag = 0;
-  else if (ev->tag == c->stop_tag && c->stop_tag)
-    c->stop_tag = 0;
+  else if (ev->tag == c->stop.announce_tag && c->stop.announce_tag)
+    c->stop.announce_tag = 0;
   else
     return 0;
   /* They are written again after the next renewal of the lease. */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -590,7 +590,7 @@
   handle_t h;
 
   c->role = CR_OWNER;
-  c->hand_over_at = 0;
+  c->stop.hand_over_at = 0;
   hist_add (&c->takeover_time, (double)(c->now - c->takeover_at));
   while ((h = pool_next (&c->jobs, &pos)))
     cjob_ready_steps (c, pool_get (&c->jobs, h));
@@ -853,7 +853,7 @@
   if (c->role == CR_OWNER && !c->confirm_tag
       && now >= c->confirmed_at + CELL_CONFIRM_MS)
     send_confirm (c);
-  if (c->stopping)
+  if (c->stop.stopping)
     try_release (c);
   try_claim (c);
   stop_update (c);
--- a/src/cellreach.c
+++ b/src/cellreach.c
@@ -92,7 +92,7 @@
 {
   gl_ms_t silent_ms = silence_ms (c, c->heartbeat_at);
 
-  if (!c->conf.version || c->stopping || reach_is_isolated (c))
+  if (!c->conf.version || c->stop.stopping || reach_is_isolated (c))
     return 0;
   return c->role == CR_OWNER
          || (c->ownership_known && !c->owner_refused_at
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -322,7 +322,7 @@
         due += CELL_SAVE_DELAY_MS + SAVE_DELAY_FACTOR * flow_backlog (c);
       if (due < spaced)
         due = spaced;
-      if (due <= c->now || c->stopping || urgent >= FULL_TXN_JOBS)
+      if (due <= c->now || c->stop.stopping || urgent >= FULL_TXN_JOBS)
         return 1;
       if (due < next)
         next = due;
--- a/src/cellstop.c
+++ b/src/cellstop.c
@@ -1,7 +1,7 @@
 /*
  * cellstop.c -- planned stops: who goes on, who ends first, what is promised
  *
- * A VM that is told to stop has until @stop_ends_at.  Its key in the store and
+ * A VM that is told to stop has until its deadline.  Its key in the store and
  * its answers to heartbeats tell the others.
  *
  * Promises: every request is answered before the process ends, so that time
@@ -66,11 +66,11 @@
 void
 stop_begin (cell_t *c, gl_ms_t ends_at)
 {
-  if (c->stopping)
+  if (c->stop.stopping)
     return;
-  c->stopping = 1;
-  c->stop_at = c->now;
-  c->stop_ends_at = ends_at;
+  c->stop.stopping = 1;
+  c->stop.began_at = c->now;
+  c->stop.ends_at = ends_at;
   cell_log (c, "stopping role=%d ends_in_ms=%llu staying=%d", c->role,
             (unsigned long long)(ends_at > c->now ? ends_at - c->now : 0),
             stop_count_staying (c));
@@ -87,7 +87,7 @@
 static gl_ms_t
 margin_ms (const cell_t *c, gl_ms_t usual_ms)
 {
-  gl_ms_t part = (c->stop_ends_at - c->stop_at) / MARGIN_PART;
+  gl_ms_t part = (c->stop.ends_at - c->stop.began_at) / MARGIN_PART;
 
   return usual_ms < part ? usual_ms : part;
 }
@@ -95,9 +95,9 @@
 gl_ms_t
 stop_answers_until (const cell_t *c)
 {
-  if (!c->stopping)
+  if (!c->stop.stopping)
     return TIMER_NEVER;
-  return c->stop_ends_at - margin_ms (c, ANSWER_MARGIN_MS);
+  return c->stop.ends_at - margin_ms (c, ANSWER_MARGIN_MS);
 }
 
 /* ---- the other VMs ---- */
@@ -117,8 +117,8 @@
       return;
     }
   if (v->stopping && c->members_synced)
-    c->usual_stop_ms += (span_ms - c->usual_stop_ms)
-                        * (c->usual_stop_ms > 0 ? USUAL_WEIGHT : 1);
+    c->stop.usual_ms += (span_ms - c->stop.usual_ms)
+                        * (c->stop.usual_ms > 0 ? USUAL_WEIGHT : 1);
   v->stopping = 0;
   if (!stayed)
     v->staying_since = c->now;
@@ -175,9 +175,9 @@
 int
 stop_may_claim (const cell_t *c)
 {
-  return !c->stopping
-         || (!c->stop_closing && !stop_count_staying (c)
-             && has_time_to_own (c, c->stop_ends_at));
+  return !c->stop.stopping
+         || (!c->stop.closing && !stop_count_staying (c)
+             && has_time_to_own (c, c->stop.ends_at));
 }
 
 /* Whether a VM that stays has said since the stop began that it could claim
@@ -191,7 +191,7 @@
       const cvm_t *v = &c->vms[i];
 
       if (stays (c, v) && v->may_claim
-          && v->asked_at >= c->stop_at + CELL_STOP_SPREAD_MS
+          && v->asked_at >= c->stop.began_at + CELL_STOP_SPREAD_MS
           && c->now <= v->answered_at + CELL_HEARTBEAT_LOST_MS)
         return 1;
     }
@@ -202,7 +202,7 @@
 static const char *
 why_hand_over (const cell_t *c)
 {
-  if (is_near (c, c->stop_ends_at, RELEASE_MARGIN_MS))
+  if (is_near (c, c->stop.ends_at, RELEASE_MARGIN_MS))
     return "end_is_near";
   return successor_is_ready (c) ? "successor_ready" : NULL;
 }
@@ -215,30 +215,30 @@
   /* A release that was sent may be carried out, so it is sent again. */
   if (c->releasing)
     return 1;
-  if (c->hand_over_at && !stop_count_staying (c)
-      && !is_near (c, c->stop_ends_at, RELEASE_MARGIN_MS))
-    c->hand_over_at = 0;
-  if (!c->hand_over_at)
+  if (c->stop.hand_over_at && !stop_count_staying (c)
+      && !is_near (c, c->stop.ends_at, RELEASE_MARGIN_MS))
+    c->stop.hand_over_at = 0;
+  if (!c->stop.hand_over_at)
     {
       why = why_hand_over (c);
       if (!why)
         return 0;
-      c->hand_over_at = c->now;
+      c->stop.hand_over_at = c->now;
       cell_log (c, "hand_over why=%s stopping_ms=%llu staying=%d", why,
-                (unsigned long long)(c->now - c->stop_at),
+                (unsigned long long)(c->now - c->stop.began_at),
                 stop_count_staying (c));
     }
-  return save_idle (c) || is_near (c, c->stop_ends_at, RELEASE_LATEST_MS)
-         || (c->now >= c->stop_at + SETTLE_MS
-             && c->now >= c->hand_over_at + LATE_SETTLE_MS);
+  return save_idle (c) || is_near (c, c->stop.ends_at, RELEASE_LATEST_MS)
+         || (c->now >= c->stop.began_at + SETTLE_MS
+             && c->now >= c->stop.hand_over_at + LATE_SETTLE_MS);
 }
 
 int
 stop_nobody_can_own (const cell_t *c)
 {
-  if (!c->stopping || c->role != CR_STANDBY || !c->ownership_known
+  if (!c->stop.stopping || c->role != CR_STANDBY || !c->ownership_known
       || (!c->ownership.released && !c->owner_refused_at)
-      || stop_count_staying (c) || has_time_to_own (c, c->stop_ends_at))
+      || stop_count_staying (c) || has_time_to_own (c, c->stop.ends_at))
     return 0;
   for (int i = 0; i < c->nvms; i++)
     if (is_other (c, &c->vms[i])
@@ -252,14 +252,15 @@
 expected_back (const cell_t *c, gl_ms_t stop_at)
 {
   return stop_at
-         + (c->usual_stop_ms > 0 ? (gl_ms_t)c->usual_stop_ms
-                                 : c->stop_ends_at - c->stop_at + RESTART_MS);
+         + (c->stop.usual_ms > 0
+                ? (gl_ms_t)c->stop.usual_ms
+                : c->stop.ends_at - c->stop.began_at + RESTART_MS);
 }
 
 uint32_t
 stop_retry_ms (const cell_t *c)
 {
-  gl_ms_t back = expected_back (c, c->stop_at);
+  gl_ms_t back = expected_back (c, c->stop.began_at);
   gl_ms_t ms;
 
   for (int i = 0; i < c->nvms; i++)
@@ -304,22 +305,22 @@
 static const char *
 why_close (cell_t *c)
 {
-  if (is_near (c, c->stop_ends_at, margin_ms (c, CLOSE_MARGIN_MS)))
+  if (is_near (c, c->stop.ends_at, margin_ms (c, CLOSE_MARGIN_MS)))
     return "end_is_near";
   if (c->role != CR_STANDBY)
     return NULL;
   if (stop_nobody_can_own (c))
     return "nobody_can_own";
-  if (c->now < c->stop_at + ACCEPT_MS)
+  if (c->now < c->stop.began_at + ACCEPT_MS)
     return NULL;
   if (other_stays_for (c, RETURNED_MS))
     return "others_serve";
   if (stop_count_staying (c))
     return NULL;
   /* Decided once: VMs that have ended drop out of the count. */
-  if (c->stop_turn == CSTOP_UNDECIDED)
-    c->stop_turn = ends_first (c) ? CSTOP_ENDS_FIRST : CSTOP_SERVES_ON;
-  return c->stop_turn == CSTOP_ENDS_FIRST ? "ends_first" : NULL;
+  if (c->stop.turn == CSTOP_UNDECIDED)
+    c->stop.turn = ends_first (c) ? CSTOP_ENDS_FIRST : CSTOP_SERVES_ON;
+  return c->stop.turn == CSTOP_ENDS_FIRST ? "ends_first" : NULL;
 }
 
 void
@@ -327,23 +328,23 @@
 {
   const char *why;
 
-  if (!c->stopping || c->stop_closing)
+  if (!c->stop.stopping || c->stop.closing)
     return;
   why = why_close (c);
   if (!why)
     return;
-  c->stop_closing = 1;
+  c->stop.closing = 1;
   cell_log (c, "closing why=%s stopping_ms=%llu staying=%d requests=%zu", why,
-            (unsigned long long)(c->now - c->stop_at), stop_count_staying (c),
-            c->nrequests);
+            (unsigned long long)(c->now - c->stop.began_at),
+            stop_count_staying (c), c->nrequests);
 }
 
 cell_stop_stage_t
 cell_stop_stage (const cell_t *c)
 {
-  if (!c->stopping)
+  if (!c->stop.stopping)
     return CELL_STOP_NONE;
-  if (!c->stop_closing)
+  if (!c->stop.closing)
     return CELL_STOP_SERVING;
   return c->role == CR_STANDBY && !c->nrequests ? CELL_STOP_DONE
                                                 : CELL_STOP_CLOSING;
