An owner that hands the cell over waits for the advisor's answers

The release now waits for consultations that were in flight when it was decided, up to 1.5 s from the beginning of the stop; the owner serves meanwhile.

tests/cell/owners-change-while-the-advisor-decides.txt was known red (pending, idle from 6050 on) and passes: the job completes. Its steps, and what it asks of the job, are unchanged. owners-restart-while-the-advisor-decides is the same with processes that end as real ones do; it failed before (pending).

--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -708,3 +708,12 @@
         return;
       }
 }
+
+int
+consults_since_before (const cell_t *c, gl_ms_t at)
+{
+  for (int i = 0; i < c->nconsults; i++)
+    if (c->consults[i].sent_at < at)
+      return 1;
+  return 0;
+}
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -352,6 +352,9 @@
 void consult_ahead (cell_t *c, cstep_t *s, const cell_queue_t *q,
                     gl_ms_t in_ms);
 void consult_answer (cell_t *c, const cell_event_t *ev);
+/** consults_since_before - 1 if a consultation is in flight that was sent
+    before @at */
+int consults_since_before (const cell_t *c, gl_ms_t at);
 /** consult_ticket - the step's ticket for the worker, or NULL */
 const char *consult_ticket (const cstep_t *s, int worker);
 /** consult_drop_expired - forget tickets that are no longer valid */
--- a/src/cellstop.c
+++ b/src/cellstop.c
@@ -50,6 +50,9 @@
    of the stop and from the decision to hand over. */
 #define SETTLE_MS 800
 #define LATE_SETTLE_MS 300
+/* The same for consultations that were in flight at that decision: the
+   advisor's answer would be lost, and the next owner has to ask again. */
+#define CONSULTS_SETTLE_MS 1500
 /* A VM that stops claims the cell only if it can own it for this long. */
 #define OWN_MIN_MS 1000
 /* No consultation goes through a VM that has been stopping for this long,
@@ -228,7 +231,12 @@
                 (unsigned long long)(c->now - c->stop.began_at),
                 stop_count_staying (c));
     }
-  return save_idle (c) || is_near (c, c->stop.ends_at, RELEASE_LATEST_MS)
+  if (is_near (c, c->stop.ends_at, RELEASE_LATEST_MS))
+    return 1;
+  if (c->now < c->stop.began_at + CONSULTS_SETTLE_MS
+      && consults_since_before (c, c->stop.hand_over_at))
+    return 0;
+  return save_idle (c)
          || (c->now >= c->stop.began_at + SETTLE_MS
              && c->now >= c->stop.hand_over_at + LATE_SETTLE_MS);
 }
