--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -1712,7 +1712,7 @@
     }
   if (!j.idle_since)
     j.idle_since = now ();
-  if (j.idle_told || now () - std::max (j.idle_since, none_served_at) < IDLE_MS
+  if (j.idle_told || now () - j.idle_since < IDLE_MS
       || (now () < last_fault + FINISH_MS
           && !calm_since (now () - IDLE_MS - CALM_BEFORE_MS)))
     return;
