--- /dev/null
+++ b/src/cellend.c
@@ -0,0 +1,118 @@
+/*
+ * cellend.c -- what is made of the ends that workers list
+ *
+ * A worker lists each end in every answer until it is acknowledged, in the
+ * order of their numbers.  An end is taken once.  It is acknowledged when what
+ * it has changed is in the store, so that a later owner finds it either there
+ * or on the worker.
+ */
+#include "cellint.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Note that end @seq may be acknowledged once the job's records are in the
+   store at @version, or at once if @j is NULL; -1 without memory. */
+static int
+unacked_add (cworker_t *w, uint64_t seq, const cjob_t *j, uint64_t version)
+{
+  if (w->nunacked == w->capunacked)
+    {
+      size_t cap = w->capunacked ? 2 * w->capunacked : 16;
+      cunacked_t *v = realloc (w->unacked, cap * sizeof *v);
+
+      if (!v)
+        return -1;
+      w->unacked = v;
+      w->capunacked = cap;
+    }
+  w->unacked[w->nunacked++]
+      = (cunacked_t){ seq, j ? j->self : 0, j ? version : 0 };
+  return 0;
+}
+
+/* Handle one end that the worker lists.  The end of the task's present run,
+   or of one that an earlier owner may have started, decides the task's state;
+   a successful end does so for any task that waits.  Of other runs, only
+   failures are counted. */
+void
+end_listed (cell_t *c, cworker_t *w, const cell_end_t *e)
+{
+  cstep_t *s = NULL;
+  uint32_t index = 0;
+  ctask_t *t;
+  cjob_t *j = NULL;
+  uint64_t version = 0;
+  int is_current;
+
+  if (e->seq <= w->taken_seq)
+    return;
+  t = ctask_find (c, e->task, &s, &index);
+  if (t)
+    cjob_set_begun (cstep_job (c, s));
+  is_current = t && t->state != CT_DONE
+               && ((t->worker == (int)(w - c->workers) && t->run == e->run)
+                   || (t->inherited && t->state == CT_WAITING
+                       && !ctask_failure_known (t, e->run))
+                   || (t->state == CT_WAITING && e->outcome == CELL_RUN_DONE));
+  if (is_current)
+    {
+      j = cstep_job (c, s);
+      if (e->outcome != CELL_RUN_DONE)
+        cell_log (c,
+                  "run_ended task=%s run=%u worker=%s outcome=%d seq=%llu "
+                  "failed=%u inherited=%d",
+                  e->task, e->run, w->info.id, e->outcome,
+                  (unsigned long long)e->seq, t->nfailed_runs, t->inherited);
+      if (t->worker >= 0)
+        health_run_ended (c, w, s, t, e->outcome);
+      if (e->outcome == CELL_RUN_FAILED)
+        t->failed_worker = (int)(w - c->workers);
+      if (e->run > t->run)
+        t->run = e->run;
+      version = ctask_ended (c, s, index, e->run, e->outcome, e->checkpoint);
+    }
+  else if (t && t->state == CT_DONE && t->run == e->run
+           && t->worker == (int)(w - c->workers))
+    ctask_unbind (c, s, index);
+  else if (t && t->state != CT_DONE && e->outcome == CELL_RUN_FAILED)
+    {
+      j = cstep_job (c, s);
+      version = ctask_late_failure (c, s, index, e->run);
+    }
+  else if (t && t->state != CT_DONE && e->outcome == CELL_RUN_DONE)
+    cell_log (c, "end_unexpected task=%s run=%u worker=%s known_run=%u",
+              e->task, e->run, w->info.id, t->run);
+  /* The end changed nothing itself, but it is acknowledged only once the
+     task's present state is written: another end may have set that, as for a
+     gang. */
+  if (t && !j)
+    {
+      j = cstep_job (c, s);
+      version = j->version;
+    }
+  if (unacked_add (w, e->seq, j, version))
+    return;
+  w->taken_seq = e->seq;
+}
+
+void
+end_ack_written (cell_t *c, cworker_t *w)
+{
+  size_t n = 0;
+
+  while (n < w->nunacked)
+    {
+      cjob_t *j = pool_get (&c->jobs, w->unacked[n].job);
+
+      if (j && j->phase < GL_PHASE_COMPLETED
+          && j->written_version < w->unacked[n].version
+          && !FAULT (FAULT_CELL_FORGET_EARLY))
+        break;
+      w->ack_cursor = w->unacked[n++].seq;
+    }
+  if (!n)
+    return;
+  memmove (w->unacked, w->unacked + n, (w->nunacked - n) * sizeof *w->unacked);
+  w->nunacked -= n;
+}
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -186,6 +186,14 @@
 /** cworker_add - a new incarnation of a worker; NULL without memory */
 cworker_t *cworker_add (cell_t *c, const cell_worker_t *info);
 
+/* cellend.c */
+
+/** end_listed - the worker lists an end */
+void end_listed (cell_t *c, cworker_t *w, const cell_end_t *e);
+/** end_ack_written - acknowledge, in order, the ends whose effect is in the
+    store, or whose job has ended; the next poll tells the worker */
+void end_ack_written (cell_t *c, cworker_t *w);
+
 /* cellcensus.c */
 
 /** census_handover - what this owner leaves to its successor on releasing the
