Log what is made of each end, acknowledgements and the last lease

A log could not tell an end that was listed and dropped from one that was never read: ends as done left no line, acknowledgements and leases none. Each end now leaves one run_ended line that says what it was taken as; end_unexpected is run_ended as=superseded. Answers to replaced polls that list ends leave a line, and worker_silent and worker_dead tell how long ago the last lease and poll were sent. No change of logic.

--- a/src/cellend.c
+++ b/src/cellend.c
@@ -31,6 +31,30 @@
   return 0;
 }
 
+/* What is made of an end:
+     decides     it is the end of the task's present run, or of one that an
+                 earlier owner may have started
+     released    the task was done already, and its room becomes free
+     failure     a failure of an earlier run, which counts
+     superseded  an earlier run, while a later one is in progress: no effect
+     known       the task is done, or the failure was counted before
+     no_task     the task is not known here */
+static void
+log_end (cell_t *c, const cworker_t *w, const cell_end_t *e, const ctask_t *t,
+         const char *as)
+{
+  static const char *const outcomes[] = { "done",   "failed", "stopped",
+                                          "lapsed", "broken", "alone",
+                                          "unknown" };
+
+  cell_log (c,
+            "run_ended task=%s run=%u worker=%s outcome=%s seq=%llu as=%s "
+            "known_run=%u state=%d failed=%u inherited=%d",
+            e->task, e->run, w->info.id, outcomes[e->outcome],
+            (unsigned long long)e->seq, as, t ? t->run : 0, t ? t->state : -1,
+            t ? t->nfailed_runs : 0, t ? t->inherited : 0);
+}
+
 /* Handle one end that the worker lists.  The end of the task's present run,
    or of one that an earlier owner may have started, decides the task's state;
    a successful end does so for any task that waits.  Of other runs, only
@@ -58,12 +82,7 @@
   if (is_current)
     {
       j = cstep_job (c, s);
-      if (e->outcome != CELL_RUN_DONE)
-        cell_log (c,
-                  "run_ended task=%s run=%u worker=%s outcome=%d seq=%llu "
-                  "failed=%u inherited=%d",
-                  e->task, e->run, w->info.id, e->outcome,
-                  (unsigned long long)e->seq, t->nfailed_runs, t->inherited);
+      log_end (c, w, e, t, "decides");
       if (t->worker >= 0)
         health_run_ended (c, w, s, t, e->outcome);
       if (e->outcome == CELL_RUN_FAILED)
@@ -74,15 +93,22 @@
     }
   else if (t && t->state == CT_DONE && t->run == e->run
            && t->worker == (int)(w - c->workers))
-    ctask_unbind (c, s, index);
+    {
+      log_end (c, w, e, t, "released");
+      ctask_unbind (c, s, index);
+    }
   else if (t && t->state != CT_DONE && e->outcome == CELL_RUN_FAILED)
     {
+      log_end (c, w, e, t,
+               ctask_failure_known (t, e->run) ? "known" : "failure");
       j = cstep_job (c, s);
       version = ctask_late_failure (c, s, index, e->run);
     }
-  else if (t && t->state != CT_DONE && e->outcome == CELL_RUN_DONE)
-    cell_log (c, "end_unexpected task=%s run=%u worker=%s known_run=%u",
-              e->task, e->run, w->info.id, t->run);
+  else
+    log_end (c, w, e, t,
+             !t                    ? "no_task"
+             : t->state == CT_DONE ? "known"
+                                   : "superseded");
   /* The end changed nothing itself, but it is acknowledged only once the
      task's present state is written: another end may have set that, as for a
      gang. */
@@ -113,6 +139,8 @@
     }
   if (!n)
     return;
+  cell_log (c, "ends_acknowledged worker=%s seq=%llu left=%zu", w->info.id,
+            (unsigned long long)w->ack_cursor, w->nunacked - n);
   memmove (w->unacked, w->unacked + n, (w->nunacked - n) * sizeof *w->unacked);
   w->nunacked -= n;
 }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -406,7 +406,8 @@
  *   owners has ended
  * @avoid_until: no task is started there before this
  * @clock, @clock_at: its clock in its last answer, and when that arrived
- * @lease_sent: latest end of a lease that was sent to it, in its own clock
+ * @lease_sent, @lease_sent_at: latest end of a lease that was sent to it, in
+ *   its own clock, and when it was first sent; 0 if none was
  * @taken_seq, @ack_cursor: number of the last end taken from its reports, and
  *   of the last end that it may forget
  * @unacked: ends in between, in order
@@ -447,6 +448,7 @@
   uint64_t clock;
   gl_ms_t clock_at;
   uint64_t lease_sent;
+  gl_ms_t lease_sent_at;
   uint64_t taken_seq;
   uint64_t ack_cursor;
   cunacked_t *unacked;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -135,6 +135,13 @@
             w->info.id);
 }
 
+/* Time since @at; -1 if that is 0, for never. */
+static long long
+age_ms (const cell_t *c, gl_ms_t at)
+{
+  return at ? (long long)(c->now - at) : -1;
+}
+
 /* Nothing of this incarnation runs any more: its tasks are lost. */
 static void
 worker_set_dead (cell_t *c, cworker_t *w, const char *why)
@@ -145,7 +152,11 @@
     return;
   w->dead = 1;
   census_set_accounted (c, w);
-  cell_log (c, "worker_dead id=%s why=%s tasks=%d", w->info.id, why, n);
+  cell_log (c,
+            "worker_dead id=%s why=%s tasks=%d lease_sent_ms=%lld "
+            "answered_ms=%lld missed_polls=%u",
+            w->info.id, why, n, age_ms (c, w->lease_sent_at),
+            age_ms (c, w->clock_at), w->missed_polls);
   while (w->ntasks)
     {
       ctask_handle_t ref = w->tasks[w->ntasks - 1];
@@ -247,6 +258,7 @@
       w->poll_tag = 0;
       w->poll_at = c->now;
       w->lease_sent = 0;
+      w->lease_sent_at = 0;
       w->taken_seq = w->ack_cursor = 0;
       w->nunacked = 0;
       w->missed_polls = 0;
@@ -320,7 +332,10 @@
           + (uint64_t)((double)(c->now - w->clock_at) * CELL_CLOCK_RATE_MIN)
           + span;
   if (until > w->lease_sent)
-    w->lease_sent = until;
+    {
+      w->lease_sent = until;
+      w->lease_sent_at = c->now;
+    }
   return w->lease_sent;
 }
 
@@ -621,7 +636,11 @@
   if (++w->missed_polls >= SILENT_MISSED_POLLS && !w->silent)
     {
       w->silent = 1;
-      cell_log (c, "worker_silent id=%s tasks=%d", w->info.id, w->ntasks);
+      cell_log (c,
+                "worker_silent id=%s tasks=%d poll_sent_ms=%lld "
+                "lease_sent_ms=%lld",
+                w->info.id, w->ntasks, age_ms (c, k->sent_at),
+                age_ms (c, w->lease_sent_at));
     }
 }
 
@@ -751,6 +770,13 @@
     {
       if (w->poll_tag == k->tag)
         poll_result (c, w, k);
+      else if (k->nends)
+        cell_log (c,
+                  "poll_superseded worker=%s ends=%d last_seq=%llu "
+                  "taken_seq=%llu sent_ms=%lld",
+                  w->info.id, k->nends,
+                  (unsigned long long)k->ends[k->nends - 1].seq,
+                  (unsigned long long)w->taken_seq, age_ms (c, k->sent_at));
     }
   else if (k->op == CELL_OP_START)
     start_result (c, w, k);
