--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -48,7 +48,7 @@
  *                                  this much earlier than its answer arrives
  *   linger MS                      see World::linger_ms
  *   worker N crash|show            N is the worker's number
- *   worker N reachable|listed|unanswered|fails_all|hangs 0|1
+ *   worker N reachable|deaf|listed|unanswered|fails_all|hangs 0|1
  *   worker N late|stops_in|leaves_in MS
  *   worker N slow FACTOR           see struct Worker
  *   poison TASK                    all runs of the task fail
@@ -173,6 +173,8 @@
       w->crash_worker (i);
     else if (what == "reachable")
       x.reachable = arg;
+    else if (what == "deaf")
+      x.deaf = arg;
     else if (what == "listed")
       w->set_registered (i, arg);
     else if (what == "late")
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1123,6 +1123,9 @@
                    : 0;
     }
   check_start (w, task, r, late);
+  auto told = done_told_.find ({ k.fencing_token, task });
+  if (told != done_told_.end () && k.sent_at > told->second)
+    report_violation ("started by an owner that was told of its end: " + task);
   w.running[task] = r;
 }
 
@@ -1158,14 +1161,22 @@
   };
   auto c = std::make_shared<Copy> ();
   uint64_t incarnation = vms[(size_t)i].incarnation;
+  auto again = std::make_shared<Fn> ();
   auto answer = [=, this] {
     cell_event_t ev{};
 
     if (c->done || !vms[(size_t)i].alive
         || vms[(size_t)i].incarnation != incarnation)
       return;
+    /* What has arrived by then is read when the VM goes on. */
     if (vms[(size_t)i].frozen)
-      c->k.status = CELL_W_UNKNOWN;
+      {
+        schedule (TICK_MS, *again);
+        return;
+      }
+    for (auto &e : c->ends)
+      if (e.outcome == CELL_RUN_DONE)
+        done_told_.insert ({ { c->k.fencing_token, e.task }, now });
     c->done = true;
     c->k.runs = c->runs.data ();
     c->k.nruns = (int)c->runs.size ();
@@ -1177,6 +1188,7 @@
     step (i, ev);
   };
 
+  *again = answer;
   c->k = call;
   size_t bytes = MESSAGE_BYTES + (call.payload ? strlen (call.payload) : 0);
   c->k.payload = nullptr;
@@ -1230,7 +1242,7 @@
   auto arrive = [=, this] (bool answered) {
     Worker *w = find_worker ();
 
-    if (!w || !w->reachable)
+    if (!w || !w->reachable || w->deaf)
       return;
     if (strcmp (w->info.id, c->k.worker_id))
       {
@@ -1617,7 +1629,7 @@
       return true;
   for (const Worker &w : workers)
     if (w.alive
-        && (w.loses_answers || w.late_ms || w.fails_all || w.hangs
+        && (w.deaf || w.loses_answers || w.late_ms || w.fails_all || w.hangs
             || w.slowdown != 1))
       return true;
   return store_mode != StoreMode::up || store_ms > STORE_SLOW_MS
@@ -1928,6 +1940,7 @@
   for (Worker &w : workers)
     {
       w.reachable = true;
+      w.deaf = false;
       w.loses_answers = false;
       w.late_ms = 0;
     }
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -58,6 +58,8 @@
   bool alive = true;
   bool reachable = true;
   bool registered = true;
+  bool deaf = false;          /* calls do not reach it; its answers to earlier
+                                 ones do arrive */
   bool loses_answers = false; /* to starts and stops, which it carries out */
   int late_ms = 0; /* delay of half of the starts and stops; those get no
                       answer */
@@ -382,6 +384,8 @@
   bool attempts_used_up (const std::string &id) const;
   /* Tasks of whose good end a poll was answered. */
   std::set<std::string> done_reported_;
+  /* By generation and task: when the owner was told of a good end. */
+  std::map<std::pair<uint64_t, std::string>, gl_ms_t> done_told_;
   gl_ms_t stop_killed_at_ = 0; /* when a VM was last killed in its planned
                                   stop, before its time was over */
   gl_ms_t last_fault_at_ = 0;
