Take ends from the answers to polls that newer ones have replaced

What callers saw: work that was done was done again, up to an answer twice. Cause: of two polls of a worker in flight, only the answer to the newer one was looked at. A second poll is sent when a start got no answer, a gang is done, or another incarnation registers the address: moments at which a worker is likely to fall silent. When the newer poll gets no answer, the end that the older answer listed is gone, and the run counts as lost with its worker. Evidence: end-in-an-answer-to-a-replaced-poll.txt failed before: started by an owner that was told of its end. An end is final, so it may be taken from any answer; numbers make sure that each is taken once. Runs are still read from the newest answer only.

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -1,11 +1,11 @@
 /*
  * cellwork.c -- workers: their leases, running tasks and ended runs
  *
- * Each worker has one poll in flight; a newer poll replaces it, and the answer
- * to the older one is ignored.  A poll renews the worker's lease and
- * acknowledges ends, and the worker may delay its answer until a run ends.
- * The answer lists all runs in progress and all unacknowledged ends, so it is
- * also the census from which a new owner learns what an earlier one has
+ * Each worker has one poll in flight; a newer poll replaces it, and of the
+ * answer to the older one only the ends are taken.  A poll renews the worker's
+ * lease and acknowledges ends, and the worker may delay its answer until a run
+ * ends. The answer lists all runs in progress and all unacknowledged ends, so
+ * it is also the census from which a new owner learns what an earlier one has
  * started.  What is found on a worker is handled as follows:
  *
  *   listed as running with the run number on record   the run goes on
@@ -644,6 +644,21 @@
     }
 }
 
+/* The answer to a poll that a newer one has replaced.  What runs may have
+   changed since, but an end is final, and the newer poll may get no answer. */
+static void
+superseded_poll_result (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
+  cell_log (c,
+            "poll_superseded worker=%s ends=%d last_seq=%llu taken_seq=%llu "
+            "sent_ms=%lld",
+            w->info.id, k->nends,
+            (unsigned long long)k->ends[k->nends - 1].seq,
+            (unsigned long long)w->taken_seq, age_ms (c, k->sent_at));
+  for (int i = 0; i < k->nends; i++)
+    end_listed (c, w, &k->ends[i]);
+}
+
 /* A start got no answer, so the worker may be gone: it is polled at once, and
    no task is started there before it answers. */
 static void
@@ -771,12 +786,7 @@
       if (w->poll_tag == k->tag)
         poll_result (c, w, k);
       else if (k->nends)
-        cell_log (c,
-                  "poll_superseded worker=%s ends=%d last_seq=%llu "
-                  "taken_seq=%llu sent_ms=%lld",
-                  w->info.id, k->nends,
-                  (unsigned long long)k->ends[k->nends - 1].seq,
-                  (unsigned long long)w->taken_seq, age_ms (c, k->sent_at));
+        superseded_poll_result (c, w, k);
     }
   else if (k->op == CELL_OP_START)
     start_result (c, w, k);
