A good end counts whichever run of the task it is of

What callers saw: jobs that were still running after all their work was done, for as long as the duplicates took. Cause: while a later run was starting or in progress, a good end of an earlier run was taken for unexpected, acknowledged and dropped. It comes when a worker that was given up with its lease is back, within a second of the later start after most cuts. Now it decides the task. The later run is stopped and keeps its room until its worker no longer lists it, as the members of a gang that is done do; a successor takes it for an unknown run and stops it. Runs are told apart by worker and number: the fuzzer found a task of which two owners had both given run 101 (cell-scripts/done-end-of-another-run-of-the-same-number).

--- a/src/cellend.c
+++ b/src/cellend.c
@@ -33,10 +33,11 @@
 
 /* What is made of an end:
      decides     it is the end of the task's present run, or of one that an
-                 earlier owner may have started
+                 earlier owner may have started, or a good end of any run
      released    the task was done already, and its room becomes free
      failure     a failure of an earlier run, which counts
-     superseded  an earlier run, while a later one is in progress: no effect
+     superseded  an earlier run that did not end well, while a later one is in
+                 progress: no effect
      known       the task is done, or the failure was counted before
      no_task     the task is not known here */
 static void
@@ -55,10 +56,46 @@
             t ? t->nfailed_runs : 0, t ? t->inherited : 0);
 }
 
-/* Handle one end that the worker lists.  The end of the task's present run,
-   or of one that an earlier owner may have started, decides the task's state;
-   a successful end does so for any task that waits.  Of other runs, only
-   failures are counted. */
+/* Whether the end decides the task's state.  That of the task's present run
+   does, or of one that an earlier owner may have started; a good end does
+   whichever run it is of, since the work is done, but tasks that run on until
+   they are stopped have none. */
+static int
+decides (const cell_t *c, const cworker_t *w, const cstep_t *s,
+         const ctask_t *t, const cell_end_t *e)
+{
+  if (t->state == CT_DONE)
+    return 0;
+  if (t->worker == (int)(w - c->workers) && t->run == e->run)
+    return 1;
+  if (t->inherited && t->state == CT_WAITING
+      && !ctask_failure_known (t, e->run))
+    return 1;
+  return e->outcome == CELL_RUN_DONE
+         && (t->state == CT_WAITING || !s->def->long_running);
+}
+
+/* The end decides the task's state; returns the job's version that records
+   it. */
+static uint64_t
+take_end (cell_t *c, cworker_t *w, cstep_t *s, uint32_t index,
+          const cell_end_t *e)
+{
+  ctask_t *t = &s->tasks[index];
+
+  log_end (c, w, e, t, "decides");
+  if (t->worker == (int)(w - c->workers) && t->run == e->run)
+    health_run_ended (c, w, s, t, e->outcome);
+  if (e->outcome == CELL_RUN_FAILED)
+    t->failed_worker = (int)(w - c->workers);
+  if (e->run > t->run && t->worker < 0)
+    t->run = e->run;
+  return ctask_ended (c, s, index, (int)(w - c->workers), e->run, e->outcome,
+                      e->checkpoint);
+}
+
+/* Take one end that the worker lists.  Of runs that do not decide the task's
+   state, only failures are counted. */
 void
 end_listed (cell_t *c, cworker_t *w, const cell_end_t *e)
 {
@@ -67,29 +104,16 @@
   ctask_t *t;
   cjob_t *j = NULL;
   uint64_t version = 0;
-  int is_current;
 
   if (e->seq <= w->taken_seq)
     return;
   t = ctask_find (c, e->task, &s, &index);
   if (t)
     cjob_set_begun (cstep_job (c, s));
-  is_current = t && t->state != CT_DONE
-               && ((t->worker == (int)(w - c->workers) && t->run == e->run)
-                   || (t->inherited && t->state == CT_WAITING
-                       && !ctask_failure_known (t, e->run))
-                   || (t->state == CT_WAITING && e->outcome == CELL_RUN_DONE));
-  if (is_current)
+  if (t && decides (c, w, s, t, e))
     {
       j = cstep_job (c, s);
-      log_end (c, w, e, t, "decides");
-      if (t->worker >= 0)
-        health_run_ended (c, w, s, t, e->outcome);
-      if (e->outcome == CELL_RUN_FAILED)
-        t->failed_worker = (int)(w - c->workers);
-      if (e->run > t->run)
-        t->run = e->run;
-      version = ctask_ended (c, s, index, e->run, e->outcome, e->checkpoint);
+      version = take_end (c, w, s, index, e);
     }
   else if (t && t->state == CT_DONE && t->run == e->run
            && t->worker == (int)(w - c->workers))
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -136,7 +136,8 @@
  * @CT_RUNNING: the worker has confirmed the run
  * @CT_UNKNOWN: the start got no answer; a stop has been sent
  * @CT_STOPPING: a stop has been sent; the task still takes room on its worker
- * @CT_DONE: ended successfully; a gang member may still be bound to its worker
+ * @CT_DONE: ended successfully; a gang member, or a later run than the one
+ * that ended, may still be bound to its worker
  */
 typedef enum
 {
@@ -156,6 +157,9 @@
  * @percent: progress of its run, 0 to 100
  * @run: number of its latest run, 0 before the first
  * @failed_runs, @nfailed_runs: numbers of the runs that have failed
+ * @surplus: another run than the one that is bound to a worker has ended well
+ *   and decided the task; the bound one is stopped, and takes room until it is
+ *   gone
  * @worker, @worker_pos: index of the worker that it is bound to, -1 for none,
  *   and its place in that worker's task list
  * @sent_at: when the latest start or stop was sent
@@ -175,6 +179,7 @@
   unsigned char inherited;
   unsigned char has_record;
   unsigned char percent;
+  unsigned char surplus;
   uint32_t run;
   uint32_t failed_runs[GL_FAILURES_MAX];
   uint32_t nfailed_runs;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -444,19 +444,41 @@
   s->ndone++;
 }
 
+/* A run of the task has ended well that is not the one bound to a worker. That
+   one is stopped, and stays bound until its worker no longer lists it. */
+static void
+task_done_elsewhere (cell_t *c, cstep_t *s, uint32_t index)
+{
+  ctask_t *t = &s->tasks[index];
+
+  if (t->worker < 0 || t->state == CT_DONE)
+    {
+      task_set_done (c, s, index);
+      return;
+    }
+  t->state = CT_DONE;
+  t->has_record = 1;
+  t->inherited = 0;
+  t->surplus = 1;
+  s->ndone++;
+  cworker_stop (c, s, index);
+}
+
 /* A gang is done as soon as one member has ended successfully.  The other
-   members stay bound until their workers no longer list them. */
+   members stay bound until their workers no longer list them; those of another
+   run than the one that ended are stopped (@elsewhere). */
 static void
-gang_done (cell_t *c, cstep_t *s, uint32_t ended)
+gang_done (cell_t *c, cstep_t *s, uint32_t ended, int elsewhere)
 {
-  task_set_done (c, s, ended);
+  if (!elsewhere)
+    task_set_done (c, s, ended);
   for (uint32_t i = 0; i < s->def->count; i++)
     {
       ctask_t *t = &s->tasks[i];
 
-      if (t->worker < 0 || t->state == CT_DONE)
+      if (elsewhere || t->worker < 0 || t->state == CT_DONE)
         {
-          task_set_done (c, s, i);
+          task_done_elsewhere (c, s, i);
           continue;
         }
       t->state = CT_DONE;
@@ -541,11 +563,14 @@
 }
 
 uint64_t
-ctask_ended (cell_t *c, cstep_t *s, uint32_t index, uint32_t run,
+ctask_ended (cell_t *c, cstep_t *s, uint32_t index, int worker, uint32_t run,
              cell_outcome_t outcome, const char *checkpoint)
 {
   ctask_t *t = &s->tasks[index];
   cjob_t *j = cstep_job (c, s);
+  /* Numbers alone do not tell runs apart: two owners that knew of no run have
+     both given number 101. */
+  int elsewhere = t->worker >= 0 && (t->worker != worker || t->run != run);
 
   if (t->state == CT_DONE)
     {
@@ -565,7 +590,9 @@
     {
       c->counters.ends_done++;
       if (s->def->gang)
-        gang_done (c, s, index);
+        gang_done (c, s, index, elsewhere);
+      else if (elsewhere)
+        task_done_elsewhere (c, s, index);
       else
         task_set_done (c, s, index);
       if (j->next_phase < GL_PHASE_COMPLETED && job_done (c, j))
@@ -623,7 +650,8 @@
           r->iteration = s->iteration;
           r->step = s->index;
           r->index = k;
-          r->run = t->run;
+          /* A successor is to take the surplus run for an unknown one. */
+          r->run = t->surplus ? 0 : t->run;
           r->failed_runs.failed_runs_len = t->nfailed_runs;
           r->failed_runs.failed_runs_val
               = calloc (t->nfailed_runs + 1, sizeof *t->failed_runs);
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -147,10 +147,11 @@
     gangs of which others run nowhere, since no end may be left that tells what
     became of the gang */
 void cjobs_stop_partial_gangs (cell_t *c);
-/** ctask_ended - run @run has ended with @outcome and @checkpoint, which may
-    be NULL; returns the job's version that records it */
-uint64_t ctask_ended (cell_t *c, cstep_t *s, uint32_t index, uint32_t run,
-                      cell_outcome_t outcome, const char *checkpoint);
+/** ctask_ended - run @run on @worker has ended with @outcome and @checkpoint,
+    which may be NULL; returns the job's version that records it */
+uint64_t ctask_ended (cell_t *c, cstep_t *s, uint32_t index, int worker,
+                      uint32_t run, cell_outcome_t outcome,
+                      const char *checkpoint);
 /** cstep_enqueue - add the step to those that wait for workers */
 void cstep_enqueue (cell_t *c, cstep_t *s);
 /** cjobs_tick - timer: make iterations that are due, forget old jobs */
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -164,8 +164,8 @@
 
       c->counters.ends_lost++;
       log_run_lost (c, w, s, ref.index);
-      ctask_ended (c, s, ref.index, s->tasks[ref.index].run, CELL_RUN_LAPSED,
-                   NULL);
+      ctask_ended (c, s, ref.index, (int)(w - c->workers),
+                   s->tasks[ref.index].run, CELL_RUN_LAPSED, NULL);
       if (w->ntasks == n)
         break;
       n = w->ntasks;
@@ -400,7 +400,7 @@
   char name[CELL_NAME_SIZE];
 
   ctask_name (c, s, index, name);
-  if (t->state != CT_UNKNOWN)
+  if (t->state != CT_UNKNOWN && t->state != CT_DONE)
     t->state = CT_STOPPING;
   t->sent_at = c->now;
   send_stop (c, &c->workers[t->worker], name, t->run);
@@ -760,7 +760,8 @@
       t = &s->tasks[ref.index];
       if ((t->state == CT_STOPPING || t->state == CT_DONE) && t->stop_tag
           && k->tag > t->stop_tag && t->listed_tag != k->tag)
-        ctask_ended (c, s, ref.index, t->run, CELL_RUN_STOPPED, NULL);
+        ctask_ended (c, s, ref.index, t->worker, t->run, CELL_RUN_STOPPED,
+                     NULL);
     }
 }
 
@@ -815,7 +816,8 @@
 
       if (t->state == CT_UNKNOWN && c->now - t->sent_at > call_max + 50)
         cworker_stop (c, s, w->tasks[i].index);
-      else if (t->state == CT_STOPPING && c->now - t->sent_at > stop_max)
+      else if ((t->state == CT_STOPPING || t->surplus)
+               && c->now - t->sent_at > stop_max)
         cworker_stop (c, s, w->tasks[i].index);
     }
 }
