Lost runs are logged with their age and state

A run that is lost with its worker left a line with its task and worker only. It did not tell whether the start had been answered, nor how old the run was, so that a task that crashes its worker could not be told from its neighbours.

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -128,11 +128,13 @@
 static void
 log_run_lost (cell_t *c, const cworker_t *w, const cstep_t *s, uint32_t index)
 {
+  const ctask_t *t = &s->tasks[index];
   char name[CELL_NAME_SIZE];
 
   ctask_name (c, s, index, name);
-  cell_log (c, "run_lost task=%s run=%u worker=%s", name, s->tasks[index].run,
-            w->info.id);
+  cell_log (c, "run_lost task=%s run=%u worker=%s state=%d age_ms=%llu", name,
+            t->run, w->info.id, t->state,
+            (unsigned long long)(c->now - t->sent_at));
 }
 
 /* Nothing of this incarnation runs any more: its tasks are lost. */
