Scripted runs of tasks that crash the workers that start them

The emulator can make a task deadly: its worker crashes 10 ms after a start, its address refuses calls, and 3 to 4 s later another incarnation answers there. The oracle reports a task that is started three times more after three workers have crashed under it, and a job that is failed without such a cause.

--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -51,7 +51,11 @@
  *   worker N reachable|listed|unanswered|fails_all|hangs 0|1
  *   worker N late|stops_in|leaves_in MS
  *   worker N slow FACTOR           see struct Worker
+ *   worker N down MS               it crashes and is back after this time
  *   poison TASK                    all runs of the task fail
+ *   deadly TASK|ID                 each start of the task, or of any task of
+ *                                  the job, crashes its worker
+ *   logged EVENT                   print whether a VM has logged the event
  *   peers PHASE                    forwarded requests are answered with this
  *                                  phase, whatever it is
  *   luck N                         one run in N fails, 0 for none
@@ -171,6 +175,8 @@
     Worker &x = w->workers[(size_t)i];
     if (what == "crash")
       w->crash_worker (i);
+    else if (what == "down")
+      w->crash_worker_for (i, (gl_ms_t)arg);
     else if (what == "reachable")
       x.reachable = arg;
     else if (what == "listed")
@@ -440,6 +446,18 @@
         in >> a;
         w->failing_tasks.insert (a);
       }
+    else if (cmd == "deadly")
+      {
+        in >> a;
+        w->deadly.insert (a);
+      }
+    else if (cmd == "logged")
+      {
+        in >> a;
+        for (const std::string &l : w->log)
+          n += l.find (" " + a + " ") != std::string::npos;
+        out.push_back (a + (n ? " logged" : " not logged"));
+      }
     else if (cmd == "advisor")
       {
         in >> a >> n;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -47,6 +47,15 @@
 static const int PRIORITY0_SHARE = 10;
 /* A store whose calls take longer than this is slow. */
 static const gl_ms_t STORE_SLOW_MS = 20;
+/* A deadly task crashes its worker this long after its start; the worker is
+   back after a time between these two. */
+static const gl_ms_t DEADLY_MS = 10;
+static const gl_ms_t AWAY_MIN_MS = 3000;
+static const gl_ms_t AWAY_MAX_MS = 4000;
+/* A task under which so many workers have crashed may be given up, and a task
+   under which CRASHES_MAX have may be started fewer times than that again. */
+static const int GIVE_UP_CRASHES = 2;
+static const int CRASHES_MAX = 3;
 /* Validity of a ticket. */
 static const gl_ms_t TICKET_MS = 1500;
 /* Base time of a consultation for the queue "digest", of priority 2. */
@@ -910,6 +919,44 @@
   set_registered (i, false);
 }
 
+void
+World::crash_worker_for (int i, gl_ms_t ms)
+{
+  std::string addr = workers[(size_t)i].info.addr;
+  auto delayed_polls = workers[(size_t)i].delayed_polls;
+
+  if (!workers[(size_t)i].alive)
+    return;
+  for (auto &r : workers[(size_t)i].running)
+    if (is_deadly (r.first))
+      crashes_[r.first]++;
+  lose_worker (i);
+  refusing_.insert (addr);
+  for (auto &fn : delayed_polls)
+    schedule (0, fn);
+  schedule (ms, [=, this] {
+    refusing_.erase (addr);
+    add_worker (i);
+    set_registered (i, false);
+  });
+}
+
+bool
+World::is_deadly (const std::string &task) const
+{
+  return deadly.count (task)
+         || deadly.count (task.substr (0, task.find ('.')));
+}
+
+bool
+World::may_give_up (const std::string &id) const
+{
+  for (auto &t : crashes_)
+    if (t.first.rfind (id, 0) == 0 && t.second >= GIVE_UP_CRASHES)
+      return true;
+  return false;
+}
+
 void
 World::end_run (Worker &w, const std::string &task, cell_outcome_t outcome)
 {
@@ -1058,6 +1105,9 @@
                         + o.info.id);
   if (done_acked_.count (task))
     report_violation ("started after its acknowledged end: " + task);
+  if (crashes_[task] >= CRASHES_MAX
+      && ++starts_after_crashes_[task] == CRASHES_MAX)
+    report_violation ("started after crashes: " + task);
   if ((int)failed_acked_[task].size () >= max_attempts)
     report_violation ("started after its last attempt: " + task);
   if (!jobs.count (id))
@@ -1124,6 +1174,14 @@
     }
   check_start (w, task, r, late);
   w.running[task] = r;
+  std::string wid = w.info.id;
+  if (is_deadly (task))
+    schedule (DEADLY_MS, [=, this] {
+      for (size_t i = 0; i < workers.size (); i++)
+        if (wid == workers[i].info.id)
+          crash_worker_for (
+              (int)i, AWAY_MIN_MS + random () % (AWAY_MAX_MS - AWAY_MIN_MS));
+    });
 }
 
 void
@@ -1193,6 +1251,8 @@
   auto answer_poll = [=, this] {
     Worker *w = find_worker ();
 
+    if (refusing_.count (c->k.addr))
+      schedule (NET_MS, answer);
     if (!w || !w->reachable || c->done || strcmp (w->info.id, c->k.worker_id))
       return;
     end_runs (*w);
@@ -1230,6 +1290,8 @@
   auto arrive = [=, this] (bool answered) {
     Worker *w = find_worker ();
 
+    if (refusing_.count (c->k.addr))
+      schedule (NET_MS, answer);
     if (!w || !w->reachable)
       return;
     if (strcmp (w->info.id, c->k.worker_id))
@@ -1594,8 +1656,8 @@
                                        : "unknown";
     if (j.phase == "none" && j.accepted && !j.cancel_sent)
       report_violation ("accepted job lost: " + id);
-    if (j.phase == "failed" && !attempts_used_up (id))
-      report_violation ("failed with attempts left: " + id);
+    if (j.phase == "failed" && !attempts_used_up (id) && !may_give_up (id))
+      report_violation ("failed without cause: " + id);
     if (j.phase != "completed")
       return;
     for (size_t s = 0; s < j.task_counts.size (); s++)
@@ -1819,7 +1881,7 @@
       if (can_run)
         step = runnable_step (it.first, j);
       if (step < 0 || !has_room_twice (it.first, j, step)
-          || attempts_used_up (it.first))
+          || attempts_used_up (it.first) || may_give_up (it.first))
         {
           j.idle_since = 0;
           continue;
@@ -1913,7 +1975,7 @@
 {
   for (auto &j : jobs)
     if (j.second.accepted && !j.second.cancelled && !j.second.all_done
-        && !attempts_used_up (j.first))
+        && !attempts_used_up (j.first) && !may_give_up (j.first))
       return true;
   return false;
 }
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -154,6 +154,9 @@
   void schedule (gl_ms_t ms, std::function<void ()> fn);
   /* End the worker's incarnation and start another one at its address. */
   void crash_worker (int w);
+  /* The same, but the other incarnation starts only after @ms; until then the
+     address refuses calls. */
+  void crash_worker_for (int w, gl_ms_t ms);
   /* Add a worker at the address of worker @same_addr_as, or at a new one if
      that is -1. */
   void add_worker (int same_addr_as);
@@ -193,7 +196,9 @@
   std::map<std::string, JobView> jobs;
   std::vector<std::string> violations; /* of the cell's guarantees */
   std::set<std::string> failing_tasks; /* tasks whose runs all fail */
-  int advisor_fails = 0; /* this many consultations get no answer */
+  std::set<std::string> deadly; /* each start of these tasks, or of any task of
+                                   these jobs, crashes its worker */
+  int advisor_fails = 0;        /* this many consultations get no answer */
   double consult_base_ms = 10;
   int approve_one_in = 0; /* the advisor approves one worker in this many; 0:
                              three in four */
@@ -312,6 +317,10 @@
   void do_start (Worker &w, const cell_wcall_t &k, bool late,
                  cell_wstatus_t &status);
   void do_stop (Worker &w, const cell_wcall_t &k);
+  bool is_deadly (const std::string &task) const;
+  /* Whether workers have crashed under a deadly task of the job so often that
+     the job may be given up. */
+  bool may_give_up (const std::string &id) const;
   /* Check the guarantees that a start could violate; @late: the start was
      delayed on its way, or its sender was not in touch, so the job may have
      been cancelled meanwhile. */
@@ -379,6 +388,11 @@
   /* By task: runs that have ended well, and that have failed. */
   std::map<std::string, std::set<int> > done_;
   std::map<std::string, std::set<uint32_t> > failed_;
+  /* By deadly task: workers that have crashed under it, and starts since the
+     first CRASHES_MAX of these. */
+  std::map<std::string, int> crashes_;
+  std::map<std::string, int> starts_after_crashes_;
+  std::set<std::string> refusing_; /* addresses of crashed workers */
   bool attempts_used_up (const std::string &id) const;
   /* Tasks of whose good end a poll was answered. */
   std::set<std::string> done_reported_;
