Tasks that crash workers are isolated and their jobs failed

Cause: a run that is lost with its worker is no failed attempt, and nothing remembered that a worker had crashed under it, neither the task nor its record.

When a worker is found restarted, the runs that it is not known to have survived are noted as suspects, in the job's record as well, so that a new owner goes on counting; the records stay readable for the version before. A suspect is started where no other suspect runs, which tells it from its neighbours: it survives and is cleared, or it is the sole cause of the crash. The second such crash fails its job. A job is not failed for crashes that other jobs can have caused, nor for the loss of a rack.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -94,6 +94,23 @@
 };
 typedef struct gl_progress_t gl_progress_t;
 
+struct gl_crash_record_t {
+	u_int iteration;
+	u_int step;
+	u_int index;
+	u_int crashes;
+	u_int sole;
+};
+typedef struct gl_crash_record_t gl_crash_record_t;
+
+struct gl_crashes_t {
+	struct {
+		u_int tasks_len;
+		gl_crash_record_t *tasks_val;
+	} tasks;
+};
+typedef struct gl_crashes_t gl_crashes_t;
+
 struct gl_job_result_t {
 	gl_phase_t phase;
 	u_quad_t ended_ms;
@@ -249,6 +266,8 @@
 extern  bool_t xdr_gl_phase_t (XDR *, gl_phase_t*);
 extern  bool_t xdr_gl_task_record_t (XDR *, gl_task_record_t*);
 extern  bool_t xdr_gl_progress_t (XDR *, gl_progress_t*);
+extern  bool_t xdr_gl_crash_record_t (XDR *, gl_crash_record_t*);
+extern  bool_t xdr_gl_crashes_t (XDR *, gl_crashes_t*);
 extern  bool_t xdr_gl_job_result_t (XDR *, gl_job_result_t*);
 extern  bool_t xdr_gl_worker_record_t (XDR *, gl_worker_record_t*);
 extern  bool_t xdr_gl_ownership_t (XDR *, gl_ownership_t*);
@@ -276,6 +295,8 @@
 extern bool_t xdr_gl_phase_t ();
 extern bool_t xdr_gl_task_record_t ();
 extern bool_t xdr_gl_progress_t ();
+extern bool_t xdr_gl_crash_record_t ();
+extern bool_t xdr_gl_crashes_t ();
 extern bool_t xdr_gl_job_result_t ();
 extern bool_t xdr_gl_worker_record_t ();
 extern bool_t xdr_gl_ownership_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -87,6 +87,20 @@
 struct gl_progress_t {
   gl_task_record_t tasks<GL_TASK_RECORDS_MAX>;
 };
+/* Crashes of workers under a task's runs since it last survived a start.
+   sole: those of which only the task's job could be the cause. */
+struct gl_crash_record_t {
+  unsigned int iteration;
+  unsigned int step;
+  unsigned int index;
+  unsigned int crashes;
+  unsigned int sole;
+};
+/* Follows gl_progress_t in a job's task records, unless the owner that wrote
+   them is of an older version. */
+struct gl_crashes_t {
+  gl_crash_record_t tasks<GL_TASK_RECORDS_MAX>;
+};
 /* How a job ended. */
 struct gl_job_result_t {
   gl_phase_t phase;
--- a/src/cell.c
+++ b/src/cell.c
@@ -89,6 +89,7 @@
   free (c->conf.queues);
   free (c->dirty.v);
   free (c->waiting.v);
+  free (c->to_fail.v);
   pool_destroy (&c->jobs);
   pool_destroy (&c->steps);
   names_destroy (&c->vm_names);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -167,6 +167,10 @@
  * @progress_at: when its progress last changed, 0 before the first report
  * @failed_worker: index of the worker on which a run of it failed last, -1 for
  *   none
+ * @seen_at: when its run was first known to have begun, 0 before
+ * @survived: the run has survived its start, or never began; see cellcrash.c
+ * @crashes, @sole_crashes, @crashed_run: runs since one survived under which
+ *   workers crashed, those that must be the cause, and the last; see cellcrash.c
  * @checkpoint: name of its last checkpoint, "" for none
  */
 typedef struct
@@ -186,6 +190,11 @@
   gl_ms_t expected_end;
   gl_ms_t progress_at;
   int failed_worker;
+  gl_ms_t seen_at;
+  unsigned char survived;
+  uint32_t crashes;
+  uint32_t sole_crashes;
+  uint32_t crashed_run;
   char checkpoint[64];
 } ctask_t;
 
@@ -313,6 +322,7 @@
  *   answer tells nothing
  * @nbound, @idle_since: how many of its tasks are bound to a worker, and since
  *   when there have been none
+ * @nsuspects, @may_crash: tasks with crashes, and that one has sole crashes
  * @saving: a transaction with it is in flight
  * @in_dirty, @dirty_at: it is in the list of jobs to write, and since when
  * @version, @written_version: version of its task records here and in the
@@ -344,6 +354,8 @@
   int begun;
   int nbound;
   gl_ms_t idle_since;
+  int nsuspects;
+  int may_crash;
   int saving;
   int in_dirty;
   uint64_t version;
@@ -425,6 +437,8 @@
  *   cell's average; 0 if not known
  * @tasks, @ntasks: tasks that are bound to it, including members of gangs that
  *   are done but that it may still list as running
+ * @probed_job: the suspect job that was last started there, 0 for none
+ * @probe_polled: it was polled to learn whether that run has survived
  * @reservations, @nreservations: room reserved on it for gangs
  */
 typedef struct
@@ -466,6 +480,8 @@
   ctask_handle_t *tasks;
   int ntasks;
   int captasks;
+  handle_t probed_job;
+  int probe_polled;
   creservation_t reservations[CELL_RESERVATIONS_MAX];
   int nreservations;
 } cworker_t;
@@ -600,6 +616,10 @@
   X (ends_failed, "runs that failed")                                         \
   X (ends_stopped, "runs stopped")                                            \
   X (ends_lost, "runs lost with their worker")                                \
+  X (crash_suspects, "runs suspected of a crash of their worker")             \
+  X (crash_isolated, "starts of suspect tasks")                               \
+  X (crash_cleared, "suspect tasks that survived a start")                    \
+  X (crash_failed, "jobs failed for crashes of workers")                      \
   X (strays, "unknown runs stopped")                                          \
   X (looks, "looks at workers")                                               \
   X (looks_failed, "looks without an answer")                                 \
@@ -714,6 +734,9 @@
  * @usual_ratio: duration of runs over their estimates, average of the cell
  * @room_wanted: a step that is not a gang waits for room
  * @plan_due, @planned_at: a planning pass is due; time of the last one
+ * @nprobed, @nprobed_sole: suspect jobs, and those with may_crash, with runs
+ *   that have not survived yet; as of this pass
+ * @to_fail: jobs to be failed for crashes of workers
  * @scans_left: searches of all workers that this pass may still make
  * @approval_share, @napproval_shares: learned share of named workers that the
  * advisor approves, by queue
@@ -838,6 +861,9 @@
   int room_wanted;
   int plan_due;
   gl_ms_t planned_at;
+  int nprobed;
+  int nprobed_sole;
+  handles_t to_fail;
   int scans_left;
   double *approval_share;
   int napproval_shares;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -351,6 +351,8 @@
   t->worker = worker;
   t->stop_tag = 0;
   t->progress_at = 0;
+  t->seen_at = 0;
+  t->survived = 0;
   t->percent = 0;
   t->worker_pos = w->ntasks;
   w->tasks[w->ntasks++] = (ctask_handle_t){ s->self, index };
@@ -573,6 +575,7 @@
       else if (s->ndone == s->def->count)
         cjob_ready_steps (c, j);
       poll_task_ended (c, s);
+      crash_recount (c, j);
       save_job (c, j, j->next_phase >= GL_PHASE_COMPLETED);
       return j->version;
     }
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -297,6 +297,36 @@
     for one far slower */
 int health_speed_class (const cworker_t *w);
 
+/* cellcrash.c */
+
+/** crash_note_answer - the worker has answered a call that was sent at @sent
+ */
+void crash_note_answer (cell_t *c, cworker_t *w, gl_ms_t sent);
+/** crash_note_restart - the worker has restarted: find the runs that may have
+    crashed it; called before its tasks are unbound */
+void crash_note_restart (cell_t *c, const cworker_t *w);
+/** crash_note_start - the task is started on the worker that it is bound to */
+void crash_note_start (cell_t *c, const cstep_t *s, uint32_t index);
+/** crash_recount - tasks of the job have been done or restored */
+void crash_recount (cell_t *c, cjob_t *j);
+/** crash_holds - 1 if the task may not be started now, since others of its job
+    have to be started before */
+int crash_holds (const cell_t *c, const cstep_t *s, uint32_t index);
+/** crash_allows - 1 if the step may use the worker, as far as crashes go */
+int crash_allows (const cell_t *c, const cstep_t *s, int worker);
+/** crash_is_suspect - 1 if the step's job is suspected of crashing workers */
+int crash_is_suspect (const cell_t *c, const cstep_t *s);
+/** crash_plan_begin - a planning pass begins */
+void crash_plan_begin (cell_t *c);
+/** crash_tick - poll workers of probing runs, and fail jobs */
+void crash_tick (cell_t *c);
+/** crash_encode - append the job's crash records to its encoded task records,
+ *@value of *@len bytes; -1 without memory */
+int crash_encode (cell_t *c, const cjob_t *j, char **value, size_t *len);
+/** crash_restore - set the counts from the records that follow the job's task
+    records, if there are any */
+void crash_restore (cell_t *c, cjob_t *j, const char *data, size_t len);
+
 /* cellroom.c */
 
 /** room_for - how many tasks of the step the worker has room for now */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -558,6 +558,7 @@
 {
   cjob_t *j = cjob_find (c, item->key + strlen ("gl/p/"));
   gl_progress_t p;
+  size_t used;
 
   memset (&p, 0, sizeof p);
   if (!j)
@@ -568,6 +569,9 @@
       return;
     }
   cjob_restore (c, j, &p);
+  used = xdr_sizeof ((xdrproc_t)xdr_gl_progress_t, &p);
+  if (item->len > used)
+    crash_restore (c, j, item->value + used, item->len - used);
   j->records_revision = item->revision;
   codec_free ((xdrproc_t)xdr_gl_progress_t, &p);
 }
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -51,7 +51,8 @@
 
 /* ---- placement ---- */
 
-/* Whether worker @a suits the step better than @b: one on the wanted rack
+/* Whether worker @a suits the step better than @b: for a suspect step, the one
+   on which a crash ends fewer runs; else one on the wanted rack
    first, then one with room that is not reserved for others, then the faster
    one, then the one with fewer free processors. */
 static int
@@ -62,6 +63,8 @@
   int rack_diff = room_on_wanted_rack (x, s) - room_on_wanted_rack (y, s);
   int speed_diff = health_speed_class (x) - health_speed_class (y);
 
+  if (x->ntasks != y->ntasks && crash_is_suspect (c, s))
+    return x->ntasks < y->ntasks;
   if (rack_diff)
     return rack_diff > 0;
   if (x->nreservations || y->nreservations)
@@ -130,7 +133,7 @@
       ctask_t *t = &s->tasks[i];
       int w;
 
-      if (!may_start (c, t))
+      if (!may_start (c, t) || crash_holds (c, s, i))
         continue;
       if (flow_is_behind (c))
         {
@@ -206,7 +209,8 @@
   char checkpoint[sizeof s->tasks->checkpoint] = "";
   int bound = 0;
 
-  if (s->nwaiting < s->def->count || flow_is_behind (c))
+  if (s->nwaiting < s->def->count || flow_is_behind (c)
+      || crash_holds (c, s, 0))
     return;
   for (uint32_t i = 0; i < s->def->count; i++)
     {
@@ -452,6 +456,7 @@
   c->planned_at = c->now;
   drop_placed_steps (c);
   reserve_pass (c);
+  crash_plan_begin (c);
   c->scans_left = SCANS_PER_PASS - SCANS_BY_TURN;
   for (size_t i = 0; i < c->waiting.n; i++)
     {
@@ -505,4 +510,5 @@
   for (int i = 0; i < c->nvms; i++)
     c->vms[i].busy_ms = 0;
   c->waiting.n = 0;
+  c->to_fail.n = 0;
 }
--- a/src/cellroom.c
+++ b/src/cellroom.c
@@ -121,7 +121,7 @@
   if (q->priority > 0 && !s->def->gang && !s->starved)
     room.cpus_m -= (int)(w->info.capacity.cpus_m * PRIORITY0_CPU_SHARE);
   n = tasks_that_fit (s, &room);
-  if (!n || !is_eligible (c, s, q, w))
+  if (!n || !is_eligible (c, s, q, w) || !crash_allows (c, s, worker))
     return 0;
   if (q->priority > 0 && w->nreservations)
     {
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -180,7 +180,7 @@
   cjob_records (c, j, &records);
   p->value = codec_encode ((xdrproc_t)xdr_gl_progress_t, &records, &p->len);
   codec_free ((xdrproc_t)xdr_gl_progress_t, &records);
-  return p->value ? 0 : -1;
+  return p->value ? crash_encode (c, j, &p->value, &p->len) : -1;
 }
 
 static int
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -148,6 +148,8 @@
   w->dead = 1;
   census_set_accounted (c, w);
   cell_log (c, "worker_dead id=%s why=%s tasks=%d", w->info.id, why, n);
+  if (w->restarted_at)
+    crash_note_restart (c, w);
   while (w->ntasks)
     {
       ctask_handle_t ref = w->tasks[w->ntasks - 1];
@@ -364,6 +366,7 @@
   k->timeout
       += flow_send (c, CALL_BYTES + (k->payload ? strlen (k->payload) : 0));
   poll_task_started (c, s, t);
+  crash_note_start (c, s, index);
   cell_log (c, "start task=%s run=%u worker=%s wait_ms=%llu", k->task, t->run,
             w->info.id, (unsigned long long)(c->now - s->ready_at));
 }
@@ -781,7 +784,11 @@
   if (k->status == CELL_W_REFUSED)
     w->avoid_until = c->now + REFUSED_AVOID_MS;
   if (k->status == CELL_W_RESTARTED)
-    worker_restarted (c, w);
+    {
+      if (is_current)
+        t->survived = 1;
+      worker_restarted (c, w);
+    }
   else if (is_current && (t->state == CT_STARTING || t->state == CT_STOPPING))
     {
       if (k->status == CELL_W_BAD_TICKET)
@@ -866,6 +873,8 @@
     start_result (c, w, k);
   else
     stop_result (c, w, k);
+  if (k->worker_clock)
+    crash_note_answer (c, w, k->sent_at);
   if (c->role == CR_OWNER && !c->releasing)
     worker_tick (c, w);
 }
@@ -968,5 +977,6 @@
         recheck_dead (c, &c->workers[i]);
       worker_tick (c, &c->workers[i]);
     }
+  crash_tick (c);
   census_log (c);
 }
