--- a/src/cellint.h
+++ b/src/cellint.h
@@ -170,7 +170,7 @@
  * @seen_at: when its run was first known to have begun, 0 before
  * @survived: the run has survived its start, or never began; see cellcrash.c
  * @crashes, @sole_crashes, @crashed_run: runs since one survived under which
- *   workers crashed, those that must be the cause, and the last; see cellcrash.c
+ *   workers crashed, those that must be the cause, and the last of them
  * @checkpoint: name of its last checkpoint, "" for none
  */
 typedef struct
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -17,6 +17,7 @@
 {
 #include "ask.h"
 #include "codec.h"
+#include "gl_cell.h"
 #include "conf.h"
 #include "fault.h"
 #include "gentianlatch.h"
@@ -244,6 +245,50 @@
   free (good);
 }
 
+/* A job's crash records follow its task records.  A version that does not know
+   them reads the task records as before, and one that does reads task records
+   without them. */
+TEST (Codec, CrashRecordsFollowTaskRecords)
+{
+  gl_task_record_t task{};
+  gl_progress_t progress{};
+  gl_crash_record_t crash{ 0, 1, 2, 3, 1 };
+  gl_crashes_t crashes{};
+  size_t len;
+  size_t more;
+
+  task.step = 1;
+  task.index = 2;
+  task.run = 4;
+  task.checkpoint = (char *)"c1";
+  progress.tasks.tasks_len = 1;
+  progress.tasks.tasks_val = &task;
+  crashes.tasks.tasks_len = 1;
+  crashes.tasks.tasks_val = &crash;
+  char *head = codec_encode ((xdrproc_t)xdr_gl_progress_t, &progress, &len);
+  char *tail = codec_encode ((xdrproc_t)xdr_gl_crashes_t, &crashes, &more);
+  std::string whole = std::string (head, len) + std::string (tail, more);
+  gl_progress_t old{};
+  gl_crashes_t read{};
+
+  ASSERT_EQ (0, codec_decode ((xdrproc_t)xdr_gl_progress_t, &old,
+                              whole.data (), whole.size ()));
+  ASSERT_EQ (1u, old.tasks.tasks_len);
+  EXPECT_EQ (4u, old.tasks.tasks_val[0].run);
+  EXPECT_STREQ ("c1", old.tasks.tasks_val[0].checkpoint);
+  size_t used = xdr_sizeof ((xdrproc_t)xdr_gl_progress_t, &old);
+  EXPECT_EQ (len, used);
+  ASSERT_EQ (0, codec_decode ((xdrproc_t)xdr_gl_crashes_t, &read,
+                              whole.data () + used, whole.size () - used));
+  ASSERT_EQ (1u, read.tasks.tasks_len);
+  EXPECT_EQ (3u, read.tasks.tasks_val[0].crashes);
+  EXPECT_EQ (1u, read.tasks.tasks_val[0].sole);
+  codec_free ((xdrproc_t)xdr_gl_progress_t, &old);
+  codec_free ((xdrproc_t)xdr_gl_crashes_t, &read);
+  free (head);
+  free (tail);
+}
+
 /* ---- placement, compared with a search of all workers ---- */
 
 TEST (Place, FindsAWorkerExactlyWhenOneFits)
