The wait of a suspect gang for isolation is bounded

A suspect gang needs several workers without other suspects at the same time, which a busy cell may not have for long. After 1.5 s in which nothing of its job ran it is started as other gangs are; its crashes then count as joint ones, and the fourth still fails the job.

--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -40,6 +40,9 @@
 /* The same for those that were the only suspects of a crash. */
 #define WORKERS_PER_SOLE_PROBE 8
 #define SOLE_PROBES_MIN 1
+/* A suspect gang of a job of which nothing has run for this long is started
+   without isolation: it needs several such workers at the same time. */
+#define GANG_WAIT_MS 1500
 /* Lines logged for the suspects of one crash. */
 #define SUSPECT_LINES_MAX 8
 
@@ -288,7 +291,7 @@
 
   if (probed)
     return probed == s->job;
-  if (!j->nsuspects)
+  if (!j->nsuspects || (s->def->gang && c->now > j->idle_since + GANG_WAIT_MS))
     return 1;
   return !has_exposed (c, w, s->job, 1)
          && (s->def->gang || !is_probed_elsewhere (c, s->job, w))
