--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -128,11 +128,13 @@
 static void
 log_run_lost (cell_t *c, const cworker_t *w, const cstep_t *s, uint32_t index)
 {
+  const ctask_t *t = &s->tasks[index];
   char name[CELL_NAME_SIZE];
 
   ctask_name (c, s, index, name);
-  cell_log (c, "run_lost task=%s run=%u worker=%s", name, s->tasks[index].run,
-            w->info.id);
+  cell_log (c, "run_lost task=%s run=%u worker=%s state=%d age_ms=%llu", name,
+            t->run, w->info.id, t->state,
+            (unsigned long long)(c->now - t->sent_at));
 }
 
 /* Time since @at; -1 if that is 0, for never. */
@@ -157,6 +159,8 @@
             "answered_ms=%lld missed_polls=%u",
             w->info.id, why, n, age_ms (c, w->lease_sent_at),
             age_ms (c, w->clock_at), w->missed_polls);
+  if (w->restarted_at)
+    crash_note_restart (c, w);
   while (w->ntasks)
     {
       ctask_handle_t ref = w->tasks[w->ntasks - 1];
@@ -377,6 +381,7 @@
   k->timeout
       += flow_send (c, CALL_BYTES + (k->payload ? strlen (k->payload) : 0));
   poll_task_started (c, s, t);
+  crash_note_start (c, s, index);
   cell_log (c, "start task=%s run=%u worker=%s wait_ms=%llu", k->task, t->run,
             w->info.id, (unsigned long long)(c->now - s->ready_at));
 }
@@ -705,7 +710,11 @@
   if (k->status == CELL_W_REFUSED)
     w->avoid_until = c->now + REFUSED_AVOID_MS;
   if (k->status == CELL_W_RESTARTED)
-    worker_restarted (c, w);
+    {
+      if (is_current)
+        t->survived = 1;
+      worker_restarted (c, w);
+    }
   else if (is_current && (t->state == CT_STARTING || t->state == CT_STOPPING))
     {
       if (k->status == CELL_W_BAD_TICKET)
@@ -793,6 +802,8 @@
     start_result (c, w, k);
   else
     stop_result (c, w, k);
+  if (k->worker_clock)
+    crash_note_answer (c, w, k->sent_at);
   if (c->role == CR_OWNER && !c->releasing)
     worker_tick (c, w);
 }
@@ -896,5 +907,6 @@
         recheck_dead (c, &c->workers[i]);
       worker_tick (c, &c->workers[i]);
     }
+  crash_tick (c);
   census_log (c);
 }
