Scripted runs of workers whose capacity shrinks and grows

A worker's capacity may change while it runs. The test world had constant capacities only, so nothing showed what reservations, waiting gangs, starts in flight, tickets and a new owner make of a change.

--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -51,6 +51,7 @@
  *   worker N reachable|listed|unanswered|fails_all|hangs 0|1
  *   worker N late|stops_in|leaves_in MS
  *   worker N slow FACTOR           see struct Worker
+ *   worker N capacity CPUS_M MEM_MB   see World::set_capacity
  *   poison TASK                    all runs of the task fail
  *   peers PHASE                    forwarded requests are answered with this
  *                                  phase, whatever it is
@@ -189,6 +190,13 @@
       x.stop_ms = (gl_ms_t)arg;
     else if (what == "leaves_in")
       w->announce_leaving (i, (uint32_t)arg);
+    else if (what == "capacity")
+      {
+        int memory_mb = 0;
+
+        in >> memory_mb;
+        w->set_capacity (i, { arg, memory_mb, 0 });
+      }
     else if (what == "show")
       out.push_back (std::string (x.info.id) + " runs "
                      + std::to_string (x.running.size ()));
