A new owner takes no capacity from a worker's record

What was seen: an owner that was started while a worker's registration had lapsed filled the worker up to its capacity at the time of its enrolment. In the scripted run, two workers that had shrunk from 8 to 2 processors were given 8 tasks of 1.5 and 2 of 6 processors (LIMIT).

Cause: a record is written once, before the first task, and is not written again when the registration changes. A worker that is known from its record only counts as usable for 2 s, like one whose registration has just lapsed.

The capacity is now taken from registrations only. Until a worker has registered again, it has room for nothing; its runs are polled, and its leases renewed, as before. A VM that has seen the registration itself goes on with the capacity that it has seen. Writing the record again at each change was the other way: it costs a write for each, and misses changes while nobody owns the cell.

--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -73,7 +73,6 @@
       cell_strcpy (info.addr, record.addr);
       cell_strcpy (info.domain, record.domain);
       cell_strcpy (info.service, record.service);
-      info.capacity = record.capacity;
       while (info.nlabels < (int)record.labels.labels_len
              && info.nlabels < CELL_LABELS_MAX)
         {
@@ -81,6 +80,8 @@
                        record.labels.labels_val[info.nlabels]);
           info.nlabels++;
         }
+      /* The capacity in the record may be larger than what the worker has now.
+         It takes no tasks until its registration tells its capacity. */
       w = cworker_add (c, &info);
       if (w)
         w->unregistered_at = c->now;
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -384,7 +384,8 @@
 
 /**
  * struct cworker_t - one incarnation of a worker
- * @info: its latest registration, or the record by an earlier owner
+ * @info: its latest registration, or the record by an earlier owner without
+ *   the capacity
  * @rack: index of its rack in struct cell
  * @used: resources of the tasks that are bound to it
  * @registered, @unregistered_at: its registration is in the store, else since
