Start nothing on a worker that uses more of some resource than it has

Cause: room is compared resource by resource, and a resource that the task does not need was not looked at. With constant capacities none can be negative.

A worker with a negative remainder in any resource now has no room, for starts (cellroom.c) and for the expected room of gangs (cellhold.c); otherwise a gang could reserve room there that it may not use yet. That last part is by reading, no run shows it.

The scripted run shrunk-worker-takes-no-task-without-processors failed before and is out of the known red.

--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -162,18 +162,25 @@
 
 /* ---- expected room ---- */
 
-/* How many tasks with @need fit into @room, at most @max. */
+/* How many tasks with @need fit beside @reserved on a worker with @unused
+   resources, at most @max. */
 static int
-tasks_that_fit (const gl_res_t *need, const gl_res_t *room, int max)
+tasks_that_fit (const gl_res_t *need, const gl_res_t *unused,
+                const gl_res_t *reserved, int max)
 {
+  gl_res_t room = { unused->cpus_m - reserved->cpus_m,
+                    unused->memory_mb - reserved->memory_mb,
+                    unused->accels - reserved->accels };
   int n = max;
 
-  if (need->cpus_m > 0 && room->cpus_m / need->cpus_m < n)
-    n = room->cpus_m / need->cpus_m;
-  if (need->memory_mb > 0 && room->memory_mb / need->memory_mb < n)
-    n = room->memory_mb / need->memory_mb;
-  if (need->accels > 0 && room->accels / need->accels < n)
-    n = room->accels / need->accels;
+  if (room_is_overcommitted (unused))
+    return 0;
+  if (need->cpus_m > 0 && room.cpus_m / need->cpus_m < n)
+    n = room.cpus_m / need->cpus_m;
+  if (need->memory_mb > 0 && room.memory_mb / need->memory_mb < n)
+    n = room.memory_mb / need->memory_mb;
+  if (need->accels > 0 && room.accels / need->accels < n)
+    n = room.accels / need->accels;
   return n > 0 ? n : 0;
 }
 
@@ -214,13 +221,10 @@
 {
   const cworker_t *w = &c->workers[worker];
   gl_res_t reserved = reserved_by_others (c, s, worker);
-  gl_res_t room
-      = { w->info.capacity.cpus_m - w->used.cpus_m - reserved.cpus_m,
-          w->info.capacity.memory_mb - w->used.memory_mb - reserved.memory_mb,
-          w->info.capacity.accels - w->used.accels - reserved.accels };
+  gl_res_t unused = room_unused (w);
   ending_t e[ENDINGS_MAX];
   int max = (int)s->def->count;
-  int fitting = tasks_that_fit (&s->def->need, &room, max);
+  int fitting = tasks_that_fit (&s->def->need, &unused, &reserved, max);
   int n = 0;
   int m;
 
@@ -231,10 +235,10 @@
     {
       int fitting_then;
 
-      room.cpus_m += e[i].need.cpus_m;
-      room.memory_mb += e[i].need.memory_mb;
-      room.accels += e[i].need.accels;
-      fitting_then = tasks_that_fit (&s->def->need, &room, max);
+      unused.cpus_m += e[i].need.cpus_m;
+      unused.memory_mb += e[i].need.memory_mb;
+      unused.accels += e[i].need.accels;
+      fitting_then = tasks_that_fit (&s->def->need, &unused, &reserved, max);
       while (n < fitting_then)
         out[n++] = (offer_t){ 0, e[i].when, worker };
     }
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -299,6 +299,12 @@
 
 /* cellroom.c */
 
+/** room_unused - capacity that the worker's tasks do not use; negative in a
+    resource of which they use more than it has now, because it has shrunk */
+gl_res_t room_unused (const cworker_t *w);
+/** room_is_overcommitted - 1 if @unused is negative in some resource: no task
+    is started on such a worker, whatever it needs */
+int room_is_overcommitted (const gl_res_t *unused);
 /** room_for - how many tasks of the step the worker has room for now */
 int room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
               int worker);
--- a/src/cellroom.c
+++ b/src/cellroom.c
@@ -58,6 +58,20 @@
   return n > 0 ? n : 0;
 }
 
+gl_res_t
+room_unused (const cworker_t *w)
+{
+  return (gl_res_t){ w->info.capacity.cpus_m - w->used.cpus_m,
+                     w->info.capacity.memory_mb - w->used.memory_mb,
+                     w->info.capacity.accels - w->used.accels };
+}
+
+int
+room_is_overcommitted (const gl_res_t *unused)
+{
+  return unused->cpus_m < 0 || unused->memory_mb < 0 || unused->accels < 0;
+}
+
 /* Whether the step may use the worker, regardless of room. */
 static int
 is_eligible (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
@@ -81,10 +95,8 @@
                  int worker)
 {
   const cworker_t *w = &c->workers[worker];
-  gl_res_t room = { w->info.capacity.cpus_m - w->used.cpus_m,
-                    w->info.capacity.memory_mb - w->used.memory_mb,
-                    w->info.capacity.accels - w->used.accels };
-  int n = tasks_that_fit (s, &room);
+  gl_res_t room = room_unused (w);
+  int n = room_is_overcommitted (&room) ? 0 : tasks_that_fit (s, &room);
 
   return n && is_eligible (c, s, q, w) ? n : 0;
 }
@@ -113,11 +125,11 @@
 room_for (const cell_t *c, const cstep_t *s, const cell_queue_t *q, int worker)
 {
   const cworker_t *w = &c->workers[worker];
-  gl_res_t room = { w->info.capacity.cpus_m - w->used.cpus_m,
-                    w->info.capacity.memory_mb - w->used.memory_mb,
-                    w->info.capacity.accels - w->used.accels };
+  gl_res_t room = room_unused (w);
   int n;
 
+  if (room_is_overcommitted (&room))
+    return 0;
   if (q->priority > 0 && !s->def->gang && !s->starved)
     room.cpus_m -= (int)(w->info.capacity.cpus_m * PRIORITY0_CPU_SHARE);
   n = tasks_that_fit (s, &room);
