fuzz_cell: workers that shrink and grow again

Step 38, in both lists of steps: a worker has fewer quarters of its processors and of its memory, or none, for 1 to 10 s. The older steps keep their numbers.

--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -872,7 +872,7 @@
   snprintf (f.labels[1], sizeof f.labels[1], "r%d", incarnations_ / 4);
   f.nlabels = 2;
   f.capacity = { 8000, 32768, 0 };
-  w.capacity = f.capacity;
+  w.capacity = w.full_capacity = f.capacity;
   workers.push_back (w);
   for (size_t i = 0; i < vms.size (); i++)
     if (vms[i].alive && !vms[i].frozen && reaches_store (i))
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -61,8 +61,9 @@
 /* One incarnation of a worker. */
 struct Worker
 {
-  cell_worker_t info{}; /* its registration */
-  gl_res_t capacity{};  /* registered within a heartbeat */
+  cell_worker_t info{};     /* its registration */
+  gl_res_t capacity{};      /* registered within a heartbeat */
+  gl_res_t full_capacity{}; /* at its start */
   std::vector<FormerCapacity> former_capacities;
   bool alive = true;
   bool reachable = true;
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -20,15 +20,15 @@
 
 /* Kinds of steps in a script, see Simulation::run_step.  Recorded scripts name
    them by number, so new ones are appended. */
-static const int KINDS = 38;
+static const int KINDS = 39;
 /* Scripts of a world from this number on run in a larger one, in which most of
    the time is without faults. */
 static const uint64_t CALM_WORLDS = 1000000;
 /* The kinds of steps of their scripts; one that is named twice is twice as
    frequent. */
 static const int CALM_KINDS[]
-    = { 0,  1,  2,  3,  4,  8,  9,  12, 22, 26, 26, 27,
-        28, 29, 29, 30, 30, 31, 31, 32, 34, 34, 35, 37 };
+    = { 0,  1,  2,  3,  4,  8,  9,  12, 22, 26, 26, 27, 28,
+        29, 29, 30, 30, 31, 31, 32, 34, 34, 35, 37, 38 };
 static const int CALM_GAP_MAX_MS = 2500;
 static const int CALM_STEPS_MAX = 24;
 /* In one world in this many, links are slow: bytes a ms, and bytes of a job's
@@ -50,6 +50,9 @@
 static const gl_ms_t START_MAX_MS = 1500;
 /* A VM that is stopped again is so within this time after its return. */
 static const gl_ms_t STOP_AGAIN_MAX_MS = 400;
+/* Shortest time for which a worker is smaller, and what may be added to it. */
+static const gl_ms_t SHRUNK_MIN_MS = 1000;
+static const gl_ms_t SHRUNK_MORE_MS = 9000;
 /* Submissions during planned stops, and the longest time between two. */
 static const int STOP_SUBMISSIONS = 12;
 static const gl_ms_t STOP_SUBMISSION_GAP_MS = 600;
@@ -231,6 +234,20 @@
           [=, this] { w.set_registered ((int)worker, false); });
   }
 
+  /* A worker has fewer quarters of its processors and of its memory, or none,
+     for a while. */
+  void
+  shrink_worker (size_t worker, uint32_t arg)
+  {
+    const gl_res_t full = w.workers[worker].full_capacity;
+
+    w.set_capacity ((int)worker,
+                    { full.cpus_m / 4 * (int)(arg / 16 % 4),
+                      full.memory_mb / 4 * (int)(arg / 64 % 5), 0 });
+    plan (SHRUNK_MIN_MS + arg / 512 % SHRUNK_MORE_MS,
+          [=, this] { w.set_capacity ((int)worker, full); });
+  }
+
   /* The owner loses the store, and alone reaches a worker; soon after, the
      store is away from all VMs for a while. */
   void
@@ -385,6 +402,8 @@
       stop_beside_isolated (w.vms[(size_t)vm].domain, s.arg);
     else if (s.kind == 37)
       stop_all (s.arg, s.arg / 8 % 2, vm);
+    else if (s.kind == 38)
+      shrink_worker (worker, s.arg);
     run ((gl_ms_t)s.gap);
   }
 };
