Stop members of a later run when a gang is done by an earlier one

What callers would see: a worker filled beyond its capacity, and a run that nobody stops. Cause: whether the end is of another run was asked of the member whose end arrived only. If that one waits, the later runs of the others counted as members of the done run: not stopped, and their room free with the next poll that did not list them, although a start was on its way. Evidence: done-end-while-a-member-of-a-gang-waits.txt failed before with w3 over its capacity and still running. Found by review. Each member is asked now. A surplus run that was counted as gone and is listed again is an unknown run, which is stopped; that is by reading.

--- a/src/celljob.c
+++ b/src/celljob.c
@@ -466,11 +466,12 @@
   cworker_stop (c, s, index);
 }
 
-/* A gang is done as soon as one member has ended successfully.  The other
-   members stay bound until their workers no longer list them; those of another
-   run than the one that ended are stopped (@elsewhere). */
+/* A gang is done as soon as one member of run @run has ended successfully. The
+   other members stay bound until their workers no longer list them; those of
+   another run than the one that ended (all of them if @elsewhere) are
+   stopped. */
 static void
-gang_done (cell_t *c, cstep_t *s, uint32_t ended, int elsewhere)
+gang_done (cell_t *c, cstep_t *s, uint32_t ended, uint32_t run, int elsewhere)
 {
   if (!elsewhere)
     task_set_done (c, s, ended);
@@ -478,7 +479,7 @@
     {
       ctask_t *t = &s->tasks[i];
 
-      if (elsewhere || t->worker < 0 || t->state == CT_DONE)
+      if (elsewhere || t->worker < 0 || t->state == CT_DONE || t->run != run)
         {
           task_done_elsewhere (c, s, i);
           continue;
@@ -578,6 +579,9 @@
     {
       if (t->worker >= 0)
         ctask_unbind (c, s, index);
+      /* If it is ever listed again, it is an unknown run. */
+      if (t->surplus)
+        t->run = 0;
       return j->version;
     }
   if (checkpoint && checkpoint[0] && strcmp (checkpoint, t->checkpoint))
@@ -592,7 +596,7 @@
     {
       c->counters.ends_done++;
       if (s->def->gang)
-        gang_done (c, s, index, elsewhere);
+        gang_done (c, s, index, run, elsewhere);
       else if (elsewhere)
         task_done_elsewhere (c, s, index);
       else
