An answer of another incarnation does not clear a suspect

What callers would see: workers that are crashed without end. Cause: any answer with a clock counted as a sign that the worker had survived a run, also the refusal by the incarnation that came after the crash. The emulator's refusals had no clock; with one, five scripts of deadly tasks failed. Found by review.

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -802,7 +802,8 @@
     start_result (c, w, k);
   else
     stop_result (c, w, k);
-  if (k->worker_clock)
+  /* Another incarnation's answer does not say that this one lives. */
+  if (k->worker_clock && k->status != CELL_W_RESTARTED)
     crash_note_answer (c, w, k->sent_at);
   if (c->role == CR_OWNER && !c->releasing)
     worker_tick (c, w);
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1382,6 +1382,7 @@
     if (strcmp (w->info.id, c->k.worker_id))
       {
         c->k.status = CELL_W_RESTARTED;
+        c->k.worker_clock = now;
         schedule (NET_MS, answer);
         return;
       }
