Workers that go down together are no evidence against a task

What callers would see: a job that could be done and is shown as failed. Cause: a task that ran alone on its worker got a sole crash from each loss of power of its rack, and two failed its job. Found by review. A crash is not put down to one job while two other workers of the rack are away, or were found restarted within 2 s.

--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -43,6 +43,10 @@
 /* A suspect gang of a job of which nothing has run for this long is started
    without isolation: it needs several such workers at the same time. */
 #define GANG_WAIT_MS 1500
+/* A crash is not put down to one job when so many other workers of the rack
+   are away, or were found restarted within this span. */
+#define RACK_AWAY_MIN 2
+#define RACK_SPAN_MS 2000
 /* Lines logged for the suspects of one crash. */
 #define SUSPECT_LINES_MAX 8
 
@@ -100,21 +104,22 @@
 
 static void
 note_crash (cell_t *c, const cworker_t *w, cstep_t *s, uint32_t index,
-            int sole, int log)
+            uint32_t run, int sole, int log)
 {
   ctask_t *t = counted_task (s, index);
   cjob_t *j = cstep_job (c, s);
   char name[CELL_NAME_SIZE];
 
   c->counters.crash_suspects++;
-  if (!t->crashes || t->crashed_run != s->tasks[index].run)
+  if (!t->crashes || t->crashed_run != run)
     {
       t->crashes++;
       t->sole_crashes += (uint32_t)sole;
-      t->crashed_run = s->tasks[index].run;
+      t->crashed_run = run;
       j->version++;
       j->nsuspects++;
       crash_recount (c, j);
+      save_job (c, j, 1);
     }
   if (log)
     {
@@ -122,37 +127,67 @@
       cell_log (c,
                 "crash_suspect task=%s run=%u worker=%s sole=%d crashes=%u "
                 "sole_crashes=%u",
-                name, s->tasks[index].run, w->info.id, sole, t->crashes,
-                t->sole_crashes);
+                name, run, w->info.id, sole, t->crashes, t->sole_crashes);
     }
   if (is_to_fail (t))
     handles_add (&c->to_fail, j->self);
 }
 
-void
-crash_note_restart (cell_t *c, const cworker_t *w)
+/* Whether several workers of the rack are away together, as when it loses
+   power: their crashes have a cause of their own. */
+static int
+is_rack_away (const cell_t *c, const cworker_t *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      const cworker_t *o = &c->workers[i];
+
+      if (o == w || o->rack != w->rack)
+        continue;
+      n += (!o->dead && (o->silent || o->restarted_at))
+           || (o->crashed_at && c->now - o->crashed_at < RACK_SPAN_MS);
+    }
+  return n >= RACK_AWAY_MIN;
+}
+
+/* Whether all runs that the worker may not have survived are of one job. */
+static int
+is_of_one_job (const cell_t *c, const cworker_t *w)
 {
   handle_t job = 0;
-  int sole = 1;
-  int lines = 0;
 
-  if (w->info.leaving)
-    return;
   for (int i = 0; i < w->ntasks; i++)
     {
       const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
 
       if (!is_exposed (&s->tasks[w->tasks[i].index]))
         continue;
-      sole &= !job || job == s->job;
+      if (job && job != s->job)
+        return 0;
       job = s->job;
     }
+  return 1;
+}
+
+void
+crash_note_restart (cell_t *c, cworker_t *w)
+{
+  int lines = 0;
+  int sole;
+
+  if (w->info.leaving)
+    return;
+  w->crashed_at = c->now;
+  sole = is_of_one_job (c, w) && !is_rack_away (c, w);
   for (int i = 0; i < w->ntasks; i++)
     {
       cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
+      uint32_t index = w->tasks[i].index;
 
-      if (is_exposed (&s->tasks[w->tasks[i].index]))
-        note_crash (c, w, s, w->tasks[i].index, sole,
+      if (is_exposed (&s->tasks[index]))
+        note_crash (c, w, s, index, s->tasks[index].run, sole,
                     lines++ < SUSPECT_LINES_MAX);
     }
 }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -446,6 +446,7 @@
  *   are done but that it may still list as running
  * @probed_job: the suspect job that was last started there, 0 for none
  * @probe_polled: it was polled to learn whether that run has survived
+ * @crashed_at: when it was found restarted, 0 if it was not
  * @reservations, @nreservations: room reserved on it for gangs
  */
 typedef struct
@@ -490,6 +491,7 @@
   int captasks;
   handle_t probed_job;
   int probe_polled;
+  gl_ms_t crashed_at;
   creservation_t reservations[CELL_RESERVATIONS_MAX];
   int nreservations;
 } cworker_t;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -313,7 +313,7 @@
 void crash_note_answer (cell_t *c, cworker_t *w, gl_ms_t sent);
 /** crash_note_restart - the worker has restarted: find the runs that may have
     crashed it; called before its tasks are unbound */
-void crash_note_restart (cell_t *c, const cworker_t *w);
+void crash_note_restart (cell_t *c, cworker_t *w);
 /** crash_note_start - the task is started on the worker that it is bound to */
 void crash_note_start (cell_t *c, const cstep_t *s, uint32_t index);
 /** crash_recount - tasks of the job have been done or restored */
