Crashes count of workers that are away for longer than their lease

What callers would see: a task that crashes worker after worker, without end, if these take more than four seconds to return. Cause: such a worker is given up by its lease first, which unbinds its runs; that it has restarted was found out later, and told nothing. Found by review. The runs that a worker may not have survived are kept when it is given up, and it is asked for 10 s whether it has restarted. By reading: a suspect gang waits for isolation from when its step is ready, since after a takeover the job has no time since when it is idle.

--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -47,6 +47,9 @@
    are away, or were found restarted within this span. */
 #define RACK_AWAY_MIN 2
 #define RACK_SPAN_MS 2000
+/* For this long after a worker was given up by its lease it is asked whether
+   it has restarted. */
+#define LAPSED_ASK_MS 10000
 /* Lines logged for the suspects of one crash. */
 #define SUSPECT_LINES_MAX 8
 
@@ -192,6 +195,44 @@
     }
 }
 
+void
+crash_note_lapse (cell_t *c, cworker_t *w)
+{
+  w->nlapsed_runs = 0;
+  w->lapsed_at = c->now;
+  w->lapsed_sole = is_of_one_job (c, w) && !is_rack_away (c, w);
+  for (int i = 0; i < w->ntasks && w->nlapsed_runs < CELL_LAPSED_RUNS_MAX; i++)
+    {
+      const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
+      const ctask_t *t = &s->tasks[w->tasks[i].index];
+
+      if (is_exposed (t) && !w->info.leaving)
+        w->lapsed_runs[w->nlapsed_runs++]
+            = (clapsed_run_t){ w->tasks[i], t->run };
+    }
+}
+
+int
+crash_wants_answer (const cell_t *c, const cworker_t *w)
+{
+  return w->nlapsed_runs && c->now < w->lapsed_at + LAPSED_ASK_MS;
+}
+
+void
+crash_note_late_restart (cell_t *c, cworker_t *w)
+{
+  for (int i = 0; i < w->nlapsed_runs; i++)
+    {
+      const clapsed_run_t *r = &w->lapsed_runs[i];
+      cstep_t *s = pool_get (&c->steps, r->task.step);
+      const ctask_t *t = s ? &s->tasks[r->task.index] : NULL;
+
+      if (t && t->state != CT_DONE && (t->worker < 0 || !t->survived))
+        note_crash (c, w, s, r->task.index, r->run, w->lapsed_sole, 1);
+    }
+  w->nlapsed_runs = 0;
+}
+
 /* Fail the jobs that have crashed workers too often. */
 static void
 fail_jobs (cell_t *c)
@@ -326,7 +367,9 @@
 
   if (probed)
     return probed == s->job;
-  if (!j->nsuspects || (s->def->gang && c->now > j->idle_since + GANG_WAIT_MS))
+  if (!j->nsuspects
+      || (s->def->gang && c->now > j->idle_since + GANG_WAIT_MS
+          && c->now > s->ready_at + GANG_WAIT_MS))
     return 1;
   return !has_exposed (c, w, s->job, 1)
          && (s->def->gang || !is_probed_elsewhere (c, s->job, w))
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -386,6 +386,18 @@
   uint32_t index;
 } ctask_handle_t;
 
+/* Most runs that are kept of a worker given up by its lease, see cellcrash.c.
+ */
+#define CELL_LAPSED_RUNS_MAX 8
+
+/** struct clapsed_run_t - a run that may have crashed a worker which was given
+    up by its lease */
+typedef struct
+{
+  ctask_handle_t task;
+  uint32_t run;
+} clapsed_run_t;
+
 /**
  * struct cunacked_t - an end that is not acknowledged to its worker yet
  * @seq: number of the end in the worker's reports
@@ -447,6 +459,9 @@
  * @probed_job: the suspect job that was last started there, 0 for none
  * @probe_polled: it was polled to learn whether that run has survived
  * @crashed_at: when it was found restarted, 0 if it was not
+ * @lapsed_runs, @nlapsed_runs, @lapsed_sole, @lapsed_at: runs that it had not
+ *   survived when it was given up by its lease, whether all were of one job,
+ *   and when that was
  * @reservations, @nreservations: room reserved on it for gangs
  */
 typedef struct
@@ -492,6 +507,10 @@
   handle_t probed_job;
   int probe_polled;
   gl_ms_t crashed_at;
+  clapsed_run_t lapsed_runs[CELL_LAPSED_RUNS_MAX];
+  int nlapsed_runs;
+  int lapsed_sole;
+  gl_ms_t lapsed_at;
   creservation_t reservations[CELL_RESERVATIONS_MAX];
   int nreservations;
 } cworker_t;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -314,6 +314,15 @@
 /** crash_note_restart - the worker has restarted: find the runs that may have
     crashed it; called before its tasks are unbound */
 void crash_note_restart (cell_t *c, cworker_t *w);
+/** crash_note_lapse - the worker is given up by its lease: keep the runs that
+    may have crashed it; called before its tasks are unbound */
+void crash_note_lapse (cell_t *c, cworker_t *w);
+/** crash_wants_answer - 1 if a worker that was given up is to be polled, to
+    learn whether it has restarted */
+int crash_wants_answer (const cell_t *c, const cworker_t *w);
+/** crash_note_late_restart - a worker that was given up by its lease has
+    restarted: the runs that were kept may have crashed it */
+void crash_note_late_restart (cell_t *c, cworker_t *w);
 /** crash_note_start - the task is started on the worker that it is bound to */
 void crash_note_start (cell_t *c, const cstep_t *s, uint32_t index);
 /** crash_recount - tasks of the job have been done or restored */
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -161,6 +161,8 @@
             age_ms (c, w->clock_at), w->missed_polls);
   if (w->restarted_at)
     crash_note_restart (c, w);
+  else
+    crash_note_lapse (c, w);
   while (w->ntasks)
     {
       ctask_handle_t ref = w->tasks[w->ntasks - 1];
@@ -588,6 +590,7 @@
 {
   w->dead = 0;
   w->restarted_at = 0;
+  w->nlapsed_runs = 0;
   w->silent = 0;
   w->lease_bound_at = c->now;
   cell_log (c, "worker_revived id=%s", w->info.id);
@@ -604,6 +607,8 @@
     worker_revive (c, w);
   else if (w->dead)
     {
+      if (k->status == CELL_W_RESTARTED)
+        crash_note_late_restart (c, w);
       w->poll_at = c->now + DEAD_POLL_MS;
       return;
     }
@@ -887,7 +892,8 @@
 static void
 recheck_dead (cell_t *c, cworker_t *w)
 {
-  if (w->dead && w->registered && c->now >= w->poll_at && !w->poll_tag)
+  if (w->dead && (w->registered || crash_wants_answer (c, w))
+      && c->now >= w->poll_at && !w->poll_tag)
     poll_worker (c, w, POLL_NO_WAIT_MS);
 }
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -56,6 +56,7 @@
  *   poison TASK                    all runs of the task fail
  *   deadly TASK|ID                 each start of the task, or of any task of
  *                                  the job, crashes its worker
+ *   deadly_away MIN MAX            how long workers are away after that
  *   logged EVENT                   print whether a VM has logged the event
  *   peers PHASE                    forwarded requests are answered with this
  *                                  phase, whatever it is
@@ -461,6 +462,8 @@
         in >> a;
         w->deadly.insert (a);
       }
+    else if (cmd == "deadly_away")
+      in >> w->away_min_ms >> w->away_max_ms;
     else if (cmd == "logged")
       {
         in >> a;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -52,11 +52,8 @@
 static const int PRIORITY0_SHARE = 10;
 /* A store whose calls take longer than this is slow. */
 static const gl_ms_t STORE_SLOW_MS = 20;
-/* A deadly task crashes its worker this long after its start; the worker is
-   back after a time between these two. */
+/* A deadly task crashes its worker this long after its start. */
 static const gl_ms_t DEADLY_MS = 10;
-static const gl_ms_t AWAY_MIN_MS = 3000;
-static const gl_ms_t AWAY_MAX_MS = 4000;
 /* A task under which so many workers have crashed may be given up, and a task
    under which CRASHES_MAX have may be started fewer times than that again. */
 static const int GIVE_UP_CRASHES = 2;
@@ -1256,7 +1253,7 @@
       for (size_t i = 0; i < workers.size (); i++)
         if (wid == workers[i].info.id)
           crash_worker_for (
-              (int)i, AWAY_MIN_MS + random () % (AWAY_MAX_MS - AWAY_MIN_MS));
+              (int)i, away_min_ms + random () % (away_max_ms - away_min_ms));
     });
 }
 
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -213,7 +213,10 @@
   std::set<std::string> failing_tasks; /* tasks whose runs all fail */
   std::set<std::string> deadly; /* each start of these tasks, or of any task of
                                    these jobs, crashes its worker */
-  int advisor_fails = 0;        /* this many consultations get no answer */
+  /* How long workers are away that a task has crashed. */
+  gl_ms_t away_min_ms = 3000;
+  gl_ms_t away_max_ms = 4000;
+  int advisor_fails = 0; /* this many consultations get no answer */
   double consult_base_ms = 10;
   int approve_one_in = 0; /* the advisor approves one worker in this many; 0:
                              three in four */
