The emulator's answers hold no reference to themselves

Each call to a worker left its closure behind, since it referred to itself: leaks that the address sanitizer reports. Delivery takes itself as an argument instead.

--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1289,8 +1289,7 @@
   };
   auto c = std::make_shared<Copy> ();
   uint64_t incarnation = vms[(size_t)i].incarnation;
-  auto again = std::make_shared<Fn> ();
-  auto answer = [=, this] {
+  auto deliver = [=, this] (auto &self) -> void {
     cell_event_t ev{};
 
     if (c->done || !vms[(size_t)i].alive
@@ -1299,7 +1298,7 @@
     /* What has arrived by then is read when the VM goes on. */
     if (vms[(size_t)i].frozen)
       {
-        schedule (TICK_MS, *again);
+        schedule (TICK_MS, [self] { self (self); });
         return;
       }
     for (auto &e : c->ends)
@@ -1316,7 +1315,8 @@
     step (i, ev);
   };
 
-  *again = answer;
+  auto answer = [deliver] { deliver (deliver); };
+
   c->k = call;
   size_t bytes = MESSAGE_BYTES + (call.payload ? strlen (call.payload) : 0);
   c->k.payload = nullptr;
