--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -43,6 +43,13 @@
 /* A suspect gang of a job of which nothing has run for this long is started
    without isolation: it needs several such workers at the same time. */
 #define GANG_WAIT_MS 1500
+/* A crash is not put down to one job when so many other workers of the rack
+   are away, or were found restarted within this span. */
+#define RACK_AWAY_MIN 2
+#define RACK_SPAN_MS 2000
+/* For this long after a worker was given up by its lease it is asked whether
+   it has restarted. */
+#define LAPSED_ASK_MS 10000
 /* Lines logged for the suspects of one crash. */
 #define SUSPECT_LINES_MAX 8
 
@@ -100,21 +107,22 @@
 
 static void
 note_crash (cell_t *c, const cworker_t *w, cstep_t *s, uint32_t index,
-            int sole, int log)
+            uint32_t run, int sole, int log)
 {
   ctask_t *t = counted_task (s, index);
   cjob_t *j = cstep_job (c, s);
   char name[CELL_NAME_SIZE];
 
   c->counters.crash_suspects++;
-  if (!t->crashes || t->crashed_run != s->tasks[index].run)
+  if (!t->crashes || t->crashed_run != run)
     {
       t->crashes++;
       t->sole_crashes += (uint32_t)sole;
-      t->crashed_run = s->tasks[index].run;
+      t->crashed_run = run;
       j->version++;
       j->nsuspects++;
       crash_recount (c, j);
+      save_job (c, j, 1);
     }
   if (log)
     {
@@ -122,41 +130,109 @@
       cell_log (c,
                 "crash_suspect task=%s run=%u worker=%s sole=%d crashes=%u "
                 "sole_crashes=%u",
-                name, s->tasks[index].run, w->info.id, sole, t->crashes,
-                t->sole_crashes);
+                name, run, w->info.id, sole, t->crashes, t->sole_crashes);
     }
   if (is_to_fail (t))
     handles_add (&c->to_fail, j->self);
 }
 
-void
-crash_note_restart (cell_t *c, const cworker_t *w)
+/* Whether several workers of the rack are away together, as when it loses
+   power: their crashes have a cause of their own. */
+static int
+is_rack_away (const cell_t *c, const cworker_t *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      const cworker_t *o = &c->workers[i];
+
+      if (o == w || o->rack != w->rack)
+        continue;
+      n += (!o->dead && (o->silent || o->restarted_at))
+           || (o->crashed_at && c->now - o->crashed_at < RACK_SPAN_MS);
+    }
+  return n >= RACK_AWAY_MIN;
+}
+
+/* Whether all runs that the worker may not have survived are of one job. */
+static int
+is_of_one_job (const cell_t *c, const cworker_t *w)
 {
   handle_t job = 0;
-  int sole = 1;
-  int lines = 0;
 
-  if (w->info.leaving)
-    return;
   for (int i = 0; i < w->ntasks; i++)
     {
       const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
 
       if (!is_exposed (&s->tasks[w->tasks[i].index]))
         continue;
-      sole &= !job || job == s->job;
+      if (job && job != s->job)
+        return 0;
       job = s->job;
     }
+  return 1;
+}
+
+void
+crash_note_restart (cell_t *c, cworker_t *w)
+{
+  int lines = 0;
+  int sole;
+
+  if (w->info.leaving)
+    return;
+  w->crashed_at = c->now;
+  sole = is_of_one_job (c, w) && !is_rack_away (c, w);
   for (int i = 0; i < w->ntasks; i++)
     {
       cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
+      uint32_t index = w->tasks[i].index;
 
-      if (is_exposed (&s->tasks[w->tasks[i].index]))
-        note_crash (c, w, s, w->tasks[i].index, sole,
+      if (is_exposed (&s->tasks[index]))
+        note_crash (c, w, s, index, s->tasks[index].run, sole,
                     lines++ < SUSPECT_LINES_MAX);
     }
 }
 
+void
+crash_note_lapse (cell_t *c, cworker_t *w)
+{
+  w->nlapsed_runs = 0;
+  w->lapsed_at = c->now;
+  w->lapsed_sole = is_of_one_job (c, w) && !is_rack_away (c, w);
+  for (int i = 0; i < w->ntasks && w->nlapsed_runs < CELL_LAPSED_RUNS_MAX; i++)
+    {
+      const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
+      const ctask_t *t = &s->tasks[w->tasks[i].index];
+
+      if (is_exposed (t) && !w->info.leaving)
+        w->lapsed_runs[w->nlapsed_runs++]
+            = (clapsed_run_t){ w->tasks[i], t->run };
+    }
+}
+
+int
+crash_wants_answer (const cell_t *c, const cworker_t *w)
+{
+  return w->nlapsed_runs && c->now < w->lapsed_at + LAPSED_ASK_MS;
+}
+
+void
+crash_note_late_restart (cell_t *c, cworker_t *w)
+{
+  for (int i = 0; i < w->nlapsed_runs; i++)
+    {
+      const clapsed_run_t *r = &w->lapsed_runs[i];
+      cstep_t *s = pool_get (&c->steps, r->task.step);
+      const ctask_t *t = s ? &s->tasks[r->task.index] : NULL;
+
+      if (t && t->state != CT_DONE && (t->worker < 0 || !t->survived))
+        note_crash (c, w, s, r->task.index, r->run, w->lapsed_sole, 1);
+    }
+  w->nlapsed_runs = 0;
+}
+
 /* Fail the jobs that have crashed workers too often. */
 static void
 fail_jobs (cell_t *c)
@@ -291,7 +367,9 @@
 
   if (probed)
     return probed == s->job;
-  if (!j->nsuspects || (s->def->gang && c->now > j->idle_since + GANG_WAIT_MS))
+  if (!j->nsuspects
+      || (s->def->gang && c->now > j->idle_since + GANG_WAIT_MS
+          && c->now > s->ready_at + GANG_WAIT_MS))
     return 1;
   return !has_exposed (c, w, s->job, 1)
          && (s->def->gang || !is_probed_elsewhere (c, s->job, w))
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -52,11 +52,8 @@
 static const int PRIORITY0_SHARE = 10;
 /* A store whose calls take longer than this is slow. */
 static const gl_ms_t STORE_SLOW_MS = 20;
-/* A deadly task crashes its worker this long after its start; the worker is
-   back after a time between these two. */
+/* A deadly task crashes its worker this long after its start. */
 static const gl_ms_t DEADLY_MS = 10;
-static const gl_ms_t AWAY_MIN_MS = 3000;
-static const gl_ms_t AWAY_MAX_MS = 4000;
 /* A task under which so many workers have crashed may be given up, and a task
    under which CRASHES_MAX have may be started fewer times than that again. */
 static const int GIVE_UP_CRASHES = 2;
@@ -1256,7 +1253,7 @@
       for (size_t i = 0; i < workers.size (); i++)
         if (wid == workers[i].info.id)
           crash_worker_for (
-              (int)i, AWAY_MIN_MS + random () % (AWAY_MAX_MS - AWAY_MIN_MS));
+              (int)i, away_min_ms + random () % (away_max_ms - away_min_ms));
     });
 }
 
@@ -1292,8 +1289,7 @@
   };
   auto c = std::make_shared<Copy> ();
   uint64_t incarnation = vms[(size_t)i].incarnation;
-  auto again = std::make_shared<Fn> ();
-  auto answer = [=, this] {
+  auto deliver = [=, this] (auto &self) -> void {
     cell_event_t ev{};
 
     if (c->done || !vms[(size_t)i].alive
@@ -1302,7 +1298,7 @@
     /* What has arrived by then is read when the VM goes on. */
     if (vms[(size_t)i].frozen)
       {
-        schedule (TICK_MS, *again);
+        schedule (TICK_MS, [self] { self (self); });
         return;
       }
     for (auto &e : c->ends)
@@ -1319,7 +1315,8 @@
     step (i, ev);
   };
 
-  *again = answer;
+  auto answer = [deliver] { deliver (deliver); };
+
   c->k = call;
   size_t bytes = MESSAGE_BYTES + (call.payload ? strlen (call.payload) : 0);
   c->k.payload = nullptr;
@@ -1382,6 +1379,7 @@
     if (strcmp (w->info.id, c->k.worker_id))
       {
         c->k.status = CELL_W_RESTARTED;
+        c->k.worker_clock = now;
         schedule (NET_MS, answer);
         return;
       }
