--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -136,23 +136,27 @@
     handles_add (&c->to_fail, j->self);
 }
 
-/* Whether several workers of the rack are away together, as when it loses
-   power: their crashes have a cause of their own. */
+/* Whether the worker's whole rack is away, as when it loses power: its crashes
+   have a cause of their own.  Workers that have only just registered may be
+   those that return. */
 static int
 is_rack_away (const cell_t *c, const cworker_t *w)
 {
-  int n = 0;
+  int away = 0;
 
   for (int i = 0; i < c->nworkers; i++)
     {
       const cworker_t *o = &c->workers[i];
+      int answers = !o->dead && !o->silent && !o->restarted_at;
 
       if (o == w || o->rack != w->rack)
         continue;
-      n += (!o->dead && (o->silent || o->restarted_at))
-           || (o->crashed_at && c->now - o->crashed_at < RACK_SPAN_MS);
+      if (answers && c->now > o->added_at + RACK_SPAN_MS)
+        return 0;
+      away += (!o->dead && !answers)
+              || (o->crashed_at && c->now < o->crashed_at + RACK_SPAN_MS);
     }
-  return n >= RACK_AWAY_MIN;
+  return away >= RACK_AWAY_MIN;
 }
 
 /* Whether all runs that the worker may not have survived are of one job. */
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -458,6 +458,7 @@
  *   are done but that it may still list as running
  * @probed_job: the suspect job that was last started there, 0 for none
  * @probe_polled: it was polled to learn whether that run has survived
+ * @added_at: when it became known here
  * @crashed_at: when it was found restarted, 0 if it was not
  * @lapsed_runs, @nlapsed_runs, @lapsed_sole, @lapsed_at: runs that it had not
  *   survived when it was given up by its lease, whether all were of one job,
@@ -506,6 +507,7 @@
   int captasks;
   handle_t probed_job;
   int probe_polled;
+  gl_ms_t added_at;
   gl_ms_t crashed_at;
   clapsed_run_t lapsed_runs[CELL_LAPSED_RUNS_MAX];
   int nlapsed_runs;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -119,6 +119,7 @@
   memset (w, 0, sizeof *w);
   w->info = *info;
   w->rack = rack_number (c, info);
+  w->added_at = c->now;
   if (names_put (&c->worker_names, w->info.id, (uintptr_t)c->nworkers + 1))
     return NULL;
   c->nworkers++;
