Log: workers that restart under their id, and ends that are passed over

The records of the incident cannot tell whether an end was listed and not looked at: such an end leaves no line, and nothing reads the start that a worker names. Now each change of that start is logged, via a registration or an answer, with the numbers that the owner keeps; so is each listed end whose number was acknowledged before.

--- a/src/cell.h
+++ b/src/cell.h
@@ -31,7 +31,9 @@
 
 /**
  * struct cell_worker_t - what a worker's registration says
- * @id: names one incarnation of the worker; a restarted one has another id
+ * @id: names the worker; a restarted one may have it again, or another one
+ * @started_at: when this incarnation started, by the worker's wall clock, in
+ *   ms since the epoch; 0 if the platform does not say
  * @addr: "IP:port" to which calls go
  * @domain: its failure domain
  * @service: which queues it serves; see struct cell_queue_t
@@ -43,6 +45,7 @@
 typedef struct
 {
   char id[CELL_NAME_SIZE];
+  uint64_t started_at;
   char addr[64];
   char domain[32];
   char service[64];
@@ -292,6 +295,8 @@
  * @sent_at: when the reducer listed the call
  * @status: outcome
  * @worker_clock: the worker's clock in its answer, 0 when it gave none
+ * @worker_started_at: when the incarnation that answered started, as
+ *   cell_worker_t.started_at
  * @runs, @ends: for a poll, what runs there, and the ends not yet forgotten
  */
 typedef struct
@@ -316,6 +321,7 @@
 
   cell_wstatus_t status;
   uint64_t worker_clock;
+  uint64_t worker_started_at;
   cell_run_t *runs;
   int nruns;
   cell_end_t *ends;
--- a/src/cellend.c
+++ b/src/cellend.c
@@ -11,6 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const char *const outcome_names[]
+    = { "done", "failed", "stopped", "lapsed", "broken", "alone", "unknown" };
+
 /* Note that end @seq may be acknowledged once the job's records are in the
    store at @version, or at once if @j is NULL; -1 without memory. */
 static int
@@ -44,14 +47,10 @@
 log_end (cell_t *c, const cworker_t *w, const cell_end_t *e, const ctask_t *t,
          const char *as)
 {
-  static const char *const outcomes[] = { "done",   "failed", "stopped",
-                                          "lapsed", "broken", "alone",
-                                          "unknown" };
-
   cell_log (c,
             "run_ended task=%s run=%u worker=%s outcome=%s seq=%llu as=%s "
             "known_run=%u state=%d failed=%u inherited=%d",
-            e->task, e->run, w->info.id, outcomes[e->outcome],
+            e->task, e->run, w->info.id, outcome_names[e->outcome],
             (unsigned long long)e->seq, as, t ? t->run : 0, t ? t->state : -1,
             t ? t->nfailed_runs : 0, t ? t->inherited : 0);
 }
@@ -106,7 +105,16 @@
   uint64_t version = 0;
 
   if (e->seq <= w->taken_seq)
-    return;
+    {
+      if (e->seq <= w->ack_cursor)
+        cell_log (c,
+                  "end_passed_over task=%s run=%u worker=%s outcome=%s "
+                  "seq=%llu taken_seq=%llu ack_cursor=%llu",
+                  e->task, e->run, w->info.id, outcome_names[e->outcome],
+                  (unsigned long long)e->seq, (unsigned long long)w->taken_seq,
+                  (unsigned long long)w->ack_cursor);
+      return;
+    }
   t = ctask_find (c, e->task, &s, &index);
   if (t)
     cjob_set_begun (cstep_job (c, s));
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -436,6 +436,7 @@
  *   owners has ended
  * @avoid_until: no task is started there before this
  * @clock, @clock_at: its clock in its last answer, and when that arrived
+ * @answered_start: the start that its last answer named, 0 if none did
  * @lease_sent, @lease_sent_at: latest end of a lease that was sent to it, in
  *   its own clock, and when it was first sent; 0 if none was
  * @taken_seq, @ack_cursor: number of the last end taken from its reports, and
@@ -484,6 +485,7 @@
   gl_ms_t avoid_until;
   uint64_t clock;
   gl_ms_t clock_at;
+  uint64_t answered_start;
   uint64_t lease_sent;
   gl_ms_t lease_sent_at;
   uint64_t taken_seq;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -213,6 +213,21 @@
   return w;
 }
 
+/* The worker names another start than before: it has restarted under its id.
+ */
+static void
+log_start_changed (cell_t *c, const cworker_t *w, const char *via,
+                   uint64_t before, uint64_t now)
+{
+  cell_log (c,
+            "worker_start_changed id=%s via=%s before=%llu now=%llu tasks=%d "
+            "clock=%llu taken_seq=%llu ack_cursor=%llu",
+            w->info.id, via, (unsigned long long)before,
+            (unsigned long long)now, w->ntasks, (unsigned long long)w->clock,
+            (unsigned long long)w->taken_seq,
+            (unsigned long long)w->ack_cursor);
+}
+
 void
 cworker_registration (cell_t *c, const cell_event_t *ev)
 {
@@ -234,6 +249,9 @@
         return;
       suspect_same_addr (c, w);
     }
+  if (ev->worker->started_at != w->info.started_at)
+    log_start_changed (c, w, "registration", w->info.started_at,
+                       ev->worker->started_at);
   if (ev->worker->leaving && !w->info.leaving)
     cell_log (c, "worker_leaving id=%s leaves_in_ms=%u tasks=%d", w->info.id,
               ev->worker->leaves_in_ms, w->ntasks);
@@ -472,6 +490,12 @@
 {
   if (!k->worker_clock)
     return;
+  if (k->worker_started_at && w->answered_start
+      && k->worker_started_at != w->answered_start)
+    log_start_changed (c, w, "answer", w->answered_start,
+                       k->worker_started_at);
+  if (k->worker_started_at)
+    w->answered_start = k->worker_started_at;
   if (k->worker_clock > w->clock)
     {
       w->clock = k->worker_clock;
