--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -52,7 +52,10 @@
  *   worker N late|stops_in|leaves_in MS
  *   worker N slow FACTOR           see struct Worker
  *   worker N down MS               it crashes and is back after this time
+ *   worker N returns MS [CLOCK]    the same, under its id; see
+ *                                  World::return_worker
  *   worker N capacity CPUS_M MEM_MB   see World::set_capacity
+ *   starts said|unsaid             whether workers say when they started
  *   poison TASK                    all runs of the task fail
  *   deadly TASK|ID                 each start of the task, or of any task of
  *                                  the job, crashes its worker
@@ -179,6 +182,13 @@
       w->crash_worker (i);
     else if (what == "down")
       w->crash_worker_for (i, (gl_ms_t)arg);
+    else if (what == "returns")
+      {
+        gl_ms_t clock = 0;
+
+        in >> clock;
+        w->return_worker (i, (gl_ms_t)arg, clock);
+      }
     else if (what == "reachable")
       x.reachable = arg;
     else if (what == "deaf")
@@ -452,6 +462,11 @@
       }
     else if (cmd == "worker")
       worker_command (in);
+    else if (cmd == "starts")
+      {
+        in >> a;
+        w->says_starts = a == "said";
+      }
     else if (cmd == "poison")
       {
         in >> a;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -58,6 +58,10 @@
    under which CRASHES_MAX have may be started fewer times than that again. */
 static const int GIVE_UP_CRASHES = 2;
 static const int CRASHES_MAX = 3;
+/* Wall clock at the start of the world's. */
+static const uint64_t WALL_MS = 1000000;
+/* Longest lease that a worker accepts. */
+static const gl_ms_t WORKER_LEASE_MAX_MS = 10000;
 /* Validity of a ticket. */
 static const gl_ms_t TICKET_MS = 1500;
 /* Base time of a consultation for the queue "digest", of priority 2. */
@@ -198,7 +202,7 @@
 
   if (v.alive)
     return;
-  b.worker_lease_max_ms = 10000;
+  b.worker_lease_max_ms = WORKER_LEASE_MAX_MS;
   b.stop_max_ms = 200;
   b.writes_per_s = 400;
   b.link_kbps = (uint32_t)(link_rate * 8);
@@ -337,7 +341,7 @@
                         + " ms before");
   /* What the cell does now is not sent any more; its log lines are kept. */
   ev.kind = CELL_EV_END;
-  ev.wall = 1000000 + now;
+  ev.wall = WALL_MS + now;
   cell_step (v.cell, &ev, now, &fx);
   for (size_t k = 0; k < fx.n; k++)
     if (fx.v[k].kind == CELL_FX_LOG)
@@ -400,9 +404,7 @@
 {
   workers[(size_t)w].info.leaving = 1;
   workers[(size_t)w].info.leaves_in_ms = leaves_in_ms;
-  for (size_t i = 0; i < vms.size (); i++)
-    if (vms[i].alive && !vms[i].frozen && reaches_store (i))
-      report_worker ((int)i, w);
+  register_worker (w);
 }
 
 void
@@ -447,7 +449,7 @@
   cell_effects_t fx{};
   uint64_t incarnation = v.incarnation;
 
-  ev.wall = 1000000 + now;
+  ev.wall = WALL_MS + now;
   cell_step (v.cell, &ev, now, &fx);
   for (size_t k = 0; k < fx.n; k++)
     if (vms[(size_t)i].incarnation == incarnation)
@@ -867,7 +869,9 @@
   Worker w;
   cell_worker_t &f = w.info;
 
-  snprintf (f.id, sizeof f.id, "w%d", incarnations_++);
+  snprintf (f.id, sizeof f.id, "w%d", ids_++);
+  w.serial = ++incarnations_;
+  f.started_at = says_starts ? WALL_MS + now : 0;
   snprintf (f.addr, sizeof f.addr, "%s",
             same_addr_as >= 0 ? workers[(size_t)same_addr_as].info.addr
                               : f.id);
@@ -875,14 +879,20 @@
             domain_name ((int)workers.size ()).c_str ());
   snprintf (f.service, sizeof f.service, "svc");
   snprintf (f.labels[0], sizeof f.labels[0], "kind");
-  snprintf (f.labels[1], sizeof f.labels[1], "r%d", incarnations_ / 4);
+  snprintf (f.labels[1], sizeof f.labels[1], "r%d", ids_ / 4);
   f.nlabels = 2;
   f.capacity = { 8000, 32768, 0 };
   w.capacity = w.full_capacity = f.capacity;
   workers.push_back (w);
+  register_worker ((int)workers.size () - 1);
+}
+
+void
+World::register_worker (int w)
+{
   for (size_t i = 0; i < vms.size (); i++)
     if (vms[i].alive && !vms[i].frozen && reaches_store (i))
-      report_worker ((int)i, (int)workers.size () - 1);
+      report_worker ((int)i, w);
 }
 
 void
@@ -890,6 +900,10 @@
 {
   cell_event_t ev{};
 
+  /* Another incarnation has written the registration since. */
+  for (size_t o = (size_t)w + 1; o < workers.size (); o++)
+    if (!strcmp (workers[o].info.id, workers[(size_t)w].info.id))
+      return;
   ev.kind = CELL_EV_WORKER;
   ev.worker = &workers[(size_t)w].info;
   ev.removed = !workers[(size_t)w].registered;
@@ -900,9 +914,7 @@
 World::set_registered (int w, bool registered)
 {
   workers[(size_t)w].registered = registered && workers[(size_t)w].alive;
-  for (size_t i = 0; i < vms.size (); i++)
-    if (vms[i].alive && !vms[i].frozen && reaches_store (i))
-      report_worker ((int)i, w);
+  register_worker (w);
 }
 
 void
@@ -972,21 +984,30 @@
   set_registered (i, false);
 }
 
+/* The worker ends; its address refuses calls until something starts there. */
 void
-World::crash_worker_for (int i, gl_ms_t ms)
+World::end_worker (int i)
 {
-  std::string addr = workers[(size_t)i].info.addr;
-  auto delayed_polls = workers[(size_t)i].delayed_polls;
+  Worker &w = workers[(size_t)i];
+  auto delayed_polls = w.delayed_polls;
 
-  if (!workers[(size_t)i].alive)
-    return;
-  for (auto &r : workers[(size_t)i].running)
+  for (auto &r : w.running)
     if (is_deadly (r.first))
       crashes_[r.first]++;
   lose_worker (i);
-  refusing_.insert (addr);
+  refusing_.insert (w.info.addr);
   for (auto &fn : delayed_polls)
     schedule (0, fn);
+}
+
+void
+World::crash_worker_for (int i, gl_ms_t ms)
+{
+  std::string addr = workers[(size_t)i].info.addr;
+
+  if (!workers[(size_t)i].alive)
+    return;
+  end_worker (i);
   schedule (ms, [=, this] {
     refusing_.erase (addr);
     add_worker (i);
@@ -994,6 +1015,29 @@
   });
 }
 
+void
+World::return_worker (int i, gl_ms_t ms, gl_ms_t clock)
+{
+  if (!workers[(size_t)i].alive)
+    return;
+  end_worker (i);
+  schedule (ms, [=, this] {
+    const Worker &before = workers[(size_t)i];
+    Worker w;
+
+    w.info = before.info;
+    w.info.started_at = says_starts ? WALL_MS + now : 0;
+    w.info.leaving = 0;
+    w.info.capacity = w.capacity = w.full_capacity = before.full_capacity;
+    w.stop_ms = before.stop_ms;
+    w.serial = ++incarnations_;
+    w.clock_ahead = clock ? (int64_t)clock - (int64_t)now : before.clock_ahead;
+    refusing_.erase (w.info.addr);
+    workers.push_back (w);
+    register_worker ((int)workers.size () - 1);
+  });
+}
+
 bool
 World::is_deadly (const std::string &task) const
 {
@@ -1199,6 +1243,23 @@
     }
 }
 
+uint64_t
+World::worker_clock (const Worker &w) const
+{
+  return (uint64_t)((int64_t)now + w.clock_ahead);
+}
+
+/* Leases are shortened to the longest one that workers accept. */
+void
+World::extend_lease (Worker &w, uint64_t until)
+{
+  int64_t end = (int64_t)until - w.clock_ahead;
+  int64_t longest = (int64_t)(now + WORKER_LEASE_MAX_MS);
+
+  if (until && end > (int64_t)w.lease_end)
+    w.lease_end = (gl_ms_t)std::min (end, longest);
+}
+
 void
 World::do_start (Worker &w, const cell_wcall_t &k, bool late,
                  cell_wstatus_t &status)
@@ -1209,7 +1270,7 @@
 
   if (k.fencing_token < w.fencing_token)
     status = CELL_W_FENCED;
-  else if (k.lease_until <= now)
+  else if (k.lease_until <= worker_clock (w))
     status = CELL_W_EXPIRED;
   else if (w.running.count (task) && w.running[task].run == k.run)
     status = CELL_W_OK;
@@ -1222,7 +1283,7 @@
     status = CELL_W_OK;
   w.fencing_token = std::max (w.fencing_token, k.fencing_token);
   if (status == CELL_W_STALE_RUN || status == CELL_W_OK)
-    w.lease_end = std::max (w.lease_end, (gl_ms_t)k.lease_until);
+    extend_lease (w, k.lease_until);
   if (status != CELL_W_OK || w.running.count (task))
     return;
   int step
@@ -1247,11 +1308,11 @@
   if (told != done_told_.end () && k.sent_at > told->second)
     report_violation ("started by an owner that was told of its end: " + task);
   w.running[task] = r;
-  std::string wid = w.info.id;
+  int serial = w.serial;
   if (is_deadly (task))
     schedule (DEADLY_MS, [=, this] {
       for (size_t i = 0; i < workers.size (); i++)
-        if (wid == workers[i].info.id)
+        if (serial == workers[i].serial)
           crash_worker_for (
               (int)i, away_min_ms + random () % (away_max_ms - away_min_ms));
     });
@@ -1262,7 +1323,7 @@
 {
   std::string task = k.task;
   uint32_t run = k.run;
-  std::string wid = w.info.id;
+  int serial = w.serial;
 
   if (k.fencing_token < w.fencing_token)
     return;
@@ -1271,7 +1332,7 @@
   if (w.running.count (task) && w.running[task].run <= run)
     schedule (w.stop_ms, [=, this] {
       for (Worker &x : workers)
-        if (x.alive && wid == x.info.id && x.running.count (task)
+        if (x.alive && serial == x.serial && x.running.count (task)
             && x.running[task].run <= run)
           end_run (x, task, CELL_RUN_STOPPED);
     });
@@ -1286,6 +1347,7 @@
     std::vector<cell_run_t> runs;
     std::vector<cell_end_t> ends;
     bool done = false;
+    int serial = 0; /* of the incarnation at which a poll has arrived */
   };
   auto c = std::make_shared<Copy> ();
   uint64_t incarnation = vms[(size_t)i].incarnation;
@@ -1337,9 +1399,16 @@
       schedule (NET_MS, answer);
     if (!w || !w->reachable || c->done || strcmp (w->info.id, c->k.worker_id))
       return;
+    /* The connection has ended with the incarnation. */
+    if (w->serial != c->serial)
+      {
+        schedule (NET_MS, answer);
+        return;
+      }
     end_runs (*w);
     c->k.status = CELL_W_OK;
-    c->k.worker_clock = now;
+    c->k.worker_clock = worker_clock (*w);
+    c->k.worker_started_at = w->info.started_at;
     for (auto &r : w->running)
       {
         cell_run_t row{};
@@ -1379,7 +1448,7 @@
     if (strcmp (w->info.id, c->k.worker_id))
       {
         c->k.status = CELL_W_RESTARTED;
-        c->k.worker_clock = now;
+        c->k.worker_clock = worker_clock (*w);
         schedule (NET_MS, answer);
         return;
       }
@@ -1392,8 +1461,9 @@
             schedule (NET_MS, answer);
             return;
           }
+        c->serial = w->serial;
         w->fencing_token = c->k.fencing_token;
-        w->lease_end = std::max (w->lease_end, (gl_ms_t)c->k.lease_until);
+        extend_lease (*w, c->k.lease_until);
         for (auto &e : w->ends)
           if (e.seq <= c->k.ack_cursor)
             {
@@ -1428,7 +1498,7 @@
     if (!answered || w->loses_answers)
       return;
     c->k.status = status;
-    c->k.worker_clock = now;
+    c->k.worker_clock = worker_clock (*w);
     schedule (NET_MS, answer);
   };
   Worker *w = find_worker ();
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -65,6 +65,8 @@
   gl_res_t capacity{};      /* registered within a heartbeat */
   gl_res_t full_capacity{}; /* at its start */
   std::vector<FormerCapacity> former_capacities;
+  int serial = 0;          /* no other incarnation has it */
+  int64_t clock_ahead = 0; /* its clock, less that of the world */
   bool alive = true;
   bool reachable = true;
   bool registered = true;
@@ -169,6 +171,9 @@
   /* The same, but the other incarnation starts only after @ms; until then the
      address refuses calls. */
   void crash_worker_for (int w, gl_ms_t ms);
+  /* The same, but the other incarnation has the id of the first.  Its clock
+     begins at @clock, or goes on as that of the first if that is 0. */
+  void return_worker (int w, gl_ms_t ms, gl_ms_t clock);
   /* Add a worker at the address of worker @same_addr_as, or at a new one if
      that is -1. */
   void add_worker (int same_addr_as);
@@ -221,8 +226,9 @@
   int approve_one_in = 0; /* the advisor approves one worker in this many; 0:
                              three in four */
   gl_ms_t now = 1000;
-  int fail_one_in = 12; /* one run in this many fails by itself; 0: none */
-  gl_ms_t run_ms = 500; /* runs take from half of this to three halves */
+  bool says_starts = true; /* workers say when they started */
+  int fail_one_in = 12;    /* one run in this many fails by itself; 0: none */
+  gl_ms_t run_ms = 500;    /* runs take from half of this to three halves */
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
@@ -326,6 +332,8 @@
   void register_capacity (const std::string &id);
   /* Report the worker to the VM, once that reaches the store. */
   void notify_worker (size_t vm, size_t w, uint64_t incarnation);
+  /* Write the registration of the worker's present incarnation. */
+  void register_worker (int w);
   bool store_answers () const;
   /* Whether what a start brings the worker to fits its capacity, or one that
      it had until shortly before. */
@@ -333,6 +341,9 @@
   void send_initial_state (int vm);
   void send_conf (int vm, uint64_t version);
   void end_leases ();
+  void end_worker (int w);
+  uint64_t worker_clock (const Worker &w) const;
+  void extend_lease (Worker &w, uint64_t until);
   /* End the runs that are due on the worker, or all if its lease has ended. */
   void end_runs (Worker &w);
   int count_members (const std::string &task, uint32_t run, gl_ms_t *last);
@@ -401,6 +412,7 @@
   uint64_t last_lease_ = 0;
   uint64_t last_request_ = 0;
   int incarnations_ = 0; /* of all workers */
+  int ids_ = 0;          /* that workers have had */
   bool advised_;
   int ndomains_;
   std::map<std::string, Item> items_;
