Workers: an incarnation is its id and its start

What callers saw: tasks that were done ran again (TWICE), after their jobs had stayed unfinished for up to half a minute.

Cause: a worker may now return under its id, and one id was one incarnation everywhere in the cell. The number of the last end taken, the cursor up to which ends are acknowledged, the worker's clock and the tasks bound to it outlived the restart. Ends of the new incarnation up to the old number were passed over and then acknowledged; when the worker was given up later, the tasks were started again.

An incarnation is now an id and a start, and has an entry of its own in the table of workers and a record of its own in the store, so that nothing can be carried over. A registration makes another incarnation current only with a later start; an answer does with any other one, since it is newer than what was known when its call was sent. What ran on the former incarnation is lost like on a worker that returned under another id, with the same evidence of a crash.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -130,6 +130,11 @@
 };
 typedef struct gl_worker_record_t gl_worker_record_t;
 
+struct gl_worker_start_t {
+	u_quad_t started_at;
+};
+typedef struct gl_worker_start_t gl_worker_start_t;
+
 struct gl_ownership_t {
 	u_quad_t generation;
 	gl_cell_str_t vm;
@@ -270,6 +275,7 @@
 extern  bool_t xdr_gl_crashes_t (XDR *, gl_crashes_t*);
 extern  bool_t xdr_gl_job_result_t (XDR *, gl_job_result_t*);
 extern  bool_t xdr_gl_worker_record_t (XDR *, gl_worker_record_t*);
+extern  bool_t xdr_gl_worker_start_t (XDR *, gl_worker_start_t*);
 extern  bool_t xdr_gl_ownership_t (XDR *, gl_ownership_t*);
 extern  bool_t xdr_gl_claim_t (XDR *, gl_claim_t*);
 extern  bool_t xdr_gl_process_t (XDR *, gl_process_t*);
@@ -299,6 +305,7 @@
 extern bool_t xdr_gl_crashes_t ();
 extern bool_t xdr_gl_job_result_t ();
 extern bool_t xdr_gl_worker_record_t ();
+extern bool_t xdr_gl_worker_start_t ();
 extern bool_t xdr_gl_ownership_t ();
 extern bool_t xdr_gl_claim_t ();
 extern bool_t xdr_gl_process_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -107,7 +107,7 @@
   unsigned hyper ended_ms;
 };
 
-/* A worker on which an owner may start tasks; id names one incarnation. */
+/* A worker on which an owner may start tasks. */
 struct gl_worker_record_t {
   gl_cell_str_t id;
   gl_cell_str_t addr;
@@ -117,6 +117,12 @@
   gl_res_t capacity;
 };
 
+/* Follows gl_worker_record_t in the record of an incarnation whose start is
+   known, unless the owner that wrote it is of an older version. */
+struct gl_worker_start_t {
+  unsigned hyper started_at;
+};
+
 /* Who owns the cell.  generation grows with each claim and is the fencing
    token; released: the owner has handed the cell over. */
 struct gl_ownership_t {
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -390,6 +390,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_worker_start_t (XDR *xdrs, gl_worker_start_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->started_at))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_ownership_t (XDR *xdrs, gl_ownership_t *objp)
 {
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -50,6 +50,30 @@
   return earlier > sent ? earlier : sent;
 }
 
+/* Whether the successor must wait for leases that this owner does not vouch
+   for. */
+static int
+is_unheard (const cworker_t *w)
+{
+  return w->dead ? w->record_revision != 0 : !w->heard || w->silent;
+}
+
+/* The list names ids, so it has all incarnations of an id or none. */
+static int
+is_left (cell_t *c, const cworker_t *w)
+{
+  const cworker_t *o = w;
+
+  do
+    {
+      if (is_unheard (o))
+        return 1;
+      o = incarnation_next (c, o);
+    }
+  while (o != w);
+  return 0;
+}
+
 char *
 census_handover (cell_t *c, size_t *len)
 {
@@ -65,7 +89,7 @@
     {
       const cworker_t *w = &c->workers[i];
 
-      if (w->dead ? !w->record_revision : w->heard && !w->silent)
+      if (!is_left (c, w))
         continue;
       record.workers.workers_val[record.workers.workers_len++]
           = (gl_unheard_worker_t){ (char *)w->info.id,
@@ -103,15 +127,20 @@
 static gl_ms_t
 earlier_lease_ms (const cell_t *c, const cworker_t *w)
 {
-  gl_ms_t ms = c->lease_bound_ms;
+  const gl_unheard_worker_t *v = c->handover.workers.workers_val;
+  int listed = 0;
+  gl_ms_t ms = 0;
 
   for (u_int i = 0; c->handed_over && i < c->handover.workers.workers_len; i++)
-    if (!strcmp (c->handover.workers.workers_val[i].id, w->info.id))
+    if (!strcmp (v[i].id, w->info.id))
       {
-        ms = c->handover.workers.workers_val[i].leases_ms;
-        return ms < former_lease_ms (c) ? ms : former_lease_ms (c);
+        listed = 1;
+        if (v[i].leases_ms > ms)
+          ms = v[i].leases_ms;
       }
-  return ms;
+  if (!listed)
+    return c->lease_bound_ms;
+  return ms < former_lease_ms (c) ? ms : former_lease_ms (c);
 }
 
 /* ---- the census ---- */
@@ -126,10 +155,11 @@
     {
       cworker_t *w = &c->workers[i];
 
-      w->dead = 0;
+      w->dead = w->replaced;
       w->heard = 0;
-      w->accounted = 0;
-      census_expect (c, w);
+      w->accounted = w->replaced;
+      if (!w->replaced)
+        census_expect (c, w);
     }
 }
 
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -634,7 +634,7 @@
 add_ticket (cell_t *c, cstep_t *s, const gl_ticket_t *ticket,
             uint32_t valid_ms)
 {
-  cworker_t *w = cworker_find (c, ticket->worker);
+  cworker_t *w = incarnation_current (c, ticket->worker);
   cticket_t *v;
   int i = w ? (int)(w - c->workers) : -1;
 
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -29,6 +29,27 @@
 /* Pause after a transaction that failed. */
 #define RETRY_PAUSE_MS 100
 
+/* Append the start to the record of @len bytes; older versions read only what
+   comes before it.  Takes @record over; NULL without memory. */
+static char *
+append_start (char *record, size_t *len, uint64_t started_at)
+{
+  gl_worker_start_t start = { started_at };
+  size_t more = 0;
+  char *tail = codec_encode ((xdrproc_t)xdr_gl_worker_start_t, &start, &more);
+  char *whole = tail ? realloc (record, *len + more) : NULL;
+
+  if (whole)
+    {
+      memcpy (whole + *len, tail, more);
+      *len += more;
+    }
+  else
+    free (record);
+  free (tail);
+  return whole;
+}
+
 static char *
 encode_record (const cell_worker_t *info, size_t *len)
 {
@@ -39,16 +60,40 @@
                                 (char *)info->service,
                                 { (u_int)info->nlabels, labels },
                                 info->capacity };
+  char *value;
 
   for (int i = 0; i < info->nlabels; i++)
     labels[i] = (char *)info->labels[i];
-  return codec_encode ((xdrproc_t)xdr_gl_worker_record_t, &record, len);
+  value = codec_encode ((xdrproc_t)xdr_gl_worker_record_t, &record, len);
+  if (!value || !info->started_at)
+    return value;
+  return append_start (value, len, info->started_at);
 }
 
+/* Each incarnation has a record of its own. */
 static void
 record_key (const cworker_t *w, char key[CELL_NAME_SIZE])
 {
-  snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s", w->info.id);
+  if (w->record_start)
+    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s/%llu", w->info.id,
+              (unsigned long long)w->record_start);
+  else
+    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s", w->info.id);
+}
+
+/* The start in the record, 0 if there is none, as in one of an older version.
+ */
+static uint64_t
+recorded_start (const cell_item_t *item, gl_worker_record_t *record)
+{
+  size_t at = xdr_sizeof ((xdrproc_t)xdr_gl_worker_record_t, record);
+  gl_worker_start_t start = { 0 };
+
+  if (at >= item->len
+      || codec_decode ((xdrproc_t)xdr_gl_worker_start_t, &start,
+                       item->value + at, item->len - at))
+    return 0;
+  return start.started_at;
 }
 
 void
@@ -57,6 +102,7 @@
   gl_worker_record_t record;
   cell_worker_t info;
   cworker_t *w;
+  int known = c->nworkers;
 
   memset (&record, 0, sizeof record);
   memset (&info, 0, sizeof info);
@@ -66,30 +112,31 @@
       cell_log (c, "worker_record_unreadable key=%s", item->key);
       return;
     }
-  w = cworker_find (c, record.id);
-  if (!w)
+  cell_strcpy (info.id, record.id);
+  cell_strcpy (info.addr, record.addr);
+  cell_strcpy (info.domain, record.domain);
+  cell_strcpy (info.service, record.service);
+  while (info.nlabels < (int)record.labels.labels_len
+         && info.nlabels < CELL_LABELS_MAX)
     {
-      cell_strcpy (info.id, record.id);
-      cell_strcpy (info.addr, record.addr);
-      cell_strcpy (info.domain, record.domain);
-      cell_strcpy (info.service, record.service);
-      while (info.nlabels < (int)record.labels.labels_len
-             && info.nlabels < CELL_LABELS_MAX)
-        {
-          cell_strcpy (info.labels[info.nlabels],
-                       record.labels.labels_val[info.nlabels]);
-          info.nlabels++;
-        }
-      /* The capacity in the record may be larger than what the worker has now.
-         It takes no tasks until its registration tells its capacity. */
-      w = cworker_add (c, &info);
-      if (w)
-        w->unregistered_at = c->now;
+      cell_strcpy (info.labels[info.nlabels],
+                   record.labels.labels_val[info.nlabels]);
+      info.nlabels++;
+    }
+  info.started_at = recorded_start (item, &record);
+  /* The capacity in the record may be larger than what the worker has now.  It
+     takes no tasks until its registration tells its capacity. */
+  w = incarnation_recorded (c, &info);
+  if (w && c->nworkers > known)
+    {
+      cworker_expect (c, w);
+      w->unregistered_at = c->now;
     }
   if (w)
     {
       w->enrolled = 1;
       w->record_revision = item->revision;
+      w->record_start = info.started_at;
     }
   codec_free ((xdrproc_t)xdr_gl_worker_record_t, &record);
 }
@@ -129,6 +176,8 @@
           e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
           c->enrol_tag = e->tag = cell_new_tag (c);
         }
+      if (!w->record_revision)
+        w->record_start = w->info.started_at;
       p = &e->txn->puts[e->txn->nputs++];
       record_key (w, p->key);
       check = &e->txn->checks[e->txn->nchecks++];
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -415,6 +415,9 @@
  * struct cworker_t - one incarnation of a worker
  * @info: its latest registration, or the record by an earlier owner without
  *   the capacity
+ * @next_incarnation: index of another incarnation of the same id; they form a
+ *   ring
+ * @replaced: another incarnation of its id has answered since, so it is over
  * @rack: index of its rack in struct cell
  * @used: resources of the tasks that are bound to it
  * @registered, @unregistered_at: its registration is in the store, else since
@@ -423,6 +426,7 @@
  *   is not being removed
  * @record_revision: revision of that record as far as it is known, 0 if there
  *   is none
+ * @record_start: the start in that record's key, 0 for none
  * @heard: it has answered a poll of this owner
  * @accounted: this owner knows what runs there, from its report or because
  *   its leases have ended
@@ -436,7 +440,6 @@
  *   owners has ended
  * @avoid_until: no task is started there before this
  * @clock, @clock_at: its clock in its last answer, and when that arrived
- * @answered_start: the start that its last answer named, 0 if none did
  * @lease_sent, @lease_sent_at: latest end of a lease that was sent to it, in
  *   its own clock, and when it was first sent; 0 if none was
  * @taken_seq, @ack_cursor: number of the last end taken from its reports, and
@@ -469,11 +472,14 @@
 typedef struct
 {
   cell_worker_t info;
+  int next_incarnation;
+  int replaced;
   int rack;
   gl_res_t used;
   int registered;
   int enrolled;
   uint64_t record_revision;
+  uint64_t record_start;
   int heard;
   int accounted;
   int dead;
@@ -485,7 +491,6 @@
   gl_ms_t avoid_until;
   uint64_t clock;
   gl_ms_t clock_at;
-  uint64_t answered_start;
   uint64_t lease_sent;
   gl_ms_t lease_sent_at;
   uint64_t taken_seq;
@@ -653,6 +658,7 @@
   X (crash_isolated, "starts of suspect tasks")                               \
   X (crash_cleared, "suspect tasks that survived a start")                    \
   X (crash_failed, "jobs failed for crashes of workers")                      \
+  X (restarts, "workers that have restarted under their id")                  \
   X (strays, "unknown runs stopped")                                          \
   X (looks, "looks at workers")                                               \
   X (looks_failed, "looks without an answer")                                 \
@@ -745,7 +751,7 @@
  *
  * Workers (cellwork.c, cellenrol.c):
  * @workers, @nworkers, @worker_names: known incarnations of workers, and the
- *   index of each plus 1 by its id; none is ever removed
+ *   index of the current one of each id plus 1 by that; none is ever removed
  * @racks, @nracks: names of racks, by index
  * @unaccounted: number of workers of which it is not known yet what runs there
  * @census_complete: @unaccounted has been 0 since this VM took over
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -159,8 +159,6 @@
 
 /* cellwork.c */
 
-/** cworker_find - the worker with this id, or NULL */
-cworker_t *cworker_find (cell_t *c, const char *id);
 /** cworker_registration - a worker has registered, changed its registration or
     lost it */
 void cworker_registration (cell_t *c, const cell_event_t *ev);
@@ -184,8 +182,8 @@
 /** cworker_usable - 1 if new tasks may be started on it */
 int cworker_usable (const cell_t *c, const cworker_t *w);
 
-/** cworker_add - a new incarnation of a worker; NULL without memory */
-cworker_t *cworker_add (cell_t *c, const cell_worker_t *info);
+/** cworker_expect - set what is assumed of an incarnation that was added */
+void cworker_expect (cell_t *c, cworker_t *w);
 
 /* cellend.c */
 
@@ -284,6 +282,28 @@
 /** poll_note_waiting - after a planning pass: set c->room_wanted */
 void poll_note_waiting (cell_t *c);
 
+/* cellincarn.c */
+
+/** incarnation_current - the current incarnation of this id, or NULL */
+cworker_t *incarnation_current (cell_t *c, const char *id);
+/** incarnation_next - another incarnation of the same id, or @w itself; all of
+    them follow each other in a ring */
+cworker_t *incarnation_next (cell_t *c, const cworker_t *w);
+/** incarnation_add - add an entry, which is the current one of its id if there
+    is no other; NULL without memory.  The entries may move. */
+cworker_t *incarnation_add (cell_t *c, const cell_worker_t *info);
+/** incarnation_recorded - the entry that a record in the store is of, added if
+    needed; NULL without memory */
+cworker_t *incarnation_recorded (cell_t *c, const cell_worker_t *info);
+/** incarnation_registered - the entry that a registration is of, added if
+    needed, which is now the current one; NULL if the registration is not of
+    the current incarnation, or without memory */
+cworker_t *incarnation_registered (cell_t *c, const cell_worker_t *info);
+/** incarnation_answered - the entry of the incarnation that has answered a
+    call to @w, added if needed, which is now the current one; NULL if it has
+    been replaced before, or without memory */
+cworker_t *incarnation_answered (cell_t *c, cworker_t *w, uint64_t started_at);
+
 /* cellenrol.c */
 
 /** enrol_update - write the records of new workers, remove those of workers
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -55,14 +55,6 @@
    others. */
 #define POLL_ENDS_MAX 500
 
-cworker_t *
-cworker_find (cell_t *c, const char *id)
-{
-  uintptr_t i = names_get (&c->worker_names, id);
-
-  return i ? &c->workers[i - 1] : NULL;
-}
-
 int
 cworker_usable (const cell_t *c, const cworker_t *w)
 {
@@ -76,56 +68,6 @@
 
 /* ---- registration ---- */
 
-/* The index of the worker's rack in c->racks; without memory for it, racks
-   that are not in it count as number 0. */
-static int
-rack_number (cell_t *c, const cell_worker_t *info)
-{
-  const char *rack = info->nlabels > 1 ? info->labels[1] : "";
-
-  for (int i = 0; i < c->nracks; i++)
-    if (!strcmp (c->racks[i], rack))
-      return i;
-  if (array_reserve (&c->racks, &c->capracks, c->nracks, sizeof *c->racks))
-    return 0;
-  cell_strcpy (c->racks[c->nracks], rack);
-  return c->nracks++;
-}
-
-static cworker_t *
-worker_new (cell_t *c, const cell_worker_t *info)
-{
-  cworker_t *w;
-
-  if (c->nworkers == c->capworkers)
-    {
-      int cap = c->capworkers ? 2 * c->capworkers : 64;
-      cworker_t *v = calloc ((size_t)cap, sizeof *v);
-
-      if (!v)
-        return NULL;
-      /* The name table points to the ids inside the elements, which move. */
-      for (int i = 0; i < c->nworkers; i++)
-        names_del (&c->worker_names, c->workers[i].info.id);
-      if (c->nworkers)
-        memcpy (v, c->workers, (size_t)c->nworkers * sizeof *v);
-      free (c->workers);
-      c->workers = v;
-      c->capworkers = cap;
-      for (int i = 0; i < c->nworkers; i++)
-        names_put (&c->worker_names, v[i].info.id, (uintptr_t)i + 1);
-    }
-  w = &c->workers[c->nworkers];
-  memset (w, 0, sizeof *w);
-  w->info = *info;
-  w->rack = rack_number (c, info);
-  w->added_at = c->now;
-  if (names_put (&c->worker_names, w->info.id, (uintptr_t)c->nworkers + 1))
-    return NULL;
-  c->nworkers++;
-  return w;
-}
-
 static void
 log_run_lost (cell_t *c, const cworker_t *w, const cstep_t *s, uint32_t index)
 {
@@ -197,67 +139,93 @@
     }
 }
 
-cworker_t *
-cworker_add (cell_t *c, const cell_worker_t *info)
+void
+cworker_expect (cell_t *c, cworker_t *w)
 {
-  cworker_t *w = worker_new (c, info);
-
-  if (w && c->role == CR_LOADING)
+  if (c->role == CR_LOADING)
     census_expect (c, w);
-  else if (w && c->role == CR_OWNER)
+  else if (c->role == CR_OWNER)
     {
       /* It has no record, so nothing runs there. */
       w->accounted = 1;
       w->lease_bound_at = c->now;
     }
-  return w;
 }
 
-/* The worker names another start than before: it has restarted under its id.
- */
+/* The registration has gone, or another incarnation has replaced it. */
 static void
-log_start_changed (cell_t *c, const cworker_t *w, const char *via,
-                   uint64_t before, uint64_t now)
+unregister (cell_t *c, cworker_t *w)
 {
-  cell_log (c,
-            "worker_start_changed id=%s via=%s before=%llu now=%llu tasks=%d "
-            "clock=%llu taken_seq=%llu ack_cursor=%llu",
-            w->info.id, via, (unsigned long long)before,
-            (unsigned long long)now, w->ntasks, (unsigned long long)w->clock,
-            (unsigned long long)w->taken_seq,
-            (unsigned long long)w->ack_cursor);
+  if (!w->registered)
+    return;
+  w->registered = 0;
+  w->unregistered_at = c->now;
+}
+
+static void
+registration_removed (cell_t *c, const char *id)
+{
+  cworker_t *first = incarnation_current (c, id);
+  cworker_t *w = first;
+
+  while (w)
+    {
+      unregister (c, w);
+      w = incarnation_next (c, w);
+      if (w == first)
+        break;
+    }
+}
+
+/* A registration of an incarnation that is not the current one: the watch may
+   lag, or the worker's clock has stepped back.  An answer tells. */
+static void
+poll_instead (cell_t *c, const cell_worker_t *info)
+{
+  cworker_t *w = incarnation_current (c, info->id);
+
+  if (!w)
+    return;
+  cell_log (c, "registration_outdated id=%s start=%llu current=%llu", info->id,
+            (unsigned long long)info->started_at,
+            (unsigned long long)w->info.started_at);
+  cworker_poll_now (c, (int)(w - c->workers));
 }
 
 void
 cworker_registration (cell_t *c, const cell_event_t *ev)
 {
-  cworker_t *w = cworker_find (c, ev->worker->id);
+  int known = c->nworkers;
+  cworker_t *w;
+  uint64_t started_at;
 
   if (ev->removed)
     {
-      if (w && w->registered)
-        {
-          w->registered = 0;
-          w->unregistered_at = c->now;
-        }
+      registration_removed (c, ev->worker->id);
       return;
     }
+  w = incarnation_registered (c, ev->worker);
   if (!w)
     {
-      w = cworker_add (c, ev->worker);
-      if (!w)
-        return;
+      poll_instead (c, ev->worker);
+      return;
+    }
+  if (c->nworkers > known)
+    {
+      cworker_expect (c, w);
       suspect_same_addr (c, w);
     }
-  if (ev->worker->started_at != w->info.started_at)
-    log_start_changed (c, w, "registration", w->info.started_at,
-                       ev->worker->started_at);
+  for (cworker_t *o = incarnation_next (c, w); o != w;
+       o = incarnation_next (c, o))
+    unregister (c, o);
   if (ev->worker->leaving && !w->info.leaving)
     cell_log (c, "worker_leaving id=%s leaves_in_ms=%u tasks=%d", w->info.id,
               ev->worker->leaves_in_ms, w->ntasks);
   if (!w->registered)
     w->poll_at = c->now;
+  started_at = w->info.started_at;
   w->info = *ev->worker;
+  w->info.started_at = started_at;
   w->registered = 1;
   timer_arm_before (&c->timers, c->worker_timer, c->now);
   plan_wake (c);
@@ -490,12 +458,6 @@
 {
   if (!k->worker_clock)
     return;
-  if (k->worker_started_at && w->answered_start
-      && k->worker_started_at != w->answered_start)
-    log_start_changed (c, w, "answer", w->answered_start,
-                       k->worker_started_at);
-  if (k->worker_started_at)
-    w->answered_start = k->worker_started_at;
   if (k->worker_clock > w->clock)
     {
       w->clock = k->worker_clock;
@@ -608,6 +570,35 @@
   w->poll_at = c->now + POLL_RETRY_MS;
 }
 
+/* The incarnation has answered, so every other one of its id is over.  What
+   ran there is lost, like what runs on a worker whose address answers under
+   another id. */
+static void
+replace_others (cell_t *c, const cworker_t *w)
+{
+  for (cworker_t *o = incarnation_next (c, w); o != w;
+       o = incarnation_next (c, o))
+    {
+      if (o->replaced)
+        continue;
+      o->replaced = 1;
+      unregister (c, o);
+      c->counters.restarts++;
+      cell_log (c,
+                "worker_restarted id=%s before=%llu now=%llu via=%s tasks=%d "
+                "dead=%d lease_sent_ms=%lld taken_seq=%llu ack_cursor=%llu",
+                o->info.id, (unsigned long long)o->info.started_at,
+                (unsigned long long)w->info.started_at,
+                w->registered ? "registration" : "answer", o->ntasks, o->dead,
+                age_ms (c, o->lease_sent_at), (unsigned long long)o->taken_seq,
+                (unsigned long long)o->ack_cursor);
+      if (o->dead)
+        crash_note_late_restart (c, o);
+      else
+        worker_restarted (c, o);
+    }
+}
+
 /* A worker that counted as dead has answered.  Nothing of its former runs is
    bound to it; it is written to the store again before it is used. */
 static void
@@ -628,7 +619,7 @@
 
   w->poll_tag = 0;
   w->poll_at = c->now;
-  if (w->dead && k->status == CELL_W_OK)
+  if (w->dead && k->status == CELL_W_OK && !w->replaced)
     worker_revive (c, w);
   else if (w->dead)
     {
@@ -699,7 +690,7 @@
 static void
 worker_set_suspect (cell_t *c, cworker_t *w)
 {
-  if (w->suspect || w->silent || w->dead)
+  if (w->suspect || w->silent || w->dead || w->replaced)
     return;
   w->suspect = 1;
   poll_worker (c, w, 0);
@@ -806,6 +797,40 @@
 
 static void worker_tick (cell_t *c, cworker_t *w);
 
+/* Whether it was @w that answered, or nobody.  If it was another incarnation
+   of the same id, @w is over. */
+static int
+is_answer_of (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
+  int asked = (int)(w - c->workers);
+  int known = c->nworkers;
+  /* CELL_W_RESTARTED comes from a worker of another id. */
+  uint64_t started_at
+      = k->status == CELL_W_RESTARTED ? 0 : k->worker_started_at;
+  cworker_t *by = incarnation_answered (c, w, started_at);
+
+  /* The table of workers may have moved. */
+  w = &c->workers[asked];
+  if (by == w)
+    {
+      if (started_at)
+        replace_others (c, w);
+      return 1;
+    }
+  if (w->poll_tag == k->tag)
+    w->poll_tag = 0;
+  w->poll_at = c->now + POLL_RETRY_MS;
+  if (!by)
+    return 0;
+  if (c->nworkers > known)
+    cworker_expect (c, by);
+  by->poll_at = c->now;
+  timer_arm_before (&c->timers, c->worker_timer, c->now);
+  replace_others (c, by);
+  plan_wake (c);
+  return 0;
+}
+
 void
 cworker_answer (cell_t *c, const cell_event_t *ev)
 {
@@ -820,6 +845,8 @@
       own_step_down (c, "fenced by a worker");
       return;
     }
+  if (!is_answer_of (c, w, k))
+    return;
   note_answer (c, w, k);
   if (k->op == CELL_OP_POLL)
     {
@@ -903,7 +930,7 @@
     }
   if (w->ntasks)
     resend_stops (c, w);
-  if (!w->poll_tag && is_poll_due (c, w)
+  if (!w->poll_tag && is_poll_due (c, w) && !w->replaced
       && (w->registered || w->ntasks || !w->accounted))
     poll_worker (c, w,
                  w->accounted && !w->silent && !w->suspect && !w->poll_now
