Workers: settle what the next incarnation has carried out

What callers would see: tasks run twice at the same time.

Cause: a call names a worker's id, not its start. A start that was sent to an incarnation shortly after its end is carried out by the next one. Its task counted as lost with the former incarnation and was started elsewhere.

Now the former incarnation is settled by the first list of the next one: runs that it lists are bound to it, runs of which the start was confirmed before that poll and which it does not list are lost, and the others are stopped there like starts without an answer.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -165,7 +165,9 @@
  * @sent_at: when the latest start or stop was sent
  * @stop_tag: tag of the last call made before its stop was confirmed, 0 if
  *   none was; a poll with a later tag shows whether the run was there
- * @listed_tag: tag of the last poll that listed it as running
+ * @start_tag: tag of the last call made before its start was confirmed, 0 if
+ * it was not
+ * @listed_tag: tag of the last poll that listed it as running, 0 for none
  * @expected_end: expected end of its run, from the estimate at first and then
  *   from its progress
  * @progress_at: when its progress last changed, 0 before the first report
@@ -190,6 +192,7 @@
   int worker;
   int worker_pos;
   gl_ms_t sent_at;
+  uint64_t start_tag;
   uint64_t stop_tag;
   uint64_t listed_tag;
   gl_ms_t expected_end;
@@ -418,6 +421,8 @@
  * @next_incarnation: index of another incarnation of the same id; they form a
  *   ring
  * @replaced: another incarnation of its id has answered since, so it is over
+ * @settled: what the incarnation that replaced it had been sent to this one is
+ *   bound to that one now
  * @rack: index of its rack in struct cell
  * @used: resources of the tasks that are bound to it
  * @registered, @unregistered_at: its registration is in the store, else since
@@ -474,6 +479,7 @@
   cell_worker_t info;
   int next_incarnation;
   int replaced;
+  int settled;
   int rack;
   gl_res_t used;
   int registered;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -330,6 +330,24 @@
   j->begun = 1;
 }
 
+int
+ctasks_reserve (cworker_t *w, int n)
+{
+  int cap = w->captasks ? w->captasks : 8;
+  ctask_handle_t *v;
+
+  if (w->ntasks + n <= w->captasks)
+    return 0;
+  while (cap < w->ntasks + n)
+    cap *= 2;
+  v = realloc (w->tasks, (size_t)cap * sizeof *v);
+  if (!v)
+    return -1;
+  w->tasks = v;
+  w->captasks = cap;
+  return 0;
+}
+
 int
 ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker)
 {
@@ -338,17 +356,11 @@
   cjob_t *j = cstep_job (c, s);
 
   assert (t->worker < 0);
-  if (w->ntasks == w->captasks)
-    {
-      int cap = w->captasks ? 2 * w->captasks : 8;
-      ctask_handle_t *v = realloc (w->tasks, (size_t)cap * sizeof *v);
-
-      if (!v)
-        return -1;
-      w->tasks = v;
-      w->captasks = cap;
-    }
+  if (ctasks_reserve (w, 1))
+    return -1;
   t->worker = worker;
+  t->start_tag = 0;
+  t->listed_tag = 0;
   t->stop_tag = 0;
   t->progress_at = 0;
   t->seen_at = 0;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -136,6 +136,9 @@
     latest; returns the job's version that records it */
 uint64_t ctask_late_failure (cell_t *c, cstep_t *s, uint32_t index,
                              uint32_t run);
+/** ctasks_reserve - make room for @n more tasks on the worker; -1 without
+    memory */
+int ctasks_reserve (cworker_t *w, int n);
 /** ctask_bind - bind the task to a worker, where it takes room from then on;
     -1 without memory */
 int ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -510,6 +510,7 @@
          workers and have not been reported yet. */
       t->run = listed->run;
       t->state = CT_RUNNING;
+      t->listed_tag = k->tag;
       t->percent = (unsigned char)listed->percent;
       estimate_inherited_run (c, s, t);
       return;
@@ -612,6 +613,68 @@
   cell_log (c, "worker_revived id=%s", w->info.id);
 }
 
+static int
+lists_run (const cell_wcall_t *k, const char *task, uint32_t run)
+{
+  for (int i = 0; i < k->nruns; i++)
+    if (k->runs[i].run == run && !strcmp (k->runs[i].task, task))
+      return 1;
+  for (int i = 0; i < k->nends; i++)
+    if (k->ends[i].run == run && !strcmp (k->ends[i].task, task))
+      return 1;
+  return 0;
+}
+
+/* Whether the run is known to have begun, if at all, on the former incarnation
+   to whose worker it was sent: that one has listed it, or the present one has
+   not although the start had been confirmed before the poll. */
+static int
+is_former_run (const ctask_t *t, const cell_wcall_t *k)
+{
+  return t->state == CT_DONE || t->listed_tag
+         || (t->state == CT_RUNNING && t->start_tag < k->tag);
+}
+
+/* A call names no start, so those that were sent to the former incarnation @o
+   may have been carried out by @w, which has now listed its runs.  Bind these
+   runs to it.  Those of which it is not known are stopped, as if the start had
+   got no answer. */
+static void
+take_over_runs (cell_t *c, cworker_t *w, cworker_t *o, const cell_wcall_t *k)
+{
+  int to = (int)(w - c->workers);
+
+  if (ctasks_reserve (w, o->ntasks))
+    return;
+  o->settled = 1;
+  for (int i = o->ntasks; i-- > 0;)
+    {
+      ctask_handle_t ref = o->tasks[i];
+      cstep_t *s = pool_get (&c->steps, ref.step);
+      ctask_t *t = &s->tasks[ref.index];
+      char name[CELL_NAME_SIZE];
+      int listed;
+
+      ctask_name (c, s, ref.index, name);
+      listed = !t->listed_tag && lists_run (k, name, t->run);
+      if (!listed && is_former_run (t, k))
+        continue;
+      ctask_unbind (c, s, ref.index);
+      if (ctask_bind (c, s, ref.index, to))
+        continue;
+      cell_log (c,
+                "run_taken_over task=%s run=%u worker=%s state=%d listed=%d",
+                name, t->run, w->info.id, t->state, listed);
+      if (listed && t->state != CT_UNKNOWN && t->state != CT_STOPPING)
+        {
+          t->state = CT_RUNNING;
+          continue;
+        }
+      t->state = CT_UNKNOWN;
+      cworker_stop (c, s, ref.index);
+    }
+}
+
 static void
 poll_result (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
@@ -630,6 +693,10 @@
     }
   if (k->status == CELL_W_OK)
     {
+      for (cworker_t *o = incarnation_next (c, w); o != w;
+           o = incarnation_next (c, o))
+        if (o->replaced && !o->dead && !o->settled)
+          take_over_runs (c, w, o, k);
       /* Ends before runs, so that an ended run is not taken as running. */
       for (int i = 0; i < k->nends; i++)
         end_listed (c, w, &k->ends[i]);
@@ -710,7 +777,10 @@
       if (t)
         note_start (c, s);
       if (is_current && t->state == CT_STARTING)
-        t->state = CT_RUNNING;
+        {
+          t->state = CT_RUNNING;
+          t->start_tag = c->next_tag;
+        }
       return;
     }
   cell_log (c, "start_failed task=%s run=%u worker=%s status=%d ms=%llu",
@@ -901,6 +971,15 @@
   return c->now + TICK_MS > w->poll_at;
 }
 
+/* Whether no other incarnation can have carried out what was sent to this one.
+ */
+static int
+is_settled (cell_t *c, const cworker_t *w)
+{
+  return !w->replaced || w->settled
+         || incarnation_current (c, w->info.id)->dead;
+}
+
 static void
 worker_tick (cell_t *c, cworker_t *w)
 {
@@ -915,7 +994,7 @@
       worker_set_dead (c, w, "lease_expired");
       return;
     }
-  if (w->restarted_at
+  if (w->restarted_at && is_settled (c, w)
       && (c->confirmed_at >= w->restarted_at
           || FAULT (FAULT_CELL_RESTART_UNCONFIRMED)))
     {
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -56,6 +56,7 @@
  *                                  World::return_worker
  *   worker N capacity CPUS_M MEM_MB   see World::set_capacity
  *   starts said|unsaid             whether workers say when they started
+ *   registers_in MS                see World::registers_in_ms
  *   poison TASK                    all runs of the task fail
  *   deadly TASK|ID                 each start of the task, or of any task of
  *                                  the job, crashes its worker
@@ -467,6 +468,11 @@
         in >> a;
         w->says_starts = a == "said";
       }
+    else if (cmd == "registers_in")
+      {
+        in >> n;
+        w->registers_in_ms = (gl_ms_t)n;
+      }
     else if (cmd == "poison")
       {
         in >> a;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -65,8 +65,9 @@
   gl_res_t capacity{};      /* registered within a heartbeat */
   gl_res_t full_capacity{}; /* at its start */
   std::vector<FormerCapacity> former_capacities;
-  int serial = 0;          /* no other incarnation has it */
-  int64_t clock_ahead = 0; /* its clock, less that of the world */
+  int serial = 0;           /* no other incarnation has it */
+  int64_t clock_ahead = 0;  /* its clock, less that of the world */
+  bool has_written = false; /* its registration */
   bool alive = true;
   bool reachable = true;
   bool registered = true;
@@ -226,9 +227,11 @@
   int approve_one_in = 0; /* the advisor approves one worker in this many; 0:
                              three in four */
   gl_ms_t now = 1000;
-  bool says_starts = true; /* workers say when they started */
-  int fail_one_in = 12;    /* one run in this many fails by itself; 0: none */
-  gl_ms_t run_ms = 500;    /* runs take from half of this to three halves */
+  bool says_starts = true;     /* workers say when they started */
+  gl_ms_t registers_in_ms = 0; /* time from a worker's return under its id to
+                                  the registration that names its start */
+  int fail_one_in = 12; /* one run in this many fails by itself; 0: none */
+  gl_ms_t run_ms = 500; /* runs take from half of this to three halves */
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
