Census: wait for leases that the next incarnation may hold

What callers would see: tasks run twice at the same time. Found by the fuzzer.

Cause: a lease is sent as an instant of the worker's clock, and a call names the worker's id only. A call that the next incarnation carries out gives it a lease by the former one's clock, up to the longest that workers accept. An owner, and still more its successor, reckons with its own leases only.

A worker that has returned under its id takes no task until such a lease ends no later than one that is sent now, and is not given up before it has ended. Where the new clock has passed every lease that was sent, there is nothing to wait for.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -45,8 +45,12 @@
   gl_ms_t earlier
       = w->lease_bound_at > c->now ? w->lease_bound_at - c->now : 0;
 
+  gl_ms_t foreign = w->foreign_until > c->now ? w->foreign_until - c->now : 0;
+
   if (w->dead)
     return 0;
+  if (foreign > earlier)
+    earlier = foreign;
   return earlier > sent ? earlier : sent;
 }
 
@@ -234,7 +238,7 @@
 int
 census_leases_ended (const cell_t *c, const cworker_t *w)
 {
-  if (c->now < w->lease_bound_at)
+  if (c->now < w->lease_bound_at || c->now < w->foreign_until)
     return 0;
   if (!w->clock || !w->lease_sent)
     return w->lease_bound_at != 0;
@@ -243,6 +247,35 @@
          > (double)w->lease_sent + 1;
 }
 
+void
+census_note_foreign (cell_t *c, cworker_t *w, uint64_t clock,
+                     const cworker_t *former)
+{
+  gl_ms_t sent_at = former->lease_sent_at;
+  gl_ms_t until;
+
+  /* Leases of earlier owners had been sent by then. */
+  if (!former->heard && former->lease_bound_at > CELL_LEASE_LASTS_MS)
+    sent_at = former->lease_bound_at - CELL_LEASE_LASTS_MS;
+  else if (!former->lease_sent || clock >= former->lease_sent)
+    return;
+  until = sent_at
+          + (gl_ms_t)(c->limits.worker_lease_max_ms / CELL_CLOCK_RATE_MIN);
+  if (until <= w->foreign_until)
+    return;
+  w->foreign_until = until;
+  cell_log (c, "foreign_lease id=%s ends_in_ms=%lld sent_ms=%lld", w->info.id,
+            (long long)until - (long long)c->now,
+            (long long)c->now - (long long)sent_at);
+}
+
+int
+census_may_use (const cell_t *c, const cworker_t *w)
+{
+  return c->now + CELL_LEASE_LASTS_MS >= w->foreign_until
+         || FAULT (FAULT_CELL_FOREIGN_LEASE);
+}
+
 void
 census_log (cell_t *c)
 {
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -443,6 +443,8 @@
  *   none was
  * @lease_bound_at: instant by which every lease that it can hold from earlier
  *   owners has ended
+ * @foreign_until: instant by which every lease has ended that calls to former
+ *   incarnations can have given it, 0 for none
  * @avoid_until: no task is started there before this
  * @clock, @clock_at: its clock in its last answer, and when that arrived
  * @lease_sent, @lease_sent_at: latest end of a lease that was sent to it, in
@@ -494,6 +496,7 @@
   gl_ms_t restarted_at;
   gl_ms_t unregistered_at;
   gl_ms_t lease_bound_at;
+  gl_ms_t foreign_until;
   gl_ms_t avoid_until;
   uint64_t clock;
   gl_ms_t clock_at;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -226,6 +226,14 @@
 /** census_lease_remaining - longest span for which a lease of this owner or of
     an earlier one can last on the worker, whether it answers or not */
 gl_ms_t census_lease_remaining (const cell_t *c, const cworker_t *w);
+/** census_note_foreign - calls to the former incarnation may have given the
+    worker, whose clock is at @clock, a lease by the former one's clock;
+   workers shorten it to the longest that they accept */
+void census_note_foreign (cell_t *c, cworker_t *w, uint64_t clock,
+                          const cworker_t *former);
+/** census_may_use - 1 if no such lease ends later than one that is sent now: a
+    successor waits for the latter only */
+int census_may_use (const cell_t *c, const cworker_t *w);
 /** census_log - log how many workers the census waits for, and the one that it
     may wait for longest, from time to time */
 void census_log (cell_t *c);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -63,7 +63,8 @@
          && w->accounted && !w->dead && !w->silent && !w->info.leaving
          && w->clock && !w->restarted_at
          && (!w->orphans || FAULT (FAULT_CELL_ORPHANS_FREE)) && !w->suspect
-         && c->now >= w->avoid_until && own_may_renew (c);
+         && c->now >= w->avoid_until && census_may_use (c, w)
+         && own_may_renew (c);
 }
 
 /* ---- registration ---- */
@@ -575,7 +576,7 @@
    ran there is lost, like what runs on a worker whose address answers under
    another id. */
 static void
-replace_others (cell_t *c, const cworker_t *w)
+replace_others (cell_t *c, cworker_t *w, uint64_t clock)
 {
   for (cworker_t *o = incarnation_next (c, w); o != w;
        o = incarnation_next (c, o))
@@ -583,6 +584,7 @@
       if (o->replaced)
         continue;
       o->replaced = 1;
+      census_note_foreign (c, w, clock, o);
       unregister (c, o);
       c->counters.restarts++;
       cell_log (c,
@@ -884,7 +886,7 @@
   if (by == w)
     {
       if (started_at)
-        replace_others (c, w);
+        replace_others (c, w, k->worker_clock);
       return 1;
     }
   if (w->poll_tag == k->tag)
@@ -896,7 +898,7 @@
     cworker_expect (c, by);
   by->poll_at = c->now;
   timer_arm_before (&c->timers, c->worker_timer, c->now);
-  replace_others (c, by);
+  replace_others (c, by, k->worker_clock);
   plan_wake (c);
   return 0;
 }
--- a/src/fault.h
+++ b/src/fault.h
@@ -41,6 +41,8 @@
  *   ones are in the store
  * @FAULT_CELL_RESTART_UNCONFIRMED: starts the tasks of a restarted worker anew
  *   without confirming the ownership
+ * @FAULT_CELL_FOREIGN_LEASE: starts tasks on a worker that may hold a lease by
+ *   the clock of its former incarnation
  */
 typedef enum
 {
@@ -72,6 +74,7 @@
   FAULT_CELL_NO_FENCE,
   FAULT_CELL_LATE_WRITE,
   FAULT_CELL_RESTART_UNCONFIRMED,
+  FAULT_CELL_FOREIGN_LEASE,
   FAULT_COUNT
 } fault_t;
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -651,6 +651,20 @@
   EXPECT_NE (out, expected);
 }
 
+/* The script must notice that a worker is used which may hold a lease by the
+   clock of its former incarnation. */
+TEST (CellFault, ForeignLeasesAreWaitedFor)
+{
+  std::vector<std::string> out;
+  std::vector<std::string> expected;
+
+  fault_on = FAULT_CELL_FOREIGN_LEASE;
+  run_script ("tests/cell/lease-given-to-the-next-incarnation.txt", &out,
+              &expected);
+  fault_on = FAULT_NONE;
+  EXPECT_NE (out, expected);
+}
+
 /* The script must notice that a late write undoes a newer one. */
 TEST (CellFault, RevisionOfTaskRecordsIsChecked)
 {
