Workers: repeat stops to the next incarnation

What callers would see: a task that was done ran again.

Cause: a start without an answer is stopped before the task is started elsewhere, so that the worker refuses a copy that is carried out late. A worker that returns under its id has forgotten that stop, and the late start names its id.

Starts without an answer are kept for as long as they may still be carried out, and the next incarnation gets their stops with the first contact. A start that is carried out before that stop arrives is not prevented, only stopped.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -414,6 +414,14 @@
   uint64_t version;
 } cunacked_t;
 
+/** struct cunsure_start_t - a start that got no answer */
+typedef struct
+{
+  char task[CELL_NAME_SIZE];
+  uint32_t run;
+  gl_ms_t sent_at;
+} cunsure_start_t;
+
 /**
  * struct cworker_t - one incarnation of a worker
  * @info: its latest registration, or the record by an earlier owner without
@@ -452,6 +460,8 @@
  * @taken_seq, @ack_cursor: number of the last end taken from its reports, and
  *   of the last end that it may forget
  * @unacked: ends in between, in order
+ * @unsure_starts, @nunsure_starts: starts without an answer that may still be
+ *   carried out
  * @poll_tag: tag of the poll in flight, 0 for none
  * @poll_now: its next poll is not to be delayed
  * @poll_at: when to poll it next
@@ -507,6 +517,9 @@
   cunacked_t *unacked;
   size_t nunacked;
   size_t capunacked;
+  cunsure_start_t *unsure_starts;
+  int nunsure_starts;
+  int capunsure_starts;
   uint64_t poll_tag;
   int poll_now;
   gl_ms_t poll_at;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -32,6 +32,8 @@
 #define TICK_MS 50
 /* Polls in a row without an answer that make a worker silent. */
 #define SILENT_MISSED_POLLS 1
+/* A call without an answer may be carried out this much later. */
+#define LATE_CALL_MS 5000
 /* Delay before the next poll after one that failed. */
 #define POLL_RETRY_MS 150
 /* Delay between polls of a worker that counts as dead but is registered. */
@@ -572,6 +574,38 @@
   w->poll_at = c->now + POLL_RETRY_MS;
 }
 
+/* Keep a start without an answer, and drop those that cannot be carried out
+   any more. */
+static void
+add_unsure_start (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
+  cunsure_start_t *u;
+  int n = 0;
+
+  for (int i = 0; i < w->nunsure_starts; i++)
+    if (c->now < w->unsure_starts[i].sent_at + LATE_CALL_MS)
+      w->unsure_starts[n++] = w->unsure_starts[i];
+  w->nunsure_starts = n;
+  if (array_reserve (&w->unsure_starts, &w->capunsure_starts, n,
+                     sizeof *w->unsure_starts))
+    return;
+  u = &w->unsure_starts[w->nunsure_starts++];
+  cell_strcpy (u->task, k->task);
+  u->run = k->run;
+  u->sent_at = k->sent_at;
+}
+
+/* The incarnation @o had accepted stops of starts without an answer.  The one
+   that has replaced it knows nothing of them, and gets them anew. */
+static void
+repeat_stops (cell_t *c, cworker_t *w, const cworker_t *o)
+{
+  for (int i = 0; i < o->nunsure_starts; i++)
+    if (c->now < o->unsure_starts[i].sent_at + LATE_CALL_MS
+        && !FAULT (FAULT_CELL_STOPS_FORGOTTEN))
+      send_stop (c, w, o->unsure_starts[i].task, o->unsure_starts[i].run);
+}
+
 /* The incarnation has answered, so every other one of its id is over.  What
    ran there is lost, like what runs on a worker whose address answers under
    another id. */
@@ -585,6 +619,7 @@
         continue;
       o->replaced = 1;
       census_note_foreign (c, w, clock, o);
+      repeat_stops (c, w, o);
       unregister (c, o);
       c->counters.restarts++;
       cell_log (c,
@@ -791,6 +826,7 @@
   if (k->status == CELL_W_UNKNOWN)
     {
       c->counters.start_unsure++;
+      add_unsure_start (c, w, k);
       worker_set_suspect (c, w);
       if (is_current && t->state == CT_STARTING)
         {
--- a/src/fault.h
+++ b/src/fault.h
@@ -43,6 +43,8 @@
  *   without confirming the ownership
  * @FAULT_CELL_FOREIGN_LEASE: starts tasks on a worker that may hold a lease by
  *   the clock of its former incarnation
+ * @FAULT_CELL_STOPS_FORGOTTEN: does not repeat stops to the next incarnation
+ * of a worker
  */
 typedef enum
 {
@@ -75,6 +77,7 @@
   FAULT_CELL_LATE_WRITE,
   FAULT_CELL_RESTART_UNCONFIRMED,
   FAULT_CELL_FOREIGN_LEASE,
+  FAULT_CELL_STOPS_FORGOTTEN,
   FAULT_COUNT
 } fault_t;
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -665,6 +665,20 @@
   EXPECT_NE (out, expected);
 }
 
+/* The script must notice that the next incarnation of a worker is not told of
+   the stops that the former one had accepted. */
+TEST (CellFault, StopsAreRepeatedToTheNextIncarnation)
+{
+  std::vector<std::string> out;
+  std::vector<std::string> expected;
+
+  fault_on = FAULT_CELL_STOPS_FORGOTTEN;
+  run_script ("tests/cell/late-start-reaches-the-next-incarnation.txt", &out,
+              &expected);
+  fault_on = FAULT_NONE;
+  EXPECT_NE (out, expected);
+}
+
 /* The script must notice that a late write undoes a newer one. */
 TEST (CellFault, RevisionOfTaskRecordsIsChecked)
 {
