Records: tell a new owner of leases by a former clock

A worker that returned under its id took no task for up to 6 s, until a lease that it might hold by its former clock ended no later than a new one. When all workers return at once, nothing runs for that time.

The instant by which such leases have ended is now in the worker's record, which is written before any task is started there. A new owner that does not reach the worker waits for it; one that does, and the owner itself, lose nothing. The wall clocks of two VMs may differ, so 10 s are added.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -132,6 +132,7 @@
 
 struct gl_worker_start_t {
 	u_quad_t started_at;
+	u_quad_t foreign_until;
 };
 typedef struct gl_worker_start_t gl_worker_start_t;
 
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -121,6 +121,9 @@
    known, unless the owner that wrote it is of an older version. */
 struct gl_worker_start_t {
   unsigned hyper started_at;
+  /* Wall clock, in ms since the epoch, by which the leases have ended that
+     calls to former incarnations can have given to this one; 0: none. */
+  unsigned hyper foreign_until;
 };
 
 /* Who owns the cell.  generation grows with each claim and is the fencing
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -397,6 +397,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->started_at))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->foreign_until))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -20,6 +20,8 @@
 
 #include "codec.h"
 
+/* Most that the wall clocks of two VMs differ by, jumps included. */
+#define WALL_ERROR_MS 10000
 /* While the census is not complete, a line names a worker that it waits for,
    this often. */
 #define LOG_INTERVAL_MS 1000
@@ -247,33 +249,51 @@
          > (double)w->lease_sent + 1;
 }
 
+/* How long the longest lease lasts that a worker accepts. */
+static gl_ms_t
+foreign_lease_ms (const cell_t *c)
+{
+  return (gl_ms_t)(c->limits.worker_lease_max_ms / CELL_CLOCK_RATE_MIN) + 1;
+}
+
 void
 census_note_foreign (cell_t *c, cworker_t *w, uint64_t clock,
                      const cworker_t *former)
 {
-  gl_ms_t sent_at = former->lease_sent_at;
   gl_ms_t until;
 
-  /* Leases of earlier owners had been sent by then. */
-  if (!former->heard && former->lease_bound_at > CELL_LEASE_LASTS_MS)
-    sent_at = former->lease_bound_at - CELL_LEASE_LASTS_MS;
-  else if (!former->lease_sent || clock >= former->lease_sent)
+  /* It has not answered this owner: the leases of earlier ones are not known,
+     and the worker takes none of them any more. */
+  if (!former->heard)
+    until = c->now + foreign_lease_ms (c);
+  else if (former->lease_sent && clock < former->lease_sent)
+    until = former->lease_sent_at + foreign_lease_ms (c);
+  else
     return;
-  until = sent_at
-          + (gl_ms_t)(c->limits.worker_lease_max_ms / CELL_CLOCK_RATE_MIN);
-  if (until <= w->foreign_until)
+  if (until <= c->now || until <= w->foreign_until)
     return;
   w->foreign_until = until;
-  cell_log (c, "foreign_lease id=%s ends_in_ms=%lld sent_ms=%lld", w->info.id,
-            (long long)until - (long long)c->now,
-            (long long)c->now - (long long)sent_at);
+  cell_log (c, "foreign_lease id=%s ends_in_ms=%llu", w->info.id,
+            (unsigned long long)(until - c->now));
 }
 
-int
-census_may_use (const cell_t *c, const cworker_t *w)
+uint64_t
+census_foreign_wall (const cell_t *c, const cworker_t *w)
 {
-  return c->now + CELL_LEASE_LASTS_MS >= w->foreign_until
-         || FAULT (FAULT_CELL_FOREIGN_LEASE);
+  return w->foreign_until > c->now ? c->wall + (w->foreign_until - c->now) : 0;
+}
+
+void
+census_learn_foreign (cell_t *c, cworker_t *w, uint64_t wall)
+{
+  gl_ms_t remaining = foreign_lease_ms (c);
+
+  if (c->wall >= wall + WALL_ERROR_MS || FAULT (FAULT_CELL_FOREIGN_LEASE))
+    return;
+  if (remaining > wall + WALL_ERROR_MS - c->wall)
+    remaining = wall + WALL_ERROR_MS - c->wall;
+  if (c->now + remaining > w->foreign_until)
+    w->foreign_until = c->now + remaining;
 }
 
 void
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -32,9 +32,10 @@
 /* Append the start to the record of @len bytes; older versions read only what
    comes before it.  Takes @record over; NULL without memory. */
 static char *
-append_start (char *record, size_t *len, uint64_t started_at)
+append_start (char *record, size_t *len, uint64_t started_at,
+              uint64_t foreign_until)
 {
-  gl_worker_start_t start = { started_at };
+  gl_worker_start_t start = { started_at, foreign_until };
   size_t more = 0;
   char *tail = codec_encode ((xdrproc_t)xdr_gl_worker_start_t, &start, &more);
   char *whole = tail ? realloc (record, *len + more) : NULL;
@@ -51,8 +52,9 @@
 }
 
 static char *
-encode_record (const cell_worker_t *info, size_t *len)
+encode_record (const cell_t *c, const cworker_t *w, size_t *len)
 {
+  const cell_worker_t *info = &w->info;
   char *labels[CELL_LABELS_MAX];
   gl_worker_record_t record = { (char *)info->id,
                                 (char *)info->addr,
@@ -67,7 +69,8 @@
   value = codec_encode ((xdrproc_t)xdr_gl_worker_record_t, &record, len);
   if (!value || !info->started_at)
     return value;
-  return append_start (value, len, info->started_at);
+  return append_start (value, len, info->started_at,
+                       census_foreign_wall (c, w));
 }
 
 /* Each incarnation has a record of its own. */
@@ -81,19 +84,19 @@
     snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s", w->info.id);
 }
 
-/* The start in the record, 0 if there is none, as in one of an older version.
- */
-static uint64_t
+/* What follows the record; all 0 if nothing does, as in an older version. */
+static gl_worker_start_t
 recorded_start (const cell_item_t *item, gl_worker_record_t *record)
 {
+  const gl_worker_start_t none = { 0, 0 };
   size_t at = xdr_sizeof ((xdrproc_t)xdr_gl_worker_record_t, record);
-  gl_worker_start_t start = { 0 };
+  gl_worker_start_t start = { 0, 0 };
 
   if (at >= item->len
       || codec_decode ((xdrproc_t)xdr_gl_worker_start_t, &start,
                        item->value + at, item->len - at))
-    return 0;
-  return start.started_at;
+    return none;
+  return start;
 }
 
 void
@@ -101,6 +104,7 @@
 {
   gl_worker_record_t record;
   cell_worker_t info;
+  gl_worker_start_t start;
   cworker_t *w;
   int known = c->nworkers;
 
@@ -123,7 +127,8 @@
                    record.labels.labels_val[info.nlabels]);
       info.nlabels++;
     }
-  info.started_at = recorded_start (item, &record);
+  start = recorded_start (item, &record);
+  info.started_at = start.started_at;
   /* The capacity in the record may be larger than what the worker has now.  It
      takes no tasks until its registration tells its capacity. */
   w = incarnation_recorded (c, &info);
@@ -137,15 +142,19 @@
       w->enrolled = 1;
       w->record_revision = item->revision;
       w->record_start = info.started_at;
+      census_learn_foreign (c, w, start.foreign_until);
     }
   codec_free ((xdrproc_t)xdr_gl_worker_record_t, &record);
 }
 
 /* 1 if the record has to be written, -1 if it has to be removed, else 0. */
 static int
-needed_change (const cworker_t *w)
+needed_change (cell_t *c, const cworker_t *w)
 {
-  if (w->registered && !w->dead && !w->enrolled)
+  /* Until the worker has answered, it is not known what leases its former
+     incarnations have left to it. */
+  if (w->registered && !w->dead && !w->enrolled
+      && (w->clock || incarnation_next (c, w) == w))
     return 1;
   return w->dead && w->record_revision ? -1 : 0;
 }
@@ -163,7 +172,7 @@
       cworker_t *w = &c->workers[i];
       cell_item_t *check;
       cell_put_t *p;
-      int change = needed_change (w);
+      int change = needed_change (c, w);
 
       if (!change)
         continue;
@@ -184,7 +193,7 @@
       cell_strcpy (check->key, p->key);
       check->revision = w->record_revision;
       if (change > 0)
-        p->value = encode_record (&w->info, &p->len);
+        p->value = encode_record (c, w, &p->len);
       else
         w->enrolled = 0;
       c->enrol_removes[c->nenrolling] = change < 0;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -231,9 +231,11 @@
    workers shorten it to the longest that they accept */
 void census_note_foreign (cell_t *c, cworker_t *w, uint64_t clock,
                           const cworker_t *former);
-/** census_may_use - 1 if no such lease ends later than one that is sent now: a
-    successor waits for the latter only */
-int census_may_use (const cell_t *c, const cworker_t *w);
+/** census_foreign_wall - when such leases have ended by the wall clock, for
+   the worker's record; 0 if there are none */
+uint64_t census_foreign_wall (const cell_t *c, const cworker_t *w);
+/** census_learn_foreign - the worker's record says that they have by @wall */
+void census_learn_foreign (cell_t *c, cworker_t *w, uint64_t wall);
 /** census_log - log how many workers the census waits for, and the one that it
     may wait for longest, from time to time */
 void census_log (cell_t *c);
