Census: a new owner hears the next incarnation

What callers would see: tasks run twice at the same time after a change of owners.

Cause: an owner that takes the cell over knows the former incarnation by its record. That the present one has no record told that nothing runs there, but starts of the former owner that named the id may have been carried out by it.

A new owner counts an incarnation as unknown until it has listed its runs, if the id has had another one, and polls it even without a registration.

The deliberate faults of the scripted runs are one table now; what each must notice is unchanged.

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -144,7 +144,11 @@
 void
 cworker_expect (cell_t *c, cworker_t *w)
 {
-  if (c->role == CR_LOADING)
+  /* What was sent to a former incarnation may run on this one, which is polled
+     for that even without a registration. */
+  if (c->role == CR_LOADING
+      || (c->role == CR_OWNER && incarnation_next (c, w) != w
+          && !FAULT (FAULT_CELL_UNSETTLED)))
     census_expect (c, w);
   else if (c->role == CR_OWNER)
     {
@@ -731,7 +735,8 @@
     {
       for (cworker_t *o = incarnation_next (c, w); o != w;
            o = incarnation_next (c, o))
-        if (o->replaced && !o->dead && !o->settled)
+        if (o->replaced && !o->dead && !o->settled
+            && !FAULT (FAULT_CELL_UNSETTLED))
           take_over_runs (c, w, o, k);
       /* Ends before runs, so that an ended run is not taken as running. */
       for (int i = 0; i < k->nends; i++)
@@ -1014,7 +1019,8 @@
 is_settled (cell_t *c, const cworker_t *w)
 {
   return !w->replaced || w->settled
-         || incarnation_current (c, w->info.id)->dead;
+         || incarnation_current (c, w->info.id)->dead
+         || FAULT (FAULT_CELL_UNSETTLED);
 }
 
 static void
--- a/src/fault.h
+++ b/src/fault.h
@@ -43,6 +43,8 @@
  *   without confirming the ownership
  * @FAULT_CELL_FOREIGN_LEASE: starts tasks on a worker that may hold a lease by
  *   the clock of its former incarnation
+ * @FAULT_CELL_UNSETTLED: counts the runs of a former incarnation as lost
+ * before the present one has listed its runs
  * @FAULT_CELL_STOPS_FORGOTTEN: does not repeat stops to the next incarnation
  * of a worker
  */
@@ -78,6 +80,7 @@
   FAULT_CELL_RESTART_UNCONFIRMED,
   FAULT_CELL_FOREIGN_LEASE,
   FAULT_CELL_STOPS_FORGOTTEN,
+  FAULT_CELL_UNSETTLED,
   FAULT_COUNT
 } fault_t;
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -626,71 +626,44 @@
 }
 
 #ifdef GL_TEST_FAULTS
-/* The script must notice that the room of orphaned runs is not counted. */
-TEST (CellFault, RoomOfUnknownRunsIsChecked)
+struct FaultCase
 {
-  std::vector<std::string> out;
-  std::vector<std::string> expected;
-
-  fault_on = FAULT_CELL_ORPHANS_FREE;
-  run_script ("tests/cell/stopping-runs-hold-room.txt", &out, &expected);
-  fault_on = FAULT_NONE;
-  EXPECT_NE (out, expected);
-}
-
-/* The script must notice that a former owner starts an ended task again. */
-TEST (CellFault, OwnershipIsConfirmedAfterARestart)
-{
-  std::vector<std::string> out;
-  std::vector<std::string> expected;
-
-  fault_on = FAULT_CELL_RESTART_UNCONFIRMED;
-  run_script ("tests/cell/former-owner-starts-nothing-anew.txt", &out,
-              &expected);
-  fault_on = FAULT_NONE;
-  EXPECT_NE (out, expected);
-}
+  fault_t fault;
+  const char *script; /* must notice it */
+};
 
-/* The script must notice that a worker is used which may hold a lease by the
-   clock of its former incarnation. */
-TEST (CellFault, ForeignLeasesAreWaitedFor)
+class CellFault : public testing::TestWithParam<FaultCase>
 {
-  std::vector<std::string> out;
-  std::vector<std::string> expected;
-
-  fault_on = FAULT_CELL_FOREIGN_LEASE;
-  run_script ("tests/cell/lease-given-to-the-next-incarnation.txt", &out,
-              &expected);
-  fault_on = FAULT_NONE;
-  EXPECT_NE (out, expected);
-}
+};
 
-/* The script must notice that the next incarnation of a worker is not told of
-   the stops that the former one had accepted. */
-TEST (CellFault, StopsAreRepeatedToTheNextIncarnation)
+TEST_P (CellFault, IsNoticed)
 {
   std::vector<std::string> out;
   std::vector<std::string> expected;
+  std::string path = std::string ("tests/cell/") + GetParam ().script + ".txt";
 
-  fault_on = FAULT_CELL_STOPS_FORGOTTEN;
-  run_script ("tests/cell/late-start-reaches-the-next-incarnation.txt", &out,
-              &expected);
+  fault_on = GetParam ().fault;
+  run_script (path, &out, &expected);
   fault_on = FAULT_NONE;
   EXPECT_NE (out, expected);
 }
 
-/* The script must notice that a late write undoes a newer one. */
-TEST (CellFault, RevisionOfTaskRecordsIsChecked)
-{
-  std::vector<std::string> out;
-  std::vector<std::string> expected;
-
-  fault_on = FAULT_CELL_LATE_WRITE;
-  run_script ("tests/cell/unanswered-write-carried-out-late.txt", &out,
-              &expected);
-  fault_on = FAULT_NONE;
-  EXPECT_NE (out, expected);
-}
+INSTANTIATE_TEST_SUITE_P (
+    Scripts, CellFault,
+    testing::Values (FaultCase{ FAULT_CELL_ORPHANS_FREE,
+                                "stopping-runs-hold-room" },
+                     FaultCase{ FAULT_CELL_RESTART_UNCONFIRMED,
+                                "former-owner-starts-nothing-anew" },
+                     FaultCase{ FAULT_CELL_FOREIGN_LEASE,
+                                "lease-given-to-the-next-incarnation" },
+                     FaultCase{ FAULT_CELL_STOPS_FORGOTTEN,
+                                "late-start-reaches-the-next-incarnation" },
+                     FaultCase{ FAULT_CELL_UNSETTLED,
+                                "starts-carried-out-by-the-next-incarnation" },
+                     FaultCase{ FAULT_CELL_UNSETTLED,
+                                "new-owner-hears-the-next-incarnation" },
+                     FaultCase{ FAULT_CELL_LATE_WRITE,
+                                "unanswered-write-carried-out-late" }));
 #endif
 
 static std::string
