Crashes: workers that crash together are no evidence against one task

What callers would see: a job is shown as failed although its tasks are sound.

Cause: the second sole crash of a task fails its job. Only racks were taken for a common cause, and workers that crash together are found one after the other.

A crash that might fail a job is judged a second after it was noted. When at least two workers on which nothing was suspect were found restarted within a second of it, it does not count as sole. The task waits until then, so a task that crashes its workers is not started more often than before.

--- a/src/cell.c
+++ b/src/cell.c
@@ -91,6 +91,7 @@
   free (c->dirty.v);
   free (c->waiting.v);
   free (c->to_fail.v);
+  free (c->crashes);
   pool_destroy (&c->jobs);
   pool_destroy (&c->steps);
   names_destroy (&c->vm_names);
--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -14,7 +14,11 @@
  * the job that are not suspects wait meanwhile, since tasks of a job behave
  * alike.  A run that survives clears its task.  The second sole crash of a
  * task fails its job.  One crash is not enough for that, because a worker may
- * also crash by itself, and a rack may lose power.
+ * also crash by itself, and a rack may lose power.  Other workers may crash
+ * together, too: when several on which nothing was suspect are found restarted
+ * at about the same time, the crashes of that time are not sole.  Workers that
+ * crashed together are found one after the other, so a crash is judged a while
+ * after it was noted; until then its task waits.
  *
  * The counts are written with the job's task records, so that a new owner goes
  * on with them.
@@ -47,6 +51,10 @@
    are away, or were found restarted within this span. */
 #define RACK_AWAY_MIN 2
 #define RACK_SPAN_MS 2000
+/* Restarts without suspects that make a common cause, and the time before and
+   after a crash within which they count. */
+#define TOGETHER_MIN 2
+#define TOGETHER_SPAN_MS 1000
 /* For this long after a worker was given up by its lease it is asked whether
    it has restarted. */
 #define LAPSED_ASK_MS 10000
@@ -105,6 +113,19 @@
 
 /* ---- crashes ---- */
 
+/* Without memory the crash counts as it was noted. */
+static void
+judge_later (cell_t *c, const cstep_t *s, uint32_t index, uint32_t run,
+             int sole)
+{
+  if (array_reserve (&c->crashes, &c->capcrashes, c->ncrashes,
+                     sizeof *c->crashes))
+    handles_add (&c->to_fail, s->job);
+  else
+    c->crashes[c->ncrashes++]
+        = (ccrash_t){ { s->self, index }, run, sole, c->now };
+}
+
 static void
 note_crash (cell_t *c, const cworker_t *w, cstep_t *s, uint32_t index,
             uint32_t run, int sole, int log)
@@ -133,7 +154,7 @@
                 name, run, w->info.id, sole, t->crashes, t->sole_crashes);
     }
   if (is_to_fail (t))
-    handles_add (&c->to_fail, j->self);
+    judge_later (c, s, index, run, sole);
 }
 
 /* Whether the worker's whole rack is away, as when it loses power: its crashes
@@ -159,6 +180,22 @@
   return away >= RACK_AWAY_MIN;
 }
 
+/* Whether runs on the worker have not survived yet: of the job, or, if
+   @others, of other jobs. */
+static int
+has_exposed (const cell_t *c, const cworker_t *w, handle_t job, int others)
+{
+  for (int i = 0; i < w->ntasks; i++)
+    {
+      const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
+
+      if ((s->job == job) != others
+          && is_exposed (&s->tasks[w->tasks[i].index]))
+        return 1;
+    }
+  return 0;
+}
+
 /* Whether all runs that the worker may not have survived are of one job. */
 static int
 is_of_one_job (const cell_t *c, const cworker_t *w)
@@ -187,6 +224,7 @@
   if (w->info.leaving)
     return;
   w->crashed_at = c->now;
+  w->crashed_alone = !has_exposed (c, w, 0, 1);
   sole = is_of_one_job (c, w) && !is_rack_away (c, w);
   for (int i = 0; i < w->ntasks; i++)
     {
@@ -237,6 +275,68 @@
   w->nlapsed_runs = 0;
 }
 
+/* Other workers crashed at the same time, so the task's last crash is no proof
+   against it. */
+static void
+excuse_crash (cell_t *c, cstep_t *s, uint32_t index)
+{
+  ctask_t *t = counted_task (s, index);
+  cjob_t *j = cstep_job (c, s);
+  char name[CELL_NAME_SIZE];
+
+  ctask_name (c, s, index, name);
+  t->sole_crashes--;
+  cell_log (c, "crash_excused task=%s run=%u crashes=%u sole_crashes=%u", name,
+            t->crashed_run, t->crashes, t->sole_crashes);
+  j->version++;
+  crash_recount (c, j);
+  save_job (c, j, 1);
+  plan_wake (c);
+}
+
+static int
+have_crashed_together (const cell_t *c, gl_ms_t at)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      const cworker_t *w = &c->workers[i];
+
+      n += w->crashed_alone && w->crashed_at + TOGETHER_SPAN_MS > at
+           && w->crashed_at < at + TOGETHER_SPAN_MS;
+    }
+  return n >= TOGETHER_MIN;
+}
+
+/* Judge the crashes that might fail a job. */
+static void
+judge_crashes (cell_t *c)
+{
+  int left = 0;
+
+  for (int i = 0; i < c->ncrashes; i++)
+    {
+      const ccrash_t *r = &c->crashes[i];
+      cstep_t *s = pool_get (&c->steps, r->task.step);
+      ctask_t *t = s ? counted_task (s, r->task.index) : NULL;
+
+      if (c->now < r->at + TOGETHER_SPAN_MS)
+        {
+          c->crashes[left++] = *r;
+          continue;
+        }
+      if (!t || t->state == CT_DONE || !is_to_fail (t))
+        continue;
+      if (r->sole && t->crashed_run == r->run && t->sole_crashes
+          && have_crashed_together (c, r->at))
+        excuse_crash (c, s, r->task.index);
+      if (is_to_fail (t))
+        handles_add (&c->to_fail, s->job);
+    }
+  c->ncrashes = left;
+}
+
 /* Fail the jobs that have crashed workers too often. */
 static void
 fail_jobs (cell_t *c)
@@ -308,22 +408,6 @@
 
 /* ---- isolation ---- */
 
-/* Whether runs on the worker have not survived yet: of the job, or, if
-   @others, of other jobs. */
-static int
-has_exposed (const cell_t *c, const cworker_t *w, handle_t job, int others)
-{
-  for (int i = 0; i < w->ntasks; i++)
-    {
-      const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
-
-      if ((s->job == job) != others
-          && is_exposed (&s->tasks[w->tasks[i].index]))
-        return 1;
-    }
-  return 0;
-}
-
 /* The suspect job whose runs on the worker have not survived yet, or 0. */
 static handle_t
 probed_job (const cell_t *c, const cworker_t *w)
@@ -456,6 +540,7 @@
     if (c->workers[i].probed_job && !c->workers[i].probe_polled
         && !c->workers[i].dead)
       poll_probed (c, i);
+  judge_crashes (c);
   fail_jobs (c);
 }
 
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -414,6 +414,16 @@
   uint64_t version;
 } cunacked_t;
 
+/** struct ccrash_t - a crash under a run that may fail its job, noted at @at
+ */
+typedef struct
+{
+  ctask_handle_t task;
+  uint32_t run;
+  int sole;
+  gl_ms_t at;
+} ccrash_t;
+
 /** struct cunsure_start_t - a start that got no answer */
 typedef struct
 {
@@ -480,7 +490,8 @@
  * @probed_job: the suspect job that was last started there, 0 for none
  * @probe_polled: it was polled to learn whether that run has survived
  * @added_at: when it became known here
- * @crashed_at: when it was found restarted, 0 if it was not
+ * @crashed_at, @crashed_alone: when it was found restarted, 0 if it was not,
+ * and that nothing was suspect of it
  * @lapsed_runs, @nlapsed_runs, @lapsed_sole, @lapsed_at: runs that it had not
  *   survived when it was given up by its lease, whether all were of one job,
  *   and when that was
@@ -538,6 +549,7 @@
   int probe_polled;
   gl_ms_t added_at;
   gl_ms_t crashed_at;
+  int crashed_alone;
   clapsed_run_t lapsed_runs[CELL_LAPSED_RUNS_MAX];
   int nlapsed_runs;
   int lapsed_sole;
@@ -797,6 +809,7 @@
  * @plan_due, @planned_at: a planning pass is due; time of the last one
  * @nprobed, @nprobed_sole: suspect jobs, and those with may_crash, with runs
  *   that have not survived yet; as of this pass
+ * @crashes, @ncrashes: crashes that may fail a job and are not judged yet
  * @to_fail: jobs to be failed for crashes of workers
  * @scans_left: searches of all workers that this pass may still make
  * @approval_share, @napproval_shares: learned share of named workers that the
@@ -924,6 +937,9 @@
   gl_ms_t planned_at;
   int nprobed;
   int nprobed_sole;
+  ccrash_t *crashes;
+  int ncrashes;
+  int capcrashes;
   handles_t to_fail;
   int scans_left;
   double *approval_share;
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -511,4 +511,5 @@
     c->vms[i].busy_ms = 0;
   c->waiting.n = 0;
   c->to_fail.n = 0;
+  c->ncrashes = 0;
 }
