Crashes: compare the times of crashes, not of their discovery

A worker that crashed with others may be found restarted seconds later, when it is reached again, and was then no part of them. A crash lies between the last answer and the discovery; two may have come together if these spans meet.

--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -51,8 +51,8 @@
    are away, or were found restarted within this span. */
 #define RACK_AWAY_MIN 2
 #define RACK_SPAN_MS 2000
-/* Restarts without suspects that make a common cause, and the time before and
-   after a crash within which they count. */
+/* Crashes without suspects that make a common cause, and the time before and
+   after another crash within which they count. */
 #define TOGETHER_MIN 2
 #define TOGETHER_SPAN_MS 1000
 /* For this long after a worker was given up by its lease it is asked whether
@@ -116,14 +116,14 @@
 /* Without memory the crash counts as it was noted. */
 static void
 judge_later (cell_t *c, const cstep_t *s, uint32_t index, uint32_t run,
-             int sole)
+             int sole, gl_ms_t since)
 {
   if (array_reserve (&c->crashes, &c->capcrashes, c->ncrashes,
                      sizeof *c->crashes))
     handles_add (&c->to_fail, s->job);
   else
     c->crashes[c->ncrashes++]
-        = (ccrash_t){ { s->self, index }, run, sole, c->now };
+        = (ccrash_t){ { s->self, index }, run, sole, since, c->now };
 }
 
 static void
@@ -154,7 +154,7 @@
                 name, run, w->info.id, sole, t->crashes, t->sole_crashes);
     }
   if (is_to_fail (t))
-    judge_later (c, s, index, run, sole);
+    judge_later (c, s, index, run, sole, w->clock_at);
 }
 
 /* Whether the worker's whole rack is away, as when it loses power: its crashes
@@ -294,8 +294,10 @@
   plan_wake (c);
 }
 
+/* Whether workers on which nothing was suspect may have crashed at the time of
+   @r: each crash lies between the last answer and the restart. */
 static int
-have_crashed_together (const cell_t *c, gl_ms_t at)
+have_crashed_together (const cell_t *c, const ccrash_t *r)
 {
   int n = 0;
 
@@ -303,8 +305,8 @@
     {
       const cworker_t *w = &c->workers[i];
 
-      n += w->crashed_alone && w->crashed_at + TOGETHER_SPAN_MS > at
-           && w->crashed_at < at + TOGETHER_SPAN_MS;
+      n += w->crashed_alone && w->crashed_at + TOGETHER_SPAN_MS > r->since
+           && w->clock_at < r->at + TOGETHER_SPAN_MS;
     }
   return n >= TOGETHER_MIN;
 }
@@ -329,7 +331,7 @@
       if (!t || t->state == CT_DONE || !is_to_fail (t))
         continue;
       if (r->sole && t->crashed_run == r->run && t->sole_crashes
-          && have_crashed_together (c, r->at))
+          && have_crashed_together (c, r))
         excuse_crash (c, s, r->task.index);
       if (is_to_fail (t))
         handles_add (&c->to_fail, s->job);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -414,13 +414,14 @@
   uint64_t version;
 } cunacked_t;
 
-/** struct ccrash_t - a crash under a run that may fail its job, noted at @at
- */
+/** struct ccrash_t - a crash under a run that may fail its job, after @since
+   and noted at @at */
 typedef struct
 {
   ctask_handle_t task;
   uint32_t run;
   int sole;
+  gl_ms_t since;
   gl_ms_t at;
 } ccrash_t;
 
@@ -479,6 +480,8 @@
  *   room
  * @orphans_stopped_at: when they were last sent stops
  * @missed_polls: polls in a row without an answer
+ * @unproven: a call got no answer since it last listed its runs, so it may
+ * have restarted
  * @suspect: it may be gone: no task is started there until it has answered
  * @failed_jobs, @last_failed_job: different jobs in a row whose runs failed
  *   there, and the last of them
@@ -537,6 +540,7 @@
   int orphans;
   gl_ms_t orphans_stopped_at;
   uint32_t missed_polls;
+  int unproven;
   int suspect;
   uint32_t failed_jobs;
   handle_t last_failed_job;
