Polls: no acknowledgement to a worker that may have restarted

What callers would see: a task that was done runs again, or its job does not end.

Cause: a poll names the worker's id, and acknowledges ends by numbers of the incarnation that was known as it was sent. Another incarnation forgets its own ends up to that number, of which nobody has heard.

After a call without an answer, polls acknowledge nothing until the worker has listed its runs again. no-ends-are-acknowledged-unheard failed before, and notices the fault CELL_ACKS_UNPROVEN.

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -444,7 +444,9 @@
   if (!k)
     return;
   end_ack_written (c, w);
-  k->ack_cursor = w->ack_cursor;
+  /* Another incarnation would forget its own ends up to that number. */
+  if (!w->unproven || FAULT (FAULT_CELL_ACKS_UNPROVEN))
+    k->ack_cursor = w->ack_cursor;
   k->lease_until = lease_until (c, w);
   k->wait_ms = wait_ms;
   k->timeout = k->wait_ms
@@ -960,6 +962,7 @@
   if (!is_answer_of (c, w, k))
     return;
   note_answer (c, w, k);
+  w->unproven = k->worker_clock ? w->unproven && k->op != CELL_OP_POLL : 1;
   if (k->op == CELL_OP_POLL)
     {
       if (w->poll_tag == k->tag)
--- a/src/fault.h
+++ b/src/fault.h
@@ -45,6 +45,8 @@
  *   the clock of its former incarnation
  * @FAULT_CELL_UNSETTLED: counts the runs of a former incarnation as lost
  * before the present one has listed its runs
+ * @FAULT_CELL_ACKS_UNPROVEN: acknowledges ends to a worker that may have
+ *   restarted
  * @FAULT_CELL_STOPS_FORGOTTEN: does not repeat stops to the next incarnation
  * of a worker
  */
@@ -81,6 +83,7 @@
   FAULT_CELL_FOREIGN_LEASE,
   FAULT_CELL_STOPS_FORGOTTEN,
   FAULT_CELL_UNSETTLED,
+  FAULT_CELL_ACKS_UNPROVEN,
   FAULT_COUNT
 } fault_t;
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -81,7 +81,7 @@
  *   owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
  *                                  most N, or what the world has measured:
- *                                  ownerless_ms, stop_answer_ms; see
+ *                                  ownerless_ms, stop_answer_ms, foreign_acks; see
  *                                  World::longest_ownerless_ms and
  *                                  World::longest_stop_answer_ms
  *   broken                         print the violations of guarantees
@@ -157,6 +157,8 @@
 
     if (name == "ownerless_ms")
       return (long)w->longest_ownerless_ms;
+    if (name == "foreign_acks")
+      return (long)w->foreign_acks;
     if (name == "stop_answer_ms")
       return (long)w->longest_stop_answer_ms;
     if (o < 0)
@@ -662,6 +664,8 @@
                                 "starts-carried-out-by-the-next-incarnation" },
                      FaultCase{ FAULT_CELL_UNSETTLED,
                                 "new-owner-hears-the-next-incarnation" },
+                     FaultCase{ FAULT_CELL_ACKS_UNPROVEN,
+                                "no-ends-are-acknowledged-unheard" },
                      FaultCase{ FAULT_CELL_LATE_WRITE,
                                 "unanswered-write-carried-out-late" }));
 #endif
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -58,6 +58,9 @@
    under which CRASHES_MAX have may be started fewer times than that again. */
 static const int GIVE_UP_CRASHES = 2;
 static const int CRASHES_MAX = 3;
+/* Longest time from a worker's return to the first order of an owner that
+   knows of it. */
+static const gl_ms_t FIRST_CONTACT_MS = 500;
 /* Wall clock at the start of the world's. */
 static const uint64_t WALL_MS = 1000000;
 /* Longest lease that a worker accepts. */
@@ -1034,6 +1037,8 @@
     w.info.leaving = 0;
     w.info.capacity = w.capacity = w.full_capacity = before.full_capacity;
     w.stop_ms = before.stop_ms;
+    w.returned = true;
+    w.returned_at = now;
     w.serial = ++incarnations_;
     w.clock_ahead = clock ? (int64_t)clock - (int64_t)now : before.clock_ahead;
     refusing_.erase (w.info.addr);
@@ -1204,6 +1209,14 @@
 {
   std::string id = task.substr (0, task.find ('.'));
   gl_res_t sum = r.need;
+  std::string how;
+
+  /* A call to the worker's former incarnation acknowledged the end. */
+  if (acked_unlisted_.count (task))
+    how = "acknowledged before it was listed: ";
+  /* Nobody can have told the incarnation yet what it must refuse. */
+  if (late && w.returned && now < w.returned_at + FIRST_CONTACT_MS)
+    how = "late order after a return: ";
 
   starts++;
   if (jobs.count (id))
@@ -1220,15 +1233,15 @@
     report_violation ("over capacity: " + task + " on " + w.info.id);
   for (auto &o : workers)
     if (o.alive && o.running.count (task) && &o != &w)
-      report_violation ("runs twice: " + task + " on " + w.info.id + " and "
-                        + o.info.id);
+      report_violation (how + "runs twice: " + task + " on " + w.info.id
+                        + " and " + o.info.id);
   if (done_acked_.count (task))
-    report_violation ("started after its acknowledged end: " + task);
+    report_violation (how + "started after its acknowledged end: " + task);
   if (crashes_[task] >= CRASHES_MAX
       && ++starts_after_crashes_[task] == CRASHES_MAX)
     report_violation ("started after crashes: " + task);
   if ((int)failed_acked_[task].size () >= max_attempts)
-    report_violation ("started after its last attempt: " + task);
+    report_violation (how + "started after its last attempt: " + task);
   if (!jobs.count (id))
     report_violation ("started but not submitted: " + task);
   else if (!late && jobs[id].cancelled && now > jobs[id].cancelled_at + 1000)
@@ -1427,6 +1440,7 @@
       }
     for (auto &e : w->ends)
       {
+        e.listed = true;
         cell_end_t row{};
         row.seq = e.seq;
         snprintf (row.task, sizeof row.task, "%s", e.task.c_str ());
@@ -1467,6 +1481,8 @@
             return;
           }
         c->serial = w->serial;
+        foreign_acks += w->returned && !w->polled && c->k.ack_cursor;
+        w->polled = true;
         w->fencing_token = c->k.fencing_token;
         extend_lease (*w, c->k.lease_until);
         for (auto &e : w->ends)
@@ -1478,6 +1494,8 @@
                 continue;
               if (e.outcome == CELL_RUN_DONE)
                 done_acked_.insert (e.task);
+              if (!e.listed)
+                acked_unlisted_.insert (e.task);
               if (e.outcome == CELL_RUN_FAILED)
                 failed_acked_[e.task].insert (e.run);
             }
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -49,6 +49,7 @@
   uint32_t run;
   cell_outcome_t outcome;
   bool lapsed = false; /* the worker's lease has ended since */
+  bool listed = false; /* in an answer to a poll */
 };
 
 /* A capacity that a worker no longer has, since @ended_at. */
@@ -68,6 +69,9 @@
   int serial = 0;           /* no other incarnation has it */
   int64_t clock_ahead = 0;  /* its clock, less that of the world */
   bool has_written = false; /* its registration */
+  bool returned = false;    /* under the id of another incarnation */
+  gl_ms_t returned_at = 0;
+  bool polled = false;
   bool alive = true;
   bool reachable = true;
   bool registered = true;
@@ -237,6 +241,8 @@
   uint64_t conf_version = 1;
   std::set<std::string> queues{ "urgent", "batch" };
   uint64_t starts = 0;
+  uint64_t foreign_acks = 0; /* polls that acknowledged ends to a worker that
+                                had returned and not been polled since */
   gl_ms_t longest_ownerless_ms = 0;   /* longest time without an owner, of the
                                          time in which a VM reached the store */
   gl_ms_t longest_stop_answer_ms = 0; /* longest time that a submission had no
@@ -425,6 +431,8 @@
   /* By task: whether a good end, and which failed runs, the owner has
      acknowledged. */
   std::set<std::string> done_acked_;
+  /* Tasks of which an end was acknowledged before it was listed. */
+  std::set<std::string> acked_unlisted_;
   std::map<std::string, std::set<uint32_t> > failed_acked_;
   /* By task: runs that have ended well, and that have failed. */
   std::map<std::string, std::set<int> > done_;
