Polls: take what another incarnation answers

What callers would see: a task that was done runs again. Found by the fuzzer.

Cause: the answer of another incarnation to a poll was not used beyond its start. An end in it may have been acknowledged, by an old number, with a call that was on its way.

Such an answer is now taken as the list of the incarnation that gave it, which also saves a poll.

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -717,11 +717,41 @@
     }
 }
 
+/* Take what the worker has listed in answer to a poll. */
 static void
-poll_result (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+take_lists (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
-  int orphans_before;
+  int orphans_before = w->orphans;
 
+  for (cworker_t *o = incarnation_next (c, w); o != w;
+       o = incarnation_next (c, o))
+    if (o->replaced && !o->dead && !o->settled
+        && !FAULT (FAULT_CELL_UNSETTLED))
+      take_over_runs (c, w, o, k);
+  /* Ends before runs, so that an ended run is not taken as running. */
+  for (int i = 0; i < k->nends; i++)
+    end_listed (c, w, &k->ends[i]);
+  w->orphans = 0;
+  for (int i = 0; i < k->nruns; i++)
+    handle_listed_run (c, w, &k->runs[i], k);
+  if (w->orphans && c->now - w->orphans_stopped_at >= ORPHAN_STOP_RETRY_MS)
+    w->orphans_stopped_at = c->now;
+  if (orphans_before && !w->orphans)
+    plan_wake (c);
+  if (k->nends < POLL_ENDS_MAX)
+    {
+      census_set_heard (c, w);
+      settle_stopped_runs (c, w, k);
+    }
+  end_ack_written (c, w);
+  w->poll_at = w->orphans ? c->now + ORPHAN_POLL_MS : poll_next (c, w);
+  if (w->nunacked && w->poll_at < c->now + CELL_UNSAVED_POLL_MS)
+    w->poll_at = c->now + CELL_UNSAVED_POLL_MS;
+}
+
+static void
+poll_result (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
   w->poll_tag = 0;
   w->poll_at = c->now;
   if (w->dead && k->status == CELL_W_OK && !w->replaced)
@@ -735,31 +765,7 @@
     }
   if (k->status == CELL_W_OK)
     {
-      for (cworker_t *o = incarnation_next (c, w); o != w;
-           o = incarnation_next (c, o))
-        if (o->replaced && !o->dead && !o->settled
-            && !FAULT (FAULT_CELL_UNSETTLED))
-          take_over_runs (c, w, o, k);
-      /* Ends before runs, so that an ended run is not taken as running. */
-      for (int i = 0; i < k->nends; i++)
-        end_listed (c, w, &k->ends[i]);
-      orphans_before = w->orphans;
-      w->orphans = 0;
-      for (int i = 0; i < k->nruns; i++)
-        handle_listed_run (c, w, &k->runs[i], k);
-      if (w->orphans && c->now - w->orphans_stopped_at >= ORPHAN_STOP_RETRY_MS)
-        w->orphans_stopped_at = c->now;
-      if (orphans_before && !w->orphans)
-        plan_wake (c);
-      if (k->nends < POLL_ENDS_MAX)
-        {
-          census_set_heard (c, w);
-          settle_stopped_runs (c, w, k);
-        }
-      end_ack_written (c, w);
-      w->poll_at = w->orphans ? c->now + ORPHAN_POLL_MS : poll_next (c, w);
-      if (w->nunacked && w->poll_at < c->now + CELL_UNSAVED_POLL_MS)
-        w->poll_at = c->now + CELL_UNSAVED_POLL_MS;
+      take_lists (c, w, k);
       return;
     }
   c->counters.looks_failed++;
@@ -911,10 +917,11 @@
 
 static void worker_tick (cell_t *c, cworker_t *w);
 
-/* Whether it was @w that answered, or nobody.  If it was another incarnation
-   of the same id, @w is over. */
-static int
-is_answer_of (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+/* The incarnation that has answered a call to @w, and @w if nobody did.  If it
+   is another one, @w is over.  NULL if there is nothing to take the answer as.
+ */
+static cworker_t *
+answering_incarnation (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
   int asked = (int)(w - c->workers);
   int known = c->nworkers;
@@ -925,24 +932,34 @@
 
   /* The table of workers may have moved. */
   w = &c->workers[asked];
-  if (by == w)
+  if (by != w && w->poll_tag == k->tag)
     {
-      if (started_at)
-        replace_others (c, w, k->worker_clock);
-      return 1;
+      w->poll_tag = 0;
+      w->poll_at = c->now + POLL_RETRY_MS;
     }
-  if (w->poll_tag == k->tag)
-    w->poll_tag = 0;
-  w->poll_at = c->now + POLL_RETRY_MS;
   if (!by)
-    return 0;
+    return NULL;
   if (c->nworkers > known)
     cworker_expect (c, by);
-  by->poll_at = c->now;
+  if (started_at)
+    replace_others (c, by, k->worker_clock);
+  return by;
+}
+
+/* Another incarnation than the one that was polled has listed its runs. */
+static void
+take_lists_of_another (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
+  if (k->op != CELL_OP_POLL || k->status != CELL_W_OK
+      || FAULT (FAULT_CELL_UNSETTLED))
+    return;
+  if (w->dead)
+    worker_revive (c, w);
+  note_answer (c, w, k);
+  w->unproven = 0;
+  take_lists (c, w, k);
   timer_arm_before (&c->timers, c->worker_timer, c->now);
-  replace_others (c, by, k->worker_clock);
   plan_wake (c);
-  return 0;
 }
 
 void
@@ -950,6 +967,7 @@
 {
   const cell_wcall_t *k = ev->wcall;
   cworker_t *w = k->worker < c->nworkers ? &c->workers[k->worker] : NULL;
+  cworker_t *by;
 
   if (c->role != CR_OWNER || !w || strcmp (w->info.id, k->worker_id)
       || k->fencing_token != c->generation)
@@ -959,8 +977,15 @@
       own_step_down (c, "fenced by a worker");
       return;
     }
-  if (!is_answer_of (c, w, k))
+  by = answering_incarnation (c, w, k);
+  if (!by)
     return;
+  if (by != &c->workers[k->worker])
+    {
+      take_lists_of_another (c, by, k);
+      return;
+    }
+  w = by;
   note_answer (c, w, k);
   w->unproven = k->worker_clock ? w->unproven && k->op != CELL_OP_POLL : 1;
   if (k->op == CELL_OP_POLL)
