Workers: a late answer does not end a later incarnation

What callers would see: jobs wait though a worker has room.

Cause: an answer was taken as proof that every other incarnation of the id was over. One that was given before the worker restarted, and arrived after the next incarnation was known, made that one count as over for good.

--- a/src/cellincarn.c
+++ b/src/cellincarn.c
@@ -184,8 +184,15 @@
   return added;
 }
 
+int
+incarnation_is_later (const cworker_t *w, const cworker_t *by, gl_ms_t sent_at)
+{
+  return w->added_at >= sent_at && w->info.started_at > by->info.started_at;
+}
+
 cworker_t *
-incarnation_answered (cell_t *c, cworker_t *w, uint64_t started_at)
+incarnation_answered (cell_t *c, cworker_t *w, uint64_t started_at,
+                      gl_ms_t sent_at)
 {
   int asked = index_of (c, w);
   cell_worker_t info = w->info;
@@ -214,6 +221,8 @@
     }
   if (found->replaced)
     return NULL;
-  set_current (c, found);
+  w = incarnation_current (c, info.id);
+  if (!incarnation_is_later (w, found, sent_at))
+    set_current (c, found);
   return found;
 }
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -315,7 +315,12 @@
 /** incarnation_answered - the entry of the incarnation that has answered a
     call to @w, added if needed, which is now the current one; NULL if it has
     been replaced before, or without memory */
-cworker_t *incarnation_answered (cell_t *c, cworker_t *w, uint64_t started_at);
+cworker_t *incarnation_answered (cell_t *c, cworker_t *w, uint64_t started_at,
+                                 gl_ms_t sent_at);
+/** incarnation_is_later - whether @w may have started after the answer that
+   @by gave to a call of @sent_at */
+int incarnation_is_later (const cworker_t *w, const cworker_t *by,
+                          gl_ms_t sent_at);
 
 /* cellenrol.c */
 
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -615,15 +615,15 @@
    ran there is lost, like what runs on a worker whose address answers under
    another id. */
 static void
-replace_others (cell_t *c, cworker_t *w, uint64_t clock)
+replace_others (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
   for (cworker_t *o = incarnation_next (c, w); o != w;
        o = incarnation_next (c, o))
     {
-      if (o->replaced)
+      if (o->replaced || incarnation_is_later (o, w, k->sent_at))
         continue;
       o->replaced = 1;
-      census_note_foreign (c, w, clock, o);
+      census_note_foreign (c, w, k->worker_clock, o);
       repeat_stops (c, w, o);
       unregister (c, o);
       c->counters.restarts++;
@@ -928,7 +928,7 @@
   /* CELL_W_RESTARTED comes from a worker of another id. */
   uint64_t started_at
       = k->status == CELL_W_RESTARTED ? 0 : k->worker_started_at;
-  cworker_t *by = incarnation_answered (c, w, started_at);
+  cworker_t *by = incarnation_answered (c, w, started_at, k->sent_at);
 
   /* The table of workers may have moved. */
   w = &c->workers[asked];
@@ -942,7 +942,7 @@
   if (c->nworkers > known)
     cworker_expect (c, by);
   if (started_at)
-    replace_others (c, by, k->worker_clock);
+    replace_others (c, by, k);
   return by;
 }
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -49,7 +49,7 @@
  *   linger MS                      see World::linger_ms
  *   worker N crash|show            N is the worker's number
  *   worker N reachable|deaf|listed|unanswered|fails_all|hangs 0|1
- *   worker N late|stops_in|leaves_in MS
+ *   worker N late|stops_in|leaves_in|answers_in MS
  *   worker N slow FACTOR           see struct Worker
  *   worker N down MS               it crashes and is back after this time
  *   worker N returns MS [CLOCK]    the same, under its id; see
@@ -208,6 +208,8 @@
       x.hangs = arg;
     else if (what == "slow")
       x.slowdown = arg;
+    else if (what == "answers_in")
+      x.answers_in_ms = (gl_ms_t)arg;
     else if (what == "stops_in")
       x.stop_ms = (gl_ms_t)arg;
     else if (what == "leaves_in")
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -78,6 +78,7 @@
   bool deaf = false;          /* calls do not reach it; its answers to earlier
                                  ones do arrive */
   bool loses_answers = false; /* to starts and stops, which it carries out */
+  gl_ms_t answers_in_ms = 0;  /* delay of its answers to polls */
   int late_ms = 0; /* delay of half of the starts and stops; those get no
                       answer */
   bool fails_all = false;
