Platform: a start is a whole number; runs of sources that disagree

Before, a string was taken for a missing start and a fraction was cut.

New scripted runs: a watch that lags behind, a start before the known one, a later start that another writer claims, and workers that say none.

--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -52,8 +52,9 @@
  *   worker N late|stops_in|leaves_in|answers_in MS
  *   worker N slow FACTOR           see struct Worker
  *   worker N down MS               it crashes and is back after this time
- *   worker N returns MS [CLOCK]    the same, under its id; see
+ *   worker N returns MS [CLOCK [BACK]]   the same, under its id; see
  *                                  World::return_worker
+ *   worker N shows_start MS        see World::show_start
  *   worker N capacity CPUS_M MEM_MB   see World::set_capacity
  *   starts said|unsaid             whether workers say when they started
  *   registers_in MS                see World::registers_in_ms
@@ -188,9 +189,10 @@
     else if (what == "returns")
       {
         gl_ms_t clock = 0;
+        gl_ms_t back = 0;
 
-        in >> clock;
-        w->return_worker (i, (gl_ms_t)arg, clock);
+        in >> clock >> back;
+        w->return_worker (i, (gl_ms_t)arg, clock, back);
       }
     else if (what == "reachable")
       x.reachable = arg;
@@ -208,6 +210,8 @@
       x.hangs = arg;
     else if (what == "slow")
       x.slowdown = arg;
+    else if (what == "shows_start")
+      w->show_start (i, arg);
     else if (what == "answers_in")
       x.answers_in_ms = (gl_ms_t)arg;
     else if (what == "stops_in")
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1023,7 +1023,7 @@
 }
 
 void
-World::return_worker (int i, gl_ms_t ms, gl_ms_t clock)
+World::return_worker (int i, gl_ms_t ms, gl_ms_t clock, gl_ms_t back)
 {
   if (!workers[(size_t)i].alive)
     return;
@@ -1033,7 +1033,9 @@
     Worker w;
 
     w.info = before.info;
-    w.info.started_at = says_starts ? WALL_MS + now : 0;
+    w.info.started_at = !says_starts ? 0
+                        : back       ? before.info.started_at - back
+                                     : WALL_MS + now;
     w.info.leaving = 0;
     w.info.capacity = w.capacity = w.full_capacity = before.full_capacity;
     w.stop_ms = before.stop_ms;
@@ -1043,11 +1045,25 @@
     w.clock_ahead = clock ? (int64_t)clock - (int64_t)now : before.clock_ahead;
     refusing_.erase (w.info.addr);
     workers.push_back (w);
-    int back = (int)workers.size () - 1;
-    schedule (registers_in_ms, [=, this] { register_worker (back); });
+    int index = (int)workers.size () - 1;
+    for (gl_ms_t at : { registers_in_ms, registers_in_ms + HEARTBEAT_MS })
+      schedule (at, [=, this] {
+        if (workers[(size_t)index].alive)
+          register_worker (index);
+      });
   });
 }
 
+void
+World::show_start (int w, int64_t ms)
+{
+  uint64_t own = workers[(size_t)w].info.started_at;
+
+  workers[(size_t)w].info.started_at = (uint64_t)((int64_t)own + ms);
+  register_worker (w);
+  workers[(size_t)w].info.started_at = own;
+}
+
 bool
 World::is_deadly (const std::string &task) const
 {
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -178,8 +178,13 @@
      address refuses calls. */
   void crash_worker_for (int w, gl_ms_t ms);
   /* The same, but the other incarnation has the id of the first.  Its clock
-     begins at @clock, or goes on as that of the first if that is 0. */
-  void return_worker (int w, gl_ms_t ms, gl_ms_t clock);
+     begins at @clock, or goes on as that of the first if that is 0; its start
+     is @back ms before the first one's, or now if that is 0. */
+  void return_worker (int w, gl_ms_t ms, gl_ms_t clock, gl_ms_t back = 0);
+  /* The watches of registrations show the worker's with another start, @ms
+     after its own, without a change of the worker: they lag, or the entry is
+     of another writer. */
+  void show_start (int w, int64_t ms);
   /* Add a worker at the address of worker @same_addr_as, or at a new one if
      that is -1. */
   void add_worker (int same_addr_as);
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -60,6 +60,44 @@
   EXPECT_EQ (900u, w.leaves_in_ms);
 }
 
+TEST (Registration, MaySayWhenTheWorkerStarted)
+{
+  std::string text = VALID;
+  cell_worker_t w;
+
+  ASSERT_EQ (0, read_worker (text, &w));
+  EXPECT_EQ (0u, w.started_at);
+  text.insert (1, "\"born\":1700000000123,");
+  ASSERT_EQ (0, read_worker (text, &w));
+  EXPECT_EQ (1700000000123u, w.started_at);
+}
+
+/* An answer with a start of another type says none. */
+TEST (Fields, StartIsAWholeNumber)
+{
+  static const struct
+  {
+    const char *text;
+    int result;
+    uint64_t start;
+  } cases[] = { { "{}", 0, 0 },
+                { "{\"born\":1700000000123}", 0, 1700000000123u },
+                { "{\"born\":\"1700000000123\"}", -1, 0 },
+                { "{\"born\":1.5}", -1, 0 },
+                { "{\"born\":-1}", -1, 0 },
+                { "{\"born\":[1]}", -1, 0 } };
+
+  for (auto &c : cases)
+    {
+      json_t *o = json_loads (c.text, 0, nullptr);
+      uint64_t start = 7;
+
+      EXPECT_EQ (c.result, field_start (o, &start)) << c.text;
+      EXPECT_EQ (c.start, start) << c.text;
+      json_decref (o);
+    }
+}
+
 /* Each change makes the registration above invalid. */
 TEST (Registration, ThatIsInvalidIsRejected)
 {
@@ -77,6 +115,10 @@
     { "{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}", "[]" },
     { "[\"a\",\"r1-3\"]", "[1,2]" },
     { "[\"a\",\"r1-3\"]", "\"a\"" },
+    { "{\"service\"", "{\"born\":\"1700000000000\",\"service\"" },
+    { "{\"service\"", "{\"born\":1700000000000.5,\"service\"" },
+    { "{\"service\"", "{\"born\":null,\"service\"" },
+    { "{\"service\"", "{\"born\":0,\"service\"" },
     { "}", "" },
     { "{", "" },
   };
