Soak: workers return under their ids

Half of the crashes, and a new fault in which a third of the workers return within half a second, start the worker again under its id, with another clock and start. Orders that are late end with the process that has received them; the fuzzer has those that reach the next one.

--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -28,6 +28,7 @@
 }
 
 #include <algorithm>
+#include <chrono>
 #include <deque>
 #include <fstream>
 #include <list>
@@ -673,9 +674,11 @@
 struct worker_t
 {
   int index = 0, port = 0;
+  int life = 0; /* number of its incarnation */
   std::string id;
   double rate = 1;
   ms_t epoch = 0, born = 0;
+  int64_t started = 0; /* wall clock, ms since the epoch */
   int64_t fence = 0;
   ms_t lease = 0;
   std::map<run_key_t, run_t> runs;
@@ -685,6 +688,7 @@
   std::list<poll_t> polls;
   int cpu = 0, mem = 0;
   bool up = true;
+  bool written = false; /* the registration of this life */
   ms_t silent_until = 0, late_until = 0;
   ms_t beat_at = 0, registered_until = 0;
   std::string entry;
@@ -752,7 +756,8 @@
           json_pack ("[i,s,i,s,s]", e.n, e.task.c_str (), e.run, e.how, ""));
   answer (
       channel, 200,
-      dump (json_pack ("{s:I,s:o,s:o}", "timestampMs", (json_int_t)w.clock (),
+      dump (json_pack ("{s:I,s:I,s:o,s:o}", "timestampMs",
+                       (json_int_t)w.clock (), "born", (json_int_t)w.started,
                        "running", running, "finished", finished)),
       1);
 }
@@ -951,15 +956,14 @@
 
 /* Carry out a call; the answer, or an empty status for one that waits. */
 void
-worker_execute (worker_t &w, const std::string &life, uint64_t channel,
-                const message_t &m)
+worker_execute (worker_t &w, int life, uint64_t channel, const message_t &m)
 {
   json_ref o = parse (m);
   std::string task = text (o.get (), "task"), reason;
   int run = (int)number (o.get (), "run"), step = 0, index = 0;
   int64_t ack = number (o.get (), "ackCursor");
 
-  if (!w.up || w.id != life)
+  if (!w.up || w.life != life)
     return;
   if (m.header ("x-expected-instance") != w.id)
     {
@@ -1008,7 +1012,7 @@
 void
 worker_request (worker_t &w, uint64_t channel, message_t &m)
 {
-  std::string life = w.id;
+  int life = w.life;
   worker_t *p = &w;
 
   if (!w.reached ())
@@ -1029,15 +1033,22 @@
     return;
   w.beat_at = now () + HEARTBEAT_MS;
   w.registered_until = now () + 3 * HEARTBEAT_MS;
-  if (!items.count ("servers/" + w.id))
+  if (!items.count ("servers/" + w.id) || !w.written)
     put_json ("servers/" + w.id, w.entry);
+  w.written = true;
 }
 
-/* A new life of @w: nothing of the one before is left. */
+/* A new life of @w, under the id of the one before if @returns: nothing of
+   that one is left. */
 void
-worker_birth (worker_t &w)
-{
-  w.id = format ("i-%08llx", (unsigned long long)(rng () & 0xffffffff));
+worker_birth (worker_t &w, bool returns)
+{
+  w.life++;
+  w.started = std::chrono::duration_cast<std::chrono::milliseconds> (
+                  std::chrono::system_clock::now ().time_since_epoch ())
+                  .count ();
+  if (!returns)
+    w.id = format ("i-%08llx", (unsigned long long)(rng () & 0xffffffff));
   w.rate = 1 - (double)draw (0, 20) / 1000;
   w.epoch = draw (1000, 900000);
   w.born = now ();
@@ -1045,13 +1056,15 @@
   w.last_end = 0;
   w.highest.clear ();
   w.up = true;
+  w.written = false;
   w.entry = format (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%d\","
-      "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"born\":%lld,"
       "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
       "\"labels\":[\"a\",\"r%d-%d\"],\"sequence\":1}",
-      SERVICE, w.port, w.index % 3, (plant == "double" ? 2 : 1) * WORKER_CPU,
-      WORKER_MB, w.index % 3, w.index / 3);
+      SERVICE, w.port, w.index % 3, (long long)w.started,
+      (plant == "double" ? 2 : 1) * WORKER_CPU, WORKER_MB, w.index % 3,
+      w.index / 3);
   if (!w.server.open (
           w.port,
           [&w] (uint64_t c, message_t &m) { worker_request (w, c, m); },
@@ -1059,9 +1072,10 @@
     note (format ("worker %d cannot listen on %d", w.index, w.port));
 }
 
-/* The process of @w ends; @back: after this time it has a new life. */
+/* The process of @w ends; @back: after this time it has a new life, under its
+   id if @returns. */
 void
-worker_crash (worker_t &w, ms_t back)
+worker_crash (worker_t &w, ms_t back, bool returns = false)
 {
   std::string old = "servers/" + w.id;
   ms_t lapse = w.registered_until;
@@ -1072,13 +1086,16 @@
   w.polls.clear ();
   end_all (w, "lost", false);
   lose_ends (w);
-  after (std::max<ms_t> (lapse - now (), 1), [old] {
+  after (std::max<ms_t> (lapse - now (), 1), [&w, old, life = w.life] {
+    /* The next life has written it since. */
+    if (w.life != life && w.written && old == "servers/" + w.id)
+      return;
     revision++;
     remove_key (old);
   });
   w.registered_until = 0;
   if (back)
-    after (back, [&w] { worker_birth (w); });
+    after (back, [&w, returns] { worker_birth (w, returns); });
 }
 
 void
@@ -1851,6 +1868,18 @@
   channels_fail (v.open, reset);
 }
 
+/* A third of the workers return under their ids within half a second. */
+void
+return_many ()
+{
+  ms_t away = draw (1, 3000);
+
+  fault (false, 500, format ("return of a third of the workers"));
+  for (auto &o : workers)
+    if (o->index % 3 == 0 && o->reached ())
+      worker_crash (*o, away + draw (0, 500), true);
+}
+
 void
 unplanned ()
 {
@@ -1858,7 +1887,7 @@
   vm_t &v = chance (40) ? *vms[(size_t)owner] : any_vm ();
   worker_t &w = live_worker ();
 
-  switch (draw (0, 9))
+  switch (draw (0, 10))
     {
     case 0:
     case 1:
@@ -1885,11 +1914,17 @@
     case 5:
       if (w.reached ())
         {
+          bool returns = chance (50);
+
           fault (false, 0,
-                 format ("crash of worker %d %s", w.index, w.id.c_str ()));
-          worker_crash (w, draw (500, 3000));
+                 format ("crash of worker %d %s%s", w.index, w.id.c_str (),
+                         returns ? ", returns" : ""));
+          worker_crash (w, draw (returns ? 1 : 500, 3000), returns);
         }
       break;
+    case 10:
+      return_many ();
+      break;
     case 6:
       fault (false, 3000, format ("worker %d late", w.index));
       w.late_until = now () + 3000;
@@ -2298,7 +2333,7 @@
       workers.push_back (std::make_unique<worker_t> ());
       workers[(size_t)i]->index = i;
       workers[(size_t)i]->port = base_port + nvms * 6 + i;
-      worker_birth (*workers[(size_t)i]);
+      worker_birth (*workers[(size_t)i], false);
     }
   for (int i = 0; i < std::max (60, nworkers * 4); i++)
     {
