Workers: registrations and former incarnations in modules of their own

Moved without a change of behaviour: cellreg.c (registrations), cellsettle.c (what becomes of a former incarnation), cellworker.h (state of an incarnation).

--- a/src/cellfx.c
+++ b/src/cellfx.c
@@ -64,6 +64,12 @@
   memset (fx, 0, sizeof *fx);
 }
 
+long long
+cell_age_ms (const cell_t *c, gl_ms_t at)
+{
+  return at ? (long long)(c->now - at) : -1;
+}
+
 void
 cell_log (cell_t *c, const char *fmt, ...)
 {
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -7,6 +7,7 @@
 #include <gsl/gsl_rng.h>
 
 #include "cellvm.h"
+#include "cellworker.h"
 #include "fault.h"
 #include "metrics.h"
 #include "names.h"
@@ -121,10 +122,9 @@
 #define KEY_PROCESS "gl/m/process/"
 #define KEY_VM "gl/m/vm/"
 /* Table sizes: queues whose counts are kept, workers named in one
-   consultation, reservations on one worker. */
+   consultation. */
 #define CELL_QUEUES_MAX 128
 #define CELL_CONSULT_WORKERS_MAX 128
-#define CELL_RESERVATIONS_MAX 8
 /* A request is answered this long before its deadline, so that the answer
    arrives in time. */
 #define CELL_REPLY_MARGIN_MS 60
@@ -215,25 +215,6 @@
   char ticket[48];
 } cticket_t;
 
-/**
- * struct creservation_t - room reserved for tasks of a gang on one worker
- * @step: handle of the gang's step
- * @worker: index of the worker
- * @ntasks: tasks of the gang for which room is reserved
- * @shadow_time: when the gang is expected to start
- * @order: place of the gang among those that wait, from 1
- * @need: resources of one task
- */
-typedef struct
-{
-  handle_t step;
-  int worker;
-  int ntasks;
-  gl_ms_t shadow_time;
-  int order;
-  gl_res_t need;
-} creservation_t;
-
 /**
  * struct cstep_t - a step in one iteration of a job
  * @self, @job: its own handle and its job's
@@ -381,187 +362,6 @@
   tags_t end_waiters;
 } cjob_t;
 
-/** struct ctask_handle_t - a task, by the handle of its step and its number in
-    the step */
-typedef struct
-{
-  handle_t step;
-  uint32_t index;
-} ctask_handle_t;
-
-/* Most runs that are kept of a worker given up by its lease, see cellcrash.c.
- */
-#define CELL_LAPSED_RUNS_MAX 8
-
-/** struct clapsed_run_t - a run that may have crashed a worker which was given
-    up by its lease */
-typedef struct
-{
-  ctask_handle_t task;
-  uint32_t run;
-} clapsed_run_t;
-
-/**
- * struct cunacked_t - an end that is not acknowledged to its worker yet
- * @seq: number of the end in the worker's reports
- * @job, @version: the end is acknowledged once the job's task records are in
- *   the store at this version
- */
-typedef struct
-{
-  uint64_t seq;
-  handle_t job;
-  uint64_t version;
-} cunacked_t;
-
-/** struct ccrash_t - a crash under a run that may fail its job, after @since
-   and noted at @at */
-typedef struct
-{
-  ctask_handle_t task;
-  uint32_t run;
-  int sole;
-  gl_ms_t since;
-  gl_ms_t at;
-} ccrash_t;
-
-/** struct cunsure_start_t - a start that got no answer */
-typedef struct
-{
-  char task[CELL_NAME_SIZE];
-  uint32_t run;
-  gl_ms_t sent_at;
-} cunsure_start_t;
-
-/**
- * struct cworker_t - one incarnation of a worker
- * @info: its latest registration, or the record by an earlier owner without
- *   the capacity
- * @next_incarnation: index of another incarnation of the same id; they form a
- *   ring
- * @replaced: another incarnation of its id has answered since, so it is over
- * @settled: what the incarnation that replaced it had been sent to this one is
- *   bound to that one now
- * @rack: index of its rack in struct cell
- * @used: resources of the tasks that are bound to it
- * @registered, @unregistered_at: its registration is in the store, else since
- *   when it is not
- * @enrolled: its record is in the store, so that a successor will know it, and
- *   is not being removed
- * @record_revision: revision of that record as far as it is known, 0 if there
- *   is none
- * @record_start: the start in that record's key, 0 for none
- * @heard: it has answered a poll of this owner
- * @accounted: this owner knows what runs there, from its report or because
- *   its leases have ended
- * @dead: this incarnation counts as over, and nothing of it runs: it has
- *   restarted, or its leases have ended
- * @silent: its last poll got no answer
- * @lease_over_at: when its leases were found to have ended, 0 if not
- * @restarted_at: when another incarnation was first found at its address, 0 if
- *   none was
- * @lease_bound_at: instant by which every lease that it can hold from earlier
- *   owners has ended
- * @foreign_until: instant by which every lease has ended that calls to former
- *   incarnations can have given it, 0 for none
- * @avoid_until: no task is started there before this
- * @clock, @clock_at: its clock in its last answer, and when that arrived
- * @lease_sent, @lease_sent_at: latest end of a lease that was sent to it, in
- *   its own clock, and when it was first sent; 0 if none was
- * @taken_seq, @ack_cursor: number of the last end taken from its reports, and
- *   of the last end that it may forget
- * @unacked: ends in between, in order
- * @unsure_starts, @nunsure_starts: starts without an answer that may still be
- *   carried out
- * @poll_tag: tag of the poll in flight, 0 for none
- * @poll_now: its next poll is not to be delayed
- * @poll_at: when to poll it next
- * @orphans: runs in its last report that this owner does not know; they take
- *   room
- * @orphans_stopped_at: when they were last sent stops
- * @missed_polls: polls in a row without an answer
- * @unproven: a call got no answer since it last listed its runs, so it may
- * have restarted
- * @suspect: it may be gone: no task is started there until it has answered
- * @failed_jobs, @last_failed_job: different jobs in a row whose runs failed
- *   there, and the last of them
- * @backoff: exponent of the span for which it is avoided next
- * @slowness: duration of its runs over their estimates, relative to the
- *   cell's average; 0 if not known
- * @tasks, @ntasks: tasks that are bound to it, including members of gangs that
- *   are done but that it may still list as running
- * @probed_job: the suspect job that was last started there, 0 for none
- * @probe_polled: it was polled to learn whether that run has survived
- * @added_at: when it became known here
- * @crashed_at, @crashed_alone: when it was found restarted, 0 if it was not,
- * and that nothing was suspect of it
- * @lapsed_runs, @nlapsed_runs, @lapsed_sole, @lapsed_at: runs that it had not
- *   survived when it was given up by its lease, whether all were of one job,
- *   and when that was
- * @reservations, @nreservations: room reserved on it for gangs
- */
-typedef struct
-{
-  cell_worker_t info;
-  int next_incarnation;
-  int replaced;
-  int settled;
-  int rack;
-  gl_res_t used;
-  int registered;
-  int enrolled;
-  uint64_t record_revision;
-  uint64_t record_start;
-  int heard;
-  int accounted;
-  int dead;
-  int silent;
-  gl_ms_t lease_over_at;
-  gl_ms_t restarted_at;
-  gl_ms_t unregistered_at;
-  gl_ms_t lease_bound_at;
-  gl_ms_t foreign_until;
-  gl_ms_t avoid_until;
-  uint64_t clock;
-  gl_ms_t clock_at;
-  uint64_t lease_sent;
-  gl_ms_t lease_sent_at;
-  uint64_t taken_seq;
-  uint64_t ack_cursor;
-  cunacked_t *unacked;
-  size_t nunacked;
-  size_t capunacked;
-  cunsure_start_t *unsure_starts;
-  int nunsure_starts;
-  int capunsure_starts;
-  uint64_t poll_tag;
-  int poll_now;
-  gl_ms_t poll_at;
-  int orphans;
-  gl_ms_t orphans_stopped_at;
-  uint32_t missed_polls;
-  int unproven;
-  int suspect;
-  uint32_t failed_jobs;
-  handle_t last_failed_job;
-  uint32_t backoff;
-  double slowness;
-  ctask_handle_t *tasks;
-  int ntasks;
-  int captasks;
-  handle_t probed_job;
-  int probe_polled;
-  gl_ms_t added_at;
-  gl_ms_t crashed_at;
-  int crashed_alone;
-  clapsed_run_t lapsed_runs[CELL_LAPSED_RUNS_MAX];
-  int nlapsed_runs;
-  int lapsed_sole;
-  gl_ms_t lapsed_at;
-  creservation_t reservations[CELL_RESERVATIONS_MAX];
-  int nreservations;
-} cworker_t;
-
 /**
  * enum csave_kind_t - what is written of a job
  * @SAVE_CREATE: its specification, on acceptance
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -7,6 +7,9 @@
 
 /** cell_add_effect - append a zeroed effect; NULL when out of memory */
 cell_effect_t *cell_add_effect (cell_t *c, cell_fxkind_t kind);
+/** cell_age_ms - time since @at in ms for a log line; -1 if that is 0, for
+    never */
+long long cell_age_ms (const cell_t *c, gl_ms_t at);
 /** cell_log - log one line, "event key=value ..." */
 void cell_log (cell_t *c, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
@@ -162,9 +165,6 @@
 
 /* cellwork.c */
 
-/** cworker_registration - a worker has registered, changed its registration or
-    lost it */
-void cworker_registration (cell_t *c, const cell_event_t *ev);
 void cworkers_synced (cell_t *c);
 /** cworker_answer - the result of a call to a worker */
 void cworker_answer (cell_t *c, const cell_event_t *ev);
@@ -185,6 +185,12 @@
 /** cworker_usable - 1 if new tasks may be started on it */
 int cworker_usable (const cell_t *c, const cworker_t *w);
 
+/** cworker_restarted - another incarnation has answered; what is bound to this
+    one is lost once the ownership is confirmed */
+void cworker_restarted (cell_t *c, cworker_t *w);
+/** cworker_send_stop - stop a run, whether it is known or not */
+void cworker_send_stop (cell_t *c, cworker_t *w, const char *task,
+                        uint32_t run);
 /** cworker_expect - set what is assumed of an incarnation that was added */
 void cworker_expect (cell_t *c, cworker_t *w);
 
@@ -322,6 +328,29 @@
 int incarnation_is_later (const cworker_t *w, const cworker_t *by,
                           gl_ms_t sent_at);
 
+/* cellreg.c */
+
+/** cworker_registration - a worker has registered, changed its registration or
+    lost it */
+void cworker_registration (cell_t *c, const cell_event_t *ev);
+/** cworker_unregister - the registration has gone, or is that of another
+    incarnation */
+void cworker_unregister (cell_t *c, cworker_t *w);
+
+/* cellsettle.c */
+
+/** settle_note_unsure - a start got no answer, and may still be carried out */
+void settle_note_unsure (cell_t *c, cworker_t *w, const cell_wcall_t *k);
+/** settle_others - the worker has answered the call, so every other
+   incarnation of its id is over */
+void settle_others (cell_t *c, cworker_t *w, const cell_wcall_t *k);
+/** settle_runs - bind to the worker, which has answered a poll, the runs that
+   it has taken over from former incarnations */
+void settle_runs (cell_t *c, cworker_t *w, const cell_wcall_t *k);
+/** settle_is_done - 1 if no other incarnation can run what was sent to this
+    one */
+int settle_is_done (cell_t *c, const cworker_t *w);
+
 /* cellenrol.c */
 
 /** enrol_update - write the records of new workers, remove those of workers
--- /dev/null
+++ b/src/cellreg.c
@@ -0,0 +1,131 @@
+/*
+ * cellreg.c -- registrations of workers
+ *
+ * A registration tells that a worker may be used, where it is and what room it
+ * has.  It is no proof of what runs there: anyone who can write it can name
+ * any worker and any address, and the watch that shows it may lag.  So one
+ * that does not fit what is known only makes the worker be polled.
+ */
+#include "cellint.h"
+
+#include <string.h>
+
+/* A new incarnation has registered the address of a known one, which may
+   therefore be over.  Registrations are not proof, since anyone who can write
+   them can name any address, so the known incarnation is polled. */
+static void
+suspect_same_addr (cell_t *c, const cworker_t *added)
+{
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      cworker_t *w = &c->workers[i];
+
+      if (w == added || w->dead || strcmp (w->info.addr, added->info.addr))
+        continue;
+      w->suspect = 1;
+      w->poll_tag = 0;
+      w->poll_at = c->now;
+    }
+}
+
+void
+cworker_expect (cell_t *c, cworker_t *w)
+{
+  /* What was sent to a former incarnation may run on this one, which is polled
+     for that even without a registration. */
+  if (c->role == CR_LOADING
+      || (c->role == CR_OWNER && incarnation_next (c, w) != w
+          && !FAULT (FAULT_CELL_UNSETTLED)))
+    census_expect (c, w);
+  else if (c->role == CR_OWNER)
+    {
+      /* It has no record, so nothing runs there. */
+      w->accounted = 1;
+      w->lease_bound_at = c->now;
+    }
+}
+
+/* The registration has gone, or another incarnation has replaced it. */
+void
+cworker_unregister (cell_t *c, cworker_t *w)
+{
+  if (!w->registered)
+    return;
+  w->registered = 0;
+  w->unregistered_at = c->now;
+}
+
+static void
+registration_removed (cell_t *c, const char *id)
+{
+  cworker_t *first = incarnation_current (c, id);
+  cworker_t *w = first;
+
+  while (w)
+    {
+      cworker_unregister (c, w);
+      w = incarnation_next (c, w);
+      if (w == first)
+        break;
+    }
+}
+
+/* A registration of an incarnation that is not the current one: the watch may
+   lag, or the worker's clock has stepped back.  An answer tells. */
+static void
+poll_instead (cell_t *c, const cell_worker_t *info)
+{
+  cworker_t *w = incarnation_current (c, info->id);
+
+  if (!w)
+    return;
+  cell_log (c, "registration_outdated id=%s start=%llu current=%llu", info->id,
+            (unsigned long long)info->started_at,
+            (unsigned long long)w->info.started_at);
+  cworker_poll_now (c, (int)(w - c->workers));
+}
+
+void
+cworker_registration (cell_t *c, const cell_event_t *ev)
+{
+  int known = c->nworkers;
+  cworker_t *w;
+  uint64_t started_at;
+
+  if (ev->removed)
+    {
+      registration_removed (c, ev->worker->id);
+      return;
+    }
+  w = incarnation_registered (c, ev->worker);
+  if (!w)
+    {
+      poll_instead (c, ev->worker);
+      return;
+    }
+  if (c->nworkers > known)
+    {
+      cworker_expect (c, w);
+      suspect_same_addr (c, w);
+    }
+  for (cworker_t *o = incarnation_next (c, w); o != w;
+       o = incarnation_next (c, o))
+    cworker_unregister (c, o);
+  if (ev->worker->leaving && !w->info.leaving)
+    cell_log (c, "worker_leaving id=%s leaves_in_ms=%u tasks=%d", w->info.id,
+              ev->worker->leaves_in_ms, w->ntasks);
+  if (!w->registered)
+    w->poll_at = c->now;
+  started_at = w->info.started_at;
+  w->info = *ev->worker;
+  w->info.started_at = started_at;
+  w->registered = 1;
+  timer_arm_before (&c->timers, c->worker_timer, c->now);
+  plan_wake (c);
+}
+
+void
+cworkers_synced (cell_t *c)
+{
+  c->workers_synced = 1;
+}
--- /dev/null
+++ b/src/cellsettle.c
@@ -0,0 +1,171 @@
+/*
+ * cellsettle.c -- what becomes of a worker's former incarnation
+ *
+ * Once another incarnation of its id has answered, an incarnation is over.
+ * What ran there is lost.  But a call names a worker's id, not its start, so
+ * what was sent to the former incarnation may have been carried out by the
+ * present one, and may still be:
+ *
+ *   starts                        the present one lists the run: it is bound
+ * to that one; else the run is lost if its start had been confirmed before,
+ * and stopped if not starts that had been stopped  the stops are repeated,
+ * since they are not known there leases                        see
+ * census_note_foreign acknowledgements              none is sent to a worker
+ * that may have restarted, see poll_worker
+ *
+ * The former incarnation counts as over only when the present one has listed
+ * its runs.
+ */
+#include "cellint.h"
+
+#include <string.h>
+
+/* A call without an answer may be carried out this much later. */
+#define LATE_CALL_MS 5000
+
+/* Keep a start without an answer, and drop those that cannot be carried out
+   any more. */
+void
+settle_note_unsure (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
+  cunsure_start_t *u;
+  int n = 0;
+
+  for (int i = 0; i < w->nunsure_starts; i++)
+    if (c->now < w->unsure_starts[i].sent_at + LATE_CALL_MS)
+      w->unsure_starts[n++] = w->unsure_starts[i];
+  w->nunsure_starts = n;
+  if (array_reserve (&w->unsure_starts, &w->capunsure_starts, n,
+                     sizeof *w->unsure_starts))
+    return;
+  u = &w->unsure_starts[w->nunsure_starts++];
+  cell_strcpy (u->task, k->task);
+  u->run = k->run;
+  u->sent_at = k->sent_at;
+}
+
+/* The incarnation @o had accepted stops of starts without an answer.  The one
+   that has replaced it knows nothing of them, and gets them anew. */
+static void
+repeat_stops (cell_t *c, cworker_t *w, const cworker_t *o)
+{
+  for (int i = 0; i < o->nunsure_starts; i++)
+    if (c->now < o->unsure_starts[i].sent_at + LATE_CALL_MS
+        && !FAULT (FAULT_CELL_STOPS_FORGOTTEN))
+      cworker_send_stop (c, w, o->unsure_starts[i].task,
+                         o->unsure_starts[i].run);
+}
+
+/* The incarnation has answered, so every other one of its id is over.  What
+   ran there is lost, like what runs on a worker whose address answers under
+   another id. */
+void
+settle_others (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
+  for (cworker_t *o = incarnation_next (c, w); o != w;
+       o = incarnation_next (c, o))
+    {
+      if (o->replaced || incarnation_is_later (o, w, k->sent_at))
+        continue;
+      o->replaced = 1;
+      census_note_foreign (c, w, k->worker_clock, o);
+      repeat_stops (c, w, o);
+      cworker_unregister (c, o);
+      c->counters.restarts++;
+      cell_log (c,
+                "worker_restarted id=%s before=%llu now=%llu via=%s tasks=%d "
+                "dead=%d lease_sent_ms=%lld taken_seq=%llu ack_cursor=%llu",
+                o->info.id, (unsigned long long)o->info.started_at,
+                (unsigned long long)w->info.started_at,
+                w->registered ? "registration" : "answer", o->ntasks, o->dead,
+                cell_age_ms (c, o->lease_sent_at),
+                (unsigned long long)o->taken_seq,
+                (unsigned long long)o->ack_cursor);
+      if (o->dead)
+        crash_note_late_restart (c, o);
+      else
+        cworker_restarted (c, o);
+    }
+}
+
+static int
+lists_run (const cell_wcall_t *k, const char *task, uint32_t run)
+{
+  for (int i = 0; i < k->nruns; i++)
+    if (k->runs[i].run == run && !strcmp (k->runs[i].task, task))
+      return 1;
+  for (int i = 0; i < k->nends; i++)
+    if (k->ends[i].run == run && !strcmp (k->ends[i].task, task))
+      return 1;
+  return 0;
+}
+
+/* Whether the run is known to have begun, if at all, on the former incarnation
+   to whose worker it was sent: that one has listed it, or the present one has
+   not although the start had been confirmed before the poll. */
+static int
+is_former_run (const ctask_t *t, const cell_wcall_t *k)
+{
+  return t->state == CT_DONE || t->listed_tag
+         || (t->state == CT_RUNNING && t->start_tag < k->tag);
+}
+
+/* A call names no start, so those that were sent to the former incarnation @o
+   may have been carried out by @w, which has now listed its runs.  Bind these
+   runs to it.  Those of which it is not known are stopped, as if the start had
+   got no answer. */
+static void
+take_over_runs (cell_t *c, cworker_t *w, cworker_t *o, const cell_wcall_t *k)
+{
+  int to = (int)(w - c->workers);
+
+  if (ctasks_reserve (w, o->ntasks))
+    return;
+  o->settled = 1;
+  for (int i = o->ntasks; i-- > 0;)
+    {
+      ctask_handle_t ref = o->tasks[i];
+      cstep_t *s = pool_get (&c->steps, ref.step);
+      ctask_t *t = &s->tasks[ref.index];
+      char name[CELL_NAME_SIZE];
+      int listed;
+
+      ctask_name (c, s, ref.index, name);
+      listed = !t->listed_tag && lists_run (k, name, t->run);
+      if (!listed && is_former_run (t, k))
+        continue;
+      ctask_unbind (c, s, ref.index);
+      if (ctask_bind (c, s, ref.index, to))
+        continue;
+      cell_log (c,
+                "run_taken_over task=%s run=%u worker=%s state=%d listed=%d",
+                name, t->run, w->info.id, t->state, listed);
+      if (listed && t->state != CT_UNKNOWN && t->state != CT_STOPPING)
+        {
+          t->state = CT_RUNNING;
+          continue;
+        }
+      t->state = CT_UNKNOWN;
+      cworker_stop (c, s, ref.index);
+    }
+}
+
+void
+settle_runs (cell_t *c, cworker_t *w, const cell_wcall_t *k)
+{
+  for (cworker_t *o = incarnation_next (c, w); o != w;
+       o = incarnation_next (c, o))
+    if (o->replaced && !o->dead && !o->settled
+        && !FAULT (FAULT_CELL_UNSETTLED))
+      take_over_runs (c, w, o, k);
+}
+
+/* Whether no other incarnation can have carried out what was sent to this one.
+ */
+int
+settle_is_done (cell_t *c, const cworker_t *w)
+{
+  return !w->replaced || w->settled
+         || incarnation_current (c, w->info.id)->dead
+         || FAULT (FAULT_CELL_UNSETTLED);
+}
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -32,8 +32,6 @@
 #define TICK_MS 50
 /* Polls in a row without an answer that make a worker silent. */
 #define SILENT_MISSED_POLLS 1
-/* A call without an answer may be carried out this much later. */
-#define LATE_CALL_MS 5000
 /* Delay before the next poll after one that failed. */
 #define POLL_RETRY_MS 150
 /* Delay between polls of a worker that counts as dead but is registered. */
@@ -68,7 +66,7 @@
          && c->now >= w->avoid_until && own_may_renew (c);
 }
 
-/* ---- registration ---- */
+/* ---- ends of incarnations ---- */
 
 static void
 log_run_lost (cell_t *c, const cworker_t *w, const cstep_t *s, uint32_t index)
@@ -82,13 +80,6 @@
             (unsigned long long)(c->now - t->sent_at));
 }
 
-/* Time since @at; -1 if that is 0, for never. */
-static long long
-age_ms (const cell_t *c, gl_ms_t at)
-{
-  return at ? (long long)(c->now - at) : -1;
-}
-
 /* Nothing of this incarnation runs any more: its tasks are lost. */
 static void
 worker_set_dead (cell_t *c, cworker_t *w, const char *why)
@@ -102,8 +93,8 @@
   cell_log (c,
             "worker_dead id=%s why=%s tasks=%d lease_sent_ms=%lld "
             "answered_ms=%lld missed_polls=%u",
-            w->info.id, why, n, age_ms (c, w->lease_sent_at),
-            age_ms (c, w->clock_at), w->missed_polls);
+            w->info.id, why, n, cell_age_ms (c, w->lease_sent_at),
+            cell_age_ms (c, w->clock_at), w->missed_polls);
   if (w->restarted_at)
     crash_note_restart (c, w);
   else
@@ -123,126 +114,6 @@
     }
 }
 
-/* A new incarnation has registered the address of a known one, which may
-   therefore be over.  Registrations are not proof, since anyone who can write
-   them can name any address, so the known incarnation is polled. */
-static void
-suspect_same_addr (cell_t *c, const cworker_t *added)
-{
-  for (int i = 0; i < c->nworkers; i++)
-    {
-      cworker_t *w = &c->workers[i];
-
-      if (w == added || w->dead || strcmp (w->info.addr, added->info.addr))
-        continue;
-      w->suspect = 1;
-      w->poll_tag = 0;
-      w->poll_at = c->now;
-    }
-}
-
-void
-cworker_expect (cell_t *c, cworker_t *w)
-{
-  /* What was sent to a former incarnation may run on this one, which is polled
-     for that even without a registration. */
-  if (c->role == CR_LOADING
-      || (c->role == CR_OWNER && incarnation_next (c, w) != w
-          && !FAULT (FAULT_CELL_UNSETTLED)))
-    census_expect (c, w);
-  else if (c->role == CR_OWNER)
-    {
-      /* It has no record, so nothing runs there. */
-      w->accounted = 1;
-      w->lease_bound_at = c->now;
-    }
-}
-
-/* The registration has gone, or another incarnation has replaced it. */
-static void
-unregister (cell_t *c, cworker_t *w)
-{
-  if (!w->registered)
-    return;
-  w->registered = 0;
-  w->unregistered_at = c->now;
-}
-
-static void
-registration_removed (cell_t *c, const char *id)
-{
-  cworker_t *first = incarnation_current (c, id);
-  cworker_t *w = first;
-
-  while (w)
-    {
-      unregister (c, w);
-      w = incarnation_next (c, w);
-      if (w == first)
-        break;
-    }
-}
-
-/* A registration of an incarnation that is not the current one: the watch may
-   lag, or the worker's clock has stepped back.  An answer tells. */
-static void
-poll_instead (cell_t *c, const cell_worker_t *info)
-{
-  cworker_t *w = incarnation_current (c, info->id);
-
-  if (!w)
-    return;
-  cell_log (c, "registration_outdated id=%s start=%llu current=%llu", info->id,
-            (unsigned long long)info->started_at,
-            (unsigned long long)w->info.started_at);
-  cworker_poll_now (c, (int)(w - c->workers));
-}
-
-void
-cworker_registration (cell_t *c, const cell_event_t *ev)
-{
-  int known = c->nworkers;
-  cworker_t *w;
-  uint64_t started_at;
-
-  if (ev->removed)
-    {
-      registration_removed (c, ev->worker->id);
-      return;
-    }
-  w = incarnation_registered (c, ev->worker);
-  if (!w)
-    {
-      poll_instead (c, ev->worker);
-      return;
-    }
-  if (c->nworkers > known)
-    {
-      cworker_expect (c, w);
-      suspect_same_addr (c, w);
-    }
-  for (cworker_t *o = incarnation_next (c, w); o != w;
-       o = incarnation_next (c, o))
-    unregister (c, o);
-  if (ev->worker->leaving && !w->info.leaving)
-    cell_log (c, "worker_leaving id=%s leaves_in_ms=%u tasks=%d", w->info.id,
-              ev->worker->leaves_in_ms, w->ntasks);
-  if (!w->registered)
-    w->poll_at = c->now;
-  started_at = w->info.started_at;
-  w->info = *ev->worker;
-  w->info.started_at = started_at;
-  w->registered = 1;
-  timer_arm_before (&c->timers, c->worker_timer, c->now);
-  plan_wake (c);
-}
-
-void
-cworkers_synced (cell_t *c)
-{
-  c->workers_synced = 1;
-}
-
 void
 cworkers_take_over (cell_t *c, gl_ms_t lease_ms)
 {
@@ -381,8 +252,8 @@
             w->info.id, (unsigned long long)(c->now - s->ready_at));
 }
 
-static void
-send_stop (cell_t *c, cworker_t *w, const char *task, uint32_t run)
+void
+cworker_send_stop (cell_t *c, cworker_t *w, const char *task, uint32_t run)
 {
   cell_wcall_t *k = new_wcall (c, w, CELL_OP_STOP);
 
@@ -403,7 +274,7 @@
   if (t->state != CT_UNKNOWN && t->state != CT_DONE)
     t->state = CT_STOPPING;
   t->sent_at = c->now;
-  send_stop (c, &c->workers[t->worker], name, t->run);
+  cworker_send_stop (c, &c->workers[t->worker], name, t->run);
 }
 
 void
@@ -559,7 +430,7 @@
   c->counters.strays++;
   cell_log (c, "orphan_run task=%s run=%u worker=%s known_run=%u",
             listed->task, listed->run, w->info.id, t ? t->run : 0);
-  send_stop (c, w, listed->task, listed->run);
+  cworker_send_stop (c, w, listed->task, listed->run);
 }
 
 static void settle_stopped_runs (cell_t *c, cworker_t *w,
@@ -568,8 +439,8 @@
 /* Another incarnation answers at the worker's address.  A successor may have
    taken note of ends that this incarnation had reported, so its tasks count as
    lost only when our ownership has been confirmed since. */
-static void
-worker_restarted (cell_t *c, cworker_t *w)
+void
+cworker_restarted (cell_t *c, cworker_t *w)
 {
   if (!w->restarted_at)
     {
@@ -579,69 +450,6 @@
   w->poll_at = c->now + POLL_RETRY_MS;
 }
 
-/* Keep a start without an answer, and drop those that cannot be carried out
-   any more. */
-static void
-add_unsure_start (cell_t *c, cworker_t *w, const cell_wcall_t *k)
-{
-  cunsure_start_t *u;
-  int n = 0;
-
-  for (int i = 0; i < w->nunsure_starts; i++)
-    if (c->now < w->unsure_starts[i].sent_at + LATE_CALL_MS)
-      w->unsure_starts[n++] = w->unsure_starts[i];
-  w->nunsure_starts = n;
-  if (array_reserve (&w->unsure_starts, &w->capunsure_starts, n,
-                     sizeof *w->unsure_starts))
-    return;
-  u = &w->unsure_starts[w->nunsure_starts++];
-  cell_strcpy (u->task, k->task);
-  u->run = k->run;
-  u->sent_at = k->sent_at;
-}
-
-/* The incarnation @o had accepted stops of starts without an answer.  The one
-   that has replaced it knows nothing of them, and gets them anew. */
-static void
-repeat_stops (cell_t *c, cworker_t *w, const cworker_t *o)
-{
-  for (int i = 0; i < o->nunsure_starts; i++)
-    if (c->now < o->unsure_starts[i].sent_at + LATE_CALL_MS
-        && !FAULT (FAULT_CELL_STOPS_FORGOTTEN))
-      send_stop (c, w, o->unsure_starts[i].task, o->unsure_starts[i].run);
-}
-
-/* The incarnation has answered, so every other one of its id is over.  What
-   ran there is lost, like what runs on a worker whose address answers under
-   another id. */
-static void
-replace_others (cell_t *c, cworker_t *w, const cell_wcall_t *k)
-{
-  for (cworker_t *o = incarnation_next (c, w); o != w;
-       o = incarnation_next (c, o))
-    {
-      if (o->replaced || incarnation_is_later (o, w, k->sent_at))
-        continue;
-      o->replaced = 1;
-      census_note_foreign (c, w, k->worker_clock, o);
-      repeat_stops (c, w, o);
-      unregister (c, o);
-      c->counters.restarts++;
-      cell_log (c,
-                "worker_restarted id=%s before=%llu now=%llu via=%s tasks=%d "
-                "dead=%d lease_sent_ms=%lld taken_seq=%llu ack_cursor=%llu",
-                o->info.id, (unsigned long long)o->info.started_at,
-                (unsigned long long)w->info.started_at,
-                w->registered ? "registration" : "answer", o->ntasks, o->dead,
-                age_ms (c, o->lease_sent_at), (unsigned long long)o->taken_seq,
-                (unsigned long long)o->ack_cursor);
-      if (o->dead)
-        crash_note_late_restart (c, o);
-      else
-        worker_restarted (c, o);
-    }
-}
-
 /* A worker that counted as dead has answered.  Nothing of its former runs is
    bound to it; it is written to the store again before it is used. */
 static void
@@ -655,79 +463,13 @@
   cell_log (c, "worker_revived id=%s", w->info.id);
 }
 
-static int
-lists_run (const cell_wcall_t *k, const char *task, uint32_t run)
-{
-  for (int i = 0; i < k->nruns; i++)
-    if (k->runs[i].run == run && !strcmp (k->runs[i].task, task))
-      return 1;
-  for (int i = 0; i < k->nends; i++)
-    if (k->ends[i].run == run && !strcmp (k->ends[i].task, task))
-      return 1;
-  return 0;
-}
-
-/* Whether the run is known to have begun, if at all, on the former incarnation
-   to whose worker it was sent: that one has listed it, or the present one has
-   not although the start had been confirmed before the poll. */
-static int
-is_former_run (const ctask_t *t, const cell_wcall_t *k)
-{
-  return t->state == CT_DONE || t->listed_tag
-         || (t->state == CT_RUNNING && t->start_tag < k->tag);
-}
-
-/* A call names no start, so those that were sent to the former incarnation @o
-   may have been carried out by @w, which has now listed its runs.  Bind these
-   runs to it.  Those of which it is not known are stopped, as if the start had
-   got no answer. */
-static void
-take_over_runs (cell_t *c, cworker_t *w, cworker_t *o, const cell_wcall_t *k)
-{
-  int to = (int)(w - c->workers);
-
-  if (ctasks_reserve (w, o->ntasks))
-    return;
-  o->settled = 1;
-  for (int i = o->ntasks; i-- > 0;)
-    {
-      ctask_handle_t ref = o->tasks[i];
-      cstep_t *s = pool_get (&c->steps, ref.step);
-      ctask_t *t = &s->tasks[ref.index];
-      char name[CELL_NAME_SIZE];
-      int listed;
-
-      ctask_name (c, s, ref.index, name);
-      listed = !t->listed_tag && lists_run (k, name, t->run);
-      if (!listed && is_former_run (t, k))
-        continue;
-      ctask_unbind (c, s, ref.index);
-      if (ctask_bind (c, s, ref.index, to))
-        continue;
-      cell_log (c,
-                "run_taken_over task=%s run=%u worker=%s state=%d listed=%d",
-                name, t->run, w->info.id, t->state, listed);
-      if (listed && t->state != CT_UNKNOWN && t->state != CT_STOPPING)
-        {
-          t->state = CT_RUNNING;
-          continue;
-        }
-      t->state = CT_UNKNOWN;
-      cworker_stop (c, s, ref.index);
-    }
-}
-
 /* Take what the worker has listed in answer to a poll. */
 static void
 take_lists (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
   int orphans_before = w->orphans;
 
-  for (cworker_t *o = incarnation_next (c, w); o != w;
-       o = incarnation_next (c, o))
-    if (o->replaced && !o->dead && !o->settled
-        && !FAULT (FAULT_CELL_UNSETTLED))
-      take_over_runs (c, w, o, k);
+  settle_runs (c, w, k);
   /* Ends before runs, so that an ended run is not taken as running. */
   for (int i = 0; i < k->nends; i++)
     end_listed (c, w, &k->ends[i]);
@@ -771,7 +513,7 @@
   c->counters.looks_failed++;
   if (k->status == CELL_W_RESTARTED)
     {
-      worker_restarted (c, w);
+      cworker_restarted (c, w);
       return;
     }
   w->poll_at = c->now + POLL_RETRY_MS;
@@ -781,8 +523,8 @@
       cell_log (c,
                 "worker_silent id=%s tasks=%d poll_sent_ms=%lld "
                 "lease_sent_ms=%lld",
-                w->info.id, w->ntasks, age_ms (c, k->sent_at),
-                age_ms (c, w->lease_sent_at));
+                w->info.id, w->ntasks, cell_age_ms (c, k->sent_at),
+                cell_age_ms (c, w->lease_sent_at));
     }
 }
 
@@ -796,7 +538,7 @@
             "sent_ms=%lld",
             w->info.id, k->nends,
             (unsigned long long)k->ends[k->nends - 1].seq,
-            (unsigned long long)w->taken_seq, age_ms (c, k->sent_at));
+            (unsigned long long)w->taken_seq, cell_age_ms (c, k->sent_at));
   for (int i = 0; i < k->nends; i++)
     end_listed (c, w, &k->ends[i]);
 }
@@ -838,7 +580,7 @@
   if (k->status == CELL_W_UNKNOWN)
     {
       c->counters.start_unsure++;
-      add_unsure_start (c, w, k);
+      settle_note_unsure (c, w, k);
       worker_set_suspect (c, w);
       if (is_current && t->state == CT_STARTING)
         {
@@ -854,7 +596,7 @@
     {
       if (is_current)
         t->survived = 1;
-      worker_restarted (c, w);
+      cworker_restarted (c, w);
     }
   else if (is_current && (t->state == CT_STARTING || t->state == CT_STOPPING))
     {
@@ -942,7 +684,7 @@
   if (c->nworkers > known)
     cworker_expect (c, by);
   if (started_at)
-    replace_others (c, by, k);
+    settle_others (c, by, k);
   return by;
 }
 
@@ -1041,16 +783,6 @@
   return c->now + TICK_MS > w->poll_at;
 }
 
-/* Whether no other incarnation can have carried out what was sent to this one.
- */
-static int
-is_settled (cell_t *c, const cworker_t *w)
-{
-  return !w->replaced || w->settled
-         || incarnation_current (c, w->info.id)->dead
-         || FAULT (FAULT_CELL_UNSETTLED);
-}
-
 static void
 worker_tick (cell_t *c, cworker_t *w)
 {
@@ -1065,7 +797,7 @@
       worker_set_dead (c, w, "lease_expired");
       return;
     }
-  if (w->restarted_at && is_settled (c, w)
+  if (w->restarted_at && settle_is_done (c, w)
       && (c->confirmed_at >= w->restarted_at
           || FAULT (FAULT_CELL_RESTART_UNCONFIRMED)))
     {
