Cell: a type for the incarnation of a worker

An id and a start were two fields of the registration. They are one type now, cell_incarnation_t, which the adapter fills and cellincarn.c compares.

--- a/src/cell.h
+++ b/src/cell.h
@@ -29,11 +29,22 @@
 /** CELL_TXN_KEYS_MAX - most checks, and most writes, of one transaction */
 #define CELL_TXN_KEYS_MAX 32
 
+/**
+ * struct cell_incarnation_t - one life of a worker, from a start to its end
+ * @id: names the worker; after a restart it may have the same id or another
+ * one
+ * @started_at: when it started, by the worker's wall clock, in ms since the
+ *   epoch; 0 if the platform does not say
+ */
+typedef struct
+{
+  char id[CELL_NAME_SIZE];
+  uint64_t started_at;
+} cell_incarnation_t;
+
 /**
  * struct cell_worker_t - what a worker's registration says
- * @id: names the worker; a restarted one may have it again, or another one
- * @started_at: when this incarnation started, by the worker's wall clock, in
- *   ms since the epoch; 0 if the platform does not say
+ * @self: the incarnation that registers
  * @addr: "IP:port" to which calls go
  * @domain: its failure domain
  * @service: which queues it serves; see struct cell_queue_t
@@ -44,8 +55,7 @@
  */
 typedef struct
 {
-  char id[CELL_NAME_SIZE];
-  uint64_t started_at;
+  cell_incarnation_t self;
   char addr[64];
   char domain[32];
   char service[64];
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -98,7 +98,7 @@
       if (!is_left (c, w))
         continue;
       record.workers.workers_val[record.workers.workers_len++]
-          = (gl_unheard_worker_t){ (char *)w->info.id,
+          = (gl_unheard_worker_t){ (char *)w->info.self.id,
                                    (u_int)census_lease_remaining (c, w) };
     }
   /* A list that is not whole would tell of the others that they were heard. */
@@ -138,7 +138,7 @@
   gl_ms_t ms = 0;
 
   for (u_int i = 0; c->handed_over && i < c->handover.workers.workers_len; i++)
-    if (!strcmp (v[i].id, w->info.id))
+    if (!strcmp (v[i].id, w->info.self.id))
       {
         listed = 1;
         if (v[i].leases_ms > ms)
@@ -273,7 +273,7 @@
   if (until <= c->now || until <= w->foreign_until)
     return;
   w->foreign_until = until;
-  cell_log (c, "foreign_lease id=%s ends_in_ms=%llu", w->info.id,
+  cell_log (c, "foreign_lease id=%s ends_in_ms=%llu", w->info.self.id,
             (unsigned long long)(until - c->now));
 }
 
@@ -318,6 +318,6 @@
             "census_waits ms=%llu unaccounted=%d worker=%s registered=%d "
             "silent=%d leases_end_in_ms=%lld",
             (unsigned long long)(c->now - c->takeover_at), c->unaccounted,
-            last->info.id, last->registered, last->silent,
+            last->info.self.id, last->registered, last->silent,
             (long long)last->lease_bound_at - (long long)c->now);
 }
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -446,7 +446,7 @@
     {
       k->workers[k->nworkers++] = v[i].worker;
       e->consult->workers.workers_val[e->consult->workers.workers_len++]
-          = strdup (c->workers[v[i].worker].info.id);
+          = strdup (c->workers[v[i].worker].info.self.id);
     }
   s->consults_in_flight++;
   c->vms[vm].busy_ms += cost;
--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -151,7 +151,7 @@
       cell_log (c,
                 "crash_suspect task=%s run=%u worker=%s sole=%d crashes=%u "
                 "sole_crashes=%u",
-                name, run, w->info.id, sole, t->crashes, t->sole_crashes);
+                name, run, w->info.self.id, sole, t->crashes, t->sole_crashes);
     }
   if (is_to_fail (t))
     judge_later (c, s, index, run, sole, w->clock_at);
@@ -380,7 +380,7 @@
     return;
   ctask_name (c, s, index, name);
   cell_log (c, "crash_cleared task=%s run=%u worker=%s crashes=%u", name,
-            s->tasks[index].run, w->info.id, t->crashes);
+            s->tasks[index].run, w->info.self.id, t->crashes);
   c->counters.crash_cleared++;
   t->crashes = t->sole_crashes = 0;
   j->version++;
@@ -494,7 +494,7 @@
   c->counters.crash_isolated++;
   ctask_name (c, s, index, name);
   cell_log (c, "crash_isolated task=%s run=%u worker=%s crashes=%u beside=%d",
-            name, t->run, w->info.id, counted_task (s, index)->crashes,
+            name, t->run, w->info.self.id, counted_task (s, index)->crashes,
             w->ntasks - 1);
 }
 
--- a/src/cellend.c
+++ b/src/cellend.c
@@ -50,7 +50,7 @@
   cell_log (c,
             "run_ended task=%s run=%u worker=%s outcome=%s seq=%llu as=%s "
             "known_run=%u state=%d failed=%u inherited=%d",
-            e->task, e->run, w->info.id, outcome_names[e->outcome],
+            e->task, e->run, w->info.self.id, outcome_names[e->outcome],
             (unsigned long long)e->seq, as, t ? t->run : 0, t ? t->state : -1,
             t ? t->nfailed_runs : 0, t ? t->inherited : 0);
 }
@@ -110,7 +110,7 @@
         cell_log (c,
                   "end_passed_over task=%s run=%u worker=%s outcome=%s "
                   "seq=%llu taken_seq=%llu ack_cursor=%llu",
-                  e->task, e->run, w->info.id, outcome_names[e->outcome],
+                  e->task, e->run, w->info.self.id, outcome_names[e->outcome],
                   (unsigned long long)e->seq, (unsigned long long)w->taken_seq,
                   (unsigned long long)w->ack_cursor);
       return;
@@ -171,8 +171,9 @@
     }
   if (!n)
     return;
-  cell_log (c, "ends_acknowledged worker=%s seq=%llu left=%zu", w->info.id,
-            (unsigned long long)w->ack_cursor, w->nunacked - n);
+  cell_log (c, "ends_acknowledged worker=%s seq=%llu left=%zu",
+            w->info.self.id, (unsigned long long)w->ack_cursor,
+            w->nunacked - n);
   memmove (w->unacked, w->unacked + n, (w->nunacked - n) * sizeof *w->unacked);
   w->nunacked -= n;
 }
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -56,7 +56,7 @@
 {
   const cell_worker_t *info = &w->info;
   char *labels[CELL_LABELS_MAX];
-  gl_worker_record_t record = { (char *)info->id,
+  gl_worker_record_t record = { (char *)info->self.id,
                                 (char *)info->addr,
                                 (char *)info->domain,
                                 (char *)info->service,
@@ -67,9 +67,9 @@
   for (int i = 0; i < info->nlabels; i++)
     labels[i] = (char *)info->labels[i];
   value = codec_encode ((xdrproc_t)xdr_gl_worker_record_t, &record, len);
-  if (!value || !info->started_at)
+  if (!value || !info->self.started_at)
     return value;
-  return append_start (value, len, info->started_at,
+  return append_start (value, len, info->self.started_at,
                        census_foreign_wall (c, w));
 }
 
@@ -78,10 +78,10 @@
 record_key (const cworker_t *w, char key[CELL_NAME_SIZE])
 {
   if (w->record_start)
-    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s/%llu", w->info.id,
+    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s/%llu", w->info.self.id,
               (unsigned long long)w->record_start);
   else
-    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s", w->info.id);
+    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s", w->info.self.id);
 }
 
 /* What follows the record; all 0 if nothing does, as in an older version. */
@@ -116,7 +116,7 @@
       cell_log (c, "worker_record_unreadable key=%s", item->key);
       return;
     }
-  cell_strcpy (info.id, record.id);
+  cell_strcpy (info.self.id, record.id);
   cell_strcpy (info.addr, record.addr);
   cell_strcpy (info.domain, record.domain);
   cell_strcpy (info.service, record.service);
@@ -128,7 +128,7 @@
       info.nlabels++;
     }
   start = recorded_start (item, &record);
-  info.started_at = start.started_at;
+  info.self.started_at = start.started_at;
   /* The capacity in the record may be larger than what the worker has now.  It
      takes no tasks until its registration tells its capacity. */
   w = incarnation_recorded (c, &info);
@@ -141,7 +141,7 @@
     {
       w->enrolled = 1;
       w->record_revision = item->revision;
-      w->record_start = info.started_at;
+      w->record_start = info.self.started_at;
       census_learn_foreign (c, w, start.foreign_until);
     }
   codec_free ((xdrproc_t)xdr_gl_worker_record_t, &record);
@@ -186,7 +186,7 @@
           c->enrol_tag = e->tag = cell_new_tag (c);
         }
       if (!w->record_revision)
-        w->record_start = w->info.started_at;
+        w->record_start = w->info.self.started_at;
       p = &e->txn->puts[e->txn->nputs++];
       record_key (w, p->key);
       check = &e->txn->checks[e->txn->nchecks++];
--- a/src/cellhealth.c
+++ b/src/cellhealth.c
@@ -41,7 +41,7 @@
   else
     w->backoff++;
   w->avoid_until = c->now + span;
-  cell_log (c, "worker_avoided id=%s why=%s ms=%llu", w->info.id, why,
+  cell_log (c, "worker_avoided id=%s why=%s ms=%llu", w->info.self.id, why,
             (unsigned long long)span);
 }
 
@@ -92,8 +92,9 @@
   if (t->state != CT_RUNNING || s->def->long_running || s->def->best_effort
       || percent >= 100 || c->now - t->progress_at < STALL_MS)
     return 0;
-  cell_log (c, "task_stalled worker=%s percent=%d stalled_ms=%llu", w->info.id,
-            percent, (unsigned long long)(c->now - t->progress_at));
+  cell_log (c, "task_stalled worker=%s percent=%d stalled_ms=%llu",
+            w->info.self.id, percent,
+            (unsigned long long)(c->now - t->progress_at));
   avoid_worker (c, w, "stalled");
   t->progress_at = c->now;
   return 1;
--- a/src/cellincarn.c
+++ b/src/cellincarn.c
@@ -52,7 +52,7 @@
 
   do
     {
-      if (o->info.started_at == started_at)
+      if (o->info.self.started_at == started_at)
         return o;
       o = incarnation_next (c, o);
     }
@@ -65,8 +65,8 @@
 set_current (cell_t *c, cworker_t *w)
 {
   /* The name table points to the id inside the entry. */
-  names_del (&c->worker_names, w->info.id);
-  return names_put (&c->worker_names, w->info.id,
+  names_del (&c->worker_names, w->info.self.id);
+  return names_put (&c->worker_names, w->info.self.id,
                     (uintptr_t)index_of (c, w) + 1);
 }
 
@@ -89,7 +89,7 @@
   c->capworkers = cap;
   /* The name table points to the ids inside the entries, which have moved. */
   for (int i = 0; i < c->nworkers; i++)
-    if (names_get (&c->worker_names, old[i].info.id) == (uintptr_t)i + 1)
+    if (names_get (&c->worker_names, old[i].info.self.id) == (uintptr_t)i + 1)
       set_current (c, &v[i]);
   free (old);
   return 0;
@@ -119,7 +119,7 @@
 
   if (reserve_entry (c))
     return NULL;
-  current = incarnation_current (c, info->id);
+  current = incarnation_current (c, info->self.id);
   w = &c->workers[c->nworkers];
   memset (w, 0, sizeof *w);
   w->info = *info;
@@ -140,43 +140,44 @@
 static int
 takes_start (const cworker_t *w)
 {
-  return !w->info.started_at && !w->clock;
+  return !w->info.self.started_at && !w->clock;
 }
 
 cworker_t *
 incarnation_recorded (cell_t *c, const cell_worker_t *info)
 {
-  cworker_t *w = incarnation_current (c, info->id);
-  cworker_t *found = w ? find_start (c, w, info->started_at) : NULL;
+  cworker_t *w = incarnation_current (c, info->self.id);
+  cworker_t *found = w ? find_start (c, w, info->self.started_at) : NULL;
 
-  if (!w || (!found && info->started_at && !takes_start (w)))
+  if (!w || (!found && info->self.started_at && !takes_start (w)))
     {
       found = incarnation_add (c, info);
-      if (found && w && found->info.started_at > w->info.started_at)
+      if (found && w && found->info.self.started_at > w->info.self.started_at)
         set_current (c, found);
       return found;
     }
-  if (found || !info->started_at)
+  if (found || !info->self.started_at)
     return found ? found : w;
-  w->info.started_at = info->started_at;
+  w->info.self.started_at = info->self.started_at;
   return w;
 }
 
 cworker_t *
 incarnation_registered (cell_t *c, const cell_worker_t *info)
 {
-  cworker_t *w = incarnation_current (c, info->id);
+  cworker_t *w = incarnation_current (c, info->self.id);
   cworker_t *added;
 
-  if (!w || !info->started_at || info->started_at == w->info.started_at)
+  if (!w || !info->self.started_at
+      || info->self.started_at == w->info.self.started_at)
     return w ? w : incarnation_add (c, info);
   if (takes_start (w))
     {
-      w->info.started_at = info->started_at;
+      w->info.self.started_at = info->self.started_at;
       return w;
     }
-  if (info->started_at < w->info.started_at
-      || find_start (c, w, info->started_at))
+  if (info->self.started_at < w->info.self.started_at
+      || find_start (c, w, info->self.started_at))
     return NULL;
   added = incarnation_add (c, info);
   if (added)
@@ -187,7 +188,8 @@
 int
 incarnation_is_later (const cworker_t *w, const cworker_t *by, gl_ms_t sent_at)
 {
-  return w->added_at >= sent_at && w->info.started_at > by->info.started_at;
+  return w->added_at >= sent_at
+         && w->info.self.started_at > by->info.self.started_at;
 }
 
 cworker_t *
@@ -198,17 +200,17 @@
   cell_worker_t info = w->info;
   cworker_t *found;
 
-  if (!started_at || started_at == w->info.started_at)
+  if (!started_at || started_at == w->info.self.started_at)
     return w;
   found = find_start (c, w, started_at);
   if (!found && takes_start (w))
     {
-      w->info.started_at = started_at;
+      w->info.self.started_at = started_at;
       return w;
     }
   if (!found)
     {
-      info.started_at = started_at;
+      info.self.started_at = started_at;
       info.leaving = 0;
       info.leaves_in_ms = 0;
       found = incarnation_add (c, &info);
@@ -221,7 +223,7 @@
     }
   if (found->replaced)
     return NULL;
-  w = incarnation_current (c, info.id);
+  w = incarnation_current (c, info.self.id);
   if (!incarnation_is_later (w, found, sent_at))
     set_current (c, found);
   return found;
--- a/src/cellreg.c
+++ b/src/cellreg.c
@@ -75,13 +75,13 @@
 static void
 poll_instead (cell_t *c, const cell_worker_t *info)
 {
-  cworker_t *w = incarnation_current (c, info->id);
+  cworker_t *w = incarnation_current (c, info->self.id);
 
   if (!w)
     return;
-  cell_log (c, "registration_outdated id=%s start=%llu current=%llu", info->id,
-            (unsigned long long)info->started_at,
-            (unsigned long long)w->info.started_at);
+  cell_log (c, "registration_outdated id=%s start=%llu current=%llu",
+            info->self.id, (unsigned long long)info->self.started_at,
+            (unsigned long long)w->info.self.started_at);
   cworker_poll_now (c, (int)(w - c->workers));
 }
 
@@ -94,7 +94,7 @@
 
   if (ev->removed)
     {
-      registration_removed (c, ev->worker->id);
+      registration_removed (c, ev->worker->self.id);
       return;
     }
   w = incarnation_registered (c, ev->worker);
@@ -112,13 +112,13 @@
        o = incarnation_next (c, o))
     cworker_unregister (c, o);
   if (ev->worker->leaving && !w->info.leaving)
-    cell_log (c, "worker_leaving id=%s leaves_in_ms=%u tasks=%d", w->info.id,
-              ev->worker->leaves_in_ms, w->ntasks);
+    cell_log (c, "worker_leaving id=%s leaves_in_ms=%u tasks=%d",
+              w->info.self.id, ev->worker->leaves_in_ms, w->ntasks);
   if (!w->registered)
     w->poll_at = c->now;
-  started_at = w->info.started_at;
+  started_at = w->info.self.started_at;
   w->info = *ev->worker;
-  w->info.started_at = started_at;
+  w->info.self.started_at = started_at;
   w->registered = 1;
   timer_arm_before (&c->timers, c->worker_timer, c->now);
   plan_wake (c);
--- a/src/cellsettle.c
+++ b/src/cellsettle.c
@@ -75,8 +75,8 @@
       cell_log (c,
                 "worker_restarted id=%s before=%llu now=%llu via=%s tasks=%d "
                 "dead=%d lease_sent_ms=%lld taken_seq=%llu ack_cursor=%llu",
-                o->info.id, (unsigned long long)o->info.started_at,
-                (unsigned long long)w->info.started_at,
+                o->info.self.id, (unsigned long long)o->info.self.started_at,
+                (unsigned long long)w->info.self.started_at,
                 w->registered ? "registration" : "answer", o->ntasks, o->dead,
                 cell_age_ms (c, o->lease_sent_at),
                 (unsigned long long)o->taken_seq,
@@ -139,7 +139,7 @@
         continue;
       cell_log (c,
                 "run_taken_over task=%s run=%u worker=%s state=%d listed=%d",
-                name, t->run, w->info.id, t->state, listed);
+                name, t->run, w->info.self.id, t->state, listed);
       if (listed && t->state != CT_UNKNOWN && t->state != CT_STOPPING)
         {
           t->state = CT_RUNNING;
@@ -166,6 +166,6 @@
 settle_is_done (cell_t *c, const cworker_t *w)
 {
   return !w->replaced || w->settled
-         || incarnation_current (c, w->info.id)->dead
+         || incarnation_current (c, w->info.self.id)->dead
          || FAULT (FAULT_CELL_UNSETTLED);
 }
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -76,7 +76,7 @@
 
   ctask_name (c, s, index, name);
   cell_log (c, "run_lost task=%s run=%u worker=%s state=%d age_ms=%llu", name,
-            t->run, w->info.id, t->state,
+            t->run, w->info.self.id, t->state,
             (unsigned long long)(c->now - t->sent_at));
 }
 
@@ -93,7 +93,7 @@
   cell_log (c,
             "worker_dead id=%s why=%s tasks=%d lease_sent_ms=%lld "
             "answered_ms=%lld missed_polls=%u",
-            w->info.id, why, n, cell_age_ms (c, w->lease_sent_at),
+            w->info.self.id, why, n, cell_age_ms (c, w->lease_sent_at),
             cell_age_ms (c, w->clock_at), w->missed_polls);
   if (w->restarted_at)
     crash_note_restart (c, w);
@@ -173,7 +173,7 @@
   k = e->wcall;
   k->op = op;
   k->worker = (int)(w - c->workers);
-  cell_strcpy (k->worker_id, w->info.id);
+  cell_strcpy (k->worker_id, w->info.self.id);
   cell_strcpy (k->addr, w->info.addr);
   k->tag = cell_new_tag (c);
   k->fencing_token = c->generation;
@@ -249,7 +249,7 @@
   poll_task_started (c, s, t);
   crash_note_start (c, s, index);
   cell_log (c, "start task=%s run=%u worker=%s wait_ms=%llu", k->task, t->run,
-            w->info.id, (unsigned long long)(c->now - s->ready_at));
+            w->info.self.id, (unsigned long long)(c->now - s->ready_at));
 }
 
 void
@@ -348,7 +348,7 @@
   if (w->silent)
     {
       w->silent = 0;
-      cell_log (c, "worker_answers_again id=%s", w->info.id);
+      cell_log (c, "worker_answers_again id=%s", w->info.self.id);
       plan_wake (c);
     }
 }
@@ -429,7 +429,7 @@
     return;
   c->counters.strays++;
   cell_log (c, "orphan_run task=%s run=%u worker=%s known_run=%u",
-            listed->task, listed->run, w->info.id, t ? t->run : 0);
+            listed->task, listed->run, w->info.self.id, t ? t->run : 0);
   cworker_send_stop (c, w, listed->task, listed->run);
 }
 
@@ -460,7 +460,7 @@
   w->nlapsed_runs = 0;
   w->silent = 0;
   w->lease_bound_at = c->now;
-  cell_log (c, "worker_revived id=%s", w->info.id);
+  cell_log (c, "worker_revived id=%s", w->info.self.id);
 }
 
 /* Take what the worker has listed in answer to a poll. */
@@ -523,7 +523,7 @@
       cell_log (c,
                 "worker_silent id=%s tasks=%d poll_sent_ms=%lld "
                 "lease_sent_ms=%lld",
-                w->info.id, w->ntasks, cell_age_ms (c, k->sent_at),
+                w->info.self.id, w->ntasks, cell_age_ms (c, k->sent_at),
                 cell_age_ms (c, w->lease_sent_at));
     }
 }
@@ -536,7 +536,7 @@
   cell_log (c,
             "poll_superseded worker=%s ends=%d last_seq=%llu taken_seq=%llu "
             "sent_ms=%lld",
-            w->info.id, k->nends,
+            w->info.self.id, k->nends,
             (unsigned long long)k->ends[k->nends - 1].seq,
             (unsigned long long)w->taken_seq, cell_age_ms (c, k->sent_at));
   for (int i = 0; i < k->nends; i++)
@@ -575,7 +575,7 @@
       return;
     }
   cell_log (c, "start_failed task=%s run=%u worker=%s status=%d ms=%llu",
-            k->task, k->run, w->info.id, k->status,
+            k->task, k->run, w->info.self.id, k->status,
             (unsigned long long)(c->now - k->sent_at));
   if (k->status == CELL_W_UNKNOWN)
     {
@@ -711,7 +711,7 @@
   cworker_t *w = k->worker < c->nworkers ? &c->workers[k->worker] : NULL;
   cworker_t *by;
 
-  if (c->role != CR_OWNER || !w || strcmp (w->info.id, k->worker_id)
+  if (c->role != CR_OWNER || !w || strcmp (w->info.self.id, k->worker_id)
       || k->fencing_token != c->generation)
     return;
   if (k->status == CELL_W_FENCED)
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -226,7 +226,7 @@
         w->set_capacity (i, { arg, memory_mb, 0 });
       }
     else if (what == "show")
-      out.push_back (std::string (x.info.id) + " runs "
+      out.push_back (std::string (x.info.self.id) + " runs "
                      + std::to_string (x.running.size ()));
     else
       out.push_back ("unknown worker command " + what);
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -872,12 +872,12 @@
   Worker w;
   cell_worker_t &f = w.info;
 
-  snprintf (f.id, sizeof f.id, "w%d", ids_++);
+  snprintf (f.self.id, sizeof f.self.id, "w%d", ids_++);
   w.serial = ++incarnations_;
-  f.started_at = says_starts ? WALL_MS + now : 0;
+  f.self.started_at = says_starts ? WALL_MS + now : 0;
   snprintf (f.addr, sizeof f.addr, "%s",
             same_addr_as >= 0 ? workers[(size_t)same_addr_as].info.addr
-                              : f.id);
+                              : f.self.id);
   snprintf (f.domain, sizeof f.domain, "%s",
             domain_name ((int)workers.size ()).c_str ());
   snprintf (f.service, sizeof f.service, "svc");
@@ -909,7 +909,7 @@
   /* Another incarnation has written the registration since. */
   for (size_t o = (size_t)w + 1; o < workers.size (); o++)
     if (workers[o].has_written
-        && !strcmp (workers[o].info.id, workers[(size_t)w].info.id))
+        && !strcmp (workers[o].info.self.id, workers[(size_t)w].info.self.id))
       return;
   ev.kind = CELL_EV_WORKER;
   ev.worker = &workers[(size_t)w].info;
@@ -928,7 +928,7 @@
 World::set_capacity (int w, gl_res_t capacity)
 {
   Worker &x = workers[(size_t)w];
-  std::string id = x.info.id;
+  std::string id = x.info.self.id;
 
   x.former_capacities.push_back ({ x.capacity, now });
   x.capacity = capacity;
@@ -950,7 +950,7 @@
       return;
     }
   for (size_t w = 0; w < workers.size (); w++)
-    if (id == workers[w].info.id && workers[w].alive)
+    if (id == workers[w].info.self.id && workers[w].alive)
       {
         workers[w].info.capacity = workers[w].capacity;
         for (size_t i = 0; i < vms.size (); i++)
@@ -1033,9 +1033,9 @@
     Worker w;
 
     w.info = before.info;
-    w.info.started_at = !says_starts ? 0
-                        : back       ? before.info.started_at - back
-                                     : WALL_MS + now;
+    w.info.self.started_at = !says_starts ? 0
+                             : back       ? before.info.self.started_at - back
+                                          : WALL_MS + now;
     w.info.leaving = 0;
     w.info.capacity = w.capacity = w.full_capacity = before.full_capacity;
     w.stop_ms = before.stop_ms;
@@ -1057,11 +1057,11 @@
 void
 World::show_start (int w, int64_t ms)
 {
-  uint64_t own = workers[(size_t)w].info.started_at;
+  uint64_t own = workers[(size_t)w].info.self.started_at;
 
-  workers[(size_t)w].info.started_at = (uint64_t)((int64_t)own + ms);
+  workers[(size_t)w].info.self.started_at = (uint64_t)((int64_t)own + ms);
   register_worker (w);
-  workers[(size_t)w].info.started_at = own;
+  workers[(size_t)w].info.self.started_at = own;
 }
 
 bool
@@ -1247,11 +1247,11 @@
       sum.memory_mb += o.second.need.memory_mb;
     }
   if (!within_capacity (w, sum))
-    report_violation ("over capacity: " + task + " on " + w.info.id);
+    report_violation ("over capacity: " + task + " on " + w.info.self.id);
   for (auto &o : workers)
     if (o.alive && o.running.count (task) && &o != &w)
-      report_violation (how + "runs twice: " + task + " on " + w.info.id
-                        + " and " + o.info.id);
+      report_violation (how + "runs twice: " + task + " on " + w.info.self.id
+                        + " and " + o.info.self.id);
   if (done_acked_.count (task))
     report_violation (how + "started after its acknowledged end: " + task);
   if (crashes_[task] >= CRASHES_MAX
@@ -1312,7 +1312,7 @@
   else if (w.running.count (task) || k.run <= w.fenced_runs[task])
     status = CELL_W_STALE_RUN;
   else if (advised_
-           && !approves (task.substr (0, task.rfind ('.')), w.info.id))
+           && !approves (task.substr (0, task.rfind ('.')), w.info.self.id))
     status = CELL_W_BAD_TICKET;
   else
     status = CELL_W_OK;
@@ -1432,7 +1432,8 @@
 
     if (refusing_.count (c->k.addr))
       schedule (NET_MS, answer);
-    if (!w || !w->reachable || c->done || strcmp (w->info.id, c->k.worker_id))
+    if (!w || !w->reachable || c->done
+        || strcmp (w->info.self.id, c->k.worker_id))
       return;
     /* The connection has ended with the incarnation. */
     if (w->serial != c->serial)
@@ -1443,7 +1444,7 @@
     end_runs (*w);
     c->k.status = CELL_W_OK;
     c->k.worker_clock = worker_clock (*w);
-    c->k.worker_started_at = w->info.started_at;
+    c->k.worker_started_at = w->info.self.started_at;
     for (auto &r : w->running)
       {
         cell_run_t row{};
@@ -1481,7 +1482,7 @@
       schedule (NET_MS, answer);
     if (!w || !w->reachable || w->deaf)
       return;
-    if (strcmp (w->info.id, c->k.worker_id))
+    if (strcmp (w->info.self.id, c->k.worker_id))
       {
         c->k.status = CELL_W_RESTARTED;
         c->k.worker_clock = worker_clock (*w);
@@ -2045,7 +2046,8 @@
         n = std::min (n, room.memory_mb / need.memory_mb);
       if (n <= 0
           || (advised_
-              && !approves (id + ".0." + std::to_string (step), w.info.id)))
+              && !approves (id + ".0." + std::to_string (step),
+                            w.info.self.id)))
         continue;
       wanted -= n;
       if (wanted <= 0)
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -39,7 +39,7 @@
   cell_worker_t w;
 
   ASSERT_EQ (0, read_worker (VALID, &w));
-  EXPECT_STREQ ("i-1", w.id);
+  EXPECT_STREQ ("i-1", w.self.id);
   EXPECT_STREQ ("10.0.0.1:80", w.addr);
   EXPECT_STREQ ("z", w.domain);
   EXPECT_EQ (16000, w.capacity.cpus_m);
@@ -66,10 +66,10 @@
   cell_worker_t w;
 
   ASSERT_EQ (0, read_worker (text, &w));
-  EXPECT_EQ (0u, w.started_at);
+  EXPECT_EQ (0u, w.self.started_at);
   text.insert (1, "\"born\":1700000000123,");
   ASSERT_EQ (0, read_worker (text, &w));
-  EXPECT_EQ (1700000000123u, w.started_at);
+  EXPECT_EQ (1700000000123u, w.self.started_at);
 }
 
 /* An answer with a start of another type says none. */
