--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -475,6 +475,9 @@
       {
         in >> a;
         w->says_starts = a == "said";
+        for (Worker &x : w->workers)
+          if (!w->says_starts)
+            x.info.self.started_at = 0;
       }
     else if (cmd == "registers_in")
       {
