Runs: a run of which the end is known is not taken up again

What callers would see: a job does not end.

Cause: answers may overtake each other. A new owner that stood still read an answer with a run's end and then an older one that listed the run; the task was waiting and inherited, so the run was bound as running, and nobody listed it ever again.

--- a/src/cellend.c
+++ b/src/cellend.c
@@ -83,6 +83,7 @@
   ctask_t *t = &s->tasks[index];
 
   log_end (c, w, e, t, "decides");
+  t->ended_run = e->run;
   if (t->worker == (int)(w - c->workers) && t->run == e->run)
     health_run_ended (c, w, s, t, e->outcome);
   if (e->outcome == CELL_RUN_FAILED)
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -156,6 +156,7 @@
  * @has_record: its task record is in the store or has to be written
  * @percent: progress of its run, 0 to 100
  * @run: number of its latest run, 0 before the first
+ * @ended_run: the last run of which an end was taken, 0 for none
  * @failed_runs, @nfailed_runs: numbers of the runs that have failed
  * @surplus: another run than the one that is bound to a worker has ended well
  *   and decided the task; the bound one is stopped, and takes room until it is
@@ -187,6 +188,7 @@
   unsigned char percent;
   unsigned char surplus;
   uint32_t run;
+  uint32_t ended_run;
   uint32_t failed_runs[GL_FAILURES_MAX];
   uint32_t nfailed_runs;
   int worker;
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -380,7 +380,7 @@
   if (j)
     cjob_set_begun (j);
   if (t && t->inherited && t->state == CT_WAITING && j->durable
-      && j->next_phase < GL_PHASE_COMPLETED
+      && j->next_phase < GL_PHASE_COMPLETED && listed->run != t->ended_run
       && !ctask_failure_known (t, listed->run))
     {
       if (ctask_bind (c, s, index, (int)(w - c->workers)))
