Census: restarts of long ago are not restarts for a new owner

What callers would see: tasks wait for 10 s instead of 4 s for a worker that does not answer, in the first seconds of a new owner. Found in the review.

Cause: a VM that had seen the registrations of two incarnations of an id, and then took the cell over, knew nothing of the former one and assumed leases by its clock for the present one, though the earlier owner had heard that.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -44,15 +44,12 @@
 census_lease_remaining (const cell_t *c, const cworker_t *w)
 {
   gl_ms_t sent = sent_lease_ms (c, w);
-  gl_ms_t earlier
-      = w->lease_bound_at > c->now ? w->lease_bound_at - c->now : 0;
-
-  gl_ms_t foreign = w->foreign_until > c->now ? w->foreign_until - c->now : 0;
+  gl_ms_t until = w->lease_bound_at > w->foreign_until ? w->lease_bound_at
+                                                       : w->foreign_until;
+  gl_ms_t earlier = until > c->now ? until - c->now : 0;
 
   if (w->dead)
     return 0;
-  if (foreign > earlier)
-    earlier = foreign;
   return earlier > sent ? earlier : sent;
 }
 
@@ -262,8 +259,11 @@
 {
   gl_ms_t until;
 
-  /* It has not answered this owner: the leases of earlier ones are not known,
-     and the worker takes none of them any more. */
+  /* An earlier owner had heard the worker, and its record tells. */
+  if (!former->heard && w->record_revision)
+    return;
+  /* The leases of earlier owners are not known, and the worker takes none of
+     them any more. */
   if (!former->heard)
     until = c->now + foreign_lease_ms (c);
   else if (former->lease_sent && clock < former->lease_sent)
--- a/src/cellsettle.c
+++ b/src/cellsettle.c
@@ -68,6 +68,9 @@
       if (o->replaced || incarnation_is_later (o, w, k->sent_at))
         continue;
       o->replaced = 1;
+      /* Only a registration of it was seen, and nothing was started there. */
+      if (!o->heard && !o->record_revision && o->dead)
+        continue;
       census_note_foreign (c, w, k->worker_clock, o);
       repeat_stops (c, w, o);
       cworker_unregister (c, o);
