Tests: what a restart under the same id costs, and a large fleet of them

A fleet of 540 with 1,200 jobs, of which a third returns under its ids five times in a minute, completes all of them without a violation.

--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -679,6 +679,117 @@
                                 "unanswered-write-carried-out-late" }));
 #endif
 
+/* What a restart of workers costs. */
+struct RestartCost
+{
+  gl_ms_t restart_ms; /* median time to the next start of what ran there */
+  uint64_t calls;     /* to all workers, until then and a second on */
+  uint64_t bytes;
+};
+
+/* Restart one worker in eight, each with a task, under their ids or under new
+   ones. */
+static RestartCost
+measure_restarts (int nworkers, bool returns)
+{
+  static const gl_ms_t AWAY_MS = 1000;
+  World w (3, nworkers, 1);
+  std::vector<std::string> tasks;
+  std::vector<gl_ms_t> times;
+  uint64_t calls;
+  uint64_t bytes;
+  gl_ms_t back;
+
+  w.fail_one_in = 0;
+  w.run_ms = 60000;
+  w.run (1500);
+  for (int i = 0; i < nworkers; i++)
+    {
+      char id[20];
+
+      snprintf (id, sizeof id, "%016x", i);
+      w.submit (id, "batch", { world_step (1, 5000) });
+    }
+  w.run (4000);
+  for (int i = 0; i < nworkers; i += 8)
+    {
+      for (auto &r : w.workers[(size_t)i].running)
+        tasks.push_back (r.first);
+      if (returns)
+        w.return_worker (i, AWAY_MS, 1);
+      else
+        w.crash_worker_for (i, AWAY_MS);
+    }
+  calls = w.calls;
+  bytes = w.call_bytes;
+  back = w.now + AWAY_MS;
+  w.run (AWAY_MS + 3000);
+  for (auto &t : tasks)
+    times.push_back (w.last_start[t] >= back ? w.last_start[t] - back : 99999);
+  std::sort (times.begin (), times.end ());
+  EXPECT_FALSE (times.empty ());
+  EXPECT_TRUE (w.violations.empty ());
+  return { times.empty () ? 0 : times[times.size () / 2], w.calls - calls,
+           w.call_bytes - bytes };
+}
+
+/* Guards against restarts that cost more since the worker keeps its id. */
+TEST (RestartCosts, AreThoseOfANewId)
+{
+  for (int nworkers : { 48, 540 })
+    {
+      RestartCost same = measure_restarts (nworkers, true);
+      RestartCost other = measure_restarts (nworkers, false);
+
+      printf ("%d workers: next start after %llu ms, %llu calls, %llu bytes "
+              "(a new id: %llu, %llu, %llu)\n",
+              nworkers, (unsigned long long)same.restart_ms,
+              (unsigned long long)same.calls, (unsigned long long)same.bytes,
+              (unsigned long long)other.restart_ms,
+              (unsigned long long)other.calls,
+              (unsigned long long)other.bytes);
+      EXPECT_LE (same.restart_ms * 10, other.restart_ms * 11);
+      EXPECT_LE (same.calls * 10, other.calls * 11);
+      EXPECT_LE (same.bytes * 10, other.bytes * 11);
+    }
+}
+
+/* Guards against jobs that do not end, or run twice, when many workers of a
+   large fleet return under their ids, again and again. */
+TEST (Restarts, OfALargeFleetLeaveNoJobBehind)
+{
+  World w (7, 540, 3, false, 3);
+  int njobs = 0;
+  int completed = 0;
+
+  w.fail_one_in = 0;
+  w.run_ms = 1500;
+  w.run (1500);
+  for (int second = 0; second < 60; second++)
+    {
+      for (int i = 0; i < 20; i++)
+        {
+          char id[20];
+
+          snprintf (id, sizeof id, "%016x", njobs++);
+          w.submit (id, "batch", { world_step (3, 2000) });
+        }
+      if (second % 12 == 5)
+        for (size_t i = 0, n = w.workers.size (); i < n; i++)
+          if (w.workers[i].alive && (i + (size_t)second) % 3 == 0)
+            w.schedule (i * 7 % 500, [&w, i] {
+              w.return_worker ((int)i, i % 2 ? 3000 : 0, i % 5 ? 1 : 0);
+            });
+      w.run (1000);
+    }
+  w.settle (30000);
+  for (auto &j : w.jobs)
+    completed += j.second.phase == "completed";
+  EXPECT_EQ (njobs, completed);
+  for (auto &v : w.violations)
+    ADD_FAILURE () << v;
+}
+
 static std::string
 script_name (const testing::TestParamInfo<std::string> &i)
 {
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1236,6 +1236,7 @@
     how = "late order after a return: ";
 
   starts++;
+  last_start[task] = now;
   if (jobs.count (id))
     {
       jobs[id].begun = true;
@@ -1416,6 +1417,8 @@
 
   c->k = call;
   size_t bytes = MESSAGE_BYTES + (call.payload ? strlen (call.payload) : 0);
+  calls++;
+  call_bytes += bytes;
   c->k.payload = nullptr;
   c->k.status = CELL_W_UNKNOWN;
   schedule (call.timeout, answer);
@@ -1468,6 +1471,8 @@
         if (e.outcome == CELL_RUN_DONE)
           done_reported_.insert (e.task);
       }
+    call_bytes
+        += MESSAGE_BYTES / 2 + (c->runs.size () + c->ends.size ()) * ROW_BYTES;
     schedule (
         NET_MS + w->answers_in_ms
             + link_ms (&vms[(size_t)i].in_free_at,
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -247,6 +247,9 @@
   uint64_t conf_version = 1;
   std::set<std::string> queues{ "urgent", "batch" };
   uint64_t starts = 0;
+  std::map<std::string, gl_ms_t> last_start; /* by task */
+  uint64_t calls = 0;                        /* to workers */
+  uint64_t call_bytes = 0;                   /* of these and their answers */
   uint64_t foreign_acks = 0; /* polls that acknowledged ends to a worker that
                                 had returned and not been polled since */
   gl_ms_t longest_ownerless_ms = 0;   /* longest time without an owner, of the
