Teams: the configuration, requests and records name a team

Callers of a shared cell belong to teams, and nothing in the cell knew of them. The configuration's teams with weight, priority, cap and keys are decoded; a request carries the name of the caller's team to the owner, and a job's specification is followed by it. A job without a team has the same record as before, and requests of older versions are read.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -ltirpc -lpthread -lm
 
 # The reducers of the scheduler and of the cell, and what they use.
-CORE = pool timer metrics place conf change codec fx jobs workers lease journal \
+CORE = team pool timer metrics place conf change codec fx jobs workers lease journal \
 	snap fit policy sched view names cell cellfx cellown cellreach cellpoll celljob cellwork cellend cellcensus cellformer cellmember \
 	cellsave celldue cellincarn cellreg cellsettle cellenrol cellhealth cellcrash cellroom cellhold cellconsult cellplan cellflow cellstop cellask
 GEN = gl_rec_xdr gl_cell_xdr
--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -62,6 +62,11 @@
 };
 typedef struct gl_cell_job_t gl_cell_job_t;
 
+struct gl_team_t {
+	gl_cell_str_t name;
+};
+typedef struct gl_team_t gl_team_t;
+
 enum gl_phase_t {
 	GL_PHASE_PENDING = 0,
 	GL_PHASE_RUNNING = 1,
@@ -197,9 +202,17 @@
 	gl_verb_t verb;
 	gl_cell_str_t id;
 	gl_cell_job_t *job;
+	gl_cell_str_t team;
 };
 typedef struct gl_request_t gl_request_t;
 
+struct gl_old_request_t {
+	gl_verb_t verb;
+	gl_cell_str_t id;
+	gl_cell_job_t *job;
+};
+typedef struct gl_old_request_t gl_old_request_t;
+
 struct gl_reply_t {
 	int code;
 	u_int retry_ms;
@@ -269,6 +282,7 @@
 extern  bool_t xdr_gl_cell_str_t (XDR *, gl_cell_str_t*);
 extern  bool_t xdr_gl_step_t (XDR *, gl_step_t*);
 extern  bool_t xdr_gl_cell_job_t (XDR *, gl_cell_job_t*);
+extern  bool_t xdr_gl_team_t (XDR *, gl_team_t*);
 extern  bool_t xdr_gl_phase_t (XDR *, gl_phase_t*);
 extern  bool_t xdr_gl_task_record_t (XDR *, gl_task_record_t*);
 extern  bool_t xdr_gl_progress_t (XDR *, gl_progress_t*);
@@ -286,6 +300,7 @@
 extern  bool_t xdr_gl_vmstate_t (XDR *, gl_vmstate_t*);
 extern  bool_t xdr_gl_verb_t (XDR *, gl_verb_t*);
 extern  bool_t xdr_gl_request_t (XDR *, gl_request_t*);
+extern  bool_t xdr_gl_old_request_t (XDR *, gl_old_request_t*);
 extern  bool_t xdr_gl_reply_t (XDR *, gl_reply_t*);
 extern  bool_t xdr_gl_consult_t (XDR *, gl_consult_t*);
 extern  bool_t xdr_gl_ticket_t (XDR *, gl_ticket_t*);
@@ -299,6 +314,7 @@
 extern bool_t xdr_gl_cell_str_t ();
 extern bool_t xdr_gl_step_t ();
 extern bool_t xdr_gl_cell_job_t ();
+extern bool_t xdr_gl_team_t ();
 extern bool_t xdr_gl_phase_t ();
 extern bool_t xdr_gl_task_record_t ();
 extern bool_t xdr_gl_progress_t ();
@@ -316,6 +332,7 @@
 extern bool_t xdr_gl_vmstate_t ();
 extern bool_t xdr_gl_verb_t ();
 extern bool_t xdr_gl_request_t ();
+extern bool_t xdr_gl_old_request_t ();
 extern bool_t xdr_gl_reply_t ();
 extern bool_t xdr_gl_consult_t ();
 extern bool_t xdr_gl_ticket_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -60,6 +60,12 @@
   unsigned hyper accepted_ms;
 };
 
+/* The team that a job belongs to.  Follows gl_cell_job_t in the job's
+   specification if it has one. */
+struct gl_team_t {
+  gl_cell_str_t name;
+};
+
 enum gl_phase_t {
   GL_PHASE_PENDING = 0,
   GL_PHASE_RUNNING = 1,
@@ -180,11 +186,19 @@
   GL_VERB_STATE = 1,
   GL_VERB_CANCEL = 2
 };
-/* A caller's request, forwarded to the owner; job is set for a submission. */
+/* A caller's request, forwarded to the owner; job is set for a submission.
+   team is the caller's team, "" for none. */
 struct gl_request_t {
   gl_verb_t verb;
   gl_cell_str_t id;
   gl_cell_job_t *job;
+  gl_cell_str_t team;
+};
+/* The same from a VM of an older version, which knows no teams. */
+struct gl_old_request_t {
+  gl_verb_t verb;
+  gl_cell_str_t id;
+  gl_cell_job_t *job;
 };
 /* The answer to it.  code is a gl_code_t; retry_ms goes with GL_RETRY. */
 struct gl_reply_t {
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -184,6 +184,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_team_t (XDR *xdrs, gl_team_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gl_cell_str_t (xdrs, &objp->name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_phase_t (XDR *xdrs, gl_phase_t *objp)
 {
@@ -509,6 +519,22 @@
 
 bool_t
 xdr_gl_request_t (XDR *xdrs, gl_request_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gl_verb_t (xdrs, &objp->verb))
+		 return FALSE;
+	 if (!xdr_gl_cell_str_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->job, sizeof (gl_cell_job_t), (xdrproc_t) xdr_gl_cell_job_t))
+		 return FALSE;
+	 if (!xdr_gl_cell_str_t (xdrs, &objp->team))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gl_old_request_t (XDR *xdrs, gl_old_request_t *objp)
 {
 	register int32_t *buf;
 
--- a/src/cell.c
+++ b/src/cell.c
@@ -88,6 +88,7 @@
   free (c->racks);
   free (c->approval_share);
   free (c->conf.queues);
+  teams_destroy (&c->conf.teams);
   free (c->dirty.v);
   free (c->waiting.v);
   free (c->to_fail.v);
@@ -104,6 +105,16 @@
 
 /* ---- configuration ---- */
 
+void
+cell_conf_free (cell_conf_t *conf)
+{
+  if (!conf)
+    return;
+  free (conf->queues);
+  teams_destroy (&conf->teams);
+  free (conf);
+}
+
 static cell_queue_t *
 queue_named (cell_conf_t *conf, const char *name)
 {
@@ -140,8 +151,7 @@
 
   if (conf->version <= c->conf.version)
     {
-      free (conf->queues);
-      free (conf);
+      cell_conf_free (conf);
       return;
     }
   for (int i = 0; i < c->conf.nqueues; i++)
@@ -164,12 +174,14 @@
       added++;
     }
   resolve_queues (c);
-  cell_log (c, "config version=%llu previous=%llu queues=%d added=%d",
+  cell_log (c, "config version=%llu previous=%llu queues=%d added=%d teams=%d",
             (unsigned long long)conf->version,
-            (unsigned long long)c->conf.version, conf->nqueues, added);
+            (unsigned long long)c->conf.version, conf->nqueues, added,
+            conf->teams.n);
   c->conf.version = conf->version;
-  free (conf->queues);
-  free (conf);
+  if (teams_merge (&c->conf.teams, &conf->teams))
+    cell_log (c, "teams_dropped why=memory");
+  cell_conf_free (conf);
   plan_wake (c);
 }
 
--- a/src/cell.h
+++ b/src/cell.h
@@ -19,6 +19,7 @@
 #include "gentianlatch.h"
 #include "gl_cell.h"
 #include "metrics.h"
+#include "team.h"
 
 /** CELL_NAME_SIZE - bytes of the longest name of a worker, VM, queue, task or
     key, with its terminating NUL */
@@ -80,6 +81,7 @@
  * @consult_base_ms, @consult_per_worker_ms: time that the advisor takes for a
  *   consultation, and for each worker that it names
  * @ticket_valid_ms: how long a ticket is valid
+ * @allow_anonymous: callers of it need no key of a team
  * @removed: the queue has left the configuration and takes no new jobs
  */
 typedef struct
@@ -96,18 +98,26 @@
   double consult_base_ms;
   double consult_per_worker_ms;
   uint32_t ticket_valid_ms;
+  int allow_anonymous;
   int removed;
 } cell_queue_t;
 
-/** struct cell_conf_t - the configuration in force; a higher @version
-    replaces a lower one */
+/**
+ * struct cell_conf_t - the configuration in force; a higher @version replaces
+ * a lower one
+ * @teams: the teams; those that have left the configuration stay, as removed
+ */
 typedef struct
 {
   uint64_t version;
   cell_queue_t *queues;
   int nqueues;
+  teams_t teams;
 } cell_conf_t;
 
+/** cell_conf_free - free a configuration; NULL is ignored */
+void cell_conf_free (cell_conf_t *conf);
+
 /**
  * struct cell_limits_t - limits and rates of the site
  * @worker_lease_max_ms: longest lease that a worker accepts
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -192,6 +192,7 @@
       cell_reply (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0, "out of memory");
       return;
     }
+  j->team = cjob_team (c, r->body.team);
   j->spec.accepted_ms = c->wall;
   tags_add (&j->accept_waiters, r->tag);
   if (FAULT (FAULT_CELL_ACCEPT_EARLY))
--- a/src/celld.c
+++ b/src/celld.c
@@ -296,6 +296,29 @@
 
 /* ---- peers ---- */
 
+/* Requests of VMs of older versions have no team. */
+static int
+decode_request (gl_request_t *request, const char *data, size_t len)
+{
+  gl_old_request_t old;
+
+  memset (request, 0, sizeof *request);
+  if (!codec_decode ((xdrproc_t)xdr_gl_request_t, request, data, len))
+    return 0;
+  memset (request, 0, sizeof *request);
+  memset (&old, 0, sizeof old);
+  if (codec_decode ((xdrproc_t)xdr_gl_old_request_t, &old, data, len))
+    return -1;
+  request->verb = old.verb;
+  request->id = old.id;
+  request->job = old.job;
+  request->team = strdup ("");
+  if (request->team)
+    return 0;
+  codec_free ((xdrproc_t)xdr_gl_old_request_t, &old);
+  return -1;
+}
+
 static void
 serve_request (celld_t *d, rpcmux_caller_t from, const char *data, size_t len)
 {
@@ -305,8 +328,7 @@
   cell_event_t ev
       = { .kind = CELL_EV_REQUEST, .request = &request, .from_peer = 1 };
 
-  memset (&request, 0, sizeof request);
-  if (codec_decode ((xdrproc_t)xdr_gl_request_t, &request, data, len))
+  if (decode_request (&request, data, len))
     {
       rpcmux_reply (d->rpc, from, NULL, NULL);
       return;
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -303,6 +303,7 @@
  * @self: its handle
  * @spec: the job as submitted
  * @queue: index of its queue, -1 while that is not known
+ * @team: index of its team in the configuration, -1 for none
  * @phase: GL_PHASE_PENDING until its end is in the store, then that end; the
  *   running phase is derived from @begun
  * @next_phase: phase to be written
@@ -337,6 +338,7 @@
   char id[20];
   gl_cell_job_t spec;
   int queue;
+  int team;
   gl_phase_t phase;
   gl_phase_t next_phase;
   int durable;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -143,6 +143,7 @@
   cell_strcpy (j->id, j->spec.id);
   j->arrived_at = c->now;
   j->queue = -1;
+  j->team = -1;
   for (int i = 0; i < c->conf.nqueues; i++)
     if (!strcmp (c->conf.queues[i].name, j->spec.queue))
       j->queue = i;
@@ -156,6 +157,17 @@
   return j;
 }
 
+int
+cjob_team (cell_t *c, const char *name)
+{
+  int known = teams_find (&c->conf.teams, name);
+  int i = name[0] ? teams_add (&c->conf.teams, name) : -1;
+
+  if (i >= 0 && known < 0)
+    c->conf.teams.v[i].removed = 1;
+  return i;
+}
+
 static void
 free_steps (cell_t *c, cjob_t *j)
 {
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -110,6 +110,9 @@
 /** cjob_new - a job of @spec, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_cell_job_t *spec);
 void cjob_free (cell_t *c, cjob_t *j);
+/** cjob_team - index of the team with this name, which is added as a removed
+    one if the configuration does not have it; -1 for "" or without memory */
+int cjob_team (cell_t *c, const char *name);
 /** cjob_records - fill @p with the task records to write; the caller frees
     them */
 void cjob_records (cell_t *c, cjob_t *j, gl_progress_t *p);
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -153,8 +153,33 @@
   return p;
 }
 
+/* Append the job's team to its specification; -1 without memory. */
 static int
-add_create (cell_txn_t *txn, const cjob_t *j)
+append_team (const cell_t *c, const cjob_t *j, cell_put_t *p)
+{
+  gl_team_t team;
+  size_t more;
+  char *tail;
+  char *whole = NULL;
+
+  if (j->team < 0)
+    return 0;
+  team.name = c->conf.teams.v[j->team].name;
+  tail = codec_encode ((xdrproc_t)xdr_gl_team_t, &team, &more);
+  if (tail)
+    whole = realloc (p->value, p->len + more);
+  if (whole)
+    {
+      memcpy (whole + p->len, tail, more);
+      p->value = whole;
+      p->len += more;
+    }
+  free (tail);
+  return whole ? 0 : -1;
+}
+
+static int
+add_create (const cell_t *c, cell_txn_t *txn, const cjob_t *j)
 {
   cell_put_t *p;
 
@@ -162,7 +187,7 @@
   add_check (txn, "d", j->id, 0);
   p = add_put (txn, "j", j->id);
   p->value = codec_encode ((xdrproc_t)xdr_gl_cell_job_t, &j->spec, &p->len);
-  return p->value ? 0 : -1;
+  return p->value ? append_team (c, j, p) : -1;
 }
 
 static int
@@ -206,7 +231,7 @@
   s->version = j->version;
   s->phase = j->next_phase;
   if (s->kind == SAVE_CREATE)
-    rc = add_create (txn, j);
+    rc = add_create (c, txn, j);
   else if (s->kind == SAVE_RESULT)
     rc = add_result (c, txn, j);
   else
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -77,6 +77,9 @@
  *                                  urgent, batch and digest, in the order of
  *                                  their priority; digest is not configured at
  *                                  first
+ *   team NAME WEIGHT PRIORITY CPUS_M MEM_MB   a team of the next
+ *                                  configuration; a cap of 0 is no limit
+ *   as [TEAM]                      callers are of this team from now on
  *   waiting VM QUEUE               print how many waiting jobs the VM shows
  *   routes VM                      print the queues that the VM serves
  *   owners                         print how many VMs own the cell
@@ -545,6 +548,21 @@
           names.insert (a);
         w->configure ((uint64_t)n, names);
       }
+    else if (cmd == "team")
+      {
+        team_t t{};
+
+        in >> a >> t.weight >> t.priority >> t.cap.cpus_m >> t.cap.memory_mb;
+        snprintf (t.name, sizeof t.name, "%s", a.c_str ());
+        std::erase_if (w->teams,
+                       [&] (const team_t &o) { return o.name == a; });
+        w->teams.push_back (t);
+      }
+    else if (cmd == "as")
+      {
+        w->team.clear ();
+        in >> w->team;
+      }
     else if (cmd == "routes")
       {
         in >> a;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -384,6 +384,9 @@
       p->consult_per_worker_ms = 0.5;
       p->ticket_valid_ms = (uint32_t)TICKET_MS;
     }
+  conf->teams.configured = !teams.empty ();
+  for (auto &t : teams)
+    conf->teams.v[teams_add (&conf->teams, t.name)] = t;
   ev.kind = CELL_EV_CONF;
   ev.conf = conf;
   step (i, ev);
@@ -1736,6 +1739,7 @@
   request.verb = verb;
   request.id = (char *)id.c_str ();
   request.job = job;
+  request.team = team.data ();
   ev.kind = CELL_EV_REQUEST;
   ev.request = &request;
   ev.tag = tag;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -245,6 +245,8 @@
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
+  std::vector<team_t> teams; /* of the configuration */
+  std::string team;          /* of the callers; "" for none */
   std::set<std::string> queues{ "urgent", "batch" };
   uint64_t starts = 0;
   std::map<std::string, gl_ms_t> last_start; /* by task */
