Ownership: a weak owner hands the cell over to a stronger VM

VMs differ by a factor of five in processor, and the owner does most of the work. An owner now releases the cell once a VM of at least twice its processor has been ready to take over for 0.6 s. VMs of equal strength never do so.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -8,6 +8,7 @@
 
 #include "cellvm.h"
 #include "cellworker.h"
+#include "cellyield.h"
 #include "fault.h"
 #include "metrics.h"
 #include "names.h"
@@ -515,6 +516,7 @@
   X (forwards, "requests forwarded to the owner")                             \
   X (no_owner, "requests refused for want of an owner")                       \
   X (takeovers, "times this VM took the cell over")                           \
+  X (yields, "times this VM handed the cell over to a stronger one")          \
   X (deposed, "times this VM lost the cell")
 
 /** struct ccounters_t - counters since the start of the process, by the names
@@ -543,6 +545,7 @@
  * Ownership (cellown.c):
  * @role: this VM's part in the cell
  * @stop: this VM's planned stop
+ * @yield: the VM to which an owner hands the cell over, see cellyield.c
  * @generation: of this VM's latest claim; the fencing token
  * @ownership, @ownership_rev, @ownership_known: the ownership record, its
  *   revision in the store, and whether one has been seen
@@ -660,6 +663,7 @@
 
   crole_t role;
   cstop_t stop;
+  cyield_t yield;
   uint64_t generation;
   gl_ownership_t ownership;
   uint64_t ownership_rev;
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -315,6 +315,7 @@
   c->ownership_rev = revision;
   c->ownership_known = 1;
   c->role = CR_LOADING;
+  yield_reset (&c->yield);
   c->takeover_at = c->now;
   c->confirmed_at = c->claim_sent_at;
   c->store_answered_at = c->now;
@@ -455,6 +456,7 @@
   cell_log (c, "released status=%d", status);
   if (status == GL_ST_OK || status == GL_ST_CONFLICT)
     {
+      c->counters.yields += !c->stop.stopping;
       own_step_down (c, "released");
       c->claim_not_before = c->now + 2 * CELL_CLAIM_BACKOFF_MS;
       return;
@@ -846,11 +848,28 @@
     }
 }
 
+/* Whether an owner that is not stopping is to release the cell to a stronger
+   VM.  Without the store nobody could take it over. */
+static int
+yield_release_due (cell_t *c)
+{
+  if (c->now > c->store_answered_at + CELL_CONFIRM_MS
+      || !yield_is_due (&c->yield, c->vms, c->nvms, c->vm, c->limits.cpu_m,
+                        save_idle (c), c->now))
+    return 0;
+  cell_log (c, "hand_over why=stronger_vm to=%s cpu_m=%u own_cpu_m=%u",
+            c->vms[c->yield.successor].vm, c->vms[c->yield.successor].cpu_m,
+            c->limits.cpu_m);
+  return 1;
+}
+
 static void
 try_release (cell_t *c)
 {
+  int stopping = c->stop.stopping || c->releasing;
+
   if (c->role == CR_OWNER && !c->release_tag && c->now >= c->release_after
-      && stop_release_due (c)
+      && (stopping ? stop_release_due (c) : yield_release_due (c))
       && !write_ownership (c, c->generation, 1, &c->release_tag))
     {
       if (!c->releasing)
@@ -882,8 +901,7 @@
   if (c->role == CR_OWNER && !c->confirm_tag
       && now >= c->confirmed_at + CELL_CONFIRM_MS)
     send_confirm (c);
-  if (c->stop.stopping)
-    try_release (c);
+  try_release (c);
   try_claim (c);
   stop_update (c);
   timer_arm (&c->timers, c->own_timer, now + TICK_MS);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -82,6 +82,9 @@
  *   as [TEAM]                      callers are of this team from now on
  *   waiting VM QUEUE               print how many waiting jobs the VM shows
  *   routes VM                      print the queues that the VM serves
+ *   cpu VM CPU_M                   the VM's share of a core from its next
+ *                                  start on, in thousandths
+ *   owner                          print which VM owns the cell
  *   owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
  *                                  most N, or what the world has measured:
@@ -586,6 +589,13 @@
         out.push_back (name + " waiting "
                        + (shown < 0 ? "unknown" : std::to_string (shown)));
       }
+    else if (cmd == "cpu")
+      {
+        in >> a >> n;
+        w->vms[(size_t)vm (a)].cpu_m = (uint32_t)n;
+      }
+    else if (cmd == "owner")
+      out.push_back ("owner " + std::to_string (vm ("owner")));
     else if (cmd == "owners")
       {
         n = 0;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -210,6 +210,7 @@
   b.writes_per_s = 400;
   b.link_kbps = (uint32_t)(link_rate * 8);
   b.retention_ms = 900000;
+  b.cpu_m = v.cpu_m;
   v.cell = cell_new (v.name.c_str (), v.name.c_str (), v.domain.c_str (), &b,
                      random ());
   v.alive = true;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -100,6 +100,7 @@
   std::string name;
   std::string domain;
   cell_t *cell = nullptr; /* its reducer */
+  uint32_t cpu_m = 0;     /* its share of a core; 0: not known */
   bool alive = true;
   bool stopping = false;   /* asked to stop; its process has not ended yet */
   gl_ms_t ends_at = 0;     /* when it ends at the latest, while stopping */
