State queries wait for the write of a job's end

A state query that arrives while the job's end is decided and its write is in flight was answered "running", and the caller asked again only after its polling interval of a quarter of a second.

Such a query now waits with the job's other end waiters, for at most three times the usual duration of a write, at least 30 and at most 150 ms, and no longer than 60 ms before its deadline. When that passes, a write of the job fails or is overdue, the store counts as away, or the owner changes, it is answered with the phase that was known when it came. The bound has a timer of its own, since the tick of the requests has 50 ms. Queries that another VM has forwarded wait as well; cancellations behave as before.

--- a/src/cell.c
+++ b/src/cell.c
@@ -44,6 +44,7 @@
   c->save_timer = timer_subscribe (&c->timers, save_tick, c);
   c->plan_timer = timer_subscribe (&c->timers, plan_tick, c);
   c->request_timer = timer_subscribe (&c->timers, request_tick, c);
+  c->end_wait_timer = timer_subscribe (&c->timers, request_end_wait_tick, c);
   c->job_timer = timer_subscribe (&c->timers, cjobs_tick, c);
   timer_arm (&c->timers, c->own_timer, 0);
   timer_arm (&c->timers, c->worker_timer, 0);
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -9,6 +9,12 @@
  * after which to retry (GL_RETRY).  One that an owner may have carried out is
  * answered GL_UNKNOWN instead, because the caller must not take it as "not
  * run".
+ *
+ * A state query that finds the job's end decided but not yet in the store is
+ * answered when the write has its answer: a caller that is told "running" asks
+ * again only after its polling interval, which is many times as long as a
+ * write.  The wait has a bound of a few usual write times, after which the
+ * query is answered with what was known when it came.
  */
 #include "cellint.h"
 
@@ -26,6 +32,11 @@
 /* How long a request that an owner may have carried out waits for the answer,
    once nobody can own the cell. */
 #define LAST_ANSWER_MS 200
+/* A state query waits for the write of the job's end for this many times the
+   usual duration of a write, within these bounds. */
+#define END_WAIT_FACTOR 3
+#define END_WAIT_MIN_MS 30
+#define END_WAIT_MAX_MS 150
 /* Most requests that are named in the log when the process ends. */
 #define GIVEN_UP_LINES_MAX 64
 
@@ -222,14 +233,113 @@
 {
   if (j->phase >= GL_PHASE_COMPLETED)
     return j->phase;
+  if (FAULT (FAULT_CELL_END_EARLY) && j->next_phase >= GL_PHASE_COMPLETED)
+    return j->next_phase;
   return j->begun ? GL_PHASE_RUNNING : GL_PHASE_PENDING;
 }
 
+/* ---- state queries that wait for the write of the job's end ---- */
+
+static gl_ms_t
+end_wait_ms (const cell_t *c)
+{
+  double ms = c->usual_txn_ms * END_WAIT_FACTOR;
+
+  if (FAULT (FAULT_CELL_END_WAIT_LONG))
+    return CELL_TXN_TIMEOUT_MAX_MS;
+  if (ms < END_WAIT_MIN_MS)
+    return END_WAIT_MIN_MS;
+  return ms > END_WAIT_MAX_MS ? END_WAIT_MAX_MS : (gl_ms_t)ms;
+}
+
+/* When the query is to be answered although the end is not written. */
+static gl_ms_t
+end_wait_until (const cell_t *c, const crequest_t *r)
+{
+  gl_ms_t until = c->now + end_wait_ms (c);
+
+  if (r->deadline < until + CELL_REPLY_MARGIN_MS)
+    until = r->deadline > CELL_REPLY_MARGIN_MS
+                ? r->deadline - CELL_REPLY_MARGIN_MS
+                : 0;
+  return until < stop_answers_until (c) ? until : stop_answers_until (c);
+}
+
+/* Calls of the store that fail make it count as away at a known instant. */
+static void
+arm_end_wait (cell_t *c, gl_ms_t until)
+{
+  gl_ms_t down_at = c->store_answered_at + CELL_STORE_DOWN_MS + 1;
+
+  if (c->store_failures && down_at < until)
+    until = down_at;
+  timer_arm_before (&c->timers, c->end_wait_timer, until);
+}
+
+/* Keeps the query until the job's end is written; 0 if it is to be answered
+   now. */
+static int
+wait_for_end (cell_t *c, crequest_t *r, cjob_t *j)
+{
+  gl_ms_t until = end_wait_until (c, r);
+
+  if (j->phase >= GL_PHASE_COMPLETED || j->next_phase < GL_PHASE_COMPLETED
+      || until <= c->now || save_store_down (c)
+      || tags_add (&j->end_waiters, r->tag))
+    return 0;
+  r->end_wait_until = until;
+  r->known_phase = current_phase (j);
+  arm_end_wait (c, until);
+  return 1;
+}
+
+static void
+answer_known_phase (cell_t *c, const crequest_t *r)
+{
+  cell_reply (c, r->tag, GL_OK, 0, r->known_phase, NULL);
+}
+
+void
+request_end_wait_tick (void *ctx, gl_ms_t now)
+{
+  cell_t *c = ctx;
+  gl_ms_t next = TIMER_NEVER;
+
+  /* An answer replaces the request by the last one, so walk from the end. */
+  for (size_t i = c->nrequests; i-- > 0;)
+    {
+      const crequest_t *r = &c->requests[i];
+
+      if (!r->end_wait_until)
+        continue;
+      if (now >= r->end_wait_until || save_store_down (c))
+        answer_known_phase (c, r);
+      else if (r->end_wait_until < next)
+        next = r->end_wait_until;
+    }
+  if (next != TIMER_NEVER)
+    arm_end_wait (c, next);
+}
+
+void
+requests_end_unwritten (cell_t *c, const cjob_t *j)
+{
+  for (size_t i = 0; i < j->end_waiters.n; i++)
+    {
+      const crequest_t *r = find_request (c, j->end_waiters.v[i]);
+
+      if (r && r->end_wait_until)
+        answer_known_phase (c, r);
+    }
+}
+
 static void
 answer_state (cell_t *c, crequest_t *r)
 {
   cjob_t *j = cjob_find (c, r->body.id);
 
+  if (j && j->durable && wait_for_end (c, r, j))
+    return;
   if (j && j->durable)
     cell_reply (c, r->tag, GL_OK, 0, current_phase (j), NULL);
   else if (j)
@@ -370,6 +480,11 @@
   int maybe_done = r->maybe_taken || r->dispatched;
   int ending = c->now >= stop_answers_until (c);
 
+  if (r->end_wait_until)
+    {
+      answer_known_phase (c, r);
+      return;
+    }
   if (r->body.verb == GL_VERB_SUBMIT && !maybe_done)
     {
       c->counters.no_owner++;
@@ -464,6 +579,11 @@
     {
       crequest_t *r = &c->requests[i];
 
+      if (r->end_wait_until)
+        {
+          answer_known_phase (c, r);
+          continue;
+        }
       /* The former owner may have carried it out. */
       if (r->dispatched)
         {
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -330,7 +330,8 @@
  * @iterations_made: iterations whose steps exist
  * @steps: all iterations' steps, in order
  * @accept_waiters: requests to answer once the job is durable
- * @end_waiters: requests to answer once its end is durable
+ * @end_waiters: requests to answer once its end is durable; some may have had
+ *   their answer
  */
 typedef struct
 {
@@ -428,6 +429,9 @@
  * @maybe_taken: an owner may have carried it out
  * @dispatched: it is being served here, or forwarded and not answered yet
  * @retry_at: when to try again to reach an owner
+ * @end_wait_until: the query waits for the write of the job's end until then;
+ *   0 if it does not
+ * @known_phase: the answer if that write does not come in time
  */
 typedef struct
 {
@@ -439,6 +443,8 @@
   int maybe_taken;
   int dispatched;
   gl_ms_t retry_at;
+  gl_ms_t end_wait_until;
+  gl_phase_t known_phase;
 } crequest_t;
 
 /**
@@ -656,6 +662,7 @@
   int save_timer;
   int plan_timer;
   int request_timer;
+  int end_wait_timer;
   int job_timer;
 
   crole_t role;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -560,6 +560,12 @@
 /** request_result_read - the stored result of a job that is not in memory */
 void request_result_read (cell_t *c, const cell_event_t *ev);
 void request_tick (void *ctx, gl_ms_t now);
+/** request_end_wait_tick - timer: answer the state queries that have waited
+    for the write of a job's end for as long as they may */
+void request_end_wait_tick (void *ctx, gl_ms_t now);
+/** requests_end_unwritten - a write of the job has failed: answer the state
+    queries that wait for its end */
+void requests_end_unwritten (cell_t *c, const cjob_t *j);
 /** requests_give_up - log the requests that get no answer, as the process ends
  */
 void requests_give_up (cell_t *c);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -362,7 +362,10 @@
   else if (ev->status == GL_ST_CONFLICT && c->role == CR_OWNER)
     own_step_down (c, "fenced by the store");
   else
-    c->store_failures++;
+    {
+      c->store_failures++;
+      request_end_wait_tick (c, c->now);
+    }
 }
 
 void
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -588,6 +588,7 @@
   if (!j)
     return;
   j->saving = 0;
+  requests_end_unwritten (c, j);
   if (s->kind == SAVE_CREATE && lost)
     j->maybe_written = 1;
   if (s->kind == SAVE_CREATE && !j->maybe_written
@@ -680,6 +681,7 @@
             slot->nsaves, (unsigned long long)(c->now - slot->sent_at));
   for (int i = 0; i < slot->nsaves; i++)
     retry_save (c, &slot->saves[i], ev->status == GL_ST_UNKNOWN);
+  request_end_wait_tick (c, c->now);
   timer_arm_before (&c->timers, c->save_timer, c->save_after);
 }
 
--- a/src/fault.h
+++ b/src/fault.h
@@ -49,6 +49,9 @@
  *   restarted
  * @FAULT_CELL_STOPS_FORGOTTEN: does not repeat stops to the next incarnation
  * of a worker
+ * @FAULT_CELL_END_WAIT_LONG: lets a state query wait longer than its bound for
+ *   the write of a job's end
+ * @FAULT_CELL_END_EARLY: shows a job's end before it is in the store
  */
 typedef enum
 {
@@ -84,6 +87,8 @@
   FAULT_CELL_STOPS_FORGOTTEN,
   FAULT_CELL_UNSETTLED,
   FAULT_CELL_ACKS_UNPROVEN,
+  FAULT_CELL_END_WAIT_LONG,
+  FAULT_CELL_END_EARLY,
   FAULT_COUNT
 } fault_t;
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -4,8 +4,9 @@
  *
  * A script in tests/cell has one command a line.  Lines that begin with "#"
  * are comments, and those that begin with "> " are the expected output.  Times
- * are milliseconds.  A VM is given by its number, as "owner", or as "former",
- * the VM that "owner" meant last.
+ * are milliseconds.  A VM is given by its number, as "owner", as "former", the
+ * VM that "owner" meant last, or as "standby", the first VM that is alive and
+ * is not the owner.
  *
  *   world VMS WORKERS [advised] [DOMAINS]   make the world; the first command
  *   run MS                         let time pass
@@ -25,6 +26,10 @@
  *                                  stream that a VM took, so many were
  *                                  accepted
  *   show ID                        print a job's phase
+ *   ask VM ID                      ask this VM for a job's phase
+ *   answer ID                      print the answer to the last "ask" of the
+ *                                  job, or that there is none
+ *   until EVENT                    let time pass until a VM logs the event
  *   completed PREFIX               print how many jobs of a burst have
  *                                  completed
  *   kill VM, start VM, stop VM     stop hands the cell over first
@@ -108,7 +113,7 @@
 }
 #endif
 
-/* Longest time that "await" lets pass. */
+/* Longest time that "await" and "until" let pass. */
 static const int AWAIT_MAX_MS = 20000;
 
 /* A step such as "3x2000ge5000@0,1": 3 tasks of 2000 thousandths of a
@@ -147,6 +152,13 @@
       return last_owner = w->owner ();
     if (name == "former")
       return last_owner;
+    if (name == "standby")
+      {
+        int i = 0;
+        while (i == w->owner () || !w->vms[(size_t)i].alive)
+          i++;
+        return i;
+      }
     return atoi (name.c_str ());
   }
 
@@ -499,6 +511,33 @@
       }
     else if (cmd == "deadly_away")
       in >> w->away_min_ms >> w->away_max_ms;
+    else if (cmd == "ask")
+      {
+        in >> a;
+        int i = vm (a);
+        in >> a;
+        w->jobs[a].phase = "unanswered";
+        w->query (a, i);
+      }
+    else if (cmd == "answer")
+      {
+        in >> a;
+        out.push_back (a + " " + w->jobs[a].phase);
+      }
+    else if (cmd == "until")
+      {
+        in >> a;
+        size_t seen = w->log.size ();
+        bool found = false;
+        for (n = 0; n < AWAIT_MAX_MS && !found; n++)
+          {
+            w->run (1);
+            for (; seen < w->log.size (); seen++)
+              found |= w->log[seen].find (" " + a + " ") != std::string::npos;
+          }
+        if (!found)
+          out.push_back (a + " has not come");
+      }
     else if (cmd == "logged")
       {
         in >> a;
@@ -679,22 +718,27 @@
 
 INSTANTIATE_TEST_SUITE_P (
     Scripts, CellFault,
-    testing::Values (FaultCase{ FAULT_CELL_ORPHANS_FREE,
-                                "stopping-runs-hold-room" },
-                     FaultCase{ FAULT_CELL_RESTART_UNCONFIRMED,
-                                "former-owner-starts-nothing-anew" },
-                     FaultCase{ FAULT_CELL_FOREIGN_LEASE,
-                                "lease-given-to-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_STOPS_FORGOTTEN,
-                                "late-start-reaches-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_UNSETTLED,
-                                "starts-carried-out-by-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_UNSETTLED,
-                                "new-owner-hears-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_ACKS_UNPROVEN,
-                                "no-ends-are-acknowledged-unheard" },
-                     FaultCase{ FAULT_CELL_LATE_WRITE,
-                                "unanswered-write-carried-out-late" }));
+    testing::Values (
+        FaultCase{ FAULT_CELL_ORPHANS_FREE, "stopping-runs-hold-room" },
+        FaultCase{ FAULT_CELL_RESTART_UNCONFIRMED,
+                   "former-owner-starts-nothing-anew" },
+        FaultCase{ FAULT_CELL_FOREIGN_LEASE,
+                   "lease-given-to-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_STOPS_FORGOTTEN,
+                   "late-start-reaches-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_UNSETTLED,
+                   "starts-carried-out-by-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_UNSETTLED,
+                   "new-owner-hears-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_ACKS_UNPROVEN,
+                   "no-ends-are-acknowledged-unheard" },
+        FaultCase{ FAULT_CELL_LATE_WRITE,
+                   "unanswered-write-carried-out-late" },
+        FaultCase{ FAULT_CELL_END_WAIT_LONG,
+                   "end-query-waits-no-longer-than-its-bound" },
+        FaultCase{ FAULT_CELL_END_EARLY, "end-query-when-the-write-fails" },
+        FaultCase{ FAULT_CELL_END_EARLY,
+                   "end-query-when-the-owner-changes" }));
 #endif
 
 /* What a restart of workers costs. */
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1839,13 +1839,14 @@
 }
 
 void
-World::query (const std::string &id)
+World::query (const std::string &id, int vm)
 {
   static const char *const names[]
       = { "pending", "running", "completed", "failed", "cancelled" };
-  int vm = pick_vm ();
 
   if (vm < 0)
+    vm = pick_vm ();
+  if (vm < 0 || !vms[(size_t)vm].alive || vms[(size_t)vm].frozen)
     return;
   ask (vm, GL_VERB_STATE, id, nullptr, [=, this] (const gl_reply_t &t) {
     JobView &j = jobs[id];
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -152,8 +152,9 @@
   void submit (const std::string &id, const std::string &queue,
                const std::vector<gl_step_t> &steps, int vm = -1);
   void cancel (const std::string &id);
-  /* Ask a live VM for the job's phase; the answer is in jobs[id].phase. */
-  void query (const std::string &id);
+  /* Ask the VM, or a live one if that is -1, for the job's phase; the answer
+     is in jobs[id].phase. */
+  void query (const std::string &id, int vm = -1);
   /* All VMs' links carry @rate bytes a ms in each direction, jobs have
      payloads of @payload bytes, and all VMs start anew. */
   void set_links (double rate, int payload);
