Overdue transactions are noticed when they are overdue

The save timer has one due time. A transaction that was sent while the timer was due earlier, as in the event that made its job dirty, lost the check that it was overdue: the timer fired, found nothing, and was not set again. A lost write of a lone job was then noticed only at its timeout, or by chance.

The timer is now set again for the first transaction in flight.

--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -433,6 +433,19 @@
 
 static void refuse_unsent_jobs (cell_t *c);
 
+/* Sets the timer for the transaction in flight that will be overdue first.
+   The timer may have been due earlier than that when it was sent. */
+static void
+arm_overdue_check (cell_t *c)
+{
+  gl_ms_t span = overdue_ms (c);
+
+  for (int i = 0; i < CELL_SAVE_TXNS_MAX; i++)
+    if (c->save_txns[i].tag && c->save_txns[i].leaves_at + span > c->now)
+      timer_arm_before (&c->timers, c->save_timer,
+                        c->save_txns[i].leaves_at + span);
+}
+
 void
 save_tick (void *ctx, gl_ms_t now)
 {
@@ -448,6 +461,7 @@
   if (now < c->save_after)
     timer_arm (&c->timers, c->save_timer, c->save_after);
   save_flush (c);
+  arm_overdue_check (c);
 }
 
 /* ---- results of transactions ---- */
