Histograms of the time from a run's end to the answer that shows it

How long a caller takes to learn of a job's end could only be seen from outside, not where the time goes.

cell_end_ms has three spans: end_to_poll, from the end of the run that decides the job's end until it is reported; poll_to_write, until the end is in the store; write_to_answer, until a state query is answered with it.

EndsOfJobs.AreShownSoon plays 25 urgent jobs of three tasks a second on a busy cell, with estimates that are half of what tasks take.

--- a/src/cell.c
+++ b/src/cell.c
@@ -77,6 +77,8 @@
   hist_destroy (&c->txn_time);
   hist_destroy (&c->takeover_time);
   hist_destroy (&c->census_time);
+  for (int i = 0; i < CSPAN_COUNT; i++)
+    hist_destroy (&c->end_spans[i]);
   for (int i = 0; i < CELL_PRIORITIES; i++)
     {
       hist_destroy (&c->start_time[i]);
@@ -364,6 +366,8 @@
 void
 cell_metrics (const cell_t *c, text_t *t)
 {
+  static const char *const spans[]
+      = { "end_to_poll", "poll_to_write", "write_to_answer" };
   char label[16];
 
 #define X(name, help)                                                         \
@@ -387,6 +391,8 @@
   hist_print (t, "cell_transaction_ms", "kind", "write", &c->txn_time);
   hist_print (t, "cell_takeover_ms", "kind", "load", &c->takeover_time);
   hist_print (t, "cell_census_ms", "kind", "complete", &c->census_time);
+  for (int i = 0; i < CSPAN_COUNT; i++)
+    hist_print (t, "cell_end_ms", "span", spans[i], &c->end_spans[i]);
   for (int i = 0; i < CELL_PRIORITIES; i++)
     {
       snprintf (label, sizeof label, "%d", i);
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -321,6 +321,29 @@
     arm_end_wait (c, next);
 }
 
+/* A state query is about to be answered with the job's end. */
+static void
+note_end_shown (cell_t *c, cjob_t *j)
+{
+  if (j->decided_at && !j->end_shown)
+    hist_add (&c->end_spans[CSPAN_ANSWER], (double)(c->now - j->ended_at));
+  j->end_shown = 1;
+}
+
+void
+requests_end_written (cell_t *c, cjob_t *j)
+{
+  for (size_t i = 0; i < j->end_waiters.n; i++)
+    {
+      const crequest_t *r = find_request (c, j->end_waiters.v[i]);
+
+      if (r && r->body.verb == GL_VERB_STATE)
+        note_end_shown (c, j);
+      cell_reply (c, j->end_waiters.v[i], GL_OK, 0, j->phase, NULL);
+    }
+  j->end_waiters.n = 0;
+}
+
 void
 requests_end_unwritten (cell_t *c, const cjob_t *j)
 {
@@ -340,6 +363,8 @@
 
   if (j && j->durable && wait_for_end (c, r, j))
     return;
+  if (j && j->phase >= GL_PHASE_COMPLETED)
+    note_end_shown (c, j);
   if (j && j->durable)
     cell_reply (c, r->tag, GL_OK, 0, current_phase (j), NULL);
   else if (j)
--- a/src/cellend.c
+++ b/src/cellend.c
@@ -11,6 +11,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A worker that answers a poll which may wait later than this has waited for
+   an end.  An answer to a poll that finds an end has the time of a call. */
+#define HELD_MIN_MS 20
+
 static const char *const outcome_names[]
     = { "done", "failed", "stopped", "lapsed", "broken", "alone", "unknown" };
 
@@ -94,10 +98,42 @@
                       e->checkpoint);
 }
 
+/* When the task's present run ended on its worker, 0 if that is not known.  A
+   poll that the worker held is answered as soon as a run ends; else the end is
+   taken to be the expected one. */
+static gl_ms_t
+run_end_time (const cell_t *c, const ctask_t *t, const cell_wcall_t *k)
+{
+  gl_ms_t at = t->expected_end;
+  gl_ms_t known = t->progress_at > t->sent_at ? t->progress_at : t->sent_at;
+
+  if (k->wait_ms && c->now >= k->sent_at + HELD_MIN_MS)
+    return c->now;
+  if (t->worker < 0)
+    return 0;
+  if (at < known)
+    at = known;
+  return at < c->now ? at : c->now;
+}
+
+/* Measure from the end of the run, at @ended_at, if that has decided the job's
+   end. */
+static void
+note_decided (cell_t *c, cjob_t *j, gl_ms_t ended_at)
+{
+  if (j->next_phase < GL_PHASE_COMPLETED || j->decided_at
+      || j->next_phase == GL_PHASE_CANCELLED)
+    return;
+  j->decided_at = c->now;
+  if (ended_at)
+    hist_add (&c->end_spans[CSPAN_POLL], (double)(c->now - ended_at));
+}
+
 /* Take one end that the worker lists.  Of runs that do not decide the task's
    state, only failures are counted. */
 void
-end_listed (cell_t *c, cworker_t *w, const cell_end_t *e)
+end_listed (cell_t *c, cworker_t *w, const cell_end_t *e,
+            const cell_wcall_t *k)
 {
   cstep_t *s = NULL;
   uint32_t index = 0;
@@ -121,8 +157,11 @@
     cjob_set_begun (cstep_job (c, s));
   if (t && decides (c, w, s, t, e))
     {
+      gl_ms_t ended_at = run_end_time (c, t, k);
+
       j = cstep_job (c, s);
       version = take_end (c, w, s, index, e);
+      note_decided (c, j, ended_at);
     }
   else if (t && t->state == CT_DONE && t->run == e->run
            && t->worker == (int)(w - c->workers))
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -324,6 +324,9 @@
  * @arrived_at: when this owner received it; for a job loaded from the store,
  *   when an earlier owner accepted it, by the wall clock
  * @ended_at: when its end was written
+ * @decided_at: when the end of a run that decided the job's end was reported,
+ *   0 if none has
+ * @end_shown: a state query has been answered with its end
  * @path_ms: for each step, the estimates along the longest chain that begins
  *   with it
  * @critical_path_ms: the longest of them
@@ -361,6 +364,8 @@
   double critical_path_ms;
   gl_ms_t dirty_at;
   gl_ms_t ended_at;
+  gl_ms_t decided_at;
+  int end_shown;
   uint32_t iterations_made;
   handles_t steps;
   tags_t accept_waiters;
@@ -532,6 +537,21 @@
 #undef X
 } ccounters_t;
 
+/**
+ * enum cspan_t - parts of the time from the end of the run that decides a
+ * job's end to the answer that shows it
+ * @CSPAN_POLL: from the end on the worker until it is reported here
+ * @CSPAN_WRITE: until the job's end is in the store
+ * @CSPAN_ANSWER: until a state query is answered with it
+ */
+typedef enum
+{
+  CSPAN_POLL = 0,
+  CSPAN_WRITE,
+  CSPAN_ANSWER,
+  CSPAN_COUNT
+} cspan_t;
+
 /* Queues have the priorities 0 to CELL_PRIORITIES - 1; any other one is served
    after these. */
 #define CELL_PRIORITIES 8
@@ -781,6 +801,7 @@
   hist_t accept_time;
   hist_t start_time[CELL_PRIORITIES];
   hist_t total_time[CELL_PRIORITIES];
+  hist_t end_spans[CSPAN_COUNT];
   hist_t txn_time;
   hist_t takeover_time;
   hist_t census_time;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -274,9 +274,9 @@
               (double)(c->now - j->arrived_at));
   cell_log (c, "job_ended id=%s phase=%s age_ms=%llu", j->id, names[phase],
             (unsigned long long)(c->now - j->arrived_at));
-  for (size_t i = 0; i < j->end_waiters.n; i++)
-    cell_reply (c, j->end_waiters.v[i], GL_OK, 0, phase, NULL);
-  j->end_waiters.n = 0;
+  if (j->decided_at)
+    hist_add (&c->end_spans[CSPAN_WRITE], (double)(c->now - j->decided_at));
+  requests_end_written (c, j);
 }
 
 /* ---- tasks ---- */
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -199,8 +199,9 @@
 
 /* cellend.c */
 
-/** end_listed - the worker lists an end */
-void end_listed (cell_t *c, cworker_t *w, const cell_end_t *e);
+/** end_listed - the worker lists an end in its answer to the poll @k */
+void end_listed (cell_t *c, cworker_t *w, const cell_end_t *e,
+                 const cell_wcall_t *k);
 /** end_ack_written - acknowledge, in order, the ends whose effect is in the
     store, or whose job has ended; the next poll tells the worker */
 void end_ack_written (cell_t *c, cworker_t *w);
@@ -563,6 +564,9 @@
 /** request_end_wait_tick - timer: answer the state queries that have waited
     for the write of a job's end for as long as they may */
 void request_end_wait_tick (void *ctx, gl_ms_t now);
+/** requests_end_written - the job's end is in the store: answer the requests
+    that wait for it */
+void requests_end_written (cell_t *c, cjob_t *j);
 /** requests_end_unwritten - a write of the job has failed: answer the state
     queries that wait for its end */
 void requests_end_unwritten (cell_t *c, const cjob_t *j);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -472,7 +472,7 @@
   settle_runs (c, w, k);
   /* Ends before runs, so that an ended run is not taken as running. */
   for (int i = 0; i < k->nends; i++)
-    end_listed (c, w, &k->ends[i]);
+    end_listed (c, w, &k->ends[i], k);
   w->orphans = 0;
   for (int i = 0; i < k->nruns; i++)
     handle_listed_run (c, w, &k->runs[i], k);
@@ -540,7 +540,7 @@
             (unsigned long long)k->ends[k->nends - 1].seq,
             (unsigned long long)w->taken_seq, cell_age_ms (c, k->sent_at));
   for (int i = 0; i < k->nends; i++)
-    end_listed (c, w, &k->ends[i]);
+    end_listed (c, w, &k->ends[i], k);
 }
 
 /* A start got no answer, so the worker may be gone: it is polled at once, and
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -139,6 +139,25 @@
   return step;
 }
 
+/* The lines of the owner's metrics that begin with @name. */
+static std::vector<std::string>
+owner_metrics (World &w, const std::string &name)
+{
+  std::vector<std::string> found;
+  text_t t{};
+  int o = w.owner ();
+
+  if (o < 0)
+    return found;
+  cell_metrics (w.vms[(size_t)o].cell, &t);
+  std::istringstream lines (t.s ? t.s : "");
+  for (std::string l; std::getline (lines, l);)
+    if (l.rfind (name, 0) == 0)
+      found.push_back (l);
+  free (t.s);
+  return found;
+}
+
 struct Script
 {
   std::unique_ptr<World> w;
@@ -167,9 +186,7 @@
   long
   counter (const std::string &name)
   {
-    text_t t{};
     long value = -1;
-    int o = w->owner ();
 
     if (name == "ownerless_ms")
       return (long)w->longest_ownerless_ms;
@@ -177,14 +194,8 @@
       return (long)w->foreign_acks;
     if (name == "stop_answer_ms")
       return (long)w->longest_stop_answer_ms;
-    if (o < 0)
-      return value;
-    cell_metrics (w->vms[(size_t)o].cell, &t);
-    std::istringstream lines (t.s ? t.s : "");
-    for (std::string l; std::getline (lines, l);)
-      if (l.rfind ("cell_" + name + " ", 0) == 0)
-        value = atol (l.c_str () + name.size () + 6);
-    free (t.s);
+    for (const std::string &l : owner_metrics (*w, "cell_" + name + " "))
+      value = atol (l.c_str () + name.size () + 6);
     return value;
   }
 
@@ -852,6 +863,112 @@
     ADD_FAILURE () << v;
 }
 
+/* What callers see of the ends of urgent jobs, and what that costs. */
+struct EndCost
+{
+  gl_ms_t median_ms; /* from the end of a job's last run to its answer */
+  gl_ms_t p99_ms;
+  double polls_per_s;
+  double txns_per_s;
+};
+
+/* The value at the end of the owner's first metric that begins with @name. */
+static double
+owner_metric (World &w, const std::string &name)
+{
+  std::vector<std::string> lines = owner_metrics (w, name);
+
+  return lines.empty () ? 0 : atof (lines[0].c_str () + lines[0].rfind (' '));
+}
+
+/* Callers submit urgent jobs of three tasks, 25 a second, and ask for the
+   phase of each every @ask_ms, in a cell that is busy with jobs of 25 tasks.
+   The estimates are half of what tasks take, and one task in thirty takes
+   seven times as long. */
+static EndCost
+measure_ends (uint64_t seed, gl_ms_t ask_ms)
+{
+  static const int JOBS = 500;
+  static const gl_ms_t GAP_MS = 40;
+  World w (3, 48, seed);
+  std::vector<gl_ms_t> spans;
+  std::function<void (std::string)> ask = [&] (const std::string &id) {
+    if (w.jobs[id].shown_at)
+      return;
+    w.query (id, w.owner ());
+    w.schedule (ask_ms, [&, id] { ask (id); });
+  };
+
+  w.fail_one_in = 0;
+  w.run_ms = 540;
+  w.long_one_in = 30;
+  w.run (1500);
+  gl_ms_t began = w.now;
+  double polls = owner_metric (w, "cell_looks ");
+  double txns = owner_metric (w, "cell_txns ");
+  for (int i = 0; i < JOBS; i++)
+    {
+      char id[20];
+      gl_step_t step = world_step (3, 1000);
+
+      snprintf (id, sizeof id, "%016x", i);
+      step.estimate_ms = 270;
+      w.submit (id, "urgent", { step }, 0);
+      w.schedule ((gl_ms_t)(i % 250), [&, s = std::string (id)] { ask (s); });
+      if (i % 10 == 0)
+        {
+          snprintf (id, sizeof id, "b%015x", i);
+          w.jobs[id].run_ms = 2700;
+          step = world_step (25, 1000);
+          step.estimate_ms = 1350;
+          w.submit (id, "batch", { step }, 0);
+        }
+      w.run (GAP_MS);
+    }
+  double s = (double)(w.now - began) / 1000;
+  polls = (owner_metric (w, "cell_looks ") - polls) / s;
+  txns = (owner_metric (w, "cell_txns ") - txns) / s;
+  w.run (10000);
+  for (auto &j : w.jobs)
+    if (j.first[0] != 'b')
+      {
+        EXPECT_TRUE (j.second.shown_at) << j.first;
+        spans.push_back (j.second.shown_at - w.last_end[j.first]);
+      }
+  std::sort (spans.begin (), spans.end ());
+  for (const std::string &l : owner_metrics (w, "cell_end_ms"))
+    printf ("  %s\n", l.c_str ());
+  EXPECT_TRUE (w.violations.empty ());
+  return { spans[spans.size () / 2], spans[spans.size () * 99 / 100], polls,
+           txns };
+}
+
+/* Guards against ends of urgent jobs that callers learn of late, and against
+   more polls and writes for them. */
+TEST (EndsOfJobs, AreShownSoon)
+{
+  EndCost sum{};
+
+  for (uint64_t seed : { 1, 2, 3 })
+    {
+      EndCost cost = measure_ends (seed, 10);
+
+      printf ("seed %llu: shown after %llu ms (median), %llu ms (0.99); "
+              "%.1f polls/s, %.1f transactions/s\n",
+              (unsigned long long)seed, (unsigned long long)cost.median_ms,
+              (unsigned long long)cost.p99_ms, cost.polls_per_s,
+              cost.txns_per_s);
+      sum.median_ms += cost.median_ms;
+      sum.p99_ms += cost.p99_ms;
+      sum.polls_per_s += cost.polls_per_s;
+      sum.txns_per_s += cost.txns_per_s;
+    }
+  EXPECT_LE (sum.median_ms / 3, 32u);
+  EXPECT_LE (sum.p99_ms / 3, 600u);
+  EXPECT_LE (sum.polls_per_s / 3, 125);
+  EXPECT_LE (sum.txns_per_s / 3, 40);
+}
+
 static std::string
 script_name (const testing::TestParamInfo<std::string> &i)
 {
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -58,6 +58,8 @@
    under which CRASHES_MAX have may be started fewer times than that again. */
 static const int GIVE_UP_CRASHES = 2;
 static const int CRASHES_MAX = 3;
+/* A long run takes this many times as long as others. */
+static const gl_ms_t LONG_FACTOR = 7;
 /* Longest time from a worker's return to the first order of an owner that
    knows of it. */
 static const gl_ms_t FIRST_CONTACT_MS = 500;
@@ -1090,6 +1092,7 @@
 
   if (it == w.running.end ())
     return;
+  last_end[task.substr (0, task.find ('.'))] = now;
   if (outcome == CELL_RUN_FAILED)
     failed_[task].insert (it->second.run);
   w.ends.push_back ({ ++w.last_seq, task, it->second.run, outcome });
@@ -1333,6 +1336,8 @@
       = jobs.count (id) && jobs[id].run_ms ? jobs[id].run_ms : run_ms;
   r.ends_at = now + (usual / 2 + random () % usual) * (gl_ms_t)w.slowdown
               + (w.hangs ? 1000000 : 0);
+  if (long_one_in && random () % (uint64_t)long_one_in == 0)
+    r.ends_at = now + LONG_FACTOR * (r.ends_at - now);
   r.fails
       = (fail_one_in && random () % (uint64_t)fail_one_in == 0) || w.fails_all;
   if (jobs.count (id))
@@ -1864,6 +1869,8 @@
       report_violation ("failed without cause: " + id);
     if (j.phase != "completed")
       return;
+    if (!j.shown_at)
+      j.shown_at = now;
     for (size_t s = 0; s < j.task_counts.size (); s++)
       for (int n = 0; n < j.task_counts[s] && !j.is_gang[s]; n++)
         if (done_[id + ".0." + std::to_string (s) + "." + std::to_string (n)]
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -134,6 +134,7 @@
   std::string phase;            /* answer to the last query */
   std::set<std::string> queues; /* of its submissions */
   gl_ms_t run_ms = 0;           /* as World::run_ms; 0: that */
+  gl_ms_t shown_at = 0;         /* when it was first shown as completed */
   bool all_done = false;        /* all its tasks have ended well */
   gl_ms_t idle_since = 0;       /* see World::check_idle; 0: it is not idle */
   bool idle_reported = false;
@@ -243,6 +244,8 @@
                                   the registration that names its start */
   int fail_one_in = 12; /* one run in this many fails by itself; 0: none */
   gl_ms_t run_ms = 500; /* runs take from half of this to three halves */
+  int long_one_in = 0;  /* one run in this many takes seven times as long; 0:
+                           none */
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
@@ -251,6 +254,7 @@
   std::set<std::string> queues{ "urgent", "batch" };
   uint64_t starts = 0;
   std::map<std::string, gl_ms_t> last_start; /* by task */
+  std::map<std::string, gl_ms_t> last_end;   /* by job: of a run */
   uint64_t calls = 0;                        /* to workers */
   uint64_t call_bytes = 0;                   /* of these and their answers */
   uint64_t foreign_acks = 0; /* polls that acknowledged ends to a worker that
