--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -433,6 +433,19 @@
 
 static void refuse_unsent_jobs (cell_t *c);
 
+/* Sets the timer for the transaction in flight that will be overdue first.
+   The timer may have been due earlier than that when it was sent. */
+static void
+arm_overdue_check (cell_t *c)
+{
+  gl_ms_t span = overdue_ms (c);
+
+  for (int i = 0; i < CELL_SAVE_TXNS_MAX; i++)
+    if (c->save_txns[i].tag && c->save_txns[i].leaves_at + span > c->now)
+      timer_arm_before (&c->timers, c->save_timer,
+                        c->save_txns[i].leaves_at + span);
+}
+
 void
 save_tick (void *ctx, gl_ms_t now)
 {
@@ -448,6 +461,7 @@
   if (now < c->save_after)
     timer_arm (&c->timers, c->save_timer, c->save_after);
   save_flush (c);
+  arm_overdue_check (c);
 }
 
 /* ---- results of transactions ---- */
@@ -588,6 +602,7 @@
   if (!j)
     return;
   j->saving = 0;
+  requests_end_unwritten (c, j);
   if (s->kind == SAVE_CREATE && lost)
     j->maybe_written = 1;
   if (s->kind == SAVE_CREATE && !j->maybe_written
@@ -680,6 +695,7 @@
             slot->nsaves, (unsigned long long)(c->now - slot->sent_at));
   for (int i = 0; i < slot->nsaves; i++)
     retry_save (c, &slot->saves[i], ev->status == GL_ST_UNKNOWN);
+  request_end_wait_tick (c, c->now);
   timer_arm_before (&c->timers, c->save_timer, c->save_after);
 }
 
