Teams: callers are known by their keys, and teams see their own jobs only

Where the configuration has teams, anybody who knew a job's id could see, cancel and repeat it, and no key was asked for.

The VM that takes a request looks the caller's key up, in a hash table with a random seed and comparisons of constant time, and passes the team's name to the owner. A missing or unknown key gets 401 after "no configuration" and "no such queue" and before "malformed", for submissions, states, cancellations and counts; a queue with allowAnonymous serves both. Only this VM refuses a key: an owner with an older configuration serves a team that it does not know. The owner answers a team's job to others as absent, and its id as in use; the result record is followed by the team, if the job has one, so that this holds when only the result is left. Counts are asked of the owner where there are teams, with GL_VERB_COUNT. A configuration whose keys cannot be kept for want of memory does not come into force in part.

New: two scripted runs, which notice FAULT_CELL_TEAMS_MIXED, and tests of keys (95 teams, 4,750 keys) and of the order of the answers over HTTP. The world sent its teams through a null pointer; no script had a team.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -195,6 +195,7 @@
 	GL_VERB_SUBMIT = 0,
 	GL_VERB_STATE = 1,
 	GL_VERB_CANCEL = 2,
+	GL_VERB_COUNT = 3,
 };
 typedef enum gl_verb_t gl_verb_t;
 
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -61,7 +61,7 @@
 };
 
 /* The team that a job belongs to.  Follows gl_cell_job_t in the job's
-   specification if it has one. */
+   specification, and gl_job_result_t in its result, if it has one. */
 struct gl_team_t {
   gl_cell_str_t name;
 };
@@ -184,10 +184,12 @@
 enum gl_verb_t {
   GL_VERB_SUBMIT = 0,
   GL_VERB_STATE = 1,
-  GL_VERB_CANCEL = 2
+  GL_VERB_CANCEL = 2,
+  GL_VERB_COUNT = 3
 };
 /* A caller's request, forwarded to the owner; job is set for a submission.
-   team is the caller's team, "" for none. */
+   team is the caller's team, "" for none.  For GL_VERB_COUNT, which asks how
+   many jobs of the team wait, id is the name of the queue. */
 struct gl_request_t {
   gl_verb_t verb;
   gl_cell_str_t id;
@@ -200,7 +202,8 @@
   gl_cell_str_t id;
   gl_cell_job_t *job;
 };
-/* The answer to it.  code is a gl_code_t; retry_ms goes with GL_RETRY. */
+/* The answer to it.  code is a gl_code_t; retry_ms goes with GL_RETRY.  The
+   answer to GL_VERB_COUNT has the number, in decimal digits, as reason. */
 struct gl_reply_t {
   int code;
   unsigned int retry_ms;
--- a/src/cell.c
+++ b/src/cell.c
@@ -147,6 +147,7 @@
 static void
 apply_conf (cell_t *c, cell_conf_t *conf)
 {
+  int nteams = conf->teams.n;
   int added = 0;
 
   if (conf->version <= c->conf.version)
@@ -154,6 +155,14 @@
       cell_conf_free (conf);
       return;
     }
+  /* Before all else: without the keys, none of it may come into force. */
+  if (teams_merge (&c->conf.teams, &conf->teams))
+    {
+      cell_log (c, "config_refused version=%llu why=memory",
+                (unsigned long long)conf->version);
+      cell_conf_free (conf);
+      return;
+    }
   for (int i = 0; i < c->conf.nqueues; i++)
     c->conf.queues[i].removed = 1;
   for (int i = 0; i < conf->nqueues; i++)
@@ -176,21 +185,12 @@
   resolve_queues (c);
   cell_log (c, "config version=%llu previous=%llu queues=%d added=%d teams=%d",
             (unsigned long long)conf->version,
-            (unsigned long long)c->conf.version, conf->nqueues, added,
-            conf->teams.n);
+            (unsigned long long)c->conf.version, conf->nqueues, added, nteams);
   c->conf.version = conf->version;
-  if (teams_merge (&c->conf.teams, &conf->teams))
-    cell_log (c, "teams_dropped why=memory");
   cell_conf_free (conf);
   plan_wake (c);
 }
 
-int
-cell_configured (const cell_t *c)
-{
-  return c->conf.version != 0;
-}
-
 /* The longest matching prefix wins. */
 const cell_queue_t *
 cell_find_queue (const cell_t *c, const char *host, const char *path,
--- a/src/cell.h
+++ b/src/cell.h
@@ -554,6 +554,30 @@
     the rest of the path in @rest; NULL when there is none */
 const cell_queue_t *cell_find_queue (const cell_t *c, const char *host,
                                      const char *path, const char **rest);
+/**
+ * enum cell_auth_t - whether a caller may use a queue
+ * @CELL_AUTH_OK: yes
+ * @CELL_AUTH_MISSING: the queue needs a key, and the caller has given none
+ * @CELL_AUTH_UNKNOWN: the key belongs to no team
+ */
+typedef enum
+{
+  CELL_AUTH_OK = 0,
+  CELL_AUTH_MISSING,
+  CELL_AUTH_UNKNOWN
+} cell_auth_t;
+
+/**
+ * cell_authenticate - find the team of a caller of queue @q
+ * @key: the caller's key, NULL if it has given none
+ * @team: its team's name, "" for none; valid until the next event
+ */
+cell_auth_t cell_authenticate (cell_t *c, const cell_queue_t *q,
+                               const char *key, const char **team);
+/** cell_conf_version - version of the configuration in force, 0 for none */
+uint64_t cell_conf_version (const cell_t *c);
+/** cell_has_teams - 1 if the configuration in force has teams */
+int cell_has_teams (const cell_t *c);
 /** cell_configured - 1 once a configuration is in force */
 int cell_configured (const cell_t *c);
 /** cell_metrics - append counters and histograms to @t, as text */
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -1,5 +1,5 @@
 /*
- * cellask.c -- callers' requests: submit, state, cancel
+ * cellask.c -- callers' requests: submit, state, cancel, count
  *
  * Any VM takes a request, and forwards it to the owner.  When the owner gives
  * no answer or changes, the request is forwarded again.  This is safe, since
@@ -9,6 +9,9 @@
  * after which to retry (GL_RETRY).  One that an owner may have carried out is
  * answered GL_UNKNOWN instead, because the caller must not take it as "not
  * run".
+ *
+ * A team's job is answered to another team as if it did not exist, except that
+ * its id cannot be used for another job.
  */
 #include "cellint.h"
 
@@ -154,13 +157,50 @@
          + (uint32_t)gsl_rng_uniform_int (c->rng, CELL_RETRY_MS);
 }
 
+/* Whether a job of the team with index @team, -1 for none, belongs to another
+   team than the caller's.  A job without a team is every caller's: it may have
+   been accepted before there were teams. */
+static int
+is_other_team (const cell_t *c, const crequest_t *r, int team)
+{
+  return team >= 0 && !FAULT (FAULT_CELL_TEAMS_MIXED)
+         && strcmp (c->conf.teams.v[team].name, r->body.team) != 0;
+}
+
+static void
+refuse_other_team (cell_t *c, const crequest_t *r)
+{
+  c->counters.other_team++;
+  if (r->body.verb == GL_VERB_SUBMIT)
+    cell_reply (c, r->tag, GL_INVALID, 0, 0, "the id is in use");
+  else
+    cell_reply (c, r->tag, GL_NOT_FOUND, 0, 0, "no such job");
+}
+
+void
+request_answer_ended (cell_t *c, uint64_t tag, const cjob_t *j)
+{
+  const crequest_t *r = find_request (c, tag);
+
+  if (r && is_other_team (c, r, j->team))
+    refuse_other_team (c, r);
+  else
+    cell_reply (c, tag, GL_OK, 0, j->phase, NULL);
+}
+
 static void
 submit (cell_t *c, crequest_t *r)
 {
   cjob_t *j = cjob_find (c, r->body.id);
   const char *why;
-  gl_request_t copy;
+  gl_request_t copy = { 0 };
+  int team;
 
+  if (j && is_other_team (c, r, j->team))
+    {
+      refuse_other_team (c, r);
+      return;
+    }
   if (j && j->durable)
     {
       cell_reply (c, r->tag, GL_OK, 0, j->phase, NULL);
@@ -185,14 +225,16 @@
       return;
     }
   /* The request keeps its own copy, to forward it if the owner changes. */
-  j = copy_request (&r->body, &copy) ? NULL : cjob_new (c, copy.job);
+  team = cjob_team (c, r->body.team);
+  if ((team >= 0 || !r->body.team[0]) && !copy_request (&r->body, &copy))
+    j = cjob_new (c, copy.job);
   codec_free ((xdrproc_t)xdr_gl_request_t, &copy);
   if (!j)
     {
       cell_reply (c, r->tag, GL_RETRY, CELL_RETRY_MS, 0, "out of memory");
       return;
     }
-  j->team = cjob_team (c, r->body.team);
+  j->team = team;
   j->spec.accepted_ms = c->wall;
   tags_add (&j->accept_waiters, r->tag);
   if (FAULT (FAULT_CELL_ACCEPT_EARLY))
@@ -230,7 +272,9 @@
 {
   cjob_t *j = cjob_find (c, r->body.id);
 
-  if (j && j->durable)
+  if (j && is_other_team (c, r, j->team))
+    refuse_other_team (c, r);
+  else if (j && j->durable)
     cell_reply (c, r->tag, GL_OK, 0, current_phase (j), NULL);
   else if (j)
     tags_add (&j->accept_waiters, r->tag);
@@ -248,6 +292,11 @@
       read_result (c, r);
       return;
     }
+  if (is_other_team (c, r, j->team))
+    {
+      refuse_other_team (c, r);
+      return;
+    }
   if (j->phase >= GL_PHASE_COMPLETED)
     {
       cell_reply (c, r->tag, GL_OK, 0, j->phase, NULL);
@@ -258,6 +307,18 @@
   cjob_finish (c, j, GL_PHASE_CANCELLED);
 }
 
+static void
+count (cell_t *c, const crequest_t *r)
+{
+  int team = teams_find (&c->conf.teams, r->body.team);
+  char n[16] = "0";
+
+  /* A team that this VM does not know has no jobs. */
+  if (team >= 0 || !r->body.team[0])
+    snprintf (n, sizeof n, "%u", cjobs_count_waiting (c, r->body.id, team));
+  cell_reply (c, r->tag, GL_OK, 0, 0, n);
+}
+
 void
 request_result_read (cell_t *c, const cell_event_t *ev)
 {
@@ -270,7 +331,12 @@
   if (ev->status == GL_ST_OK && ev->nitems
       && !codec_decode ((xdrproc_t)xdr_gl_job_result_t, &result,
                         ev->items[0].value, ev->items[0].len))
-    cell_reply (c, r->tag, GL_OK, 0, result.phase, NULL);
+    {
+      if (is_other_team (c, r, cjob_result_team (c, &ev->items[0])))
+        refuse_other_team (c, r);
+      else
+        cell_reply (c, r->tag, GL_OK, 0, result.phase, NULL);
+    }
   else if (ev->status == GL_ST_ABSENT)
     cell_reply (c, r->tag, GL_NOT_FOUND, 0, 0, "no such job");
   else
@@ -285,6 +351,8 @@
     submit (c, r);
   else if (r->body.verb == GL_VERB_STATE)
     answer_state (c, r);
+  else if (r->body.verb == GL_VERB_COUNT)
+    count (c, r);
   else
     cancel (c, r);
 }
@@ -321,8 +389,9 @@
 static int
 cannot_be_served_soon (const cell_t *c, const crequest_t *r)
 {
-  /* Reading a state may be repeated anywhere, whoever has read it. */
-  int is_repeatable = r->body.verb == GL_VERB_STATE;
+  /* A state or a count may be read again anywhere, whoever has read it. */
+  int is_repeatable
+      = r->body.verb == GL_VERB_STATE || r->body.verb == GL_VERB_COUNT;
 
   return c->role == CR_STANDBY && !r->from_peer && why_unserved (c)
          && (is_repeatable || (!r->maybe_taken && !r->dispatched));
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -485,6 +485,9 @@
 #define CELL_COUNTERS(X)                                                      \
   X (accepted, "jobs accepted and written")                                   \
   X (refused, "submissions refused")                                          \
+  X (key_missing, "requests without a key, refused")                          \
+  X (key_unknown, "requests with an unknown key, refused")                    \
+  X (other_team, "requests for a job of another team")                        \
   X (completed, "jobs completed")                                             \
   X (failed, "jobs failed")                                                   \
   X (cancelled, "jobs cancelled")                                             \
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -168,6 +168,36 @@
   return i;
 }
 
+int
+cjob_team_at (cell_t *c, const cell_item_t *item, size_t used)
+{
+  gl_team_t team;
+  int i;
+
+  memset (&team, 0, sizeof team);
+  if (item->len <= used)
+    return -1;
+  if (codec_decode ((xdrproc_t)xdr_gl_team_t, &team, item->value + used,
+                    item->len - used))
+    {
+      cell_log (c, "team_unreadable key=%s", item->key);
+      return -1;
+    }
+  i = cjob_team (c, team.name);
+  codec_free ((xdrproc_t)xdr_gl_team_t, &team);
+  return i;
+}
+
+int
+cjob_result_team (cell_t *c, const cell_item_t *item)
+{
+  gl_job_result_t none = { 0 };
+
+  /* All results have the same length before the team. */
+  return cjob_team_at (c, item,
+                       xdr_sizeof ((xdrproc_t)xdr_gl_job_result_t, &none));
+}
+
 static void
 free_steps (cell_t *c, cjob_t *j)
 {
@@ -734,6 +764,29 @@
   j->version = j->written_version = 1;
 }
 
+static int
+is_waiting (const cjob_t *j)
+{
+  return j->durable && !j->begun && j->next_phase < GL_PHASE_COMPLETED;
+}
+
+uint32_t
+cjobs_count_waiting (const cell_t *c, const char *queue, int team)
+{
+  size_t pos = 0;
+  handle_t h;
+  uint32_t n = 0;
+
+  while ((h = pool_next (&c->jobs, &pos)))
+    {
+      const cjob_t *j = pool_get (&c->jobs, h);
+
+      n += j->team == team && is_waiting (j) && j->queue >= 0
+           && !strcmp (c->conf.queues[j->queue].name, queue);
+    }
+  return n;
+}
+
 int
 cjobs_waiting (const cell_t *c, cqueue_count_t v[CELL_QUEUES_MAX])
 {
@@ -748,8 +801,7 @@
     {
       const cjob_t *j = pool_get (&c->jobs, h);
 
-      if (j->durable && !j->begun && j->next_phase < GL_PHASE_COMPLETED
-          && j->queue >= 0)
+      if (is_waiting (j) && j->queue >= 0)
         counts[j->queue]++;
     }
   for (int i = 0; i < c->conf.nqueues && n < CELL_QUEUES_MAX; i++)
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -104,9 +104,18 @@
 
 /** cjob_find - the job with this id, or NULL */
 cjob_t *cjob_find (cell_t *c, const char *id);
+/** cjob_team_at - index of the team in @item that follows the first @used
+    bytes, -1 for none */
+int cjob_team_at (cell_t *c, const cell_item_t *item, size_t used);
+/** cjob_result_team - index of the team of a job's result in the store, -1 for
+    none */
+int cjob_result_team (cell_t *c, const cell_item_t *item);
 /** cjobs_waiting - count, by queue, accepted jobs of which no task has
     started; queues without any are left out; returns the number of rows */
 int cjobs_waiting (const cell_t *c, cqueue_count_t v[CELL_QUEUES_MAX]);
+/** cjobs_count_waiting - number of such jobs of one queue that belong to the
+    team with this index, -1 for those of no team */
+uint32_t cjobs_count_waiting (const cell_t *c, const char *queue, int team);
 /** cjob_new - a job of @spec, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_cell_job_t *spec);
 void cjob_free (cell_t *c, cjob_t *j);
@@ -557,6 +566,9 @@
 void request_receive (cell_t *c, const cell_event_t *ev);
 /** request_forward_reply - the owner's answer to a forwarded request */
 void request_forward_reply (cell_t *c, const cell_event_t *ev);
+/** request_answer_ended - answer request @tag with the phase of the job @j,
+    whose end was found in the store, if the job may be shown to the caller */
+void request_answer_ended (cell_t *c, uint64_t tag, const cjob_t *j);
 /** request_result_read - the stored result of a job that is not in memory */
 void request_result_read (cell_t *c, const cell_event_t *ev);
 void request_tick (void *ctx, gl_ms_t now);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -525,28 +525,6 @@
   request_page (c, "");
 }
 
-/* The team follows the job's specification, which takes @used bytes; -1 for
-   none. */
-static int
-load_team (cell_t *c, const cell_item_t *item, size_t used)
-{
-  gl_team_t team;
-  int i;
-
-  memset (&team, 0, sizeof team);
-  if (item->len <= used)
-    return -1;
-  if (codec_decode ((xdrproc_t)xdr_gl_team_t, &team, item->value + used,
-                    item->len - used))
-    {
-      cell_log (c, "team_unreadable key=%s", item->key);
-      return -1;
-    }
-  i = cjob_team (c, team.name);
-  codec_free ((xdrproc_t)xdr_gl_team_t, &team);
-  return i;
-}
-
 static void
 load_job (cell_t *c, const cell_item_t *item)
 {
@@ -570,7 +548,7 @@
   j = cjob_new (c, &spec);
   if (!j)
     return;
-  j->team = load_team (c, item, used);
+  j->team = cjob_team_at (c, item, used);
   j->durable = j->inherited = 1;
   j->spec_revision = item->revision;
   /* Its age counts from its acceptance by the earlier owner. */
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -153,7 +153,7 @@
   return p;
 }
 
-/* Append the job's team to its specification; -1 without memory. */
+/* Append the job's team, if it has one; -1 without memory. */
 static int
 append_team (const cell_t *c, const cjob_t *j, cell_put_t *p)
 {
@@ -217,7 +217,7 @@
   p->value = codec_encode ((xdrproc_t)xdr_gl_job_result_t, &result, &p->len);
   add_put (txn, "j", j->id);
   add_put (txn, "p", j->id);
-  return p->value ? 0 : -1;
+  return p->value ? append_team (c, j, p) : -1;
 }
 
 static int
@@ -548,8 +548,9 @@
   j->phase = result.phase;
   j->next_phase = result.phase;
   j->ended_at = c->now;
+  j->team = cjob_result_team (c, item);
   for (size_t i = 0; i < j->accept_waiters.n; i++)
-    cell_reply (c, j->accept_waiters.v[i], GL_OK, 0, j->phase, NULL);
+    request_answer_ended (c, j->accept_waiters.v[i], j);
   j->accept_waiters.n = 0;
   return 1;
 }
--- a/src/fault.h
+++ b/src/fault.h
@@ -49,6 +49,7 @@
  *   restarted
  * @FAULT_CELL_STOPS_FORGOTTEN: does not repeat stops to the next incarnation
  * of a worker
+ * @FAULT_CELL_TEAMS_MIXED: shows a team's jobs to other teams
  */
 typedef enum
 {
@@ -84,6 +85,7 @@
   FAULT_CELL_STOPS_FORGOTTEN,
   FAULT_CELL_UNSETTLED,
   FAULT_CELL_ACKS_UNPROVEN,
+  FAULT_CELL_TEAMS_MIXED,
   FAULT_COUNT
 } fault_t;
 
--- a/src/team.h
+++ b/src/team.h
@@ -2,6 +2,9 @@
 #ifndef GL_TEAM_H
 #define GL_TEAM_H
 
+#include <stddef.h>
+#include <stdint.h>
+
 #include "gentianlatch.h"
 
 /** TEAM_NAME_SIZE - bytes of the longest name of a team or key, with its
@@ -25,17 +28,32 @@
   int removed;
 } team_t;
 
-/** struct team_key_t - a key with which callers name their team, by its index
+/**
+ * struct team_key_t - a key with which callers name their team
+ * @key: padded with zeros, so that comparisons always cover the whole array
+ * @team: index of its team; of two teams with the same key, the first
+ * @other_team: index of a later team that has the same key, -1 for none
  */
 typedef struct
 {
   char key[TEAM_NAME_SIZE];
   int team;
+  int other_team;
 } team_key_t;
 
+/** struct team_slot_t - entry of the table of keys: the keyed hash of a key
+    and its index plus 1, 0 for an empty entry */
+typedef struct
+{
+  uint64_t hash;
+  uint32_t key;
+} team_slot_t;
+
 /**
  * struct teams_t - the teams of a configuration
  * @configured: the configuration has teams, so that callers need a key
+ * @slots, @nslots: table of the keys by their hashes, made by teams_index_keys
+ * @seed: of the hashes
  */
 typedef struct
 {
@@ -44,6 +62,10 @@
   int n;
   team_key_t *keys;
   int nkeys;
+  int capkeys;
+  team_slot_t *slots;
+  size_t nslots;
+  uint64_t seed;
 } teams_t;
 
 /** teams_destroy - free the tables */
@@ -54,16 +76,25 @@
 /** teams_add_key - add a key of the team with index @team; -1 without memory,
     or if the key is too long */
 int teams_add_key (teams_t *t, const char *key, int team);
+/**
+ * teams_index_keys - make the table in which teams_find_key looks keys up
+ * @seed: a random number that callers cannot know
+ *
+ * Of keys that occur twice, the later ones are dropped; a key of another team
+ * is noted in team_key_t.other_team.  Returns -1 without memory.
+ */
+int teams_index_keys (teams_t *t, uint64_t seed);
 /** teams_find - index of the team with this name, or -1 */
 int teams_find (const teams_t *t, const char *name);
-/** teams_find_key - index of the team that has the key, or -1 */
+/** teams_find_key - index of the team that has the key, or -1.  The time that
+    it takes does not depend on how much of a key matches. */
 int teams_find_key (const teams_t *t, const char *key);
 /**
- * teams_merge - take over the teams of a newer configuration
+ * teams_merge - take over the teams and the keys of a newer configuration
  * @from: the newer teams; emptied
  *
  * Teams keep their indices, and those that @from lacks are marked as removed.
- * Returns -1 without memory, and then some may be missing.
+ * Returns -1 without memory, and then changes nothing.
  */
 int teams_merge (teams_t *t, teams_t *from);
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -80,6 +80,8 @@
  *   team NAME WEIGHT PRIORITY CPUS_M MEM_MB   a team of the next
  *                                  configuration; a cap of 0 is no limit
  *   as [TEAM]                      callers are of this team from now on
+ *   count VM QUEUE                 ask the VM how many jobs of the callers'
+ *                                  team wait, and print the answer
  *   waiting VM QUEUE               print how many waiting jobs the VM shows
  *   routes VM                      print the queues that the VM serves
  *   owners                         print how many VMs own the cell
@@ -563,6 +565,15 @@
         w->team.clear ();
         in >> w->team;
       }
+    else if (cmd == "count")
+      {
+        std::string name;
+
+        in >> a >> name;
+        w->count (vm (a), name);
+        w->run (50);
+        out.push_back (name + " counted " + w->counted);
+      }
     else if (cmd == "routes")
       {
         in >> a;
@@ -679,22 +690,25 @@
 
 INSTANTIATE_TEST_SUITE_P (
     Scripts, CellFault,
-    testing::Values (FaultCase{ FAULT_CELL_ORPHANS_FREE,
-                                "stopping-runs-hold-room" },
-                     FaultCase{ FAULT_CELL_RESTART_UNCONFIRMED,
-                                "former-owner-starts-nothing-anew" },
-                     FaultCase{ FAULT_CELL_FOREIGN_LEASE,
-                                "lease-given-to-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_STOPS_FORGOTTEN,
-                                "late-start-reaches-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_UNSETTLED,
-                                "starts-carried-out-by-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_UNSETTLED,
-                                "new-owner-hears-the-next-incarnation" },
-                     FaultCase{ FAULT_CELL_ACKS_UNPROVEN,
-                                "no-ends-are-acknowledged-unheard" },
-                     FaultCase{ FAULT_CELL_LATE_WRITE,
-                                "unanswered-write-carried-out-late" }));
+    testing::Values (
+        FaultCase{ FAULT_CELL_ORPHANS_FREE, "stopping-runs-hold-room" },
+        FaultCase{ FAULT_CELL_RESTART_UNCONFIRMED,
+                   "former-owner-starts-nothing-anew" },
+        FaultCase{ FAULT_CELL_FOREIGN_LEASE,
+                   "lease-given-to-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_STOPS_FORGOTTEN,
+                   "late-start-reaches-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_UNSETTLED,
+                   "starts-carried-out-by-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_UNSETTLED,
+                   "new-owner-hears-the-next-incarnation" },
+        FaultCase{ FAULT_CELL_ACKS_UNPROVEN,
+                   "no-ends-are-acknowledged-unheard" },
+        FaultCase{ FAULT_CELL_TEAMS_MIXED, "teams-see-only-their-own-jobs" },
+        FaultCase{ FAULT_CELL_TEAMS_MIXED,
+                   "results-in-the-store-keep-their-team" },
+        FaultCase{ FAULT_CELL_LATE_WRITE,
+                   "unanswered-write-carried-out-late" }));
 #endif
 
 /* What a restart of workers costs. */
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -386,7 +386,11 @@
     }
   conf->teams.configured = !teams.empty ();
   for (auto &t : teams)
-    conf->teams.v[teams_add (&conf->teams, t.name)] = t;
+    {
+      int at = teams_add (&conf->teams, t.name);
+
+      conf->teams.v[at] = t;
+    }
   ev.kind = CELL_EV_CONF;
   ev.conf = conf;
   step (i, ev);
@@ -1782,23 +1786,27 @@
   spec.payload = payload.data ();
   spec.steps.steps_len = (u_int)copy.size ();
   spec.steps.steps_val = copy.data ();
-  ask (vm, GL_VERB_SUBMIT, id, &spec, [=, this] (const gl_reply_t &t) {
-    JobView &k = jobs[id];
-    if (t.code == GL_OK && !k.accepted)
-      {
-        k.accepted = true;
-        k.accepted_at = now;
-      }
-    else if (t.code == GL_OK)
-      return;
-    else if (t.code == GL_RETRY)
-      {
-        k.refusals++;
-        check_refusal (id);
-      }
-    else
-      k.outcome_unknown = true;
-  });
+  ask (vm, GL_VERB_SUBMIT, id, &spec,
+       [=, this, caller = team] (const gl_reply_t &t) {
+         JobView &k = jobs[id];
+         if (t.code == GL_OK)
+           check_team (k, caller, "taken as a repeated submission: " + id);
+         if (t.code == GL_OK && !k.accepted)
+           {
+             k.accepted = true;
+             k.team = caller;
+             k.accepted_at = now;
+           }
+         else if (t.code == GL_OK)
+           return;
+         else if (t.code == GL_RETRY)
+           {
+             k.refusals++;
+             check_refusal (id);
+           }
+         else
+           k.outcome_unknown = true;
+       });
 }
 
 int
@@ -1812,21 +1820,44 @@
   return vm;
 }
 
+void
+World::check_team (const JobView &j, const std::string &caller,
+                   const std::string &what)
+{
+  if (j.accepted && !j.team.empty () && j.team != caller)
+    report_violation ("a job of " + j.team + " for a caller of "
+                      + (caller.empty () ? "no team" : caller) + " " + what);
+}
+
+void
+World::count (int vm, const std::string &queue)
+{
+  counted = "unknown";
+  ask (vm, GL_VERB_COUNT, queue, nullptr, [=, this] (const gl_reply_t &t) {
+    if (t.code == GL_OK)
+      counted = t.reason;
+  });
+}
+
 void
 World::cancel (const std::string &id)
 {
   int vm = pick_vm ();
+  const JobView &k = jobs[id];
 
   if (vm < 0)
     return;
-  jobs[id].cancel_sent = true;
-  ask (vm, GL_VERB_CANCEL, id, nullptr, [=, this] (const gl_reply_t &t) {
-    if (t.code == GL_OK && !jobs[id].cancelled)
-      {
-        jobs[id].cancelled = true;
-        jobs[id].cancelled_at = now;
-      }
-  });
+  jobs[id].cancel_sent |= !k.accepted || k.team.empty () || k.team == team;
+  ask (vm, GL_VERB_CANCEL, id, nullptr,
+       [=, this, caller = team] (const gl_reply_t &t) {
+         if (t.code == GL_OK)
+           check_team (jobs[id], caller, "cancelled: " + id);
+         if (t.code == GL_OK && !jobs[id].cancelled)
+           {
+             jobs[id].cancelled = true;
+             jobs[id].cancelled_at = now;
+           }
+       });
 }
 
 bool
@@ -1847,28 +1878,34 @@
 
   if (vm < 0)
     return;
-  ask (vm, GL_VERB_STATE, id, nullptr, [=, this] (const gl_reply_t &t) {
-    JobView &j = jobs[id];
-    if (t.code == GL_OK && t.phase > GL_PHASE_CANCELLED)
-      {
-        report_violation ("a phase that does not exist: " + id);
-        return;
-      }
-    j.phase = t.code == GL_OK          ? names[t.phase]
-              : t.code == GL_NOT_FOUND ? "none"
-                                       : "unknown";
-    if (j.phase == "none" && j.accepted && !j.cancel_sent)
-      report_violation ("accepted job lost: " + id);
-    if (j.phase == "failed" && !attempts_used_up (id) && !may_give_up (id))
-      report_violation ("failed without cause: " + id);
-    if (j.phase != "completed")
-      return;
-    for (size_t s = 0; s < j.task_counts.size (); s++)
-      for (int n = 0; n < j.task_counts[s] && !j.is_gang[s]; n++)
-        if (done_[id + ".0." + std::to_string (s) + "." + std::to_string (n)]
-                .empty ())
-          report_violation ("completed before its tasks: " + id);
-  });
+  ask (vm, GL_VERB_STATE, id, nullptr,
+       [=, this, caller = team] (const gl_reply_t &t) {
+         JobView &j = jobs[id];
+         if (t.code == GL_OK)
+           check_team (j, caller, "shown: " + id);
+         if (t.code == GL_OK && t.phase > GL_PHASE_CANCELLED)
+           {
+             report_violation ("a phase that does not exist: " + id);
+             return;
+           }
+         j.phase = t.code == GL_OK          ? names[t.phase]
+                   : t.code == GL_NOT_FOUND ? "none"
+                                            : "unknown";
+         if (j.phase == "none" && j.accepted && !j.cancel_sent
+             && (j.team.empty () || j.team == caller))
+           report_violation ("accepted job lost: " + id);
+         if (j.phase == "failed" && !attempts_used_up (id)
+             && !may_give_up (id))
+           report_violation ("failed without cause: " + id);
+         if (j.phase != "completed")
+           return;
+         for (size_t s = 0; s < j.task_counts.size (); s++)
+           for (int n = 0; n < j.task_counts[s] && !j.is_gang[s]; n++)
+             if (done_[id + ".0." + std::to_string (s) + "."
+                       + std::to_string (n)]
+                     .empty ())
+               report_violation ("completed before its tasks: " + id);
+       });
 }
 
 /* ---- jobs of which nothing runs ---- */
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -132,6 +132,7 @@
   bool cancelled = false;
   gl_ms_t cancelled_at = 0;
   std::string phase;            /* answer to the last query */
+  std::string team;             /* of the submission that was accepted first */
   std::set<std::string> queues; /* of its submissions */
   gl_ms_t run_ms = 0;           /* as World::run_ms; 0: that */
   bool all_done = false;        /* all its tasks have ended well */
@@ -154,6 +155,9 @@
   void cancel (const std::string &id);
   /* Ask a live VM for the job's phase; the answer is in jobs[id].phase. */
   void query (const std::string &id);
+  /* Ask VM @vm how many jobs of the callers' team wait in a queue; the answer
+     is in counted: "unknown" if it was not counted. */
+  void count (int vm, const std::string &queue);
   /* All VMs' links carry @rate bytes a ms in each direction, jobs have
      payloads of @payload bytes, and all VMs start anew. */
   void set_links (double rate, int payload);
@@ -247,6 +251,7 @@
   uint64_t conf_version = 1;
   std::vector<team_t> teams; /* of the configuration */
   std::string team;          /* of the callers; "" for none */
+  std::string counted;       /* answer to the last count */
   std::set<std::string> queues{ "urgent", "batch" };
   uint64_t starts = 0;
   std::map<std::string, gl_ms_t> last_start; /* by task */
@@ -334,6 +339,9 @@
   int pick_vm ();
   /* Report a job that runs although all submissions of it were refused. */
   void check_refusal (const std::string &id);
+  /* Report an answer that shows a team's job to a caller of another one. */
+  void check_team (const JobView &j, const std::string &caller,
+                   const std::string &what);
   /* Give the VM a caller's request; @fn takes the answer. */
   void ask (int vm, gl_verb_t verb, const std::string &id, gl_cell_job_t *job,
             ReplyFn fn);
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <gtest/gtest.h>
 #include <string>
+#include <thread>
 #include <unistd.h>
 
 extern "C"
@@ -152,8 +153,86 @@
   EXPECT_EQ (2u, conf->queues[0].max_attempts);
   EXPECT_EQ (1, conf->queues[0].advised);
   EXPECT_EQ (1500u, conf->queues[0].ticket_valid_ms);
-  free (conf->queues);
-  free (conf);
+  cell_conf_free (conf);
+}
+
+/* A configuration with a queue for callers with a key and one for all, and two
+   teams, which share a key. */
+static const char WITH_TEAMS[]
+    = "{\"version\":8,\"routes\":["
+      "{\"name\":\"r1\",\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\"},"
+      "{\"name\":\"r2\",\"host\":\"h\",\"prefix\":\"/open/\","
+      "\"service\":\"s\",\"allowAnonymous\":true}],"
+      "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"both\"],"
+      "\"weight\":0,\"priority\":1,"
+      "\"cap\":{\"cpu\":5000,\"memMb\":100,\"gpu\":0}},"
+      "{\"name\":\"t2\",\"apiKeys\":[\"both\",\"k2\",\"k2\"]}]}";
+
+/* Guards against a configuration that is refused since two teams share a key,
+   and against a key that then belongs to the second of them. */
+TEST (Configuration, GivesASharedKeyToTheFirstTeam)
+{
+  cell_conf_t *conf = decode_config (WITH_TEAMS, strlen (WITH_TEAMS));
+
+  ASSERT_NE (nullptr, conf);
+  ASSERT_EQ (2, conf->teams.n);
+  EXPECT_EQ (1, conf->teams.v[0].weight);
+  EXPECT_EQ (5000, conf->teams.v[0].cap.cpus_m);
+  EXPECT_EQ (3, conf->teams.nkeys);
+  EXPECT_EQ (0, teams_find_key (&conf->teams, "k1"));
+  EXPECT_EQ (0, teams_find_key (&conf->teams, "both"));
+  EXPECT_EQ (1, teams_find_key (&conf->teams, "k2"));
+  EXPECT_EQ (-1, teams_find_key (&conf->teams, "k"));
+  EXPECT_EQ (-1, teams_find_key (&conf->teams, ""));
+  EXPECT_EQ (1, conf->teams.keys[1].other_team);
+  EXPECT_EQ (0, conf->queues[0].allow_anonymous);
+  EXPECT_EQ (1, conf->queues[1].allow_anonymous);
+  cell_conf_free (conf);
+}
+
+/* Guards against a key that a newer configuration lacks and that is served on,
+   and against keys that follow another team when the order of the teams
+   changes.  The load is that of the largest site: 95 teams, 4,750 keys. */
+TEST (Teams, KeepTheirKeysThroughNewerConfigurations)
+{
+  static const int TEAMS = 95;
+  static const int KEYS = 50;
+  teams_t t{};
+
+  for (int round = 0; round < 3; round++)
+    {
+      teams_t next{};
+
+      next.configured = 1;
+      for (int i = 0; i < TEAMS; i++)
+        {
+          int k = (i * 7 + round * 11) % TEAMS;
+          int at = teams_add (&next, ("t" + std::to_string (k)).c_str ());
+
+          for (int n = round; n < KEYS + round; n++)
+            ASSERT_EQ (0, teams_add_key (&next,
+                                         ("t" + std::to_string (k) + "-"
+                                          + std::to_string (n))
+                                             .c_str (),
+                                         at));
+        }
+      ASSERT_EQ (0, teams_index_keys (&next, 12345u + (unsigned)round));
+      ASSERT_EQ (0, teams_merge (&t, &next));
+      ASSERT_EQ (TEAMS, t.n);
+      for (int k = 0; k < TEAMS; k++)
+        for (int n = 0; n < KEYS + 3; n++)
+          {
+            std::string name = "t" + std::to_string (k);
+            int at = teams_find_key (
+                &t, (name + "-" + std::to_string (n)).c_str ());
+            bool valid = n >= round && n < KEYS + round;
+
+            ASSERT_EQ (valid, at >= 0) << name << " " << n;
+            ASSERT_STREQ (valid ? name.c_str () : "",
+                          valid ? t.v[at].name : "");
+          }
+    }
+  teams_destroy (&t);
 }
 
 TEST (Configuration, ThatIsInvalidIsRejected)
@@ -215,6 +294,155 @@
   json_decref (o);
 }
 
+/* A VM that serves callers over HTTP, without a store and without other VMs.
+ */
+struct LoneVm
+{
+  adapter_t a{};
+  ingress_t *ingress = nullptr;
+  httpc_t *client = httpc_new (0);
+  std::thread control;
+
+  static void
+  no_txn (void *, uint64_t, const cell_txn_t *, gl_ms_t)
+  {
+  }
+  static void
+  no_page (void *, uint64_t, const char *, const char *, gl_ms_t)
+  {
+  }
+  static void
+  no_read (void *, uint64_t, const char *, gl_ms_t)
+  {
+  }
+  static void
+  no_lease (void *, uint64_t, gl_ms_t)
+  {
+  }
+  static void
+  no_call (void *, const cell_wcall_t *)
+  {
+  }
+  static void
+  no_consult (void *, uint64_t, const gl_consult_t *, gl_ms_t)
+  {
+  }
+
+  LoneVm ()
+  {
+    /* Several of these tests may run at once. */
+    int port = 30000 + 3 * (int)(getpid () % 5000);
+    static celld_platform_t none{ nullptr,  no_txn,  no_page,   no_read,
+                                  no_lease, no_call, no_consult };
+
+    snprintf (a.set.name, sizeof a.set.name, "vm");
+    snprintf (a.set.domain, sizeof a.set.domain, "d");
+    snprintf (a.set.rpc, sizeof a.set.rpc, "127.0.0.1:%d", port);
+    snprintf (a.set.requests, sizeof a.set.requests, "127.0.0.1:%d", port + 1);
+    snprintf (a.set.ready, sizeof a.set.ready, "127.0.0.1:%d", port + 2);
+    a.cell = celld_new (&a.set);
+    if (a.cell)
+      ingress = ingress_new (&a);
+    if (ingress)
+      control = std::thread ([this] { celld_run (a.cell, &none); });
+  }
+  ~LoneVm ()
+  {
+    if (!ingress)
+      return;
+    celld_quit (a.cell);
+    control.join ();
+    ingress_free (ingress);
+    httpc_free (client);
+    celld_free (a.cell);
+  }
+  void
+  configure (const char *text)
+  {
+    cell_event_t ev{};
+
+    ev.kind = CELL_EV_CONF;
+    ev.conf = decode_config (text, strlen (text));
+    celld_post_event (a.cell, &ev, nullptr, nullptr);
+  }
+  /* The status; @header may be NULL. */
+  int
+  ask (const char *method, const char *path, const char *header)
+  {
+    std::string url = std::string ("http://") + a.set.requests + path;
+    const char *headers[]
+        = { "Host: h", "X-Deadline-Ms: 80", header, nullptr };
+    httpc_request_t q{};
+    httpc_result_t res{};
+
+    q.method = method;
+    q.url = url.c_str ();
+    q.headers = headers;
+    q.timeout = 2000;
+    httpc_perform (client, &q, &res);
+    free (res.body);
+    return res.status;
+  }
+};
+
+/* Guards against a request that is served without a key of the configuration
+   in force, and against another order of the answers: configuration, queue,
+   key, form.  A well-formed request with a key is not served, since nobody
+   owns the cell. */
+TEST (Ingress, AsksForAKeyWhereThereAreTeams)
+{
+  static const char JOB[] = "/a/00000000000000a1";
+  static const struct
+  {
+    const char *method;
+    const char *path;
+    const char *header;
+    int status;
+  } cases[] = {
+    { "GET", JOB, nullptr, 401 },
+    { "GET", JOB, "Authorization: Bearer k3", 401 },
+    { "GET", JOB, "Authorization: Bearer ", 401 },
+    { "GET", JOB, "Authorization: Bearer k", 401 },
+    { "GET", JOB, "Authorization: Bearer k11", 401 },
+    { "GET", JOB, "Authorization: Basic k1", 401 },
+    { "DELETE", JOB, "Authorization: Bearer k3", 401 },
+    { "GET", "/a/", nullptr, 401 },
+    { "GET", "/a/malformed", nullptr, 401 },
+    { "POST", JOB, nullptr, 401 },
+    { "GET", "/none/00000000000000a1", nullptr, 404 },
+    { "GET", "/a/malformed", "Authorization: Bearer k1", 400 },
+    { "GET", "/a/malformed", "Authorization: bearer k2", 400 },
+    { "POST", JOB, "Authorization: Bearer both", 400 },
+    { "GET", "/open/malformed", nullptr, 400 },
+    { "GET", "/open/malformed", "Authorization: Bearer k3", 400 },
+    { "DELETE", JOB, "Authorization: Bearer k1", 504 },
+    { "GET", "/a/", "Authorization: Bearer k1", 503 },
+    { "GET", "/a/", nullptr, 401 },
+  };
+  LoneVm vm;
+
+  ASSERT_NE (nullptr, vm.ingress);
+  EXPECT_EQ (503, vm.ask ("GET", JOB, nullptr));
+  EXPECT_EQ (503, vm.ask ("GET", "/none/x", "Authorization: Bearer k1"));
+  vm.configure (WITH_TEAMS);
+  for (auto &c : cases)
+    EXPECT_EQ (c.status, vm.ask (c.method, c.path, c.header))
+        << c.method << " " << c.path << " " << (c.header ? c.header : "-");
+  /* A newer configuration without the key, and one without teams. */
+  std::string text = WITH_TEAMS;
+  text.replace (text.find (":8,"), 3, ":9,");
+  text.replace (text.find ("\"k1\""), 4, "\"k4\"");
+  vm.configure (text.c_str ());
+  EXPECT_EQ (401, vm.ask ("GET", JOB, "Authorization: Bearer k1"));
+  EXPECT_EQ (400, vm.ask ("GET", "/a/x", "Authorization: Bearer k4"));
+  vm.configure (WITH_TEAMS);
+  EXPECT_EQ (401, vm.ask ("GET", JOB, "Authorization: Bearer k1"));
+  text.replace (text.find (":9,"), 3, ":10,");
+  text.replace (text.find ("tenants"), 7, "ignored");
+  vm.configure (text.c_str ());
+  EXPECT_EQ (400, vm.ask ("GET", "/a/x", nullptr));
+}
+
 /* A store whose workers have written EVENTS registrations, of which a watch
    returns PER_RESPONSE at a time. */
 struct FakeStore
