--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 MODE ?=
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter -Wno-stringop-truncation
-PKGS = libmicrohttpd libcurl libevent_core libevent_extra log4c jansson inih gsl ck libxxhash nettle
+PKGS = libmicrohttpd libcurl libevent_core libevent_extra log4c jansson inih gsl ck libxxhash nettle zlib
 CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -Ibench -I/usr/include/tirpc \
 	$(shell pkg-config --cflags $(PKGS)) $(DEFS)
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(MODE)
@@ -127,7 +127,7 @@
 DEPS = gcc g++ make pkg-config clang-format clang-tidy cppcheck curl \
 	libck-dev libtirpc-dev rpcsvc-proto libmicrohttpd-dev \
 	libcurl4-openssl-dev libevent-dev liblog4c-dev libgtest-dev libjansson-dev \
-	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev nettle-dev
+	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev nettle-dev zlib1g-dev
 
 deps:
 	@dpkg -s $(DEPS) >/dev/null 2>&1 \
--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -277,6 +277,36 @@
 };
 typedef struct gl_heartbeat_t gl_heartbeat_t;
 
+struct gl_versioned_heartbeat_t {
+	gl_heartbeat_t heartbeat;
+	u_quad_t conf_version;
+};
+typedef struct gl_versioned_heartbeat_t gl_versioned_heartbeat_t;
+
+struct gl_versioned_ack_t {
+	gl_heartbeat_ack_t ack;
+	u_quad_t conf_version;
+};
+typedef struct gl_versioned_ack_t gl_versioned_ack_t;
+#define GL_CONFIG_MAX 4194304
+#define GL_CONFIG_SENT_MAX 1572864
+
+struct gl_config_ask_t {
+	u_quad_t conf_version;
+};
+typedef struct gl_config_ask_t gl_config_ask_t;
+
+struct gl_config_reply_t {
+	int code;
+	u_quad_t conf_version;
+	u_int length;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct gl_config_reply_t gl_config_reply_t;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -310,6 +340,10 @@
 extern  bool_t xdr_gl_heartbeat_ack_t (XDR *, gl_heartbeat_ack_t*);
 extern  bool_t xdr_gl_old_heartbeat_ack_t (XDR *, gl_old_heartbeat_ack_t*);
 extern  bool_t xdr_gl_heartbeat_t (XDR *, gl_heartbeat_t*);
+extern  bool_t xdr_gl_versioned_heartbeat_t (XDR *, gl_versioned_heartbeat_t*);
+extern  bool_t xdr_gl_versioned_ack_t (XDR *, gl_versioned_ack_t*);
+extern  bool_t xdr_gl_config_ask_t (XDR *, gl_config_ask_t*);
+extern  bool_t xdr_gl_config_reply_t (XDR *, gl_config_reply_t*);
 
 #else /* K&R C */
 extern bool_t xdr_gl_cell_str_t ();
@@ -342,6 +376,10 @@
 extern bool_t xdr_gl_heartbeat_ack_t ();
 extern bool_t xdr_gl_old_heartbeat_ack_t ();
 extern bool_t xdr_gl_heartbeat_t ();
+extern bool_t xdr_gl_versioned_heartbeat_t ();
+extern bool_t xdr_gl_versioned_ack_t ();
+extern bool_t xdr_gl_config_ask_t ();
+extern bool_t xdr_gl_config_reply_t ();
 
 #endif /* K&R C */
 
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -252,3 +252,32 @@
   unsigned int store_age_ms;
   gl_queue_count_t queues<GL_LIST_MAX>;
 };
+/* Both as they are sent, with the version of the configuration in force at the
+   sender, 0 for none.  VMs of older versions send them without it, and ignore
+   it. */
+struct gl_versioned_heartbeat_t {
+  gl_heartbeat_t heartbeat;
+  unsigned hyper conf_version;
+};
+struct gl_versioned_ack_t {
+  gl_heartbeat_ack_t ack;
+  unsigned hyper conf_version;
+};
+
+/* Longest configuration that VMs pass on, in bytes. */
+const GL_CONFIG_MAX = 4194304;
+/* Longest one as it is sent; below the longest message of the RPCs. */
+const GL_CONFIG_SENT_MAX = 1572864;
+/* Asks a VM for its configuration; conf_version is that of the asking VM. */
+struct gl_config_ask_t {
+  unsigned hyper conf_version;
+};
+/* The answer.  code is a gl_code_t: GL_OK; GL_RETRY while the VM serves others;
+   GL_NOT_FOUND if it has no higher version.  data is the configuration, of
+   length bytes, as the store holds it, compressed as of RFC 1950. */
+struct gl_config_reply_t {
+  int code;
+  unsigned hyper conf_version;
+  unsigned int length;
+  opaque data<GL_CONFIG_SENT_MAX>;
+};
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -657,3 +657,53 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_gl_versioned_heartbeat_t (XDR *xdrs, gl_versioned_heartbeat_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gl_heartbeat_t (xdrs, &objp->heartbeat))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->conf_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gl_versioned_ack_t (XDR *xdrs, gl_versioned_ack_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gl_heartbeat_ack_t (xdrs, &objp->ack))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->conf_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gl_config_ask_t (XDR *xdrs, gl_config_ask_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->conf_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gl_config_reply_t (XDR *xdrs, gl_config_reply_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->conf_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->length))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, GL_CONFIG_SENT_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/cell.c
+++ b/src/cell.c
@@ -88,6 +88,7 @@
   free (c->racks);
   free (c->approval_share);
   free (c->conf.queues);
+  free (c->conf.value);
   teams_destroy (&c->conf.teams);
   free (c->dirty.v);
   free (c->waiting.v);
@@ -111,6 +112,7 @@
   if (!conf)
     return;
   free (conf->queues);
+  free (conf->value);
   teams_destroy (&conf->teams);
   free (conf);
 }
@@ -150,7 +152,7 @@
   int nteams = conf->teams.n;
   int added = 0;
 
-  if (conf->version <= c->conf.version)
+  if (conf->version <= c->conf.version && !FAULT (FAULT_CELL_CONF_REVERTS))
     {
       cell_conf_free (conf);
       return;
@@ -187,6 +189,11 @@
             (unsigned long long)conf->version,
             (unsigned long long)c->conf.version, conf->nqueues, added, nteams);
   c->conf.version = conf->version;
+  free (c->conf.value);
+  c->conf.value = conf->value;
+  c->conf.len = conf->len;
+  conf->value = NULL;
+  conf_applied (c);
   cell_conf_free (conf);
   plan_wake (c);
 }
@@ -275,6 +282,12 @@
     case CELL_EV_CONF:
       apply_conf (c, ev->conf);
       break;
+    case CELL_EV_CONF_CONFIRMED:
+      conf_confirmed (c);
+      break;
+    case CELL_EV_CONF_FETCHED:
+      conf_fetched (c, ev);
+      break;
     case CELL_EV_TXN_DONE:
       own_txn_result (c, ev);
       break;
@@ -375,6 +388,7 @@
   text_add (t, "cell_steps_waiting %zu\ncell_requests_open %zu\n",
             c->waiting.n, c->nrequests);
   print_waiting (c, t);
+  conf_metrics (c, t);
   text_add (t, "cell_reserved_cpus %lld\ncell_usable_cpus %lld\n",
             (long long)c->reserved_cpus_m / 1000,
             (long long)c->usable_cpus_m / 1000);
--- a/src/cell.h
+++ b/src/cell.h
@@ -106,6 +106,8 @@
  * struct cell_conf_t - the configuration in force; a higher @version replaces
  * a lower one
  * @teams: the teams; those that have left the configuration stay, as removed
+ * @value, @len: its bytes as the store holds them, for other VMs; NULL if they
+ *   are not known
  */
 typedef struct
 {
@@ -113,6 +115,8 @@
   cell_queue_t *queues;
   int nqueues;
   teams_t teams;
+  char *value;
+  size_t len;
 } cell_conf_t;
 
 /** cell_conf_free - free a configuration; NULL is ignored */
@@ -242,6 +246,10 @@
  * @CELL_EV_WORKER: a worker's registration has changed
  * @CELL_EV_WORKERS_SYNCED: all registrations have been reported once
  * @CELL_EV_CONF: a configuration
+ * @CELL_EV_CONF_CONFIRMED: the store has confirmed that no configuration is
+ *   newer than those reported
+ * @CELL_EV_CONF_FETCHED: result of CELL_FX_FETCH_CONF; the configuration, if
+ *   there was one, has been reported before
  * @CELL_EV_TXN_DONE: result of CELL_FX_TXN
  * @CELL_EV_PAGE: result of CELL_FX_PAGE
  * @CELL_EV_READ: result of CELL_FX_READ
@@ -265,6 +273,8 @@
   CELL_EV_WORKER,
   CELL_EV_WORKERS_SYNCED,
   CELL_EV_CONF,
+  CELL_EV_CONF_CONFIRMED,
+  CELL_EV_CONF_FETCHED,
   CELL_EV_TXN_DONE,
   CELL_EV_PAGE,
   CELL_EV_READ,
@@ -371,8 +381,11 @@
  *   again
  * @deadline: instant by which the request must be answered; of CELL_EV_STOP,
  *   the instant at which the process ends at the latest
- * @call_code: outcome of forwarding; @reply is valid when it is GL_OK
+ * @call_code: outcome of forwarding; @reply is valid when it is GL_OK; of
+ *   CELL_EV_CONF_FETCHED, of the fetch
  * @heartbeat: of CELL_EV_HEARTBEAT
+ * @conf_version: of CELL_EV_HEARTBEAT and CELL_EV_HEARTBEAT_ACK, the version
+ * of the configuration at the sender; 0 if it has none or did not say
  * @store_age_ms: of CELL_EV_HEARTBEAT_ACK, the time since the store answered
  *   that VM; 0 if it did not say
  * @may_claim: of CELL_EV_HEARTBEAT_ACK, that VM could take the cell over
@@ -399,6 +412,7 @@
   gl_code_t call_code;
   const gl_reply_t *reply;
   const gl_heartbeat_t *heartbeat;
+  uint64_t conf_version;
   uint32_t store_age_ms;
   int may_claim;
   const char *peer_addr;
@@ -417,7 +431,9 @@
  * @CELL_FX_CONSULT: ask the advisor through the VM at @key
  * @CELL_FX_REPLY: answer a request
  * @CELL_FX_FORWARD: forward a request to the VM at @key
- * @CELL_FX_HEARTBEAT: send a heartbeat to the VM at @key
+ * @CELL_FX_HEARTBEAT: send a heartbeat to the VM at @key, with the version of
+ *   the configuration
+ * @CELL_FX_FETCH_CONF: ask the VM at @key for its configuration
  * @CELL_FX_LOG: write a log line
  */
 typedef enum
@@ -431,6 +447,7 @@
   CELL_FX_REPLY,
   CELL_FX_FORWARD,
   CELL_FX_HEARTBEAT,
+  CELL_FX_FETCH_CONF,
   CELL_FX_LOG
 } cell_fxkind_t;
 
@@ -559,23 +576,34 @@
  * @CELL_AUTH_OK: yes
  * @CELL_AUTH_MISSING: the queue needs a key, and the caller has given none
  * @CELL_AUTH_UNKNOWN: the key belongs to no team
+ * @CELL_AUTH_OUTDATED: not known, since the configuration may be outdated
  */
 typedef enum
 {
   CELL_AUTH_OK = 0,
   CELL_AUTH_MISSING,
-  CELL_AUTH_UNKNOWN
+  CELL_AUTH_UNKNOWN,
+  CELL_AUTH_OUTDATED
 } cell_auth_t;
 
 /**
  * cell_authenticate - find the team of a caller of queue @q
  * @key: the caller's key, NULL if it has given none
+ * @now: as of cell_step; later than the last event if this VM was frozen
  * @team: its team's name, "" for none; valid until the next event
  */
 cell_auth_t cell_authenticate (cell_t *c, const cell_queue_t *q,
-                               const char *key, const char **team);
+                               const char *key, gl_ms_t now,
+                               const char **team);
 /** cell_conf_version - version of the configuration in force, 0 for none */
 uint64_t cell_conf_version (const cell_t *c);
+/** cell_conf - the configuration in force; its queues and teams include
+   removed ones */
+const cell_conf_t *cell_conf (const cell_t *c);
+/** cell_may_send_conf - 1 if this VM may send its configuration to another VM
+    now, as a message of @len bytes, which is counted as sent; 0 while it sends
+    others */
+int cell_may_send_conf (cell_t *c, size_t len);
 /** cell_has_teams - 1 if the configuration in force has teams */
 int cell_has_teams (const cell_t *c);
 /** cell_configured - 1 once a configuration is in force */
--- a/src/celld.c
+++ b/src/celld.c
@@ -14,6 +14,7 @@
 #include <string.h>
 #include <time.h>
 #include <xxhash.h>
+#include <zlib.h>
 
 #include "codec.h"
 #include "line.h"
@@ -26,6 +27,7 @@
 #define PROC_REQUEST 1
 #define PROC_CONSULT 2
 #define PROC_HEARTBEAT 3
+#define PROC_CONFIG 4
 #define HEARTBEAT_TIMEOUT_MS 400
 /* Period at which batched log lines are written. */
 #define LOG_FLUSH_MS 100
@@ -76,6 +78,8 @@
  * @settings, @platform: as given to celld_new and celld_run
  * @consult_queue: consultations that wait for the advisor or are in flight
  * @requests, @consults: requests and consultations that have no answer yet
+ * @packed: the configuration as it is sent to other VMs, made when the first
+ *   of them asks for it; its data is NULL before
  * @ready, @is_owner, @stop_stage, @open_requests: copies of the reducer's
  *   state, read by any thread
  * its deadline: when a process that stops ends at the latest
@@ -91,6 +95,7 @@
   consult_queue_t consult_queue;
   pool_t requests;
   pool_t consults;
+  gl_config_reply_t packed;
   unsigned int ready;
   unsigned int is_owner;
   unsigned int stop_stage;
@@ -363,23 +368,142 @@
   codec_free ((xdrproc_t)xdr_gl_consult_t, &consult);
 }
 
+/* Heartbeats of VMs of older versions have no version of the configuration. */
+static int
+decode_heartbeat (gl_versioned_heartbeat_t *hb, const char *data, size_t len)
+{
+  memset (hb, 0, sizeof *hb);
+  if (!codec_decode ((xdrproc_t)xdr_gl_versioned_heartbeat_t, hb, data, len))
+    return 0;
+  memset (hb, 0, sizeof *hb);
+  return codec_decode ((xdrproc_t)xdr_gl_heartbeat_t, &hb->heartbeat, data,
+                       len);
+}
+
 static void
 serve_heartbeat (celld_t *d, rpcmux_caller_t from, const char *data,
                  size_t len)
 {
-  gl_heartbeat_t heartbeat;
-  gl_heartbeat_ack_t ack;
-  cell_event_t ev = { .kind = CELL_EV_HEARTBEAT, .heartbeat = &heartbeat };
+  gl_versioned_heartbeat_t hb;
+  gl_versioned_ack_t reply;
+  cell_event_t ev = { .kind = CELL_EV_HEARTBEAT, .heartbeat = &hb.heartbeat };
 
-  memset (&heartbeat, 0, sizeof heartbeat);
-  if (codec_decode ((xdrproc_t)xdr_gl_heartbeat_t, &heartbeat, data, len))
+  if (decode_heartbeat (&hb, data, len))
     return;
-  rpcmux_set_peer_addr (d->rpc, from, heartbeat.addr);
+  ev.conf_version = hb.conf_version;
+  rpcmux_set_peer_addr (d->rpc, from, hb.heartbeat.addr);
+  handle_event (d, &ev);
+  reply.ack.store_age_ms
+      = cell_store_age_ms (d->cell, hb.heartbeat.generation);
+  reply.ack.may_claim = cell_may_claim (d->cell);
+  reply.conf_version = cell_conf_version (d->cell);
+  codec_free ((xdrproc_t)xdr_gl_versioned_heartbeat_t, &hb);
+  rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_versioned_ack_t, &reply);
+}
+
+/* ---- configuration for other VMs, and from them ---- */
+
+/* Compresses the configuration in force, unless that was done before; -1 if it
+   cannot be sent.  Uncompressed, one of 500 kB would occupy a link of 10
+   Mbit/s for 0.4 s, and heartbeats would be late.  Its entries are similar to
+   each other, except for names and keys. */
+static int
+pack_conf (celld_t *d)
+{
+  const cell_conf_t *conf = cell_conf (d->cell);
+  gl_config_reply_t *p = &d->packed;
+  uLongf len = compressBound (conf->len);
+  char *data;
+
+  if (p->data.data_val && p->conf_version == conf->version)
+    return 0;
+  codec_free ((xdrproc_t)xdr_gl_config_reply_t, p);
+  memset (p, 0, sizeof *p);
+  if (!conf->value || conf->len > GL_CONFIG_MAX || !(data = malloc (len)))
+    return -1;
+  if (compress2 ((Bytef *)data, &len, (const Bytef *)conf->value, conf->len,
+                 Z_BEST_SPEED)
+          != Z_OK
+      || len > GL_CONFIG_SENT_MAX)
+    {
+      free (data);
+      return -1;
+    }
+  p->conf_version = conf->version;
+  p->length = (u_int)conf->len;
+  p->data.data_val = data;
+  p->data.data_len = (u_int)len;
+  return 0;
+}
+
+static void
+serve_config (celld_t *d, rpcmux_caller_t from, const char *data, size_t len)
+{
+  gl_config_ask_t ask;
+  gl_config_reply_t reply = { .code = GL_NOT_FOUND };
+
+  memset (&ask, 0, sizeof ask);
+  if (codec_decode ((xdrproc_t)xdr_gl_config_ask_t, &ask, data, len))
+    {
+      rpcmux_reply (d->rpc, from, NULL, NULL);
+      return;
+    }
+  if (cell_conf_version (d->cell) > ask.conf_version && !pack_conf (d))
+    {
+      reply.code = GL_RETRY;
+      if (cell_may_send_conf (d->cell, d->packed.data.data_len))
+        {
+          reply = d->packed;
+          reply.code = GL_OK;
+        }
+    }
+  rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_config_reply_t, &reply);
+}
+
+/* The configuration of a reply, NULL if it is not valid. */
+static cell_conf_t *
+unpack_conf (celld_t *d, const gl_config_reply_t *reply)
+{
+  uLongf len = reply->length;
+  cell_conf_t *conf = NULL;
+  char *value;
+
+  if (reply->length > GL_CONFIG_MAX || !(value = malloc (len + 1)))
+    return NULL;
+  if (uncompress ((Bytef *)value, &len, (const Bytef *)reply->data.data_val,
+                  reply->data.data_len)
+      == Z_OK)
+    {
+      value[len] = 0;
+      conf = d->platform.decode_conf (value, len);
+    }
+  free (value);
+  return conf;
+}
+
+static void
+config_done (celld_t *d, uint64_t tag, gl_code_t code, const char *data,
+             size_t len)
+{
+  gl_config_reply_t reply;
+  cell_event_t conf = { .kind = CELL_EV_CONF };
+  cell_event_t ev
+      = { .kind = CELL_EV_CONF_FETCHED, .tag = tag, .call_code = code };
+
+  memset (&reply, 0, sizeof reply);
+  if (code == GL_OK
+      && codec_decode ((xdrproc_t)xdr_gl_config_reply_t, &reply, data, len))
+    ev.call_code = GL_INVALID;
+  else if (code == GL_OK)
+    {
+      ev.call_code = (gl_code_t)reply.code;
+      if (reply.code == GL_OK && (conf.conf = unpack_conf (d, &reply)))
+        handle_event (d, &conf);
+      else if (reply.code == GL_OK)
+        ev.call_code = GL_INVALID;
+      codec_free ((xdrproc_t)xdr_gl_config_reply_t, &reply);
+    }
   handle_event (d, &ev);
-  ack.store_age_ms = cell_store_age_ms (d->cell, heartbeat.generation);
-  ack.may_claim = cell_may_claim (d->cell);
-  codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &heartbeat);
-  rpcmux_reply (d->rpc, from, (xdrproc_t)xdr_gl_heartbeat_ack_t, &ack);
 }
 
 static void
@@ -394,6 +518,8 @@
     serve_consult (d, from, data, len);
   else if (proc == PROC_HEARTBEAT)
     serve_heartbeat (d, from, data, len);
+  else if (proc == PROC_CONFIG)
+    serve_config (d, from, data, len);
   else
     rpcmux_reply (d->rpc, from, NULL, NULL);
 }
@@ -432,24 +558,32 @@
     codec_free ((xdrproc_t)xdr_gl_consult_reply_t, &c);
 }
 
-/* VMs of older versions do not say whether they could claim the cell. */
+/* VMs of older versions do not say which configuration they have, and those of
+   still older ones do not say whether they could claim the cell. */
 static void
 heartbeat_done (celld_t *d, uint64_t tag, const char *data, size_t len)
 {
-  gl_heartbeat_ack_t ack = { 0, 1 };
+  gl_versioned_ack_t reply = { { 0, 1 }, 0 };
+  gl_heartbeat_ack_t *ack = &reply.ack;
   gl_old_heartbeat_ack_t old = { 0 };
   cell_event_t ev = { .kind = CELL_EV_HEARTBEAT_ACK, .tag = tag };
 
-  if (codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, &ack, data, len))
+  if (codec_decode ((xdrproc_t)xdr_gl_versioned_ack_t, &reply, data, len))
     {
-      ack.may_claim = 1;
-      ack.store_age_ms = codec_decode ((xdrproc_t)xdr_gl_old_heartbeat_ack_t,
-                                       &old, data, len)
-                             ? 0
-                             : old.store_age_ms;
+      reply.conf_version = 0;
+      if (codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, ack, data, len))
+        {
+          ack->may_claim = 1;
+          ack->store_age_ms
+              = codec_decode ((xdrproc_t)xdr_gl_old_heartbeat_ack_t, &old,
+                              data, len)
+                    ? 0
+                    : old.store_age_ms;
+        }
     }
-  ev.store_age_ms = ack.store_age_ms;
-  ev.may_claim = ack.may_claim;
+  ev.store_age_ms = ack->store_age_ms;
+  ev.may_claim = ack->may_claim;
+  ev.conf_version = reply.conf_version;
   handle_event (d, &ev);
 }
 
@@ -465,6 +599,8 @@
     consult_done (d, tag, code, data, len);
   else if (proc == PROC_HEARTBEAT && code == GL_OK)
     heartbeat_done (d, tag, data, len);
+  else if (proc == PROC_CONFIG)
+    config_done (d, tag, code, data, len);
 }
 
 static void
@@ -489,6 +625,25 @@
                  e->consult, e->timeout, e->tag);
 }
 
+static void
+send_heartbeat (celld_t *d, const cell_effect_t *e)
+{
+  gl_versioned_heartbeat_t hb = { *e->heartbeat, cell_conf_version (d->cell) };
+
+  rpcmux_call (d->rpc, e->key, PROC_HEARTBEAT,
+               (xdrproc_t)xdr_gl_versioned_heartbeat_t, &hb,
+               HEARTBEAT_TIMEOUT_MS, e->tag);
+}
+
+static void
+send_fetch (celld_t *d, const cell_effect_t *e)
+{
+  gl_config_ask_t ask = { cell_conf_version (d->cell) };
+
+  rpcmux_call (d->rpc, e->key, PROC_CONFIG, (xdrproc_t)xdr_gl_config_ask_t,
+               &ask, e->timeout, e->tag);
+}
+
 static void
 run_effect (celld_t *d, cell_effect_t *e)
 {
@@ -522,9 +677,10 @@
                    e->request, e->timeout, e->tag);
       break;
     case CELL_FX_HEARTBEAT:
-      rpcmux_call (d->rpc, e->key, PROC_HEARTBEAT,
-                   (xdrproc_t)xdr_gl_heartbeat_t, e->heartbeat,
-                   HEARTBEAT_TIMEOUT_MS, e->tag);
+      send_heartbeat (d, e);
+      break;
+    case CELL_FX_FETCH_CONF:
+      send_fetch (d, e);
       break;
     case CELL_FX_LOG:
       if (e->log_line)
@@ -685,6 +841,7 @@
   rpcmux_free (d->rpc);
   cell_free (d->cell);
   consult_queue_free (&d->consult_queue);
+  codec_free ((xdrproc_t)xdr_gl_config_reply_t, &d->packed);
   pool_destroy (&d->requests);
   pool_destroy (&d->consults);
   loop_free (d->loop);
--- a/src/celld.h
+++ b/src/celld.h
@@ -18,6 +18,8 @@
  * @lease: renew the lease of this VM's keys; ends with CELL_EV_LEASE
  * @call_worker: call a worker; ends with CELL_EV_WCALL
  * @consult: ask the advisor; ends with CELL_EV_CONSULT_REPLY
+ * @decode_conf: decode a configuration that another VM has got from the store;
+ *   the value is NUL-terminated at @len; malloc'd, NULL when it is not valid
  *
  * Each call is made on the control thread and does not block.  When its
  * outcome is known, the platform passes one event with its tag to
@@ -36,6 +38,7 @@
   void (*call_worker) (void *ctx, const cell_wcall_t *call);
   void (*consult) (void *ctx, uint64_t tag, const gl_consult_t *consult,
                    gl_ms_t timeout);
+  cell_conf_t *(*decode_conf) (const char *value, size_t len);
 } celld_platform_t;
 
 /** celld_new - a daemon; NULL when the RPC address cannot be used or without
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -475,6 +475,38 @@
   gl_ms_t renews_until;
 } cformer_t;
 
+/* Most VMs to which this VM sends its configuration at once. */
+#define CELL_CONF_SENDS_MAX 4
+
+/**
+ * struct cconf_state_t - how current the configuration of this VM is
+ * @confirmed_at: when the store, or an owner whom the store answers, last
+ *   confirmed that it is the newest; 0 for never
+ * @heard_at: when the owner, or at the owner another VM, last said that it has
+ *   the same version; 0 for never
+ * @behind_since: since when another VM is known to have a higher version; 0 if
+ *   none is
+ * @fetch_tag, @fetch_addr, @fetch_sent_at: fetch in flight, or 0; from whom,
+ * and since when
+ * @fetch_after: earliest time to ask the same VM again
+ * @failure_logged_at: when a failed fetch was last logged
+ * @age_logged: it has been logged that it was not confirmed for long
+ * @sent_until: when this VM's link has sent the configuration to others
+ */
+typedef struct
+{
+  gl_ms_t confirmed_at;
+  gl_ms_t heard_at;
+  gl_ms_t behind_since;
+  uint64_t fetch_tag;
+  char fetch_addr[64];
+  gl_ms_t fetch_sent_at;
+  gl_ms_t fetch_after;
+  gl_ms_t failure_logged_at;
+  int age_logged;
+  gl_ms_t sent_until[CELL_CONF_SENDS_MAX];
+} cconf_state_t;
+
 /** struct cqueue_count_t - jobs of a queue of which no task has started */
 typedef struct
 {
@@ -487,6 +519,11 @@
   X (refused, "submissions refused")                                          \
   X (key_missing, "requests without a key, refused")                          \
   X (key_unknown, "requests with an unknown key, refused")                    \
+  X (key_outdated, "requests refused since the configuration is too old")     \
+  X (conf_fetches, "configurations asked of other VMs")                       \
+  X (conf_fetches_failed, "those that did not arrive")                        \
+  X (conf_sent, "configurations sent to other VMs")                           \
+  X (conf_busy, "configurations not sent, for others that were")              \
   X (other_team, "requests for a job of another team")                        \
   X (completed, "jobs completed")                                             \
   X (failed, "jobs failed")                                                   \
@@ -593,6 +630,7 @@
  *   heartbeat
  * @vms, @nvms, @vm_names: known VMs, and the index of each plus 1 by its name
  * @conf: the configuration; queues that it no longer has stay, as removed
+ * @conf_state: how current it is
  *
  * Workers (cellwork.c, cellenrol.c):
  * @workers, @nworkers, @worker_names: known incarnations of workers, and the
@@ -716,6 +754,7 @@
   int capvms;
   names_t vm_names;
   cell_conf_t conf;
+  cconf_state_t conf_state;
 
   cworker_t *workers;
   int nworkers;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -76,6 +76,9 @@
 int reach_is_isolated (const cell_t *c);
 /** reach_may_be_isolated - the same, after a shorter silence */
 int reach_may_be_isolated (const cell_t *c);
+/** reach_is_outside - 1 if the VM is in another domain, or all VMs are in one
+ */
+int reach_is_outside (const cell_t *c, const cvm_t *v);
 /** reach_owner_is_heard - 1 if the owner's heartbeats arrive, so that a
    request forwarded to it is likely to be answered */
 int reach_owner_is_heard (const cell_t *c);
@@ -100,6 +103,29 @@
 /** save_reset - forget all writes, when the ownership is lost */
 void save_reset (cell_t *c);
 
+/* cellconf.c */
+
+/** conf_hear - the VM at @addr says that it has the configuration @version, 0
+    if it does not say; this VM fetches a newer one.  @confirms: it is an owner
+    whom the store answers.  @is_peer: what it has shows that this VM is not
+   cut off. */
+void conf_hear (cell_t *c, const char *addr, uint64_t version, int confirms,
+                int is_peer);
+/** conf_confirmed - the store has confirmed the configuration */
+void conf_confirmed (cell_t *c);
+/** conf_fetched - a fetch has ended */
+void conf_fetched (cell_t *c, const cell_event_t *ev);
+/** conf_applied - another configuration has come into force */
+void conf_applied (cell_t *c);
+/** conf_note_age - log once when the configuration gets old */
+void conf_note_age (cell_t *c);
+/** conf_is_outdated - 1 if callers' teams are not known for certain at @now:
+    the configuration has teams, and this VM has heard neither the store nor
+   the owner for too long */
+int conf_is_outdated (const cell_t *c, gl_ms_t now);
+/** conf_metrics - append the configuration's version and age */
+void conf_metrics (const cell_t *c, text_t *t);
+
 /* celljob.c */
 
 /** cjob_find - the job with this id, or NULL */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -45,7 +45,7 @@
    index of the VM. */
 #define HEARTBEAT_TAG_VMS 65536
 /* Bytes of a heartbeat and its acknowledgement. */
-#define HEARTBEAT_BYTES 180
+#define HEARTBEAT_BYTES 196
 /* Pause before a release that was refused, or got no answer, is sent again. */
 #define RELEASE_RETRY_MS 100
 #define TICK_MS 50
@@ -747,6 +747,8 @@
           cell_strcpy (q->queue, ev->heartbeat->queues.queues_val[i].queue);
           q->waiting = ev->heartbeat->queues.queues_val[i].waiting;
         }
+      conf_hear (c, ev->heartbeat->addr, ev->conf_version,
+                 !c->owner_storeless_at, 1);
     }
 }
 
@@ -764,6 +766,8 @@
   v->asked_at = ev->tag / HEARTBEAT_TAG_VMS;
   v->store_age_ms = ev->store_age_ms;
   v->may_claim = ev->may_claim;
+  conf_hear (c, v->addr, ev->conf_version, 0,
+             c->role == CR_OWNER && reach_is_outside (c, v));
 }
 
 void
@@ -864,5 +868,6 @@
     try_release (c);
   try_claim (c);
   stop_update (c);
+  conf_note_age (c);
   timer_arm (&c->timers, c->own_timer, now + TICK_MS);
 }
--- a/src/cellreach.c
+++ b/src/cellreach.c
@@ -59,6 +59,17 @@
   return !known;
 }
 
+int
+reach_is_outside (const cell_t *c, const cvm_t *v)
+{
+  if (strcmp (v->domain, c->domain) != 0)
+    return 1;
+  for (int i = 0; i < c->nvms; i++)
+    if (c->vms[i].registered && strcmp (c->vms[i].domain, c->domain) != 0)
+      return 0;
+  return 1;
+}
+
 static int
 isolated_for (const cell_t *c, gl_ms_t span_ms)
 {
@@ -92,7 +103,8 @@
 {
   gl_ms_t silent_ms = silence_ms (c, c->heartbeat_at);
 
-  if (!c->conf.version || c->stop.stopping || reach_is_isolated (c))
+  if (!c->conf.version || c->stop.stopping || reach_is_isolated (c)
+      || conf_is_outdated (c, c->now))
     return 0;
   return c->role == CR_OWNER
          || (c->ownership_known && !c->owner_refused_at
--- a/src/fault.h
+++ b/src/fault.h
@@ -49,6 +49,8 @@
  *   restarted
  * @FAULT_CELL_STOPS_FORGOTTEN: does not repeat stops to the next incarnation
  * of a worker
+ * @FAULT_CELL_CONF_REVERTS: takes an older configuration for a newer one
+ * @FAULT_CELL_CONF_TRUSTED: serves keys however old the configuration is
  * @FAULT_CELL_TEAMS_MIXED: shows a team's jobs to other teams
  */
 typedef enum
@@ -86,6 +88,8 @@
   FAULT_CELL_UNSETTLED,
   FAULT_CELL_ACKS_UNPROVEN,
   FAULT_CELL_TEAMS_MIXED,
+  FAULT_CELL_CONF_REVERTS,
+  FAULT_CELL_CONF_TRUSTED,
   FAULT_COUNT
 } fault_t;
 
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -77,6 +77,16 @@
  *                                  urgent, batch and digest, in the order of
  *                                  their priority; digest is not configured at
  *                                  first
+ *   conf_at VM VERSION QUEUE...    the same to this VM only
+ *   unwatch VM                     the VM's watch of the configuration hears
+ *                                  nothing from now on
+ *   conf_bytes N                   length of configurations
+ *   conf_sends                     print how often VMs have sent one to others
+ *   versions                       print the versions at all VMs
+ *   auth VM [KEY]                  print whether the VM takes a request with
+ *                                  this key for the queue "batch", and its
+ *                                  team; the key of team NAME is key-NAME
+ *   unteam NAME                    the next configuration lacks the team
  *   team NAME WEIGHT PRIORITY CPUS_M MEM_MB   a team of the next
  *                                  configuration; a cap of 0 is no limit
  *   as [TEAM]                      callers are of this team from now on
@@ -542,13 +552,56 @@
         in >> n;
         w->settle ((gl_ms_t)n);
       }
-    else if (cmd == "conf")
+    else if (cmd == "conf" || cmd == "conf_at")
       {
         std::set<std::string> names;
+        int at = -1;
+        if (cmd == "conf_at" && in >> a)
+          at = vm (a);
         in >> n;
         while (in >> a)
           names.insert (a);
-        w->configure ((uint64_t)n, names);
+        w->configure ((uint64_t)n, names, at);
+      }
+    else if (cmd == "conf_bytes")
+      in >> w->conf_bytes;
+    else if (cmd == "conf_sends")
+      out.push_back ("configurations sent " + std::to_string (w->conf_sends));
+    else if (cmd == "unwatch")
+      {
+        in >> a;
+        w->vms[(size_t)vm (a)].watches_conf = false;
+      }
+    else if (cmd == "versions")
+      {
+        std::string line = "versions";
+        for (const Vm &v : w->vms)
+          line += " "
+                  + (v.alive ? std::to_string (cell_conf_version (v.cell))
+                             : std::string ("-"));
+        out.push_back (line);
+      }
+    else if (cmd == "auth")
+      {
+        static const char *const answers[]
+            = { "ok", "missing", "unknown", "outdated" };
+        std::string key;
+        const char *rest;
+        const char *team;
+
+        in >> a >> key;
+        cell_t *c = w->vms[(size_t)vm (a)].cell;
+        const cell_queue_t *q = cell_find_queue (c, "h", "/batch/x", &rest);
+        cell_auth_t auth = cell_authenticate (
+            c, q, key.empty () ? nullptr : key.c_str (), w->now, &team);
+        out.push_back ("key " + key + " " + answers[auth]
+                       + (*team ? std::string (" ") + team : ""));
+      }
+    else if (cmd == "unteam")
+      {
+        in >> a;
+        std::erase_if (w->teams,
+                       [&] (const team_t &o) { return o.name == a; });
       }
     else if (cmd == "team")
       {
@@ -707,6 +760,9 @@
         FaultCase{ FAULT_CELL_TEAMS_MIXED, "teams-see-only-their-own-jobs" },
         FaultCase{ FAULT_CELL_TEAMS_MIXED,
                    "results-in-the-store-keep-their-team" },
+        FaultCase{ FAULT_CELL_CONF_REVERTS, "configurations-in-order" },
+        FaultCase{ FAULT_CELL_CONF_TRUSTED,
+                   "outdated-configuration-serves-no-key" },
         FaultCase{ FAULT_CELL_LATE_WRITE,
                    "unanswered-write-carried-out-late" }));
 #endif
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -65,6 +65,8 @@
 static const uint64_t WALL_MS = 1000000;
 /* Longest lease that a worker accepts. */
 static const gl_ms_t WORKER_LEASE_MAX_MS = 10000;
+/* Time between two answers to a watch of the configuration. */
+static const gl_ms_t CONF_WATCH_MS = 1000;
 /* Validity of a ticket. */
 static const gl_ms_t TICKET_MS = 1500;
 /* Base time of a consultation for the queue "digest", of priority 2. */
@@ -99,6 +101,7 @@
               int ndomains)
     : advised_ (advised), ndomains_ (ndomains), rng_ (seed * 2 + 1)
 {
+  confs_[conf_version] = { queues, teams };
   for (int i = 0; i < nvms; i++)
     {
       Vm v;
@@ -216,6 +219,8 @@
   v.stopping = false;
   v.frozen = false;
   v.lease_id = 0;
+  v.confirming = false;
+  v.conf_seen = 0;
   v.started_at = now;
   v.incarnation++;
   send_initial_state (i);
@@ -352,13 +357,17 @@
   cell_effects_destroy (&fx);
 }
 
-void
-World::send_conf (int i, uint64_t version)
+cell_conf_t *
+World::make_conf (uint64_t version)
 {
   cell_conf_t *conf = (cell_conf_t *)calloc (1, sizeof *conf);
-  cell_event_t ev{};
+  std::string value = std::to_string (version);
+  const Conf &from = confs_[version];
 
+  value.resize (std::max (value.size (), conf_bytes), ' ');
   conf->version = version;
+  conf->value = strdup (value.c_str ());
+  conf->len = value.size ();
   conf->queues = (cell_queue_t *)calloc (3, sizeof *conf->queues);
   for (int q = 0; q < 3; q++)
     {
@@ -366,7 +375,7 @@
       const char *name = names[q];
       cell_queue_t *p = &conf->queues[conf->nqueues];
 
-      if (!queues.count (name))
+      if (!from.queues.count (name))
         continue;
       conf->nqueues++;
       snprintf (p->name, sizeof p->name, "%s", name);
@@ -384,29 +393,139 @@
       p->consult_per_worker_ms = 0.5;
       p->ticket_valid_ms = (uint32_t)TICKET_MS;
     }
-  conf->teams.configured = !teams.empty ();
-  for (auto &t : teams)
+  conf->teams.configured = !from.teams.empty ();
+  for (auto &t : from.teams)
     {
       int at = teams_add (&conf->teams, t.name);
 
       conf->teams.v[at] = t;
+      teams_add_key (&conf->teams, ("key-" + std::string (t.name)).c_str (),
+                     at);
     }
+  teams_index_keys (&conf->teams, 7);
+  return conf;
+}
+
+void
+World::send_conf (int i, uint64_t version)
+{
+  cell_event_t ev{};
+
   ev.kind = CELL_EV_CONF;
-  ev.conf = conf;
+  ev.conf = make_conf (version);
   step (i, ev);
 }
 
+/* The watches of the configuration get an answer about every second; where
+   there are no teams, nothing depends on that. */
+void
+World::confirm_conf (int i, uint64_t incarnation)
+{
+  Vm &v = vms[(size_t)i];
+  cell_event_t ev{};
+
+  if (!v.alive || v.incarnation != incarnation)
+    return;
+  if (!v.frozen && reaches_store ((size_t)i) && store_mode == StoreMode::up
+      && v.watches_conf)
+    {
+      if (conf_version > cell_conf_version (v.cell))
+        send_conf (i, conf_version);
+      ev.kind = CELL_EV_CONF_CONFIRMED;
+      step (i, ev);
+    }
+  schedule (CONF_WATCH_MS, [=, this] { confirm_conf (i, incarnation); });
+}
+
 void
-World::configure (uint64_t version, const std::set<std::string> &names)
+World::configure (uint64_t version, const std::set<std::string> &names, int vm)
 {
   if (version > conf_version)
     {
       conf_version = version;
       queues = names;
     }
+  confs_.insert ({ version, { names, teams } });
   for (size_t i = 0; i < vms.size (); i++)
-    if (vms[i].alive && !vms[i].frozen && reaches_store (i))
-      send_conf ((int)i, version);
+    {
+      Vm &v = vms[i];
+
+      if (v.alive && !v.frozen && reaches_store (i) && v.watches_conf
+          && (vm < 0 || (int)i == vm))
+        send_conf ((int)i, version);
+      if (v.alive && !teams.empty () && !v.confirming)
+        {
+          v.confirming = true;
+          confirm_conf ((int)i, v.incarnation);
+        }
+    }
+}
+
+/* A frozen VM reads the answer when it goes on. */
+void
+World::deliver_conf (const Fetch &f, gl_code_t code, uint64_t version)
+{
+  cell_event_t ev{};
+
+  if (*f.answered || !vms[(size_t)f.vm].alive
+      || vms[(size_t)f.vm].incarnation != f.incarnation)
+    return;
+  if (vms[(size_t)f.vm].frozen)
+    {
+      schedule (TICK_MS, [=, this] { deliver_conf (f, code, version); });
+      return;
+    }
+  *f.answered = true;
+  if (code == GL_OK)
+    send_conf (f.vm, version);
+  ev.kind = CELL_EV_CONF_FETCHED;
+  ev.tag = f.tag;
+  ev.call_code = code;
+  step (f.vm, ev);
+}
+
+/* The configuration goes from one VM to another as celld.c passes it on. */
+void
+World::fetch_conf (int i, const cell_effect_t &e)
+{
+  Fetch f{ i, vms[(size_t)i].incarnation, e.tag,
+           std::make_shared<bool> (false) };
+  uint64_t version = cell_conf_version (vms[(size_t)i].cell);
+  int to = vm_at (e.key);
+
+  schedule (e.timeout, [=, this] { deliver_conf (f, GL_UNKNOWN, 0); });
+  schedule (NET_MS, [=, this] {
+    if (to < 0 || !vms[(size_t)to].alive || vms[(size_t)to].frozen
+        || !connected (vms[(size_t)i].domain, vms[(size_t)to].domain))
+      return;
+    Vm &from = vms[(size_t)to];
+    const cell_conf_t *conf = cell_conf (from.cell);
+    uint64_t server = from.incarnation;
+    gl_ms_t ms = NET_MS;
+    gl_code_t code = GL_OK;
+    uint64_t got = 0;
+
+    if (conf->version <= version)
+      code = GL_NOT_FOUND;
+    else if (!cell_may_send_conf (from.cell, conf->len))
+      code = GL_RETRY;
+    else
+      {
+        /* The bytes are opaque to the cell, and name the version. */
+        got = (uint64_t)atoll (conf->value);
+        ms += link_ms (&from.out_free_at, conf->len);
+        conf_sends++;
+      }
+    schedule (ms, [=, this] {
+      const Vm &server_vm = vms[(size_t)to];
+
+      /* The connection of a process that has ended is closed. */
+      if (!server_vm.alive || server_vm.incarnation != server)
+        deliver_conf (f, GL_UNKNOWN, 0);
+      else if (connected (vms[(size_t)i].domain, server_vm.domain))
+        deliver_conf (f, code, got);
+    });
+  });
 }
 
 void
@@ -438,6 +557,11 @@
         return;
       }
     send_conf (i, conf_version);
+    if (!teams.empty ())
+      {
+        vms[(size_t)i].confirming = true;
+        confirm_conf (i, incarnation);
+      }
     for (auto &it : items_)
       if (it.first.rfind ("gl/m/", 0) == 0)
         report_key (i, it.first, false);
@@ -461,6 +585,9 @@
 
   ev.wall = WALL_MS + now;
   cell_step (v.cell, &ev, now, &fx);
+  if (cell_conf_version (v.cell) < v.conf_seen)
+    report_violation ("older configuration at " + v.name);
+  v.conf_seen = cell_conf_version (v.cell);
   for (size_t k = 0; k < fx.n; k++)
     if (vms[(size_t)i].incarnation == incarnation)
       run_effect (i, fx.v[k]);
@@ -498,6 +625,9 @@
     case CELL_FX_FORWARD:
       forward (i, e);
       break;
+    case CELL_FX_FETCH_CONF:
+      fetch_conf (i, e);
+      break;
     case CELL_FX_HEARTBEAT:
       {
         int to = vm_at (e.key);
@@ -509,6 +639,7 @@
         char *data
             = codec_encode ((xdrproc_t)xdr_gl_heartbeat_t, e.heartbeat, &len);
         std::string copy (data, len);
+        uint64_t conf_sent = cell_conf_version (vms[(size_t)i].cell);
         free (data);
         gl_ms_t out_ms
             = link_ms (&vms[(size_t)i].out_free_at, MESSAGE_BYTES / 2);
@@ -521,14 +652,17 @@
             return;
           ev.kind = CELL_EV_HEARTBEAT;
           ev.heartbeat = &b;
+          ev.conf_version = conf_sent;
           step (to, ev);
           gl_heartbeat_ack_t ack{};
           ack.store_age_ms
               = cell_store_age_ms (vms[(size_t)to].cell, b.generation);
           ack.may_claim = cell_may_claim (vms[(size_t)to].cell);
+          uint64_t conf_has = cell_conf_version (vms[(size_t)to].cell);
           codec_free ((xdrproc_t)xdr_gl_heartbeat_t, &b);
-          schedule (NET_MS,
-                    [=, this] { deliver_ack (i, incarnation, to, tag, ack); });
+          schedule (NET_MS, [=, this] {
+            deliver_ack (i, incarnation, to, tag, ack, conf_has);
+          });
         });
         break;
       }
@@ -544,7 +678,7 @@
 /* A frozen VM reads the answer when it goes on. */
 void
 World::deliver_ack (int i, uint64_t incarnation, int from, uint64_t tag,
-                    const gl_heartbeat_ack_t &ack)
+                    const gl_heartbeat_ack_t &ack, uint64_t conf_has)
 {
   const Vm &v = vms[(size_t)i];
   cell_event_t ev{};
@@ -553,11 +687,13 @@
   ev.tag = tag;
   ev.store_age_ms = ack.store_age_ms;
   ev.may_claim = ack.may_claim;
+  ev.conf_version = conf_has;
   if (!v.alive || v.incarnation != incarnation)
     return;
   if (v.frozen)
-    schedule (TICK_MS,
-              [=, this] { deliver_ack (i, incarnation, from, tag, ack); });
+    schedule (TICK_MS, [=, this] {
+      deliver_ack (i, incarnation, from, tag, ack, conf_has);
+    });
   else if (connected (v.domain, vms[(size_t)from].domain))
     step (i, ev);
 }
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <set>
 #include <string>
@@ -101,11 +102,14 @@
   std::string domain;
   cell_t *cell = nullptr; /* its reducer */
   bool alive = true;
-  bool stopping = false;   /* asked to stop; its process has not ended yet */
-  gl_ms_t ends_at = 0;     /* when it ends at the latest, while stopping */
-  bool frozen = false;     /* handles no events for a while */
-  bool store_cut = false;  /* does not reach the store */
-  gl_ms_t impaired_at = 0; /* when it was last frozen or cut off */
+  bool stopping = false;    /* asked to stop; its process has not ended yet */
+  gl_ms_t ends_at = 0;      /* when it ends at the latest, while stopping */
+  bool frozen = false;      /* handles no events for a while */
+  bool store_cut = false;   /* does not reach the store */
+  bool watches_conf = true; /* the store tells it of new configurations */
+  bool confirming = false;  /* World::confirm_conf goes on */
+  uint64_t conf_seen = 0;   /* version of its configuration */
+  gl_ms_t impaired_at = 0;  /* when it was last frozen or cut off */
   gl_ms_t started_at = 0;
   double out_free_at
       = 0;               /* when its link has sent, and received, what is on */
@@ -201,9 +205,10 @@
   /* The worker's capacity changes; its registration shows that one heartbeat
      later, or when the store is back. */
   void set_capacity (int w, gl_res_t capacity);
-  /* Send a configuration with these queues to all VMs.  It becomes the present
-     one if its version is higher. */
-  void configure (uint64_t version, const std::set<std::string> &names);
+  /* Send a configuration with these queues to all VMs that reach the store, or
+     only to VM @vm.  It becomes the present one if its version is higher. */
+  void configure (uint64_t version, const std::set<std::string> &names,
+                  int vm = -1);
   /* Index of the VM that owns the cell, or -1. */
   int owner () const;
   /* End all faults and wait for @ms, and up to @more_ms longer while tasks of
@@ -249,6 +254,8 @@
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
+  size_t conf_bytes = 0;     /* least length of a configuration */
+  uint64_t conf_sends = 0;   /* configurations that VMs have sent to others */
   std::vector<team_t> teams; /* of the configuration */
   std::string team;          /* of the callers; "" for none */
   std::string counted;       /* answer to the last count */
@@ -265,6 +272,20 @@
                                          answer while every VM was stopping */
 
 private:
+  struct Conf
+  {
+    std::set<std::string> queues;
+    std::vector<team_t> teams;
+  };
+  std::map<uint64_t, Conf> confs_; /* by version */
+  /* A VM's fetch of the configuration from another one. */
+  struct Fetch
+  {
+    int vm;
+    uint64_t incarnation;
+    uint64_t tag;
+    std::shared_ptr<bool> answered;
+  };
   /* A key of the store; lease_id 0: it has no lease. */
   struct Item
   {
@@ -351,7 +372,7 @@
   /* Report the requests that the process gives up when it ends now. */
   void check_given_up (int vm);
   void deliver_ack (int vm, uint64_t incarnation, int from, uint64_t tag,
-                    const gl_heartbeat_ack_t &ack);
+                    const gl_heartbeat_ack_t &ack, uint64_t conf_has);
   void notify_vm (size_t i, const std::string &key, uint64_t incarnation);
   void key_changed (const std::string &key, bool gone);
   void report_key (int vm, const std::string &key, bool gone);
@@ -367,7 +388,11 @@
      it had until shortly before. */
   bool within_capacity (const Worker &w, const gl_res_t &sum) const;
   void send_initial_state (int vm);
+  cell_conf_t *make_conf (uint64_t version);
   void send_conf (int vm, uint64_t version);
+  void confirm_conf (int vm, uint64_t incarnation);
+  void fetch_conf (int vm, const cell_effect_t &e);
+  void deliver_conf (const Fetch &f, gl_code_t code, uint64_t version);
   void end_leases ();
   void end_worker (int w);
   uint64_t worker_clock (const Worker &w) const;
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -7,12 +7,16 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <vector>
+#include <zlib.h>
 
 extern "C"
 {
 #include "../platform/wire.h"
+#include "../src/codec.h"
 #include "../src/httpd.h"
 #include "../src/loop.h"
+#include "../src/rpcmux.h"
 }
 
 #ifdef GL_TEST_FAULTS
@@ -302,6 +306,7 @@
   ingress_t *ingress = nullptr;
   httpc_t *client = httpc_new (0);
   std::thread control;
+  std::string owner_addr; /* of a FakeOwner */
 
   static void
   no_txn (void *, uint64_t, const cell_txn_t *, gl_ms_t)
@@ -331,15 +336,18 @@
   LoneVm ()
   {
     /* Several of these tests may run at once. */
-    int port = 30000 + 3 * (int)(getpid () % 5000);
-    static celld_platform_t none{ nullptr,  no_txn,  no_page,   no_read,
-                                  no_lease, no_call, no_consult };
+    int port = 10000 + 4 * (int)(getpid () % 2400);
+    static celld_platform_t none{
+      nullptr,  no_txn,  no_page,    no_read,
+      no_lease, no_call, no_consult, decode_config
+    };
 
     snprintf (a.set.name, sizeof a.set.name, "vm");
     snprintf (a.set.domain, sizeof a.set.domain, "d");
     snprintf (a.set.rpc, sizeof a.set.rpc, "127.0.0.1:%d", port);
     snprintf (a.set.requests, sizeof a.set.requests, "127.0.0.1:%d", port + 1);
     snprintf (a.set.ready, sizeof a.set.ready, "127.0.0.1:%d", port + 2);
+    owner_addr = "127.0.0.1:" + std::to_string (port + 3);
     a.cell = celld_new (&a.set);
     if (a.cell)
       ingress = ingress_new (&a);
@@ -443,6 +451,225 @@
   EXPECT_EQ (400, vm.ask ("GET", "/a/x", nullptr));
 }
 
+/* The owner of the cell, as far as its RPCs go: it sends heartbeats to the VM,
+   and serves and asks for configurations. */
+struct FakeOwner
+{
+  static constexpr uint32_t HEARTBEAT = 3;
+  static constexpr uint32_t CONFIG = 4;
+  loop_t *loop = loop_new ();
+  rpcmux_t *rpc;
+  std::string addr;
+  const char *vm_addr;
+  std::thread control;
+  uint64_t version = 0; /* of its configuration; 0: of a version of the program
+                           that does not say */
+  std::string conf;     /* its configuration */
+  gl_ms_t heartbeat_due = 0;
+  std::atomic<uint64_t> vm_version{ 0 }; /* by the VM's last answer */
+  std::atomic<int> answers{ 0 };         /* to heartbeats */
+  std::atomic<int> old_answers{ 0 }; /* that a VM of an older version reads */
+  std::atomic<int> asked{ 0 };       /* for its configuration */
+  std::atomic<uint64_t> ask{ 0 };    /* ask for a newer one than this */
+  std::vector<gl_config_reply_t> got;
+
+  explicit FakeOwner (const LoneVm &vm)
+      : addr (vm.owner_addr), vm_addr (vm.a.set.rpc)
+  {
+    rpcmux_hooks_t hooks{ done, serve, [] (void *, const char *) {}, this };
+
+    rpc = rpcmux_new (loop, addr.c_str (), &hooks);
+  }
+  void
+  start ()
+  {
+    control = std::thread ([this] {
+      loop_handlers_t h{ on_item, on_tick, next_due, this };
+      loop_run (loop, &h);
+    });
+  }
+  void
+  stop ()
+  {
+    if (!control.joinable ())
+      return;
+    loop_must_post (loop, this);
+    control.join ();
+  }
+  ~FakeOwner ()
+  {
+    stop ();
+    rpcmux_free (rpc);
+    loop_free (loop);
+    for (auto &r : got)
+      codec_free ((xdrproc_t)xdr_gl_config_reply_t, &r);
+  }
+  static void
+  on_item (void *ctx, void *)
+  {
+    loop_quit (((FakeOwner *)ctx)->loop);
+  }
+  static gl_ms_t
+  next_due (void *ctx)
+  {
+    return ((FakeOwner *)ctx)->heartbeat_due;
+  }
+  static void
+  on_tick (void *ctx)
+  {
+    FakeOwner *o = (FakeOwner *)ctx;
+    gl_versioned_heartbeat_t hb{};
+    gl_config_ask_t ask{ o->ask };
+
+    rpcmux_tick (o->rpc);
+    if (clock_ms () < o->heartbeat_due)
+      return;
+    o->heartbeat_due = clock_ms () + 60;
+    hb.heartbeat.generation = 7;
+    hb.heartbeat.vm = (char *)"owner";
+    hb.heartbeat.addr = o->addr.data ();
+    hb.conf_version = o->version;
+    if (o->version)
+      rpcmux_call (o->rpc, o->vm_addr, HEARTBEAT,
+                   (xdrproc_t)xdr_gl_versioned_heartbeat_t, &hb, 400, 1);
+    else
+      rpcmux_call (o->rpc, o->vm_addr, HEARTBEAT,
+                   (xdrproc_t)xdr_gl_heartbeat_t, &hb.heartbeat, 400, 1);
+    if (ask.conf_version)
+      rpcmux_call (o->rpc, o->vm_addr, CONFIG, (xdrproc_t)xdr_gl_config_ask_t,
+                   &ask, 1000, 2);
+    o->ask = 0;
+  }
+  static void
+  done (void *ctx, uint64_t, uint32_t proc, gl_code_t code, const char *data,
+        size_t len)
+  {
+    FakeOwner *o = (FakeOwner *)ctx;
+    gl_versioned_ack_t ack{};
+    gl_heartbeat_ack_t old{};
+    gl_config_reply_t reply{};
+
+    if (code != GL_OK)
+      return;
+    if (proc == CONFIG)
+      {
+        if (!codec_decode ((xdrproc_t)xdr_gl_config_reply_t, &reply, data,
+                           len))
+          o->got.push_back (reply);
+        return;
+      }
+    if (!codec_decode ((xdrproc_t)xdr_gl_versioned_ack_t, &ack, data, len))
+      o->vm_version = ack.conf_version;
+    o->old_answers
+        += !codec_decode ((xdrproc_t)xdr_gl_heartbeat_ack_t, &old, data, len);
+    o->answers++;
+  }
+  static void
+  serve (void *ctx, rpcmux_caller_t from, uint32_t proc, const char *, size_t)
+  {
+    FakeOwner *o = (FakeOwner *)ctx;
+    std::string packed (o->conf.size () + 1000, 0);
+    uLongf n = packed.size ();
+    gl_config_reply_t reply{};
+
+    if (proc != CONFIG)
+      {
+        rpcmux_reply (o->rpc, from, nullptr, nullptr);
+        return;
+      }
+    /* The first answer tells the VM to ask again. */
+    if (o->asked++)
+      {
+        compress ((Bytef *)packed.data (), &n, (const Bytef *)o->conf.data (),
+                  o->conf.size ());
+        reply.conf_version = o->version;
+        reply.length = (u_int)o->conf.size ();
+        reply.data.data_len = (u_int)n;
+        reply.data.data_val = packed.data ();
+      }
+    else
+      reply.code = GL_RETRY;
+    rpcmux_reply (o->rpc, from, (xdrproc_t)xdr_gl_config_reply_t, &reply);
+  }
+  /* Waits up to 4 s. */
+  template <class Fn>
+  static bool
+  await (Fn fn)
+  {
+    for (int i = 0; i < 400 && !fn (); i++)
+      usleep (10000);
+    return fn ();
+  }
+};
+
+/* Guards against a VM that the store refuses and that does not get the
+   configuration of the owner, or passes on another one than the store has: a
+   configuration of the largest size, 1,892 queues. */
+TEST (Peers, PassTheConfigurationOn)
+{
+  std::string conf = WITH_TEAMS;
+  std::string routes;
+  LoneVm vm;
+
+  ASSERT_NE (nullptr, vm.ingress);
+  for (int i = 0; i < 1890; i++)
+    {
+      std::string n = std::to_string (i);
+      routes += "{\"name\":\"q" + n + "\",\"host\":\"h" + n
+                + ".example\",\"prefix\":\"/q" + n
+                + "/\",\"service\":\"service-" + n
+                + "\",\"priority\":1,\"maxAttempts\":3,\"stretch\":2.2,"
+                  "\"targetLatencyMs\":1000,\"advice\":{\"decisionMs\":63.0,"
+                  "\"perWorkerMs\":9.1,\"validityMs\":1500}},";
+    }
+  conf.insert (conf.find ("{\"name\":\"r1\""), routes);
+  FakeOwner owner (vm);
+  owner.version = 8;
+  owner.conf = conf;
+  ASSERT_NE (nullptr, owner.rpc);
+  owner.start ();
+  EXPECT_TRUE (FakeOwner::await ([&] { return owner.vm_version == 8; }));
+  EXPECT_EQ (2, owner.asked.load ());
+  EXPECT_EQ (owner.answers.load (), owner.old_answers.load ());
+  EXPECT_EQ (401, vm.ask ("GET", "/a/x", "Authorization: Bearer k3"));
+  EXPECT_EQ (400, vm.ask ("GET", "/a/x", "Authorization: Bearer k1"));
+  /* The VM has nothing newer than version 8, and the bytes of that. */
+  owner.ask = 8;
+  EXPECT_TRUE (FakeOwner::await ([&] { return owner.ask == 0; }));
+  owner.ask = 7;
+  EXPECT_TRUE (FakeOwner::await ([&] { return owner.ask == 0; }));
+  usleep (300000);
+  owner.stop ();
+  ASSERT_EQ (2u, owner.got.size ());
+  EXPECT_EQ (GL_NOT_FOUND, owner.got[0].code);
+  ASSERT_EQ (GL_OK, owner.got[1].code);
+  EXPECT_EQ (8u, owner.got[1].conf_version);
+  std::string text (owner.got[1].length, 0);
+  uLongf n = text.size ();
+  EXPECT_EQ (Z_OK, uncompress ((Bytef *)text.data (), &n,
+                               (const Bytef *)owner.got[1].data.data_val,
+                               owner.got[1].data.data_len));
+  EXPECT_EQ (conf, text);
+  printf ("configuration of %zu bytes, sent as %u\n", conf.size (),
+          owner.got[1].data.data_len);
+  /* A tenth of a second on a link of 10 Mbit/s. */
+  EXPECT_LT (owner.got[1].data.data_len, 125000u);
+}
+
+/* Guards against an owner of an older version, whose heartbeats have no
+   version of the configuration, that is not understood any more. */
+TEST (Peers, OfOlderVersionsAreHeard)
+{
+  LoneVm vm;
+
+  ASSERT_NE (nullptr, vm.ingress);
+  FakeOwner owner (vm);
+  ASSERT_NE (nullptr, owner.rpc);
+  owner.start ();
+  EXPECT_TRUE (FakeOwner::await ([&] { return owner.old_answers >= 10; }));
+  EXPECT_EQ (0, owner.asked.load ());
+}
+
 /* A store whose workers have written EVENTS registrations, of which a watch
    returns PER_RESPONSE at a time. */
 struct FakeStore
