--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 MODE ?=
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter -Wno-stringop-truncation
-PKGS = libmicrohttpd libcurl libevent_core libevent_extra log4c jansson inih gsl ck libxxhash nettle
+PKGS = libmicrohttpd libcurl libevent_core libevent_extra log4c jansson inih gsl ck libxxhash nettle zlib
 CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -Ibench -I/usr/include/tirpc \
 	$(shell pkg-config --cflags $(PKGS)) $(DEFS)
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(MODE)
@@ -18,7 +18,7 @@
 # The reducers of the scheduler and of the cell, and what they use.
 CORE = team pool timer metrics place conf change codec fx jobs workers lease journal \
 	snap fit policy sched view names cell cellfx cellown cellreach cellpoll celljob cellwork cellend cellcensus cellformer cellmember \
-	cellsave celldue cellincarn cellreg cellsettle cellenrol cellhealth cellcrash cellroom cellhold cellconsult cellplan cellflow cellyield cellstop cellask
+	cellsave celldue cellincarn cellreg cellsettle cellenrol cellhealth cellcrash cellroom cellhold cellconsult cellplan cellflow cellyield cellstop cellask cellconf
 GEN = gl_rec_xdr gl_cell_xdr
 # The entry's reducer, and the I/O that the daemons share.
 ROUTE = route upstream claim
@@ -127,7 +127,7 @@
 DEPS = gcc g++ make pkg-config clang-format clang-tidy cppcheck curl \
 	libck-dev libtirpc-dev rpcsvc-proto libmicrohttpd-dev \
 	libcurl4-openssl-dev libevent-dev liblog4c-dev libgtest-dev libjansson-dev \
-	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev nettle-dev
+	libinih-dev libxxhash-dev librapidcheck-dev libgsl-dev nettle-dev zlib1g-dev
 
 deps:
 	@dpkg -s $(DEPS) >/dev/null 2>&1 \
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -61,7 +61,7 @@
 };
 
 /* The team that a job belongs to.  Follows gl_cell_job_t in the job's
-   specification if it has one. */
+   specification, and gl_job_result_t in its result, if it has one. */
 struct gl_team_t {
   gl_cell_str_t name;
 };
@@ -184,10 +184,12 @@
 enum gl_verb_t {
   GL_VERB_SUBMIT = 0,
   GL_VERB_STATE = 1,
-  GL_VERB_CANCEL = 2
+  GL_VERB_CANCEL = 2,
+  GL_VERB_COUNT = 3
 };
 /* A caller's request, forwarded to the owner; job is set for a submission.
-   team is the caller's team, "" for none. */
+   team is the caller's team, "" for none.  For GL_VERB_COUNT, which asks how
+   many jobs of the team wait, id is the name of the queue. */
 struct gl_request_t {
   gl_verb_t verb;
   gl_cell_str_t id;
@@ -200,7 +202,8 @@
   gl_cell_str_t id;
   gl_cell_job_t *job;
 };
-/* The answer to it.  code is a gl_code_t; retry_ms goes with GL_RETRY. */
+/* The answer to it.  code is a gl_code_t; retry_ms goes with GL_RETRY.  The
+   answer to GL_VERB_COUNT has the number, in decimal digits, as reason. */
 struct gl_reply_t {
   int code;
   unsigned int retry_ms;
@@ -249,3 +252,32 @@
   unsigned int store_age_ms;
   gl_queue_count_t queues<GL_LIST_MAX>;
 };
+/* Both as they are sent, with the version of the configuration in force at the
+   sender, 0 for none.  VMs of older versions send them without it, and ignore
+   it. */
+struct gl_versioned_heartbeat_t {
+  gl_heartbeat_t heartbeat;
+  unsigned hyper conf_version;
+};
+struct gl_versioned_ack_t {
+  gl_heartbeat_ack_t ack;
+  unsigned hyper conf_version;
+};
+
+/* Longest configuration that VMs pass on, in bytes. */
+const GL_CONFIG_MAX = 4194304;
+/* Longest one as it is sent; below the longest message of the RPCs. */
+const GL_CONFIG_SENT_MAX = 1572864;
+/* Asks a VM for its configuration; conf_version is that of the asking VM. */
+struct gl_config_ask_t {
+  unsigned hyper conf_version;
+};
+/* The answer.  code is a gl_code_t: GL_OK; GL_RETRY while the VM serves others;
+   GL_NOT_FOUND if it has no higher version.  data is the configuration, of
+   length bytes, as the store holds it, compressed as of RFC 1950. */
+struct gl_config_reply_t {
+  int code;
+  unsigned hyper conf_version;
+  unsigned int length;
+  opaque data<GL_CONFIG_SENT_MAX>;
+};
--- a/src/cell.c
+++ b/src/cell.c
@@ -91,6 +91,7 @@
   free (c->racks);
   free (c->approval_share);
   free (c->conf.queues);
+  free (c->conf.value);
   teams_destroy (&c->conf.teams);
   free (c->dirty.v);
   free (c->waiting.v);
@@ -114,6 +115,7 @@
   if (!conf)
     return;
   free (conf->queues);
+  free (conf->value);
   teams_destroy (&conf->teams);
   free (conf);
 }
@@ -150,13 +152,22 @@
 static void
 apply_conf (cell_t *c, cell_conf_t *conf)
 {
+  int nteams = conf->teams.n;
   int added = 0;
 
-  if (conf->version <= c->conf.version)
+  if (conf->version <= c->conf.version && !FAULT (FAULT_CELL_CONF_REVERTS))
     {
       cell_conf_free (conf);
       return;
     }
+  /* Before all else: without the keys, none of it may come into force. */
+  if (teams_merge (&c->conf.teams, &conf->teams))
+    {
+      cell_log (c, "config_refused version=%llu why=memory",
+                (unsigned long long)conf->version);
+      cell_conf_free (conf);
+      return;
+    }
   for (int i = 0; i < c->conf.nqueues; i++)
     c->conf.queues[i].removed = 1;
   for (int i = 0; i < conf->nqueues; i++)
@@ -179,21 +190,17 @@
   resolve_queues (c);
   cell_log (c, "config version=%llu previous=%llu queues=%d added=%d teams=%d",
             (unsigned long long)conf->version,
-            (unsigned long long)c->conf.version, conf->nqueues, added,
-            conf->teams.n);
+            (unsigned long long)c->conf.version, conf->nqueues, added, nteams);
   c->conf.version = conf->version;
-  if (teams_merge (&c->conf.teams, &conf->teams))
-    cell_log (c, "teams_dropped why=memory");
+  free (c->conf.value);
+  c->conf.value = conf->value;
+  c->conf.len = conf->len;
+  conf->value = NULL;
+  conf_applied (c);
   cell_conf_free (conf);
   plan_wake (c);
 }
 
-int
-cell_configured (const cell_t *c)
-{
-  return c->conf.version != 0;
-}
-
 /* The longest matching prefix wins. */
 const cell_queue_t *
 cell_find_queue (const cell_t *c, const char *host, const char *path,
@@ -278,6 +285,12 @@
     case CELL_EV_CONF:
       apply_conf (c, ev->conf);
       break;
+    case CELL_EV_CONF_CONFIRMED:
+      conf_confirmed (c);
+      break;
+    case CELL_EV_CONF_FETCHED:
+      conf_fetched (c, ev);
+      break;
     case CELL_EV_TXN_DONE:
       own_txn_result (c, ev);
       break;
@@ -380,6 +393,7 @@
   text_add (t, "cell_steps_waiting %zu\ncell_requests_open %zu\n",
             c->waiting.n, c->nrequests);
   print_waiting (c, t);
+  conf_metrics (c, t);
   text_add (t, "cell_reserved_cpus %lld\ncell_usable_cpus %lld\n",
             (long long)c->reserved_cpus_m / 1000,
             (long long)c->usable_cpus_m / 1000);
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -76,6 +76,9 @@
 int reach_is_isolated (const cell_t *c);
 /** reach_may_be_isolated - the same, after a shorter silence */
 int reach_may_be_isolated (const cell_t *c);
+/** reach_is_outside - 1 if the VM is in another domain, or all VMs are in one
+ */
+int reach_is_outside (const cell_t *c, const cvm_t *v);
 /** reach_owner_is_heard - 1 if the owner's heartbeats arrive, so that a
    request forwarded to it is likely to be answered */
 int reach_owner_is_heard (const cell_t *c);
@@ -100,13 +103,45 @@
 /** save_reset - forget all writes, when the ownership is lost */
 void save_reset (cell_t *c);
 
+/* cellconf.c */
+
+/** conf_hear - the VM at @addr says that it has the configuration @version, 0
+    if it does not say; this VM fetches a newer one.  @confirms: it is an owner
+    whom the store answers.  @is_peer: what it has shows that this VM is not
+   cut off. */
+void conf_hear (cell_t *c, const char *addr, uint64_t version, int confirms,
+                int is_peer);
+/** conf_confirmed - the store has confirmed the configuration */
+void conf_confirmed (cell_t *c);
+/** conf_fetched - a fetch has ended */
+void conf_fetched (cell_t *c, const cell_event_t *ev);
+/** conf_applied - another configuration has come into force */
+void conf_applied (cell_t *c);
+/** conf_note_age - log once when the configuration gets old */
+void conf_note_age (cell_t *c);
+/** conf_is_outdated - 1 if callers' teams are not known for certain at @now:
+    the configuration has teams, and this VM has heard neither the store nor
+   the owner for too long */
+int conf_is_outdated (const cell_t *c, gl_ms_t now);
+/** conf_metrics - append the configuration's version and age */
+void conf_metrics (const cell_t *c, text_t *t);
+
 /* celljob.c */
 
 /** cjob_find - the job with this id, or NULL */
 cjob_t *cjob_find (cell_t *c, const char *id);
+/** cjob_team_at - index of the team in @item that follows the first @used
+    bytes, -1 for none */
+int cjob_team_at (cell_t *c, const cell_item_t *item, size_t used);
+/** cjob_result_team - index of the team of a job's result in the store, -1 for
+    none */
+int cjob_result_team (cell_t *c, const cell_item_t *item);
 /** cjobs_waiting - count, by queue, accepted jobs of which no task has
     started; queues without any are left out; returns the number of rows */
 int cjobs_waiting (const cell_t *c, cqueue_count_t v[CELL_QUEUES_MAX]);
+/** cjobs_count_waiting - number of such jobs of one queue that belong to the
+    team with this index, -1 for those of no team */
+uint32_t cjobs_count_waiting (const cell_t *c, const char *queue, int team);
 /** cjob_new - a job of @spec, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_cell_job_t *spec);
 void cjob_free (cell_t *c, cjob_t *j);
@@ -558,6 +593,9 @@
 void request_receive (cell_t *c, const cell_event_t *ev);
 /** request_forward_reply - the owner's answer to a forwarded request */
 void request_forward_reply (cell_t *c, const cell_event_t *ev);
+/** request_answer_ended - answer request @tag with the phase of the job @j,
+    whose end was found in the store, if the job may be shown to the caller */
+void request_answer_ended (cell_t *c, uint64_t tag, const cjob_t *j);
 /** request_result_read - the stored result of a job that is not in memory */
 void request_result_read (cell_t *c, const cell_event_t *ev);
 void request_tick (void *ctx, gl_ms_t now);
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -45,7 +45,7 @@
    index of the VM. */
 #define HEARTBEAT_TAG_VMS 65536
 /* Bytes of a heartbeat and its acknowledgement. */
-#define HEARTBEAT_BYTES 180
+#define HEARTBEAT_BYTES 196
 /* Pause before a release that was refused, or got no answer, is sent again. */
 #define RELEASE_RETRY_MS 100
 #define TICK_MS 50
@@ -530,28 +530,6 @@
   request_page (c, "");
 }
 
-/* The team follows the job's specification, which takes @used bytes; -1 for
-   none. */
-static int
-load_team (cell_t *c, const cell_item_t *item, size_t used)
-{
-  gl_team_t team;
-  int i;
-
-  memset (&team, 0, sizeof team);
-  if (item->len <= used)
-    return -1;
-  if (codec_decode ((xdrproc_t)xdr_gl_team_t, &team, item->value + used,
-                    item->len - used))
-    {
-      cell_log (c, "team_unreadable key=%s", item->key);
-      return -1;
-    }
-  i = cjob_team (c, team.name);
-  codec_free ((xdrproc_t)xdr_gl_team_t, &team);
-  return i;
-}
-
 static void
 load_job (cell_t *c, const cell_item_t *item)
 {
@@ -575,7 +553,7 @@
   j = cjob_new (c, &spec);
   if (!j)
     return;
-  j->team = load_team (c, item, used);
+  j->team = cjob_team_at (c, item, used);
   j->durable = j->inherited = 1;
   j->spec_revision = item->revision;
   /* Its age counts from its acceptance by the earlier owner. */
@@ -774,6 +752,8 @@
           cell_strcpy (q->queue, ev->heartbeat->queues.queues_val[i].queue);
           q->waiting = ev->heartbeat->queues.queues_val[i].waiting;
         }
+      conf_hear (c, ev->heartbeat->addr, ev->conf_version,
+                 !c->owner_storeless_at, 1);
     }
 }
 
@@ -791,6 +771,8 @@
   v->asked_at = ev->tag / HEARTBEAT_TAG_VMS;
   v->store_age_ms = ev->store_age_ms;
   v->may_claim = ev->may_claim;
+  conf_hear (c, v->addr, ev->conf_version, 0,
+             c->role == CR_OWNER && reach_is_outside (c, v));
 }
 
 void
@@ -907,5 +889,6 @@
   try_release (c);
   try_claim (c);
   stop_update (c);
+  conf_note_age (c);
   timer_arm (&c->timers, c->own_timer, now + TICK_MS);
 }
--- a/src/fault.h
+++ b/src/fault.h
@@ -52,6 +52,9 @@
  * @FAULT_CELL_END_WAIT_LONG: lets a state query wait longer than its bound for
  *   the write of a job's end
  * @FAULT_CELL_END_EARLY: shows a job's end before it is in the store
+ * @FAULT_CELL_CONF_REVERTS: takes an older configuration for a newer one
+ * @FAULT_CELL_CONF_TRUSTED: serves keys however old the configuration is
+ * @FAULT_CELL_TEAMS_MIXED: shows a team's jobs to other teams
  */
 typedef enum
 {
@@ -89,6 +92,9 @@
   FAULT_CELL_ACKS_UNPROVEN,
   FAULT_CELL_END_WAIT_LONG,
   FAULT_CELL_END_EARLY,
+  FAULT_CELL_TEAMS_MIXED,
+  FAULT_CELL_CONF_REVERTS,
+  FAULT_CELL_CONF_TRUSTED,
   FAULT_COUNT
 } fault_t;
 
