Caps of teams hold from the first start of an owner on

Nothing kept a team from taking the whole cell. ctask_bind now counts the resources of all bound tasks by team and refuses a start that would bring a team above its cap in processors, memory or accelerators. While the census is not complete, the tasks that an earlier owner may have started count as well, at most with the capacity of the workers that are not accounted for; room beside orphaned runs counts against every team. A gang wider than its cap waits; any other step runs in parts. Without teams nothing is counted.

--- a/src/cell.c
+++ b/src/cell.c
@@ -89,6 +89,7 @@
   free (c->approval_share);
   free (c->conf.queues);
   teams_destroy (&c->conf.teams);
+  shares_destroy (&c->shares);
   free (c->dirty.v);
   free (c->waiting.v);
   free (c->to_fail.v);
@@ -181,6 +182,7 @@
   c->conf.version = conf->version;
   if (teams_merge (&c->conf.teams, &conf->teams))
     cell_log (c, "teams_dropped why=memory");
+  cjobs_recount_shares (c);
   cell_conf_free (conf);
   plan_wake (c);
 }
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -234,6 +234,70 @@
   complete_if_accounted (c);
 }
 
+/* Tasks that an earlier owner may have started and that are not found yet. */
+static void
+count_unlocated (cell_t *c)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  while ((h = pool_next (&c->steps, &pos)))
+    {
+      const cstep_t *s = pool_get (&c->steps, h);
+      const cjob_t *j = cstep_job (c, s);
+      const gl_res_t need = cstep_need (s);
+
+      for (uint32_t i = 0; i < s->def->count; i++)
+        if (s->tasks[i].inherited && s->tasks[i].state == CT_WAITING)
+          share_unlocated (&c->shares, j->team, &need);
+    }
+}
+
+/* Room of the worker that its known tasks do not take.  Runs from before its
+   capacity became smaller may take more than it has now. */
+static gl_res_t
+room_for_unknown (const cworker_t *w)
+{
+  gl_res_t room = { w->capacity_max.cpus_m - w->used.cpus_m,
+                    w->capacity_max.memory_mb - w->used.memory_mb,
+                    w->capacity_max.accels - w->used.accels };
+
+  if (room.cpus_m < 0)
+    room.cpus_m = 0;
+  if (room.memory_mb < 0)
+    room.memory_mb = 0;
+  if (room.accels < 0)
+    room.accels = 0;
+  return room;
+}
+
+void
+census_count_hidden (cell_t *c)
+{
+  const csum_t unknown = { SHARE_UNKNOWN, SHARE_UNKNOWN, SHARE_UNKNOWN };
+
+  if (!c->shares.on)
+    return;
+  shares_clear_census (&c->shares);
+  for (int i = 0; i < c->nworkers; i++)
+    {
+      const cworker_t *w = &c->workers[i];
+      const gl_res_t room = room_for_unknown (w);
+
+      if (w->dead)
+        continue;
+      if (w->orphans)
+        csum_add (&c->shares.orphaned, &room, 1);
+      else if (!c->census_complete && !w->accounted && !w->capacity_max.cpus_m)
+        c->shares.hidden = unknown;
+      else if (!c->census_complete && !w->accounted
+               && c->shares.hidden.cpus_m < SHARE_UNKNOWN)
+        csum_add (&c->shares.hidden, &room, 1);
+    }
+  if (!c->census_complete)
+    count_unlocated (c);
+}
+
 int
 census_leases_ended (const cell_t *c, const cworker_t *w)
 {
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -140,6 +140,7 @@
   if (w)
     {
       w->enrolled = 1;
+      cworker_note_capacity (w, &record.capacity);
       w->record_revision = item->revision;
       w->record_start = info.self.started_at;
       census_learn_foreign (c, w, start.foreign_until);
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -6,6 +6,7 @@
 
 #include <gsl/gsl_rng.h>
 
+#include "cellshare.h"
 #include "cellvm.h"
 #include "cellworker.h"
 #include "fault.h"
@@ -238,6 +239,7 @@
  *   answer so far, and the earliest time for another
  * @searched_at: when workers were last searched for a consultation, 0 if never
  * @put_off: in the present planning pass, no search was left for it
+ * @capped: in the present planning pass, its team's cap kept it from starting
  * @surveyed_workers: workers that were known when it was last surveyed, 0
  *   before its first survey
  * @approved_scarce: the approved workers have no room for it, or only late
@@ -272,6 +274,7 @@
   gl_ms_t consult_after;
   gl_ms_t searched_at;
   int put_off;
+  int capped;
   int surveyed_workers;
   int approved_scarce;
   creservation_t *reservations;
@@ -608,6 +611,8 @@
  * @jobs, @steps: pools of cjob_t and cstep_t
  * @job_names: handles of jobs by id
  * @waiting: ready steps that wait for workers
+ * @shares: what the tasks of each team use; kept only while teams are
+ *   configured
  * @reserved_cpus_m, @reserved_at: processors reserved for gangs, in
  *   thousandths, and when reservations were last made
  * @usable_cpus_m, @usable_cpus_at: processors of all usable workers, in
@@ -735,6 +740,7 @@
   pool_t steps;
   names_t job_names;
   handles_t waiting;
+  cshares_t shares;
   int64_t reserved_cpus_m;
   gl_ms_t reserved_at;
   int64_t usable_cpus_m;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -360,16 +360,63 @@
   return 0;
 }
 
+gl_res_t
+cstep_need (const cstep_t *s)
+{
+  gl_res_t need = s->def->need;
+
+  if (s->def->best_effort)
+    need.cpus_m = 0;
+  return need;
+}
+
+int
+cstep_cap_room (cell_t *c, const cstep_t *s, int max)
+{
+  const gl_res_t need = cstep_need (s);
+
+  if (!c->shares.on)
+    return max;
+  return share_room (&c->shares, &c->conf.teams, cstep_job (c, s)->team, &need,
+                     max);
+}
+
+void
+cjobs_recount_shares (cell_t *c)
+{
+  shares_clear_used (&c->shares);
+  c->shares.on = c->conf.teams.configured;
+  if (c->shares.on && shares_reserve (&c->shares, c->conf.teams.n - 1))
+    {
+      cell_log (c, "caps_not_kept why=memory");
+      c->shares.on = 0;
+    }
+  if (!c->shares.on)
+    return;
+  for (int i = 0; i < c->nworkers; i++)
+    for (int k = 0; k < c->workers[i].ntasks; k++)
+      {
+        cstep_t *s = pool_get (&c->steps, c->workers[i].tasks[k].step);
+        const gl_res_t need = cstep_need (s);
+
+        share_bound (&c->shares, cstep_job (c, s)->team, &need);
+      }
+}
+
 int
-ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker)
+ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker, int starts)
 {
   cworker_t *w = &c->workers[worker];
   ctask_t *t = &s->tasks[index];
   cjob_t *j = cstep_job (c, s);
+  const gl_res_t need = cstep_need (s);
 
   assert (t->worker < 0);
-  if (ctasks_reserve (w, 1))
+  if ((starts && !cstep_cap_room (c, s, 1)) || ctasks_reserve (w, 1)
+      || (c->shares.on && shares_reserve (&c->shares, j->team)))
     return -1;
+  if (c->shares.on)
+    share_bound (&c->shares, j->team, &need);
   t->worker = worker;
   t->start_tag = 0;
   t->listed_tag = 0;
@@ -380,10 +427,9 @@
   t->percent = 0;
   t->worker_pos = w->ntasks;
   w->tasks[w->ntasks++] = (ctask_handle_t){ s->self, index };
-  if (!s->def->best_effort)
-    w->used.cpus_m += s->def->need.cpus_m;
-  w->used.memory_mb += s->def->need.memory_mb;
-  w->used.accels += s->def->need.accels;
+  w->used.cpus_m += need.cpus_m;
+  w->used.memory_mb += need.memory_mb;
+  w->used.accels += need.accels;
   if (t->state == CT_WAITING)
     s->nwaiting--;
   j->nbound++;
@@ -397,6 +443,7 @@
   cworker_t *w = &c->workers[t->worker];
   ctask_handle_t last = w->tasks[--w->ntasks];
   cjob_t *j = cstep_job (c, s);
+  const gl_res_t need = cstep_need (s);
 
   if (t->worker_pos < w->ntasks)
     {
@@ -406,10 +453,11 @@
       o->tasks[last.index].worker_pos = t->worker_pos;
     }
   t->worker = -1;
-  if (!s->def->best_effort)
-    w->used.cpus_m -= s->def->need.cpus_m;
-  w->used.memory_mb -= s->def->need.memory_mb;
-  w->used.accels -= s->def->need.accels;
+  w->used.cpus_m -= need.cpus_m;
+  w->used.memory_mb -= need.memory_mb;
+  w->used.accels -= need.accels;
+  if (c->shares.on)
+    share_unbound (&c->shares, j->team, &need);
   if (!--j->nbound)
     j->idle_since = c->now;
   plan_wake (c);
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -145,9 +145,18 @@
 /** ctasks_reserve - make room for @n more tasks on the worker; -1 without
     memory */
 int ctasks_reserve (cworker_t *w, int n);
+/** cstep_need - resources that one task of the step takes on a worker */
+gl_res_t cstep_need (const cstep_t *s);
+/** cstep_cap_room - how many tasks of the step, at most @max, its team's cap
+    allows to start now */
+int cstep_cap_room (cell_t *c, const cstep_t *s, int max);
+/** cjobs_recount_shares - after a change of the configuration: count what the
+    teams use, if there are any */
+void cjobs_recount_shares (cell_t *c);
 /** ctask_bind - bind the task to a worker, where it takes room from then on;
-    -1 without memory */
-int ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker);
+    @starts: it is to be started, and is not a run found there; -1 without
+    memory, or if a start would bring its team above its cap */
+int ctask_bind (cell_t *c, cstep_t *s, uint32_t index, int worker, int starts);
 /** ctask_unbind - release the task's room on its worker */
 void ctask_unbind (cell_t *c, cstep_t *s, uint32_t index);
 /** ctask_requeue - unbind it and let it wait again */
@@ -194,6 +203,8 @@
 /** cworker_send_stop - stop a run, whether it is known or not */
 void cworker_send_stop (cell_t *c, cworker_t *w, const char *task,
                         uint32_t run);
+/** cworker_note_capacity - the worker has, or had, this capacity */
+void cworker_note_capacity (cworker_t *w, const gl_res_t *capacity);
 /** cworker_expect - set what is assumed of an incarnation that was added */
 void cworker_expect (cell_t *c, cworker_t *w);
 
@@ -228,6 +239,9 @@
 /** census_set_accounted - it is now known what runs on the worker; once this
     holds for all workers, the census is complete */
 void census_set_accounted (cell_t *c, cworker_t *w);
+/** census_count_hidden - before a planning pass: count what may run without
+    this owner's knowledge, for the caps of teams */
+void census_count_hidden (cell_t *c);
 /** census_leases_ended - 1 if every lease that the worker can hold has ended:
     those sent by this owner by the worker's own clock, those of earlier owners
     by its lease_bound_at */
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -140,10 +140,15 @@
           c->counters.starts_held++;
           return;
         }
+      if (!cstep_cap_room (c, s, 1))
+        {
+          s->capped = 1;
+          return;
+        }
       w = choose_worker (c, s, q, -1, t->failed_worker);
       if (w < 0)
         return;
-      if (ctask_bind (c, s, i, w))
+      if (ctask_bind (c, s, i, w, 1))
         return;
       s->starved = 0;
       t->run = next_run (t);
@@ -185,7 +190,7 @@
     {
       int w = choose_worker (c, s, q, rack, s->tasks[n].failed_worker);
 
-      if (w < 0 || ctask_bind (c, s, n, w))
+      if (w < 0 || ctask_bind (c, s, n, w, 1))
         break;
     }
   if (n == s->def->count)
@@ -221,6 +226,11 @@
       if (s->tasks[i].checkpoint[0])
         cell_strcpy (checkpoint, s->tasks[i].checkpoint);
     }
+  if (cstep_cap_room (c, s, (int)s->def->count) < (int)s->def->count)
+    {
+      s->capped = 1;
+      return;
+    }
   for (int r = 0; s->def->same_rack && r < c->nracks && !bound; r++)
     bound = bind_gang (c, s, q, r);
   if (!bound && (!s->def->same_rack || !room_waits_for_rack (c, s)))
@@ -455,6 +465,7 @@
   c->plan_due = 0;
   c->planned_at = c->now;
   drop_placed_steps (c);
+  census_count_hidden (c);
   reserve_pass (c);
   crash_plan_begin (c);
   c->scans_left = SCANS_PER_PASS - SCANS_BY_TURN;
@@ -463,6 +474,7 @@
       cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
 
       s->put_off = 0;
+      s->capped = 0;
       update_lateness (c, s);
       due_update_starved (c, s);
       priorities_present |= 1u << priority_of (c, s);
--- a/src/cellreg.c
+++ b/src/cellreg.c
@@ -28,6 +28,19 @@
     }
 }
 
+void
+cworker_note_capacity (cworker_t *w, const gl_res_t *capacity)
+{
+  gl_res_t *max = &w->capacity_max;
+
+  if (capacity->cpus_m > max->cpus_m)
+    max->cpus_m = capacity->cpus_m;
+  if (capacity->memory_mb > max->memory_mb)
+    max->memory_mb = capacity->memory_mb;
+  if (capacity->accels > max->accels)
+    max->accels = capacity->accels;
+}
+
 void
 cworker_expect (cell_t *c, cworker_t *w)
 {
@@ -119,6 +132,7 @@
   started_at = w->info.self.started_at;
   w->info = *ev->worker;
   w->info.self.started_at = started_at;
+  cworker_note_capacity (w, &w->info.capacity);
   w->registered = 1;
   timer_arm_before (&c->timers, c->worker_timer, c->now);
   plan_wake (c);
--- a/src/cellsettle.c
+++ b/src/cellsettle.c
@@ -138,7 +138,7 @@
       if (!listed && is_former_run (t, k))
         continue;
       ctask_unbind (c, s, ref.index);
-      if (ctask_bind (c, s, ref.index, to))
+      if (ctask_bind (c, s, ref.index, to, 0))
         continue;
       cell_log (c,
                 "run_taken_over task=%s run=%u worker=%s state=%d listed=%d",
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -383,7 +383,7 @@
       && j->next_phase < GL_PHASE_COMPLETED && listed->run != t->ended_run
       && !ctask_failure_known (t, listed->run))
     {
-      if (ctask_bind (c, s, index, (int)(w - c->workers)))
+      if (ctask_bind (c, s, index, (int)(w - c->workers), 0))
         return;
       /* It stays inherited, since earlier runs of it may have ended on other
          workers and have not been reported yet. */
--- a/src/cellworker.h
+++ b/src/cellworker.h
@@ -90,6 +90,7 @@
  * @settled: what the incarnation that replaced it had been sent to this one is
  *   bound to that one now
  * @rack: index of its rack in struct cell
+ * @capacity_max: the largest capacity that it is known to have had
  * @used: resources of the tasks that are bound to it
  * @registered, @unregistered_at: its registration is in the store, else since
  *   when it is not
@@ -154,6 +155,7 @@
   int replaced;
   int settled;
   int rack;
+  gl_res_t capacity_max;
   gl_res_t used;
   int registered;
   int enrolled;
--- a/src/fault.h
+++ b/src/fault.h
@@ -49,6 +49,9 @@
  *   restarted
  * @FAULT_CELL_STOPS_FORGOTTEN: does not repeat stops to the next incarnation
  * of a worker
+ * @FAULT_CELL_NO_CAP: starts tasks beyond their team's cap
+ * @FAULT_CELL_CAP_UNLOCATED: does not count tasks that an earlier owner may
+ *   have started against their team's cap
  */
 typedef enum
 {
@@ -84,6 +87,8 @@
   FAULT_CELL_STOPS_FORGOTTEN,
   FAULT_CELL_UNSETTLED,
   FAULT_CELL_ACKS_UNPROVEN,
+  FAULT_CELL_NO_CAP,
+  FAULT_CELL_CAP_UNLOCATED,
   FAULT_COUNT
 } fault_t;
 
