--- a/src/cell.c
+++ b/src/cell.c
@@ -94,6 +94,7 @@
   free (c->conf.queues);
   free (c->conf.value);
   teams_destroy (&c->conf.teams);
+  shares_destroy (&c->shares);
   free (c->dirty.v);
   free (c->waiting.v);
   free (c->to_fail.v);
@@ -198,6 +199,7 @@
   c->conf.len = conf->len;
   conf->value = NULL;
   conf_applied (c);
+  cjobs_recount_shares (c);
   cell_conf_free (conf);
   plan_wake (c);
 }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -6,6 +6,7 @@
 
 #include <gsl/gsl_rng.h>
 
+#include "cellshare.h"
 #include "cellvm.h"
 #include "cellworker.h"
 #include "cellyield.h"
@@ -239,6 +240,7 @@
  *   answer so far, and the earliest time for another
  * @searched_at: when workers were last searched for a consultation, 0 if never
  * @put_off: in the present planning pass, no search was left for it
+ * @capped: in the present planning pass, its team's cap kept it from starting
  * @surveyed_workers: workers that were known when it was last surveyed, 0
  *   before its first survey
  * @approved_scarce: the approved workers have no room for it, or only late
@@ -273,6 +275,7 @@
   gl_ms_t consult_after;
   gl_ms_t searched_at;
   int put_off;
+  int capped;
   int surveyed_workers;
   int approved_scarce;
   creservation_t *reservations;
@@ -305,6 +308,7 @@
  * @spec: the job as submitted
  * @queue: index of its queue, -1 while that is not known
  * @team: index of its team in the configuration, -1 for none
+ * @beyond: it was submitted beyond its team's rate; known to this owner only
  * @phase: GL_PHASE_PENDING until its end is in the store, then that end; the
  *   running phase is derived from @begun
  * @next_phase: phase to be written
@@ -344,6 +348,7 @@
   gl_cell_job_t spec;
   int queue;
   int team;
+  int beyond;
   gl_phase_t phase;
   gl_phase_t next_phase;
   int durable;
@@ -678,11 +683,14 @@
  * @jobs, @steps: pools of cjob_t and cstep_t
  * @job_names: handles of jobs by id
  * @waiting: ready steps that wait for workers
+ * @shares: what the tasks of each team use; kept only while teams are
+ *   configured
  * @reserved_cpus_m, @reserved_at: processors reserved for gangs, in
  *   thousandths, and when reservations were last made
  * @usable_cpus_m, @usable_cpus_at: processors of all usable workers, in
  *   thousandths, and when they were counted
  * @usual_ratio: duration of runs over their estimates, average of the cell
+ * @turn_left: tasks that the step that is being served may still start
  * @room_wanted: a step that is not a gang waits for room
  * @plan_due, @planned_at: a planning pass is due; time of the last one
  * @nprobed, @nprobed_sole: suspect jobs, and those with may_crash, with runs
@@ -809,11 +817,13 @@
   pool_t steps;
   names_t job_names;
   handles_t waiting;
+  cshares_t shares;
   int64_t reserved_cpus_m;
   gl_ms_t reserved_at;
   int64_t usable_cpus_m;
   gl_ms_t usable_cpus_at;
   double usual_ratio;
+  int turn_left;
   int room_wanted;
   int plan_due;
   gl_ms_t planned_at;
--- a/src/fault.h
+++ b/src/fault.h
@@ -55,6 +55,9 @@
  * @FAULT_CELL_CONF_REVERTS: takes an older configuration for a newer one
  * @FAULT_CELL_CONF_TRUSTED: serves keys however old the configuration is
  * @FAULT_CELL_TEAMS_MIXED: shows a team's jobs to other teams
+ * @FAULT_CELL_NO_CAP: starts tasks beyond their team's cap
+ * @FAULT_CELL_CAP_UNLOCATED: does not count tasks that an earlier owner may
+ *   have started against their team's cap
  */
 typedef enum
 {
@@ -95,6 +98,8 @@
   FAULT_CELL_TEAMS_MIXED,
   FAULT_CELL_CONF_REVERTS,
   FAULT_CELL_CONF_TRUSTED,
+  FAULT_CELL_NO_CAP,
+  FAULT_CELL_CAP_UNLOCATED,
   FAULT_COUNT
 } fault_t;
 
