Fuzzer: two teams ask for each other's jobs while the configuration changes

The scripted runs show the walls between teams and the way of the configuration for one fault at a time. FuzzCell.TeamsHold plays the scripts of PromisesHold with two teams: callers of each ask for, submit and cancel the other's jobs, new configurations reach one VM earlier than the others, and one VM hears of them from the others only. After each script all VMs must have the last version, and none may go back.

--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1879,7 +1879,8 @@
   request.verb = verb;
   request.id = (char *)id.c_str ();
   request.job = job;
-  request.team = team.data ();
+  std::string caller = caller_of (id);
+  request.team = caller.data ();
   ev.kind = CELL_EV_REQUEST;
   ev.request = &request;
   ev.tag = tag;
@@ -1923,7 +1924,7 @@
   spec.steps.steps_len = (u_int)copy.size ();
   spec.steps.steps_val = copy.data ();
   ask (vm, GL_VERB_SUBMIT, id, &spec,
-       [=, this, caller = team] (const gl_reply_t &t) {
+       [=, this, caller = caller_of (id)] (const gl_reply_t &t) {
          JobView &k = jobs[id];
          if (t.code == GL_OK)
            check_team (k, caller, "taken as a repeated submission: " + id);
@@ -1956,6 +1957,40 @@
   return vm;
 }
 
+std::string
+World::caller_of (const std::string &id) const
+{
+  return callers_by_id ? teams[(size_t)id.back () % teams.size ()].name : team;
+}
+
+void
+World::intrude (const std::string &id)
+{
+  int vm = pick_vm ();
+  std::vector<gl_step_t> steps{ world_step (1, 500) };
+  gl_cell_job_t spec{};
+
+  if (vm < 0 || !jobs[id].accepted)
+    return;
+  spec.id = (char *)id.c_str ();
+  spec.queue = (char *)"batch";
+  spec.payload = (char *)"";
+  spec.steps.steps_len = 1;
+  spec.steps.steps_val = steps.data ();
+  callers_by_id = false;
+  for (const team_t &t : teams)
+    if (jobs[id].team != t.name)
+      team = t.name;
+  for (gl_verb_t verb : { GL_VERB_SUBMIT, GL_VERB_STATE, GL_VERB_CANCEL })
+    ask (vm, verb, id, verb == GL_VERB_SUBMIT ? &spec : nullptr,
+         [=, this, caller = team] (const gl_reply_t &t) {
+           if (t.code == GL_OK)
+             check_team (jobs[id], caller,
+                         "verb " + std::to_string (verb) + ": " + id);
+         });
+  callers_by_id = true;
+}
+
 void
 World::check_team (const JobView &j, const std::string &caller,
                    const std::string &what)
@@ -1983,9 +2018,10 @@
 
   if (vm < 0)
     return;
-  jobs[id].cancel_sent |= !k.accepted || k.team.empty () || k.team == team;
+  jobs[id].cancel_sent
+      |= !k.accepted || k.team.empty () || k.team == caller_of (id);
   ask (vm, GL_VERB_CANCEL, id, nullptr,
-       [=, this, caller = team] (const gl_reply_t &t) {
+       [=, this, caller = caller_of (id)] (const gl_reply_t &t) {
          if (t.code == GL_OK)
            check_team (jobs[id], caller, "cancelled: " + id);
          if (t.code == GL_OK && !jobs[id].cancelled)
@@ -2015,7 +2051,7 @@
   if (vm < 0)
     return;
   ask (vm, GL_VERB_STATE, id, nullptr,
-       [=, this, caller = team] (const gl_reply_t &t) {
+       [=, this, caller = caller_of (id)] (const gl_reply_t &t) {
          JobView &j = jobs[id];
          if (t.code == GL_OK)
            check_team (j, caller, "shown: " + id);
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -159,6 +159,8 @@
   void cancel (const std::string &id);
   /* Ask a live VM for the job's phase; the answer is in jobs[id].phase. */
   void query (const std::string &id);
+  /* A caller of another team submits, asks for and cancels an accepted job. */
+  void intrude (const std::string &id);
   /* Ask VM @vm how many jobs of the callers' team wait in a queue; the answer
      is in counted: "unknown" if it was not counted. */
   void count (int vm, const std::string &queue);
@@ -254,11 +256,13 @@
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
-  size_t conf_bytes = 0;     /* least length of a configuration */
-  uint64_t conf_sends = 0;   /* configurations that VMs have sent to others */
-  std::vector<team_t> teams; /* of the configuration */
-  std::string team;          /* of the callers; "" for none */
-  std::string counted;       /* answer to the last count */
+  size_t conf_bytes = 0;      /* least length of a configuration */
+  uint64_t conf_sends = 0;    /* configurations that VMs have sent to others */
+  std::vector<team_t> teams;  /* of the configuration */
+  std::string team;           /* of the callers; "" for none */
+  bool callers_by_id = false; /* callers are of the team that follows from the
+                                 job's id */
+  std::string counted;        /* answer to the last count */
   std::set<std::string> queues{ "urgent", "batch" };
   uint64_t starts = 0;
   std::map<std::string, gl_ms_t> last_start; /* by task */
@@ -360,6 +364,8 @@
   int pick_vm ();
   /* Report a job that runs although all submissions of it were refused. */
   void check_refusal (const std::string &id);
+  /* The team of a caller who asks for the job. */
+  std::string caller_of (const std::string &id) const;
   /* Report an answer that shows a team's job to a caller of another one. */
   void check_team (const JobView &j, const std::string &caller,
                    const std::string &what);
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -76,9 +76,14 @@
   return id;
 }
 
+/* Simulations have two teams, which ask for each other's jobs, and their
+   configuration changes. */
+static bool with_teams = false;
+
 struct Simulation
 {
   World w;
+  uint64_t steps = 0;
   int submitted = 0;
   bool long_jobs = false;
   gl_ms_t cut_ends_at = 0;
@@ -97,9 +102,46 @@
       w.consult_base_ms = seed % 3 == 1 ? 300 : 900;
     if (seed % SLOW_LINK_WORLDS == SLOW_LINK_WORLDS - 1)
       w.set_links (SLOW_LINK_RATE, SLOW_LINK_PAYLOAD);
+    if (with_teams)
+      {
+        for (const char *name : { "t0", "t1" })
+          {
+            team_t t{};
+            snprintf (t.name, sizeof t.name, "%s", name);
+            t.weight = 10;
+            w.teams.push_back (t);
+          }
+        w.callers_by_id = true;
+        /* One VM learns of configurations from the others only. */
+        w.vms[seed % w.vms.size ()].watches_conf = false;
+        w.configure (2, { "urgent", "batch" });
+      }
     w.run (800);
   }
 
+  /* A caller of the other team asks for a job; at times, one VM gets a new
+     configuration, earlier than the others. */
+  void
+  run_teams_step (const Step &s)
+  {
+    if (submitted)
+      w.intrude (job_id (1 + (int)(s.arg / 8 % (uint32_t)submitted)));
+    if (++steps % 4 == 0)
+      w.configure (w.conf_version + 1, { "urgent", "batch" },
+                   (int)(s.arg / 64 % w.vms.size ()));
+  }
+
+  /* After a settled script, all VMs have the present configuration. */
+  void
+  check_versions ()
+  {
+    for (const Vm &v : w.vms)
+      if (v.alive && cell_conf_version (v.cell) != w.conf_version)
+        w.violations.push_back ("0 " + v.name + " has version "
+                                + std::to_string (cell_conf_version (v.cell))
+                                + " of " + std::to_string (w.conf_version));
+  }
+
   void
   plan (gl_ms_t in_ms, std::function<void ()> fn)
   {
@@ -438,6 +480,8 @@
       return_worker (worker, s.arg);
     else if (s.kind == 40)
       return_many (s.arg);
+    if (with_teams)
+      run_teams_step (s);
     run ((gl_ms_t)s.gap);
   }
 };
@@ -503,6 +547,8 @@
     sim.run_step (s);
   sim.run_plans ();
   sim.w.settle (SETTLE_MS, sim.long_jobs ? SETTLE_LONG_MS : 0);
+  if (with_teams)
+    sim.check_versions ();
   *starts += sim.w.starts;
   auto v
       = std::min_element (sim.w.violations.begin (), sim.w.violations.end (),
@@ -572,13 +618,13 @@
    that KNOWN-RED.txt lists for the test are counted only. */
 static void
 check_scripts (const rc::Gen<std::vector<Step> > &gen, uint64_t first_world,
-               int cases)
+               int cases, const char *red_as = nullptr)
 {
   rc::detail::TestParams params;
   std::ostringstream os;
   std::string test
       = testing::UnitTest::GetInstance ()->current_test_info ()->name ();
-  std::vector<std::string> red = read_red (test);
+  std::vector<std::string> red = read_red (red_as ? red_as : test);
   std::string first_red;
   int nred = 0;
   uint64_t starts = 0;
@@ -626,6 +672,17 @@
                  std::max (1, env_int ("CASES", 1500) / 4));
 }
 
+/* Guards against a job that another team sees, cancels or replaces, and
+   against a VM that keeps an old configuration or goes back to it, whatever
+   fails.  It finds what PromisesHold finds, too. */
+TEST (FuzzCell, TeamsHold)
+{
+  with_teams = true;
+  check_scripts (gen_script (STEPS_MAX, KINDS, GAP_MAX_MS), 0,
+                 std::max (1, env_int ("CASES", 1500) / 4), "PromisesHold");
+  with_teams = false;
+}
+
 #ifdef GL_TEST_FAULTS
 /* The oracle must notice every deliberate fault. */
 class FuzzCellFault : public testing::TestWithParam<fault_t>
@@ -642,6 +699,7 @@
   int i;
 
   fault_on = GetParam ();
+  with_teams = fault_on == FAULT_CELL_TEAMS_MIXED;
   for (i = 0; v.empty () && i < SCRIPTS; i++)
     {
       auto gen = rc::gen::container<std::vector<Step> > (
@@ -665,6 +723,7 @@
       fault_on = GetParam ();
     }
   fault_on = FAULT_NONE;
+  with_teams = false;
   EXPECT_NE ("", v) << "fault " << GetParam () << " was not found";
   printf ("fault %d found by script %d: %s\n", (int)GetParam (), i,
           v.c_str ());
@@ -674,5 +733,6 @@
     All, FuzzCellFault,
     testing::Values (FAULT_CELL_FORGET_EARLY, FAULT_CELL_NO_CENSUS,
                      FAULT_CELL_ACCEPT_EARLY, FAULT_CELL_FAILURE_TWICE,
-                     FAULT_CELL_NO_FENCE, FAULT_CELL_LATE_WRITE));
+                     FAULT_CELL_NO_FENCE, FAULT_CELL_LATE_WRITE,
+                     FAULT_CELL_TEAMS_MIXED));
 #endif
