Configuration: a test of the confirmations by the store's watch

A VM with a store that has no changes keeps an age below 0.8 s, and the age grows once the store does not answer.

--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstring>
 #include <gtest/gtest.h>
+#include <nettle/base64.h>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -734,3 +735,76 @@
   EXPECT_EQ (FakeStore::EVENTS, store.sent.load ());
   /* The watches go on until the process ends. */
 }
+
+/* A store that holds a configuration and has no changes. */
+static void
+answer_with_conf (void *, httpd_call_t *call)
+{
+  const char *prefix = httpd_query (call, "prefix");
+  char encoded[2 * sizeof WITH_TEAMS];
+
+  if (strcmp (call->path, "/kv-range"))
+    {
+      usleep (50000);
+      httpd_text (call, 200, "{\"currentRev\":5,\"events\":[]}");
+      return;
+    }
+  if (strcmp (prefix ? prefix : "", "op/"))
+    {
+      httpd_text (call, 200, "{\"currentRev\":5,\"items\":[]}");
+      return;
+    }
+  encoded[BASE64_ENCODE_RAW_LENGTH (strlen (WITH_TEAMS))] = 0;
+  base64_encode_raw (encoded, strlen (WITH_TEAMS),
+                     (const uint8_t *)WITH_TEAMS);
+  httpd_text (call, 200,
+              "{\"currentRev\":5,\"items\":[{\"key\":\"op/config\","
+              "\"value\":\"%s\",\"revision\":5}]}",
+              encoded);
+}
+
+/* Guards against a VM that takes its configuration for outdated, and refuses
+   keys, though the store answers its watch, and against one that takes it for
+   confirmed when the store has stopped answering. */
+TEST (Watch, ConfirmsTheConfigurationWhileTheStoreAnswers)
+{
+  /* Its watches go on until the process ends. */
+  static LoneVm &vm = *new LoneVm;
+  std::string addr = vm.owner_addr;
+  httpd_t *store
+      = httpd_new (addr.c_str (), 4096, 32, 4, answer_with_conf, nullptr);
+  auto age = [] {
+    std::atomic<long> value{ -2 };
+    std::pair<celld_t *, std::atomic<long> *> arg{ vm.a.cell, &value };
+
+    celld_post_call (
+        vm.a.cell,
+        [] (void *p) {
+          auto *q = (std::pair<celld_t *, std::atomic<long> *> *)p;
+          text_t t{};
+          celld_metrics (q->first, &t);
+          const char *at = strstr (t.s, "cell_config_age_ms ");
+          long n = at ? atol (at + strlen ("cell_config_age_ms ")) : -1;
+          free (t.s);
+          *q->second = n;
+        },
+        &arg);
+    while (value == -2)
+      usleep (1000);
+    return (long)value;
+  };
+
+  ASSERT_NE (nullptr, vm.ingress);
+  ASSERT_NE (nullptr, store);
+  EXPECT_EQ (-1, age ());
+  snprintf (vm.a.set.store, sizeof vm.a.set.store, "%s", addr.c_str ());
+  vm.a.http = calls_new (8);
+  ASSERT_EQ (0, watch_start (&vm.a));
+  usleep (1200000);
+  EXPECT_GE (age (), 0);
+  EXPECT_LT (age (), 800);
+  EXPECT_EQ (400, vm.ask ("GET", "/a/x", "Authorization: Bearer k1"));
+  httpd_free (store);
+  usleep (900000);
+  EXPECT_GT (age (), 600);
+}
