Tasks that slow each other down are kept apart where there is other room

Tasks that share a worker may slow each other down, and the planner packed them together. With the setting [plan] interference = on, the owner learns for each pair of classes (queue and image) what runs of one take beside runs of the other and apart from them (src/cellpair.c). Tasks of one step are compared with each other; single tasks and gangs with the usual ratio of their class. A pair interferes once the slowdown less two standard errors has been above 1.1 after 12 runs in a row, with 12 observations beside and apart. Among workers that are alike in all other preferences but free processors, that with the least slowdown is taken; no task waits for that. What is known decays with a half-life of 60 s, so a pair that has been kept apart for half a minute or more is tried again. Off by default; metrics cell_pairs_known, cell_pairs_apart, cell_placements_changed.

With other room gone, a task starts beside a rival at once. Without interference, no pair in 4 minutes of 49 ordered pairs.

--- a/src/cell.c
+++ b/src/cell.c
@@ -25,7 +25,9 @@
   if (!c)
     return NULL;
   c->rng = gsl_rng_alloc (gsl_rng_taus2);
-  if (!c->rng || names_init (&c->vm_names) || names_init (&c->worker_names)
+  c->pairs = limits->interference ? calloc (1, sizeof *c->pairs) : NULL;
+  if (!c->rng || (limits->interference && !c->pairs)
+      || names_init (&c->vm_names) || names_init (&c->worker_names)
       || names_init (&c->job_names))
     {
       cell_free (c);
@@ -82,6 +84,7 @@
       hist_destroy (&c->start_time[i]);
       hist_destroy (&c->total_time[i]);
     }
+  free (c->pairs);
   free (c->requests);
   free (c->workers);
   free (c->vms);
@@ -383,6 +386,9 @@
             stop_count_staying (c));
   text_add (t, "cell_census_complete %d\ncell_workers_unaccounted %d\n",
             c->role == CR_OWNER && c->census_complete, c->unaccounted);
+  if (c->pairs)
+    text_add (t, "cell_pairs_known %d\ncell_pairs_apart %d\n", c->pairs->n,
+              pairs_count_interfering (c->pairs, c->now));
   hist_print (t, "cell_accept_ms", "kind", "submit", &c->accept_time);
   hist_print (t, "cell_transaction_ms", "kind", "write", &c->txn_time);
   hist_print (t, "cell_takeover_ms", "kind", "load", &c->takeover_time);
--- a/src/cell.h
+++ b/src/cell.h
@@ -126,6 +126,7 @@
  * @writes_per_s: transactions that the store takes from all VMs together
  * @cpu_m: this VM's share of a core, in thousandths
  * @link_kbps: rate of this VM's link in kilobits per second, 0 if not known
+ * @interference: keep tasks apart that slow each other down, see cellpair.c
  */
 typedef struct
 {
@@ -135,6 +136,7 @@
   uint32_t writes_per_s;
   uint32_t cpu_m;
   uint32_t link_kbps;
+  int interference;
 } cell_limits_t;
 
 /**
--- a/src/cellhealth.c
+++ b/src/cellhealth.c
@@ -141,10 +141,31 @@
       tasks[i]->compared = 1;
       pace_observe (&c->pace, &c->workers[tasks[i]->ran_on].pace,
                     runs[i].log_ms - reference, c->now);
+      if (c->pairs)
+        pairs_observe (c->pairs, s->run_class, &tasks[i]->beside,
+                       runs[i].log_ms - runs[i].log_slowness - reference,
+                       c->now);
     }
   center_speeds (c);
 }
 
+/* Note the classes that ran beside the task's run, which took until now. */
+static void
+note_beside (const cell_t *c, const cworker_t *w, ctask_t *t)
+{
+  t->beside.n = 0;
+  beside_add_past (&t->beside, &w->past, t->sent_at, c->now);
+  for (int i = 0; i < w->ntasks; i++)
+    {
+      const cstep_t *s = pool_get (&c->steps, w->tasks[i].step);
+      const ctask_t *o = &s->tasks[w->tasks[i].index];
+
+      if (o != t)
+        beside_add (&t->beside, s->run_class, t->sent_at, c->now, o->sent_at,
+                    c->now);
+    }
+}
+
 /* Note how long the run has taken; the end came between two lists of the
    worker.  Later runs of a task may have begun at a checkpoint. */
 static void
@@ -153,17 +174,26 @@
   gl_ms_t from = w->ends_after > t->sent_at ? w->ends_after : t->sent_at;
   double error = (double)(c->now - from) / 2;
   double took = fmax ((double)(c->now - t->sent_at) - error, 1);
+  double slowness = pace_slowness (&c->pace, &w->pace, c->now);
+  double usual = ratio_quantile (&c->ratios, s->run_class, 0.5) * slowness
+                 * s->def->estimate_ms;
 
   if (t->run != 1)
     return;
   if (s->def->estimate_ms)
     ratio_add (&c->ratios, s->run_class,
-               took / s->def->estimate_ms
-                   / pace_slowness (&c->pace, &w->pace, c->now));
+               took / s->def->estimate_ms / slowness);
   if (error > END_ERROR_MAX * took)
     return;
   t->ran_ms = (uint32_t)took;
   t->ran_on = (int)(w - c->workers);
+  if (!c->pairs)
+    return;
+  note_beside (c, w, t);
+  /* Other runs are compared within their step. */
+  if ((s->def->count == 1 || s->def->gang) && usual > 0)
+    pairs_observe (c->pairs, s->run_class, &t->beside, log (took / usual),
+                   c->now);
 }
 
 void
@@ -227,3 +257,20 @@
   return ratio > 0 ? ratio * pace_slowness (&c->pace, &w->pace, c->now)
                    : otherwise;
 }
+
+double
+health_interference (const cell_t *c, const cstep_t *s, const cworker_t *w)
+{
+  double sum = 0;
+
+  if (!c->pairs || c->pairs_ignored
+      || !pairs_concern (c->pairs, s->run_class, c->now))
+    return 0;
+  for (int i = 0; i < w->ntasks; i++)
+    {
+      const cstep_t *o = pool_get (&c->steps, w->tasks[i].step);
+
+      sum += pairs_slowdown (c->pairs, s->run_class, o->run_class, c->now);
+    }
+  return sum;
+}
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -6,6 +6,7 @@
 
 #include <gsl/gsl_rng.h>
 
+#include "cellpair.h"
 #include "cellratio.h"
 #include "cellvm.h"
 #include "cellworker.h"
@@ -183,6 +184,7 @@
  * @ran_ms, @ran_on: time and worker of its first run, if that ended well and
  * is to be compared with other runs of the step; 0 if not
  * @compared: that run has been compared
+ * @beside: what ran beside it, where interference is observed
  */
 typedef struct
 {
@@ -213,6 +215,7 @@
   uint32_t ran_ms;
   int ran_on;
   unsigned char compared;
+  beside_t beside;
 } ctask_t;
 
 /** struct cticket_t - a ticket for the tasks of a step on the worker with
@@ -517,6 +520,7 @@
   X (txns_failed, "transactions refused or unsure")                           \
   X (consults, "consultations")                                               \
   X (consulted, "workers named in consultations")                             \
+  X (placements_changed, "tasks placed elsewhere to avoid interference")      \
   X (consults_failed, "consultations without an answer")                      \
   X (consults_unsent, "consultations not sent for want of memory")            \
   X (scans, "searches of all workers for room")                               \
@@ -625,6 +629,9 @@
  * @pace, @pace_centered_at: speeds of workers, see cellpace.c, and when that
  * of most workers was last computed
  * @ratios: run times over estimates, see cellratio.c
+ * @pairs, @pairs_ignored: which classes of tasks slow each other down, NULL
+ *   unless limits.interference is set, and that the planner is to pass this
+ *   over
  * @room_wanted: a step that is not a gang waits for room
  * @plan_due, @planned_at: a planning pass is due; time of the last one
  * @nprobed, @nprobed_sole: suspect jobs, and those with may_crash, with runs
@@ -755,6 +762,8 @@
   pace_cell_t pace;
   gl_ms_t pace_centered_at;
   ratios_t ratios;
+  pairs_t *pairs;
+  int pairs_ignored;
   int room_wanted;
   int plan_due;
   gl_ms_t planned_at;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -409,6 +409,8 @@
       o->tasks[last.index].worker_pos = t->worker_pos;
     }
   t->worker = -1;
+  if (c->pairs && t->state != CT_WAITING)
+    pair_note_past (&w->past, s->run_class, t->sent_at, c->now);
   if (!s->def->best_effort)
     w->used.cpus_m -= s->def->need.cpus_m;
   w->used.memory_mb -= s->def->need.memory_mb;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -375,6 +375,10 @@
 /** health_speed_class - -1 for a worker faster than most, 0 for one as fast as
     most, 1 for a slower one, 2 for one far slower */
 int health_speed_class (const cell_t *c, const cworker_t *w);
+/** health_interference - by how much a task of the step and those on the
+   worker would slow each other down, as a sum of logarithms */
+double health_interference (const cell_t *c, const cstep_t *s,
+                            const cworker_t *w);
 /** RESERVED_QUANTILE - quantile of run times by which the ends of runs are
     expected where room is reserved, and runs fitted in before */
 #define RESERVED_QUANTILE 0.9
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -54,7 +54,8 @@
 /* Whether worker @a suits the step better than @b: for a suspect step, the one
    on which a crash ends fewer runs; else one on the wanted rack
    first, then one with room that is not reserved for others, then the faster
-   one, then the one with fewer free processors.  Steps with time to spare take
+   one, then one where tasks slow each other down less, then the one with fewer
+   free processors.  Steps with time to spare take
    the faster one, too: where they left it to urgent steps, no fewer of those
    were late (Speeds.UrgentJobsGetFastWorkers). */
 static int
@@ -79,6 +80,14 @@
     }
   if (speed_diff)
     return speed_diff < 0;
+  if (c->pairs && !c->pairs_ignored)
+    {
+      double slower
+          = health_interference (c, s, x) - health_interference (c, s, y);
+
+      if (slower < 0 || slower > 0)
+        return slower < 0;
+    }
   return x->info.capacity.cpus_m - x->used.cpus_m
          < y->info.capacity.cpus_m - y->used.cpus_m;
 }
@@ -109,6 +118,22 @@
   return best;
 }
 
+/* As choose_worker, and counts the tasks that are placed elsewhere so that
+   tasks do not slow each other down. */
+static int
+choose_worker_apart (cell_t *c, const cstep_t *s, const cell_queue_t *q,
+                     int rack, int avoid)
+{
+  int w = choose_worker (c, s, q, rack, avoid);
+
+  if (w < 0 || !c->pairs || !pairs_concern (c->pairs, s->run_class, c->now))
+    return w;
+  c->pairs_ignored = 1;
+  c->counters.placements_changed += choose_worker (c, s, q, rack, avoid) != w;
+  c->pairs_ignored = 0;
+  return w;
+}
+
 /* Whether the task waits and no run of it by an earlier owner can still be in
    progress. */
 static int
@@ -142,7 +167,7 @@
           c->counters.starts_held++;
           return;
         }
-      w = choose_worker (c, s, q, -1, t->failed_worker);
+      w = choose_worker_apart (c, s, q, -1, t->failed_worker);
       if (w < 0)
         return;
       if (ctask_bind (c, s, i, w))
@@ -185,7 +210,7 @@
     return 0;
   for (n = 0; n < s->def->count; n++)
     {
-      int w = choose_worker (c, s, q, rack, s->tasks[n].failed_worker);
+      int w = choose_worker_apart (c, s, q, rack, s->tasks[n].failed_worker);
 
       if (w < 0 || ctask_bind (c, s, n, w))
         break;
--- a/src/cellset.c
+++ b/src/cellset.c
@@ -24,6 +24,12 @@
         low, high, default_value                                              \
   }
 
+#define SWITCH(section, key, member)                                          \
+  {                                                                           \
+    section, key, KIND_SWITCH, offsetof (cellset_t, member), sizeof (int), 0, \
+        0, 0                                                                  \
+  }
+
 static const field_t fields[] = {
   TEXT ("vm", "name", KIND_NAME, name),
   TEXT ("vm", "domain", KIND_NAME, domain),
@@ -40,6 +46,7 @@
   REAL ("stop", "drain_s", drain_s, 0, 600, 6),
   INT ("workers", "lease_max_ms", worker_lease_max_ms, 500, 600000, 10000),
   INT ("workers", "stop_max_ms", stop_max_ms, 0, 60000, 1000),
+  SWITCH ("plan", "interference", interference),
   INT ("jobs", "kept_s", retention_s, 1, 86400, 120),
 };
 
@@ -80,6 +87,7 @@
   /* Kept for 30 s longer, since callers may ask until the last moment. */
   limits->retention_ms = (uint32_t)s->retention_s * 1000 + 30000;
   limits->writes_per_s = (uint32_t)s->writes_per_s;
+  limits->interference = s->interference;
   limits->cpu_m = (uint32_t)(s->cpu_share * 1000);
   limits->link_kbps = (uint32_t)(s->link_mbps * 1000);
 }
--- a/src/cellset.h
+++ b/src/cellset.h
@@ -21,6 +21,7 @@
  * @stop_max_ms: longest time that a worker takes to stop a run
  * @retention_s: how long a result is kept after the end of its job
  * @store_lease_min_ms: shortest lease that the store grants
+ * @interference: tasks that slow each other down are kept apart
  */
 typedef struct
 {
@@ -40,6 +41,7 @@
   int stop_max_ms;
   int retention_s;
   int store_lease_min_ms;
+  int interference;
 } cellset_t;
 
 /** cellset_load - read and check the file @path; GL_INVALID with the reason in
--- a/src/cellworker.h
+++ b/src/cellworker.h
@@ -5,6 +5,7 @@
 
 #include "cell.h"
 #include "cellpace.h"
+#include "cellpair.h"
 #include "pool.h"
 
 /* Most reservations on one worker. */
@@ -137,6 +138,7 @@
  * @slowness: duration of its runs over their estimates, relative to the
  *   cell's average; 0 if not known
  * @pace: its speed, from runs of one step compared with each other
+ * @past: runs that have ended there, where interference is observed
  * @listed_at: when it last listed its runs and ends
  * @ends_after: the ends that it lists now came after this
  * @tasks, @ntasks: tasks that are bound to it, including members of gangs that
@@ -198,6 +200,7 @@
   uint32_t backoff;
   double slowness;
   pace_t pace;
+  pair_past_t past;
   gl_ms_t listed_at;
   gl_ms_t ends_after;
   ctask_handle_t *tasks;
--- a/src/inifile.c
+++ b/src/inifile.c
@@ -80,6 +80,13 @@
       *(int *)(void *)member = !strcmp (v, "true");
       return 1;
     }
+  if (f->kind == KIND_SWITCH)
+    {
+      if (strcmp (v, "on") && strcmp (v, "off"))
+        return reject (p, f, v, "neither on nor off");
+      *(int *)(void *)member = !strcmp (v, "on");
+      return 1;
+    }
   if (!is_valid_text (f, v))
     return reject (p, f, v, "refused");
   strcpy (member, v);
@@ -116,7 +123,8 @@
 
   *f->err = 0;
   for (size_t i = 0; i < f->nfields; i++)
-    if (f->fields[i].kind == KIND_INT || f->fields[i].kind == KIND_FLAG)
+    if (f->fields[i].kind == KIND_INT || f->fields[i].kind == KIND_FLAG
+        || f->fields[i].kind == KIND_SWITCH)
       *(int *)(void *)((char *)f->target + f->fields[i].offset)
           = f->fields[i].default_value;
     else if (f->fields[i].kind == KIND_REAL)
--- a/src/inifile.h
+++ b/src/inifile.h
@@ -17,6 +17,7 @@
  * @KIND_INT: decimal integer within its range; int
  * @KIND_REAL: number within its range; double
  * @KIND_FLAG: "true" or "false"; int, 1 or 0
+ * @KIND_SWITCH: "on" or "off"; int, 1 or 0
  */
 typedef enum
 {
@@ -25,7 +26,8 @@
   KIND_URL,
   KIND_INT,
   KIND_REAL,
-  KIND_FLAG
+  KIND_FLAG,
+  KIND_SWITCH
 } field_kind_t;
 
 /**
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -912,6 +912,142 @@
     }
 }
 
+/* What becomes of tasks of seven images, two of which slow each other down. */
+struct RivalResult
+{
+  uint64_t starts;       /* of the two, until they were known to do so */
+  uint64_t rival_starts; /* of these, how many beside the other */
+  uint64_t starts_after;
+  uint64_t rival_starts_after;
+  long most_apart; /* pairs, in both directions, at any time */
+};
+
+static const int IMAGES = 7;
+
+/* Value of a figure of the owner, 0 if it has none. */
+static long
+owner_figure (World &w, const std::string &name)
+{
+  text_t t{};
+  long value = 0;
+
+  if (w.owner () < 0)
+    return 0;
+  cell_metrics (w.vms[(size_t)w.owner ()].cell, &t);
+  size_t at = std::string (t.s).find ("\n" + name + " ");
+  if (at != std::string::npos)
+    value = atol (t.s + at + name.size () + 2);
+  free (t.s);
+  return value;
+}
+
+/* A job of three tasks of the image with this index. */
+static void
+submit_image (World &w, uint64_t n, size_t image, gl_ms_t run_ms)
+{
+  static const char *const images[IMAGES]
+      = { "a", "b", "c", "d", "e", "f", "g" };
+  char id[20];
+  gl_step_t s = world_step (3, 1500);
+
+  snprintf (id, sizeof id, "%016llx", (unsigned long long)n);
+  s.image = (char *)images[image];
+  w.jobs[id].run_ms = run_ms;
+  w.submit (id, "batch", { s });
+}
+
+/* Run a minute of tasks; runs differ by @spread percent, and 3 of 100 take
+   seven times as long. */
+static RivalResult
+run_rivals (World &w, bool rivals, int spread)
+{
+  RivalResult r{};
+  uint64_t n = 0;
+
+  w.interference = true;
+  for (int i = 0; i < 3; i++)
+    {
+      w.kill_vm (i);
+      w.start_vm (i);
+    }
+  w.fail_one_in = 0;
+  w.run_spread = spread;
+  w.long_one_in = 33;
+  if (rivals)
+    {
+      w.rivals[0] = "a";
+      w.rivals[1] = "b";
+    }
+  w.run (4000);
+  for (int ms = 0; ms < 60000; ms += 50)
+    {
+      size_t image = ++n * 2654435761u / 64 % IMAGES;
+      uint64_t before = w.rival_starts;
+      submit_image (w, n, image, 0);
+      w.run (50);
+      long apart = owner_figure (w, "cell_pairs_apart");
+      r.most_apart = std::max (r.most_apart, apart);
+      (r.most_apart < 1 ? r.starts : r.starts_after) += image < 2 ? 3 : 0;
+      (r.most_apart < 1 ? r.rival_starts : r.rival_starts_after)
+          += w.rival_starts - before;
+    }
+  EXPECT_TRUE (w.violations.empty ());
+  return r;
+}
+
+/* Guards against interference that is not found, or is found and not
+   avoided. */
+TEST (Interference, RivalsAreKeptApartWhereThereIsRoom)
+{
+  for (uint64_t seed = 1; seed <= 4; seed++)
+    {
+      World w (3, 12, seed);
+      RivalResult r = run_rivals (w, true, 20);
+      printf ("rivals known after %llu runs of the two, started together %llu "
+              "times, then %llu of %llu; %ld placements changed\n",
+              (unsigned long long)r.starts, (unsigned long long)r.rival_starts,
+              (unsigned long long)r.rival_starts_after,
+              (unsigned long long)r.starts_after,
+              owner_figure (w, "cell_placements_changed"));
+      EXPECT_LT (r.starts, 200u);
+      EXPECT_GE (r.most_apart, 1);
+      EXPECT_LE (r.most_apart, 2);
+      EXPECT_LT (r.rival_starts_after * r.starts * 4,
+                 r.rival_starts * r.starts_after);
+    }
+}
+
+/* Guards against pairs that are taken to interfere by chance: of 7 classes, no
+   two interfere. */
+TEST (Interference, NoPairIsFoundWhereNoneInterferes)
+{
+  for (uint64_t seed = 1; seed <= 4; seed++)
+    {
+      World w (3, 12, seed);
+      EXPECT_EQ (0, run_rivals (w, false, 20).most_apart);
+    }
+}
+
+/* Guards against tasks that wait for other room although there is room beside
+   tasks that slow them down. */
+TEST (Interference, NobodyWaitsForOtherRoom)
+{
+  World w (3, 12, 1);
+
+  EXPECT_GE (run_rivals (w, true, 20).most_apart, 1);
+  for (int i = 1; i < 12; i++)
+    w.announce_leaving (i, 60000);
+  w.settle (8000);
+  EXPECT_GE (owner_figure (w, "cell_pairs_apart"), 1);
+  submit_image (w, 90000, 0, 5000);
+  w.run (300);
+  uint64_t before = w.rival_starts;
+  /* Beside three tasks of 1,500, the worker has room for one more. */
+  submit_image (w, 90001, 1, 500);
+  w.run (300);
+  EXPECT_EQ (1u, w.rival_starts - before);
+}
+
 static std::string
 script_name (const testing::TestParamInfo<std::string> &i)
 {
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -209,6 +209,7 @@
   b.stop_max_ms = 200;
   b.writes_per_s = 400;
   b.link_kbps = (uint32_t)(link_rate * 8);
+  b.interference = interference;
   b.retention_ms = 900000;
   v.cell = cell_new (v.name.c_str (), v.name.c_str (), v.domain.c_str (), &b,
                      random ());
@@ -1341,10 +1342,23 @@
   if (jobs.count (id))
     {
       r.need = jobs[id].needs[(size_t)step];
+      r.image = jobs[id].images[(size_t)step];
       r.gang = jobs[id].is_gang[(size_t)step]
                    ? jobs[id].task_counts[(size_t)step]
                    : 0;
     }
+  bool beside_rival = false;
+  for (auto &o : w.running)
+    if (!r.image.empty ()
+        && ((r.image == rivals[0] && o.second.image == rivals[1])
+            || (r.image == rivals[1] && o.second.image == rivals[0])))
+      {
+        beside_rival = true;
+        o.second.ends_at += (o.second.ends_at - now) / 2;
+      }
+  if (beside_rival)
+    r.ends_at += (r.ends_at - now) / 2;
+  rival_starts += beside_rival;
   check_start (w, task, r, late);
   auto told = done_told_.find ({ k.fencing_token, task });
   if (told != done_told_.end () && k.sent_at > told->second)
@@ -1774,6 +1788,7 @@
         j.task_counts.push_back ((int)s.count);
         j.needs.push_back (s.need);
         j.is_gang.push_back (s.gang);
+        j.images.push_back (s.image);
         j.predecessors.push_back ({ s.predecessors.predecessors_val,
                                     s.predecessors.predecessors_val
                                         + s.predecessors.predecessors_len });
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -39,6 +39,7 @@
   gl_ms_t lingers_until = 0; /* its gang has ended; the run is listed until
                                 then; 0: the gang has not ended */
   gl_res_t need{};
+  std::string image;
 };
 
 /* A run that has ended and is not acknowledged yet. */
@@ -122,6 +123,7 @@
   std::vector<std::vector<int> > predecessors;
   std::vector<gl_res_t> needs;
   std::vector<int> is_gang;
+  std::vector<std::string> images;
   bool accepted = false;
   gl_ms_t accepted_at = 0;
   bool begun = false;           /* a worker has started a task of it */
@@ -240,10 +242,14 @@
   bool says_starts = true;     /* workers say when they started */
   gl_ms_t registers_in_ms = 0; /* time from a worker's return under its id to
                                   the registration that names its start */
-  int fail_one_in = 12; /* one run in this many fails by itself; 0: none */
-  gl_ms_t run_ms = 500; /* runs take from half of this to three halves */
-  int run_spread = 50;  /* percent by which runs differ from that at most */
-  int long_one_in = 0;  /* one run in so many takes seven times as long */
+  int fail_one_in = 12;  /* one run in this many fails by itself; 0: none */
+  gl_ms_t run_ms = 500;  /* runs take from half of this to three halves */
+  int run_spread = 50;   /* percent by which runs differ from that at most */
+  std::string rivals[2]; /* images of tasks that take half as long again when
+                            one starts beside the other */
+  uint64_t rival_starts = 0; /* starts beside a rival */
+  bool interference = false; /* setting of the VMs that are started */
+  int long_one_in = 0;       /* one run in so many takes seven times as long */
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -19,7 +19,9 @@
 {
 #include "ask.h"
 #include "cellpace.h"
+#include "cellpair.h"
 #include "cellratio.h"
+#include "cellset.h"
 #include "codec.h"
 #include "gl_cell.h"
 #include "conf.h"
@@ -322,6 +324,69 @@
   ratios_destroy (r.get ());
 }
 
+/* ---- interference ---- */
+
+/* Guards against a pair that is found because a third class, which does slow
+   the first one down, is often there as well, and against one that stays after
+   the two have been kept apart for long. */
+TEST (Pair, ThirdClassIsNotBlamedAndPairsAreForgotten)
+{
+  auto p = std::make_unique<pairs_t> ();
+  std::mt19937_64 random (3);
+  std::normal_distribution<double> normal;
+  gl_ms_t now = 1000;
+
+  for (int i = 0; i < 400; i++)
+    {
+      beside_t s{};
+      bool slow = random () % 2;
+      now += 20;
+      if (slow)
+        beside_add (&s, 2, 0, 100, 0, 100);
+      if (random () % 2)
+        beside_add (&s, 3, 0, 100, 0, 100);
+      pairs_observe (p.get (), 1, &s,
+                     (slow ? log (1.5) : 0) + 0.1 * normal (random), now);
+    }
+  EXPECT_EQ (1, pairs_count_interfering (p.get (), now));
+  EXPECT_NEAR (log (1.5), pairs_slowdown (p.get (), 2, 1, now), 0.05);
+  EXPECT_EQ (0, pairs_slowdown (p.get (), 1, 3, now));
+  EXPECT_TRUE (pairs_concern (p.get (), 2, now));
+  EXPECT_EQ (0, pairs_count_interfering (p.get (), now + 900000));
+  EXPECT_FALSE (pairs_concern (p.get (), 2, now + 900000));
+}
+
+/* Guards against shares of a run that are counted twice, or beyond it. */
+TEST (Pair, SharesOfARun)
+{
+  pair_past_t past{};
+  beside_t s{};
+
+  pair_note_past (&past, 5, 50, 150);
+  pair_note_past (&past, 5, 180, 190);
+  pair_note_past (&past, 6, 0, 90);
+  beside_add_past (&s, &past, 100, 200);
+  ASSERT_EQ (1, s.n);
+  EXPECT_EQ (5, s.class_no[0]);
+  EXPECT_FLOAT_EQ (0.6f, s.share[0]);
+  beside_add (&s, 5, 100, 200, 100, 300);
+  EXPECT_FLOAT_EQ (1, s.share[0]);
+}
+
+/* Guards against more pairs than there is room for. */
+TEST (Pair, KeepsTheLatest)
+{
+  auto p = std::make_unique<pairs_t> ();
+
+  for (int b = 1; b <= 300; b++)
+    {
+      beside_t s{};
+      beside_add (&s, b, 0, 100, 0, 100);
+      pairs_observe (p.get (), 1 + b % 250, &s, 0, 1000 + (gl_ms_t)b);
+    }
+  EXPECT_EQ (PAIRS_MAX, p->n);
+}
+
 /* ---- configuration and settings: bad input and its error text ---- */
 
 struct BadInput
@@ -396,6 +461,37 @@
   EXPECT_EQ (GL_INVALID, conf_doc_load (&d, "[]", 2));
 }
 
+/* Guards against a setting that is read as on by mistake. */
+TEST (CellSettings, InterferenceIsOffUnlessOn)
+{
+  static const char complete[]
+      = "[vm]\nname = a\ndomain = d\n[listen]\nrequests = 127.0.0.1:1\n"
+        "ready = 127.0.0.1:2\nrpc = 127.0.0.1:3\n"
+        "[platform]\nstore = 127.0.0.1:4\n[plan]\n";
+  char path[] = "/tmp/gl-settings-XXXXXX";
+  int fd = mkstemp (path);
+  ASSERT_GE (fd, 0);
+  close (fd);
+  for (std::string value : { "", "on", "off", "true" })
+    {
+      cellset_t s;
+      cell_limits_t limits;
+      char err[SETTINGS_ERROR_LEN] = "";
+      FILE *f = fopen (path, "w");
+      fprintf (f, "%s%s%s\n", complete,
+               value.empty () ? "" : "interference = ", value.c_str ());
+      fclose (f);
+      gl_code_t code = cellset_load (&s, path, err);
+      EXPECT_EQ (value == "true" ? GL_INVALID : GL_OK, code) << err;
+      if (code == GL_OK)
+        {
+          cellset_limits (&s, &limits);
+          EXPECT_EQ (value == "on", limits.interference);
+        }
+    }
+  unlink (path);
+}
+
 TEST (Settings, RefusesWithTheReason)
 {
   static const char complete[]
