--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -184,12 +184,10 @@
 enum gl_verb_t {
   GL_VERB_SUBMIT = 0,
   GL_VERB_STATE = 1,
-  GL_VERB_CANCEL = 2,
-  GL_VERB_COUNT = 3
+  GL_VERB_CANCEL = 2
 };
 /* A caller's request, forwarded to the owner; job is set for a submission.
-   team is the caller's team, "" for none.  For GL_VERB_COUNT, which asks how
-   many jobs of the team wait, id is the name of the queue. */
+   team is the caller's team, "" for none. */
 struct gl_request_t {
   gl_verb_t verb;
   gl_cell_str_t id;
@@ -202,8 +200,7 @@
   gl_cell_str_t id;
   gl_cell_job_t *job;
 };
-/* The answer to it.  code is a gl_code_t; retry_ms goes with GL_RETRY.  The
-   answer to GL_VERB_COUNT has the number, in decimal digits, as reason. */
+/* The answer to it.  code is a gl_code_t; retry_ms goes with GL_RETRY. */
 struct gl_reply_t {
   int code;
   unsigned int retry_ms;
--- a/src/cell.h
+++ b/src/cell.h
@@ -130,6 +130,7 @@
  * @writes_per_s: transactions that the store takes from all VMs together
  * @cpu_m: this VM's share of a core, in thousandths
  * @link_kbps: rate of this VM's link in kilobits per second, 0 if not known
+ * @interference: keep tasks apart that slow each other down, see cellpair.c
  */
 typedef struct
 {
@@ -139,6 +140,7 @@
   uint32_t writes_per_s;
   uint32_t cpu_m;
   uint32_t link_kbps;
+  int interference;
 } cell_limits_t;
 
 /**
@@ -604,8 +606,6 @@
     now, as a message of @len bytes, which is counted as sent; 0 while it sends
     others */
 int cell_may_send_conf (cell_t *c, size_t len);
-/** cell_has_teams - 1 if the configuration in force has teams */
-int cell_has_teams (const cell_t *c);
 /** cell_configured - 1 once a configuration is in force */
 int cell_configured (const cell_t *c);
 /** cell_metrics - append counters and histograms to @t, as text */
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -1,5 +1,5 @@
 /*
- * cellask.c -- callers' requests: submit, state, cancel, count
+ * cellask.c -- callers' requests: submit, state, cancel
  *
  * Any VM takes a request, and forwards it to the owner.  When the owner gives
  * no answer or changes, the request is forwarded again.  This is safe, since
@@ -445,18 +445,6 @@
   cjob_finish (c, j, GL_PHASE_CANCELLED);
 }
 
-static void
-count (cell_t *c, const crequest_t *r)
-{
-  int team = teams_find (&c->conf.teams, r->body.team);
-  char n[16] = "0";
-
-  /* A team that this VM does not know has no jobs. */
-  if (team >= 0 || !r->body.team[0])
-    snprintf (n, sizeof n, "%u", cjobs_count_waiting (c, r->body.id, team));
-  cell_reply (c, r->tag, GL_OK, 0, 0, n);
-}
-
 void
 request_result_read (cell_t *c, const cell_event_t *ev)
 {
@@ -489,8 +477,6 @@
     submit (c, r);
   else if (r->body.verb == GL_VERB_STATE)
     answer_state (c, r);
-  else if (r->body.verb == GL_VERB_COUNT)
-    count (c, r);
   else
     cancel (c, r);
 }
@@ -527,9 +513,8 @@
 static int
 cannot_be_served_soon (const cell_t *c, const crequest_t *r)
 {
-  /* A state or a count may be read again anywhere, whoever has read it. */
-  int is_repeatable
-      = r->body.verb == GL_VERB_STATE || r->body.verb == GL_VERB_COUNT;
+  /* Reading a state may be repeated anywhere, whoever has read it. */
+  int is_repeatable = r->body.verb == GL_VERB_STATE;
 
   return c->role == CR_STANDBY && !r->from_peer && why_unserved (c)
          && (is_repeatable || (!r->maybe_taken && !r->dispatched));
--- a/src/cellconf.c
+++ b/src/cellconf.c
@@ -59,12 +59,6 @@
   return &c->conf;
 }
 
-int
-cell_has_teams (const cell_t *c)
-{
-  return c->conf.teams.configured;
-}
-
 /* ---- keys ---- */
 
 int
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -6,6 +6,8 @@
 
 #include <gsl/gsl_rng.h>
 
+#include "cellpair.h"
+#include "cellratio.h"
 #include "cellshare.h"
 #include "cellvm.h"
 #include "cellworker.h"
@@ -181,6 +183,10 @@
  * @crashes, @sole_crashes, @crashed_run: runs since one survived under which
  *   workers crashed, those that must be the cause, and the last of them
  * @checkpoint: name of its last checkpoint, "" for none
+ * @ran_ms, @ran_on: time and worker of its first run, if that ended well and
+ * is to be compared with other runs of the step; 0 if not
+ * @compared: that run has been compared
+ * @beside: what ran beside it, where interference is observed
  */
 typedef struct
 {
@@ -208,6 +214,10 @@
   uint32_t sole_crashes;
   uint32_t crashed_run;
   char checkpoint[64];
+  uint32_t ran_ms;
+  int ran_on;
+  unsigned char compared;
+  beside_t beside;
 } ctask_t;
 
 /** struct cticket_t - a ticket for the tasks of a step on the worker with
@@ -249,6 +259,7 @@
  * @reserve_order: its place among the waiting gangs, from 1; 0 for none
  * @wait_logged_at: when its wait as a gang was last logged
  * @idle_logged_at: when it was last logged that nothing of its job runs
+ * @run_class: class of its tasks, see cellratio.c; 0 if not known
  */
 typedef struct
 {
@@ -284,6 +295,7 @@
   gl_ms_t wait_logged_at;
   gl_ms_t idle_logged_at;
   gl_ms_t shadow_time;
+  int run_class;
 } cstep_t;
 
 /** struct handles_t - growable array of handles of jobs or steps */
@@ -565,6 +577,7 @@
   X (txns_failed, "transactions refused or unsure")                           \
   X (consults, "consultations")                                               \
   X (consulted, "workers named in consultations")                             \
+  X (placements_changed, "tasks placed elsewhere to avoid interference")      \
   X (consults_failed, "consultations without an answer")                      \
   X (consults_unsent, "consultations not sent for want of memory")            \
   X (scans, "searches of all workers for room")                               \
@@ -691,6 +704,12 @@
  *   thousandths, and when they were counted
  * @usual_ratio: duration of runs over their estimates, average of the cell
  * @turn_left: tasks that the step that is being served may still start
+ * @pace, @pace_centered_at: speeds of workers, see cellpace.c, and when that
+ * of most workers was last computed
+ * @ratios: run times over estimates, see cellratio.c
+ * @pairs, @pairs_ignored: which classes of tasks slow each other down, NULL
+ *   unless limits.interference is set, and that the planner is to pass this
+ *   over
  * @room_wanted: a step that is not a gang waits for room
  * @plan_due, @planned_at: a planning pass is due; time of the last one
  * @nprobed, @nprobed_sole: suspect jobs, and those with may_crash, with runs
@@ -824,6 +843,11 @@
   gl_ms_t usable_cpus_at;
   double usual_ratio;
   int turn_left;
+  pace_cell_t pace;
+  gl_ms_t pace_centered_at;
+  ratios_t ratios;
+  pairs_t *pairs;
+  int pairs_ignored;
   int room_wanted;
   int plan_due;
   gl_ms_t planned_at;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -93,6 +93,9 @@
 void
 cstep_enqueue (cell_t *c, cstep_t *s)
 {
+  if (!s->run_class)
+    s->run_class = ratio_class (&c->ratios, cstep_job (c, s)->queue,
+                                s->def->image ? s->def->image : "");
   if (s->in_waiting || !s->ready || !s->nwaiting)
     return;
   if (!handles_add (&c->waiting, s->self))
@@ -483,6 +486,8 @@
       o->tasks[last.index].worker_pos = t->worker_pos;
     }
   t->worker = -1;
+  if (c->pairs && t->state != CT_WAITING)
+    pair_note_past (&w->past, s->run_class, t->sent_at, c->now);
   w->used.cpus_m -= need.cpus_m;
   w->used.memory_mb -= need.memory_mb;
   w->used.accels -= need.accels;
@@ -818,23 +823,6 @@
   return j->durable && !j->begun && j->next_phase < GL_PHASE_COMPLETED;
 }
 
-uint32_t
-cjobs_count_waiting (const cell_t *c, const char *queue, int team)
-{
-  size_t pos = 0;
-  handle_t h;
-  uint32_t n = 0;
-
-  while ((h = pool_next (&c->jobs, &pos)))
-    {
-      const cjob_t *j = pool_get (&c->jobs, h);
-
-      n += j->team == team && is_waiting (j) && j->queue >= 0
-           && !strcmp (c->conf.queues[j->queue].name, queue);
-    }
-  return n;
-}
-
 int
 cjobs_waiting (const cell_t *c, cqueue_count_t v[CELL_QUEUES_MAX])
 {
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -139,9 +139,6 @@
 /** cjobs_waiting - count, by queue, accepted jobs of which no task has
     started; queues without any are left out; returns the number of rows */
 int cjobs_waiting (const cell_t *c, cqueue_count_t v[CELL_QUEUES_MAX]);
-/** cjobs_count_waiting - number of such jobs of one queue that belong to the
-    team with this index, -1 for those of no team */
-uint32_t cjobs_count_waiting (const cell_t *c, const char *queue, int team);
 /** cjob_new - a job of @spec, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_cell_job_t *spec);
 void cjob_free (cell_t *c, cjob_t *j);
@@ -421,14 +418,25 @@
 /* cellhealth.c */
 
 /** health_run_ended - learn from a run of @t that has ended on the worker */
-void health_run_ended (cell_t *c, cworker_t *w, const cstep_t *s,
-                       const ctask_t *t, cell_outcome_t outcome);
+void health_run_ended (cell_t *c, cworker_t *w, cstep_t *s, ctask_t *t,
+                       cell_outcome_t outcome);
 /** health_stalled - 1 if the run makes no progress and is to be stopped */
 int health_stalled (cell_t *c, cworker_t *w, const cstep_t *s, ctask_t *t,
                     int percent);
-/** health_speed_class - 0 for a worker as fast as most, 1 for a slower one, 2
-    for one far slower */
-int health_speed_class (const cworker_t *w);
+/** health_speed_class - -1 for a worker faster than most, 0 for one as fast as
+    most, 1 for a slower one, 2 for one far slower */
+int health_speed_class (const cell_t *c, const cworker_t *w);
+/** health_interference - by how much a task of the step and those on the
+   worker would slow each other down, as a sum of logarithms */
+double health_interference (const cell_t *c, const cstep_t *s,
+                            const cworker_t *w);
+/** RESERVED_QUANTILE - quantile of run times by which the ends of runs are
+    expected where room is reserved, and runs fitted in before */
+#define RESERVED_QUANTILE 0.9
+/** health_quantile - quantile @q of run time over estimate, of the step's
+   tasks on the worker; @otherwise while too little is known */
+double health_quantile (const cell_t *c, const cstep_t *s, const cworker_t *w,
+                        double q, double otherwise);
 
 /* cellcrash.c */
 
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -48,6 +48,9 @@
 #define ORPHAN_STOP_RETRY_MS 300
 /* wait_ms of a poll that the worker is to answer at once, as in the census. */
 #define POLL_NO_WAIT_MS 0
+/* A poll that is answered within this time has not waited: what it lists may
+   have ended before. */
+#define ANSWERED_AT_ONCE_MS 50
 /* A worker stays usable for this long without its registration: registrations
    that lapsed while the store was down are renewed within this time. */
 #define REREGISTER_MS 2000
@@ -235,7 +238,10 @@
   t->state = CT_STARTING;
   t->inherited = 0;
   t->sent_at = c->now;
-  t->expected_end = c->now + s->def->estimate_ms;
+  t->expected_end
+      = c->now
+        + (gl_ms_t)(s->def->estimate_ms
+                    * health_quantile (c, s, w, RESERVED_QUANTILE, 1));
   if (!k)
     return;
   ctask_name (c, s, index, k->task);
@@ -359,7 +365,9 @@
 estimate_inherited_run (const cell_t *c, const cstep_t *s, ctask_t *t)
 {
   double ratio = c->usual_ratio > 0 ? c->usual_ratio : 1;
-  gl_ms_t usual = (gl_ms_t)(s->def->estimate_ms * ratio);
+  gl_ms_t usual = (gl_ms_t)(s->def->estimate_ms
+                            * health_quantile (c, s, &c->workers[t->worker],
+                                               0.5, ratio));
   gl_ms_t elapsed = usual * t->percent / 100;
 
   t->sent_at = c->now > elapsed ? c->now - elapsed : 1;
@@ -469,6 +477,9 @@
 {
   int orphans_before = w->orphans;
 
+  w->ends_after
+      = c->now > k->sent_at + ANSWERED_AT_ONCE_MS ? c->now - 1 : w->listed_at;
+  w->listed_at = c->now;
   settle_runs (c, w, k);
   /* Ends before runs, so that an ended run is not taken as running. */
   for (int i = 0; i < k->nends; i++)
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -3,9 +3,11 @@
    and RPC over loopback */
 #include <arpa/inet.h>
 #include <atomic>
+#include <cmath>
 #include <cstdio>
 #include <cstring>
 #include <gtest/gtest.h>
+#include <memory>
 #include <random>
 #include <string>
 #include <sys/socket.h>
@@ -16,6 +18,10 @@
 extern "C"
 {
 #include "ask.h"
+#include "cellpace.h"
+#include "cellpair.h"
+#include "cellratio.h"
+#include "cellset.h"
 #include "codec.h"
 #include "gl_cell.h"
 #include "conf.h"
@@ -98,6 +104,289 @@
   hist_destroy (&h);
 }
 
+/* ---- speeds of workers ---- */
+
+static const int PACE_WORKERS = 350;
+
+struct PaceTrial
+{
+  int step_tasks;
+  double noise;
+  bool three_speeds;
+  double reached_at; /* runs a worker when 90% of the classes were right */
+  double share;      /* of the classes that are right in the end */
+  double old_share;  /* the same by ratios to estimates, at best */
+};
+
+static int
+class_from_ratio (double slowness)
+{
+  return slowness < 1 / 1.25 ? -1 : slowness > 1.25;
+}
+
+/* Steps on random workers, with the bookings deployment's errors: the estimate
+   of a step is off by a log-normal factor, and 3 of 100 runs take seven times
+   as long.  The measure that this replaced, a worker's average ratio of run
+   time to estimate, is computed beside. */
+static void
+run_pace_trial (PaceTrial &trial, int runs_per_worker)
+{
+  static const double speeds[] = { 1.6, 1.0, 0.6 };
+  std::mt19937_64 random (7);
+  std::normal_distribution<double> normal;
+  std::uniform_real_distribution<double> uniform;
+  std::vector<int> speed (PACE_WORKERS, 1);
+  std::vector<pace_t> pace (PACE_WORKERS);
+  std::vector<double> ratio (PACE_WORKERS, 1.0);
+  pace_cell_t cell{};
+  double usual = 0;
+  gl_ms_t now = 1000;
+  int next = 1;
+
+  if (trial.three_speeds)
+    for (int &s : speed)
+      s = (int)(random () % 3);
+  trial.reached_at = trial.old_share = 0;
+  for (int runs = 0; next <= runs_per_worker; runs += trial.step_tasks)
+    {
+      double factor = exp (0.5 * normal (random));
+      std::vector<pace_run_t> run;
+      std::vector<size_t> on;
+
+      for (int k = 0; k < trial.step_tasks; k++)
+        {
+          on.push_back (random () % PACE_WORKERS);
+          double took = factor / speeds[speed[on.back ()]]
+                        * exp (trial.noise * normal (random))
+                        * (uniform (random) < 0.03 ? 7 : 1);
+          run.push_back (
+              { log (took), pace_log_slowness (&pace[on.back ()], now), 1 });
+          if (took < 0.1 || took > 10)
+            continue;
+          usual += usual > 0 ? 0.01 * (took - usual) : took;
+          ratio[on.back ()] += 0.15 * (took / usual - ratio[on.back ()]);
+        }
+      for (int k = 0; k < trial.step_tasks; k++)
+        {
+          double reference;
+          if (pace_reference (run.data (), trial.step_tasks, k, &reference))
+            pace_observe (&cell, &pace[on[(size_t)k]],
+                          run[(size_t)k].log_ms - reference, now);
+        }
+      now += (gl_ms_t)trial.step_tasks * 2;
+      if (runs < next * PACE_WORKERS)
+        continue;
+      std::vector<double> known;
+      int right = 0;
+      int old_right = 0;
+      for (auto &w : pace)
+        if (pace_known (&w, now))
+          known.push_back (w.log_slowness);
+      pace_set_center (&cell, known.data (), known.size ());
+      for (size_t i = 0; i < PACE_WORKERS; i++)
+        {
+          right += pace_class (&cell, &pace[i], now) == speed[i] - 1;
+          old_right += class_from_ratio (ratio[i]) == speed[i] - 1;
+        }
+      trial.share = (double)right / PACE_WORKERS;
+      trial.old_share
+          = std::max (trial.old_share, (double)old_right / PACE_WORKERS);
+      if (!trial.reached_at && trial.share >= 0.9)
+        trial.reached_at = next;
+      next++;
+    }
+}
+
+/* Guards against speeds that are learned from the errors of estimates: with
+   ratios to estimates, fewer than 90% of the classes are ever right. */
+TEST (Pace, FindsThreeSpeedsBehindWrongEstimates)
+{
+  for (int tasks : { 3, 25 })
+    for (double noise : { 0.0, 0.1 })
+      {
+        PaceTrial t{ tasks, noise, true, 0, 0, 0 };
+        run_pace_trial (t, 40);
+        printf ("%d tasks a step, noise %.1f: 90%% right after %.0f runs, "
+                "%.2f in the end; by estimates at most %.2f\n",
+                tasks, noise, t.reached_at, t.share, t.old_share);
+        EXPECT_GT (t.reached_at, 0);
+        EXPECT_LE (t.reached_at, 8);
+        EXPECT_GT (t.share, 0.97);
+        EXPECT_LT (t.old_share, 0.9);
+      }
+}
+
+/* Guards against workers of the same speed being told apart by chance. */
+TEST (Pace, EqualWorkersStayInOneClass)
+{
+  PaceTrial t{ 3, 0.3, false, 0, 0, 0 };
+  run_pace_trial (t, 40);
+  EXPECT_GT (t.share, 0.97);
+}
+
+/* Guards against a reference from the shortest runs only, which end first. */
+TEST (Pace, ReferenceWaitsForLongRuns)
+{
+  pace_run_t run[] = { { log (500), 0, 1 },
+                       { log (600), 0, 1 },
+                       { log (550), 0, 0 },
+                       { log (2000), 0, 0 } };
+  double reference;
+
+  EXPECT_FALSE (pace_reference (run, 4, 0, &reference));
+  run[2] = { log (700), 0, 1 };
+  ASSERT_TRUE (pace_reference (run, 4, 0, &reference));
+  EXPECT_NEAR (log (700), reference, 1e-9);
+  /* A run so far on a slow worker may yet be one of the shorter. */
+  run[3] = { log (800), log (1.6), 0 };
+  EXPECT_FALSE (pace_reference (run, 4, 0, &reference));
+}
+
+/* Guards against a speed that stays after it has changed, and against one that
+   is kept of a worker without runs. */
+TEST (Pace, ForgetsByRunsAndByTime)
+{
+  pace_cell_t cell{};
+  pace_t w{};
+
+  for (int i = 0; i < 15; i++)
+    pace_observe (&cell, &w, log (1.6), 1000 + (gl_ms_t)i * 100);
+  EXPECT_EQ (1, pace_class (&cell, &w, 3000));
+  EXPECT_NEAR (1.6, pace_slowness (&cell, &w, 3000), 1e-9);
+  EXPECT_EQ (0, pace_class (&cell, &w, 1000000));
+  for (int i = 0; i < 12; i++)
+    pace_observe (&cell, &w, 0, 4000 + (gl_ms_t)i * 100);
+  EXPECT_EQ (0, pace_class (&cell, &w, 6000));
+}
+
+/* Guards against expected ends that most runs miss: of runs with estimates off
+   by a log-normal factor of 0.5 and 3 of 100 seven times as long, half end
+   within the median and nine of ten within the 0.9 quantile, from the first
+   20 on and after all runs have become twice as long. */
+TEST (Ratio, QuantilesAreCalibrated)
+{
+  std::mt19937_64 random (5);
+  std::normal_distribution<double> normal;
+  std::uniform_real_distribution<double> uniform;
+  auto r = std::make_unique<ratios_t> ();
+  int k = ratio_class (r.get (), 3, "image");
+  auto run = [&] (double factor) {
+    return factor * exp (0.5 * normal (random))
+           * (uniform (random) < 0.03 ? 7 : 1);
+  };
+
+  for (double factor : { 1.5, 3.0 })
+    {
+      int in_median = 0;
+      int in_most = 0;
+      double mean_error = 0;
+      static const int RUNS = 3000;
+      for (int i = 0; i < (factor < 2 ? 20 : 600); i++)
+        ratio_add (r.get (), k, run (factor));
+      for (int i = 0; i < RUNS; i++)
+        {
+          double took = run (factor);
+          in_median += took <= ratio_quantile (r.get (), k, 0.5);
+          in_most += took <= ratio_quantile (r.get (), k, 0.9);
+          mean_error += (ratio_mean (r.get (), k) - took) / RUNS;
+          ratio_add (r.get (), k, took);
+        }
+      printf ("within the median %.3f, within the 0.9 quantile %.3f, mean off "
+              "by %.3f of %.1f\n",
+              (double)in_median / RUNS, (double)in_most / RUNS, mean_error,
+              factor);
+      EXPECT_NEAR (0.5, (double)in_median / RUNS, 0.03);
+      EXPECT_NEAR (0.9, (double)in_most / RUNS, 0.02);
+      EXPECT_NEAR (0, mean_error / factor, 0.05);
+    }
+  ratios_destroy (r.get ());
+}
+
+/* Guards against the use of a few observations, and against classes that share
+   them. */
+TEST (Ratio, NeedsTwentyObservations)
+{
+  auto r = std::make_unique<ratios_t> ();
+  int k = ratio_class (r.get (), 0, "");
+
+  EXPECT_EQ (k, ratio_class (r.get (), 0, ""));
+  EXPECT_EQ (0, ratio_class (r.get (), -1, ""));
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (0, ratio_quantile (r.get (), k, 0.5));
+      EXPECT_EQ (0, ratio_mean (r.get (), k));
+      ratio_add (r.get (), k, 2);
+    }
+  EXPECT_NEAR (2, ratio_quantile (r.get (), k, 0.5), 0.2);
+  EXPECT_NEAR (2, ratio_mean (r.get (), k), 1e-9);
+  EXPECT_EQ (0, ratio_mean (r.get (), ratio_class (r.get (), 1, "")));
+  EXPECT_EQ (0, ratio_mean (r.get (), 0));
+  ratios_destroy (r.get ());
+}
+
+/* ---- interference ---- */
+
+/* Guards against a pair that is found because a third class, which does slow
+   the first one down, is often there as well, and against one that stays after
+   the two have been kept apart for long. */
+TEST (Pair, ThirdClassIsNotBlamedAndPairsAreForgotten)
+{
+  auto p = std::make_unique<pairs_t> ();
+  std::mt19937_64 random (3);
+  std::normal_distribution<double> normal;
+  gl_ms_t now = 1000;
+
+  for (int i = 0; i < 400; i++)
+    {
+      beside_t s{};
+      bool slow = random () % 2;
+      now += 20;
+      if (slow)
+        beside_add (&s, 2, 0, 100, 0, 100);
+      if (random () % 2)
+        beside_add (&s, 3, 0, 100, 0, 100);
+      pairs_observe (p.get (), 1, &s,
+                     (slow ? log (1.5) : 0) + 0.1 * normal (random), now);
+    }
+  EXPECT_EQ (1, pairs_count_interfering (p.get (), now));
+  EXPECT_NEAR (log (1.5), pairs_slowdown (p.get (), 2, 1, now), 0.05);
+  EXPECT_EQ (0, pairs_slowdown (p.get (), 1, 3, now));
+  EXPECT_TRUE (pairs_concern (p.get (), 2, now));
+  EXPECT_EQ (0, pairs_count_interfering (p.get (), now + 900000));
+  EXPECT_FALSE (pairs_concern (p.get (), 2, now + 900000));
+}
+
+/* Guards against shares of a run that are counted twice, or beyond it. */
+TEST (Pair, SharesOfARun)
+{
+  pair_past_t past{};
+  beside_t s{};
+
+  pair_note_past (&past, 5, 50, 150);
+  pair_note_past (&past, 5, 180, 190);
+  pair_note_past (&past, 6, 0, 90);
+  beside_add_past (&s, &past, 100, 200);
+  ASSERT_EQ (1, s.n);
+  EXPECT_EQ (5, s.class_no[0]);
+  EXPECT_FLOAT_EQ (0.6f, s.share[0]);
+  beside_add (&s, 5, 100, 200, 100, 300);
+  EXPECT_FLOAT_EQ (1, s.share[0]);
+}
+
+/* Guards against more pairs than there is room for. */
+TEST (Pair, KeepsTheLatest)
+{
+  auto p = std::make_unique<pairs_t> ();
+
+  for (int b = 1; b <= 300; b++)
+    {
+      beside_t s{};
+      beside_add (&s, b, 0, 100, 0, 100);
+      pairs_observe (p.get (), 1 + b % 250, &s, 0, 1000 + (gl_ms_t)b);
+    }
+  EXPECT_EQ (PAIRS_MAX, p->n);
+}
+
 /* ---- configuration and settings: bad input and its error text ---- */
 
 struct BadInput
@@ -172,6 +461,37 @@
   EXPECT_EQ (GL_INVALID, conf_doc_load (&d, "[]", 2));
 }
 
+/* Guards against a setting that is read as on by mistake. */
+TEST (CellSettings, InterferenceIsOffUnlessOn)
+{
+  static const char complete[]
+      = "[vm]\nname = a\ndomain = d\n[listen]\nrequests = 127.0.0.1:1\n"
+        "ready = 127.0.0.1:2\nrpc = 127.0.0.1:3\n"
+        "[platform]\nstore = 127.0.0.1:4\n[plan]\n";
+  char path[] = "/tmp/gl-settings-XXXXXX";
+  int fd = mkstemp (path);
+  ASSERT_GE (fd, 0);
+  close (fd);
+  for (std::string value : { "", "on", "off", "true" })
+    {
+      cellset_t s;
+      cell_limits_t limits;
+      char err[SETTINGS_ERROR_LEN] = "";
+      FILE *f = fopen (path, "w");
+      fprintf (f, "%s%s%s\n", complete,
+               value.empty () ? "" : "interference = ", value.c_str ());
+      fclose (f);
+      gl_code_t code = cellset_load (&s, path, err);
+      EXPECT_EQ (value == "true" ? GL_INVALID : GL_OK, code) << err;
+      if (code == GL_OK)
+        {
+          cellset_limits (&s, &limits);
+          EXPECT_EQ (value == "on", limits.interference);
+        }
+    }
+  unlink (path);
+}
+
 TEST (Settings, RefusesWithTheReason)
 {
   static const char complete[]
