Quantiles of run times are computed once an end, not for each worker

The planner asks for the 0.9 quantile for each waiting step and each worker with reserved room, and each answer went through 80 bins. The three statistics that are used are now computed when a run is added.

--- a/src/celldue.c
+++ b/src/celldue.c
@@ -73,7 +73,7 @@
      lateness. */
   if (!q || q->due_factor <= 0 || j->spec.repeat_count || s->def->long_running)
     return 0;
-  ratio = ratio_mean (&c->ratios, s->run_class);
+  ratio = ratio_get (&c->ratios, s->run_class, RATIO_MEAN);
   expected_ms = (double)(c->now - j->arrived_at)
                 + j->path_ms[s->index] * (ratio > 0 ? ratio : 1);
   due_ms
--- a/src/cellhealth.c
+++ b/src/cellhealth.c
@@ -175,7 +175,7 @@
   double error = (double)(c->now - from) / 2;
   double took = fmax ((double)(c->now - t->sent_at) - error, 1);
   double slowness = pace_slowness (&c->pace, &w->pace, c->now);
-  double usual = ratio_quantile (&c->ratios, s->run_class, 0.5) * slowness
+  double usual = ratio_get (&c->ratios, s->run_class, RATIO_MEDIAN) * slowness
                  * s->def->estimate_ms;
 
   if (t->run != 1)
@@ -249,10 +249,10 @@
 }
 
 double
-health_quantile (const cell_t *c, const cstep_t *s, const cworker_t *w,
-                 double q, double otherwise)
+health_run_ratio (const cell_t *c, const cstep_t *s, const cworker_t *w,
+                  ratio_stat_t stat, double otherwise)
 {
-  double ratio = ratio_quantile (&c->ratios, s->run_class, q);
+  double ratio = ratio_get (&c->ratios, s->run_class, stat);
 
   return ratio > 0 ? ratio * pace_slowness (&c->pace, &w->pace, c->now)
                    : otherwise;
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -94,8 +94,8 @@
   double ratio = c->usual_ratio > 1 ? c->usual_ratio : 1;
   gl_ms_t end = c->now
                 + (gl_ms_t)(s->def->estimate_ms
-                            * health_quantile (c, s, w, RESERVED_QUANTILE,
-                                               ESTIMATE_MARGIN * ratio));
+                            * health_run_ratio (c, s, w, RATIO_HIGH,
+                                                ESTIMATE_MARGIN * ratio));
   gl_res_t sum = { 0, 0, 0 };
 
   if (s->starved && !s->def->gang)
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -379,13 +379,10 @@
    worker would slow each other down, as a sum of logarithms */
 double health_interference (const cell_t *c, const cstep_t *s,
                             const cworker_t *w);
-/** RESERVED_QUANTILE - quantile of run times by which the ends of runs are
-    expected where room is reserved, and runs fitted in before */
-#define RESERVED_QUANTILE 0.9
-/** health_quantile - quantile @q of run time over estimate, of the step's
-   tasks on the worker; @otherwise while too little is known */
-double health_quantile (const cell_t *c, const cstep_t *s, const cworker_t *w,
-                        double q, double otherwise);
+/** health_run_ratio - a statistic of run time over estimate, of the step's
+    tasks on the worker; @otherwise while too little is known */
+double health_run_ratio (const cell_t *c, const cstep_t *s, const cworker_t *w,
+                         ratio_stat_t stat, double otherwise);
 
 /* cellcrash.c */
 
--- a/src/cellpoll.c
+++ b/src/cellpoll.c
@@ -71,8 +71,8 @@
   if (!is_progress_known (t))
     return t->sent_at
            + (gl_ms_t)(EARLY_END_SHARE
-                       * health_quantile (c, s, &c->workers[t->worker], 0.5,
-                                          ratio)
+                       * health_run_ratio (c, s, &c->workers[t->worker],
+                                           RATIO_MEDIAN, ratio)
                        * s->def->estimate_ms);
   if (!s->def->gang && !frees_wanted_room && ends_before_another (s, t))
     return TIMER_NEVER;
--- a/src/cellratio.c
+++ b/src/cellratio.c
@@ -50,6 +50,29 @@
   return r->n;
 }
 
+/* Quantile @q, from 0 to 1, of the class. */
+static double
+quantile (const ratio_class_t *k, double q)
+{
+  double below = 0;
+
+  for (size_t i = 0; i < BINS; i++)
+    {
+      double in_bin = gsl_histogram_get (k->log_ratios, i);
+      double lower;
+      double upper;
+
+      if (in_bin > 0 && below + in_bin >= q * k->weight)
+        {
+          gsl_histogram_get_range (k->log_ratios, i, &lower, &upper);
+          return exp (lower
+                      + (upper - lower) * (q * k->weight - below) / in_bin);
+        }
+      below += in_bin;
+    }
+  return exp (LOG_RATIO_MAX);
+}
+
 void
 ratio_add (ratios_t *r, int class_no, double ratio)
 {
@@ -72,46 +95,17 @@
   k->n++;
   k->weight = k->weight * KEPT_SHARE + 1;
   k->sum = k->sum * KEPT_SHARE + exp (log_ratio);
+  if (k->n < OBSERVATIONS_MIN)
+    return;
+  k->stats[RATIO_MEDIAN] = quantile (k, 0.5);
+  k->stats[RATIO_HIGH] = quantile (k, 0.9);
+  k->stats[RATIO_MEAN] = k->sum / k->weight;
 }
 
-/* The class, or NULL without enough observations. */
-static const ratio_class_t *
-known_class (const ratios_t *r, int class_no)
-{
-  return class_no && r->v[class_no - 1].n >= OBSERVATIONS_MIN
-             ? &r->v[class_no - 1]
-             : NULL;
-}
-
-double
-ratio_quantile (const ratios_t *r, int class_no, double q)
-{
-  const ratio_class_t *k = known_class (r, class_no);
-  double below = 0;
-
-  if (!k)
-    return 0;
-  for (size_t i = 0; i < BINS; i++)
-    {
-      double in_bin = gsl_histogram_get (k->log_ratios, i);
-      double lower;
-      double upper;
-
-      if (in_bin > 0 && below + in_bin >= q * k->weight)
-        {
-          gsl_histogram_get_range (k->log_ratios, i, &lower, &upper);
-          return exp (lower
-                      + (upper - lower) * (q * k->weight - below) / in_bin);
-        }
-      below += in_bin;
-    }
-  return exp (LOG_RATIO_MAX);
-}
-
+/* The planner asks for each step and worker, so that nothing is computed here.
+ */
 double
-ratio_mean (const ratios_t *r, int class_no)
+ratio_get (const ratios_t *r, int class_no, ratio_stat_t stat)
 {
-  const ratio_class_t *k = known_class (r, class_no);
-
-  return k ? k->sum / k->weight : 0;
+  return class_no ? r->v[class_no - 1].stats[stat] : 0;
 }
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -238,10 +238,9 @@
   t->state = CT_STARTING;
   t->inherited = 0;
   t->sent_at = c->now;
-  t->expected_end
-      = c->now
-        + (gl_ms_t)(s->def->estimate_ms
-                    * health_quantile (c, s, w, RESERVED_QUANTILE, 1));
+  t->expected_end = c->now
+                    + (gl_ms_t)(s->def->estimate_ms
+                                * health_run_ratio (c, s, w, RATIO_HIGH, 1));
   if (!k)
     return;
   ctask_name (c, s, index, k->task);
@@ -366,8 +365,8 @@
 {
   double ratio = c->usual_ratio > 0 ? c->usual_ratio : 1;
   gl_ms_t usual = (gl_ms_t)(s->def->estimate_ms
-                            * health_quantile (c, s, &c->workers[t->worker],
-                                               0.5, ratio));
+                            * health_run_ratio (c, s, &c->workers[t->worker],
+                                                RATIO_MEDIAN, ratio));
   gl_ms_t elapsed = usual * t->percent / 100;
 
   t->sent_at = c->now > elapsed ? c->now - elapsed : 1;
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -286,9 +286,9 @@
       for (int i = 0; i < RUNS; i++)
         {
           double took = run (factor);
-          in_median += took <= ratio_quantile (r.get (), k, 0.5);
-          in_most += took <= ratio_quantile (r.get (), k, 0.9);
-          mean_error += (ratio_mean (r.get (), k) - took) / RUNS;
+          in_median += took <= ratio_get (r.get (), k, RATIO_MEDIAN);
+          in_most += took <= ratio_get (r.get (), k, RATIO_HIGH);
+          mean_error += (ratio_get (r.get (), k, RATIO_MEAN) - took) / RUNS;
           ratio_add (r.get (), k, took);
         }
       printf ("within the median %.3f, within the 0.9 quantile %.3f, mean off "
@@ -313,14 +313,15 @@
   EXPECT_EQ (0, ratio_class (r.get (), -1, ""));
   for (int i = 0; i < 20; i++)
     {
-      EXPECT_EQ (0, ratio_quantile (r.get (), k, 0.5));
-      EXPECT_EQ (0, ratio_mean (r.get (), k));
+      EXPECT_EQ (0, ratio_get (r.get (), k, RATIO_MEDIAN));
+      EXPECT_EQ (0, ratio_get (r.get (), k, RATIO_MEAN));
       ratio_add (r.get (), k, 2);
     }
-  EXPECT_NEAR (2, ratio_quantile (r.get (), k, 0.5), 0.2);
-  EXPECT_NEAR (2, ratio_mean (r.get (), k), 1e-9);
-  EXPECT_EQ (0, ratio_mean (r.get (), ratio_class (r.get (), 1, "")));
-  EXPECT_EQ (0, ratio_mean (r.get (), 0));
+  EXPECT_NEAR (2, ratio_get (r.get (), k, RATIO_MEDIAN), 0.2);
+  EXPECT_NEAR (2, ratio_get (r.get (), k, RATIO_MEAN), 1e-9);
+  EXPECT_EQ (0,
+             ratio_get (r.get (), ratio_class (r.get (), 1, ""), RATIO_MEAN));
+  EXPECT_EQ (0, ratio_get (r.get (), 0, RATIO_MEAN));
   ratios_destroy (r.get ());
 }
 
