--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -26,7 +26,8 @@
  *                                  stream that a VM took, so many were
  *                                  accepted
  *   show ID                        print a job's phase
- *   ask VM ID                      ask this VM for a job's phase
+ *   ask VM ID [MS]                 ask this VM for a job's phase; the caller
+ *                                  wants the answer within this time
  *   answer ID                      print the answer to the last "ask" of the
  *                                  job, or that there is none
  *   until EVENT                    let time pass until a VM logs the event
@@ -528,7 +529,10 @@
         int i = vm (a);
         in >> a;
         w->jobs[a].phase = "unanswered";
-        w->query (a, i);
+        if (in >> n)
+          w->query (a, i, (gl_ms_t)n);
+        else
+          w->query (a, i);
       }
     else if (cmd == "answer")
       {
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -45,8 +45,6 @@
 /* One caller in this many has an open connection to a VM that takes no new
    ones. */
 static const uint64_t OPEN_CONNECTION_ONE_IN = 4;
-/* Time within which callers want an answer. */
-static const gl_ms_t CALLER_TIMEOUT_MS = 3000;
 /* Part of a worker's processors that is kept for priority 0: one in this
    many. */
 static const int PRIORITY0_SHARE = 10;
@@ -1735,7 +1733,7 @@
 
 void
 World::ask (int vm, gl_verb_t verb, const std::string &id, gl_cell_job_t *job,
-            ReplyFn fn)
+            ReplyFn fn, gl_ms_t timeout)
 {
   gl_request_t request{};
   cell_event_t ev{};
@@ -1748,7 +1746,7 @@
   ev.kind = CELL_EV_REQUEST;
   ev.request = &request;
   ev.tag = tag;
-  ev.deadline = now + CALLER_TIMEOUT_MS;
+  ev.deadline = now + timeout;
   open_requests_[tag] = { vm, verb, id, now };
   reply_handlers_[tag] = [=, this] (const gl_reply_t &t) {
     open_requests_.erase (tag);
@@ -1844,7 +1842,7 @@
 }
 
 void
-World::query (const std::string &id, int vm)
+World::query (const std::string &id, int vm, gl_ms_t timeout)
 {
   static const char *const names[]
       = { "pending", "running", "completed", "failed", "cancelled" };
@@ -1853,30 +1851,34 @@
     vm = pick_vm ();
   if (vm < 0 || !vms[(size_t)vm].alive || vms[(size_t)vm].frozen)
     return;
-  ask (vm, GL_VERB_STATE, id, nullptr, [=, this] (const gl_reply_t &t) {
-    JobView &j = jobs[id];
-    if (t.code == GL_OK && t.phase > GL_PHASE_CANCELLED)
-      {
-        report_violation ("a phase that does not exist: " + id);
-        return;
-      }
-    j.phase = t.code == GL_OK          ? names[t.phase]
-              : t.code == GL_NOT_FOUND ? "none"
-                                       : "unknown";
-    if (j.phase == "none" && j.accepted && !j.cancel_sent)
-      report_violation ("accepted job lost: " + id);
-    if (j.phase == "failed" && !attempts_used_up (id) && !may_give_up (id))
-      report_violation ("failed without cause: " + id);
-    if (j.phase != "completed")
-      return;
-    if (!j.shown_at)
-      j.shown_at = now;
-    for (size_t s = 0; s < j.task_counts.size (); s++)
-      for (int n = 0; n < j.task_counts[s] && !j.is_gang[s]; n++)
-        if (done_[id + ".0." + std::to_string (s) + "." + std::to_string (n)]
-                .empty ())
-          report_violation ("completed before its tasks: " + id);
-  });
+  ask (
+      vm, GL_VERB_STATE, id, nullptr,
+      [=, this] (const gl_reply_t &t) {
+        JobView &j = jobs[id];
+        if (t.code == GL_OK && t.phase > GL_PHASE_CANCELLED)
+          {
+            report_violation ("a phase that does not exist: " + id);
+            return;
+          }
+        j.phase = t.code == GL_OK          ? names[t.phase]
+                  : t.code == GL_NOT_FOUND ? "none"
+                                           : "unknown";
+        if (j.phase == "none" && j.accepted && !j.cancel_sent)
+          report_violation ("accepted job lost: " + id);
+        if (j.phase == "failed" && !attempts_used_up (id) && !may_give_up (id))
+          report_violation ("failed without cause: " + id);
+        if (j.phase != "completed")
+          return;
+        if (!j.shown_at)
+          j.shown_at = now;
+        for (size_t s = 0; s < j.task_counts.size (); s++)
+          for (int n = 0; n < j.task_counts[s] && !j.is_gang[s]; n++)
+            if (done_[id + ".0." + std::to_string (s) + "."
+                      + std::to_string (n)]
+                    .empty ())
+              report_violation ("completed before its tasks: " + id);
+      },
+      timeout);
 }
 
 /* ---- jobs of which nothing runs ---- */
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -143,6 +143,9 @@
 class World
 {
 public:
+  /* Time within which callers want an answer. */
+  static const gl_ms_t CALLER_TIMEOUT_MS = 3000;
+
   World (int vms, int workers, uint64_t seed, bool advised = false,
          int ndomains = 1);
   ~World ();
@@ -154,8 +157,9 @@
                const std::vector<gl_step_t> &steps, int vm = -1);
   void cancel (const std::string &id);
   /* Ask the VM, or a live one if that is -1, for the job's phase; the answer
-     is in jobs[id].phase. */
-  void query (const std::string &id, int vm = -1);
+     is in jobs[id].phase.  The caller wants it within @timeout. */
+  void query (const std::string &id, int vm = -1,
+              gl_ms_t timeout = CALLER_TIMEOUT_MS);
   /* All VMs' links carry @rate bytes a ms in each direction, jobs have
      payloads of @payload bytes, and all VMs start anew. */
   void set_links (double rate, int payload);
@@ -341,7 +345,7 @@
   void check_refusal (const std::string &id);
   /* Give the VM a caller's request; @fn takes the answer. */
   void ask (int vm, gl_verb_t verb, const std::string &id, gl_cell_job_t *job,
-            ReplyFn fn);
+            ReplyFn fn, gl_ms_t timeout = CALLER_TIMEOUT_MS);
   /* End the process of a planned stop once its time has come. */
   void end_when_due (int vm, uint64_t incarnation, gl_ms_t starts_in,
                      Fn started);
