Results of ended jobs are removed together

A job that has been kept for long enough was removed from the store by a transaction of its own.

The jobs that are due in one tick are removed by one transaction, or as many as their number needs.

--- a/src/celljob.c
+++ b/src/celljob.c
@@ -764,27 +764,43 @@
 
 /* ---- timer ---- */
 
-/* Remove the job's result from the store and the job from memory. */
-static void
-job_forget (cell_t *c, cjob_t *j)
+/* A transaction to remove keys of jobs, NULL without memory. */
+static cell_txn_t *
+new_removal (cell_t *c)
 {
-  cell_effect_t *e = cell_add_effect (c, CELL_FX_TXN);
+  cell_txn_t *txn = calloc (1, sizeof *txn);
+  cell_effect_t *e = txn ? cell_add_effect (c, CELL_FX_TXN) : NULL;
 
-  if (e && (e->txn = calloc (1, sizeof *e->txn)))
+  if (!e)
     {
-      e->tag = cell_new_tag (c);
-      e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
-      own_add_fence (c, e->txn);
-      snprintf (e->txn->puts[0].key, CELL_NAME_SIZE, "gl/d/%s", j->id);
-      e->txn->nputs = 1;
+      free (txn);
+      return NULL;
     }
+  e->txn = txn;
+  e->tag = cell_new_tag (c);
+  e->timeout = CELL_TXN_TIMEOUT_MAX_MS;
+  own_add_fence (c, txn);
+  return txn;
+}
+
+/* Remove the job's result from the store and the job from memory.  Returns the
+   transaction that does it, which is @txn while that has room. */
+static cell_txn_t *
+job_forget (cell_t *c, cjob_t *j, cell_txn_t *txn)
+{
+  if (!txn || txn->nchecks + txn->nputs == CELL_TXN_KEYS_MAX)
+    txn = new_removal (c);
+  if (txn)
+    snprintf (txn->puts[txn->nputs++].key, CELL_NAME_SIZE, "gl/d/%s", j->id);
   cjob_free (c, j);
+  return txn;
 }
 
 void
 cjobs_tick (void *ctx, gl_ms_t now)
 {
   cell_t *c = ctx;
+  cell_txn_t *removal = NULL;
   size_t pos = 0;
   handle_t h;
 
@@ -799,7 +815,7 @@
         free_steps (c, j);
       if (j->phase >= GL_PHASE_COMPLETED && !j->nbound && !j->saving
           && now - j->ended_at > c->limits.retention_ms)
-        job_forget (c, j);
+        removal = job_forget (c, j, removal);
       else if (j->durable && j->spec.repeat_count
                && j->iterations_made < j->spec.repeat_count)
         cjob_ready_steps (c, j);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -75,6 +75,9 @@
  *   links BYTES PAYLOAD            links carry so many bytes a millisecond,
  *                                  and jobs have payloads of so many bytes;
  *                                  all VMs are started anew
+ *   kept MS                        how long ended jobs are kept; all VMs are
+ *                                  started anew
+ *   keys PREFIX                    print how many keys of the store begin so
  *   work MS                        usual duration of a run
  *   advisor fails N                N consultations get no answer
  *   advisor approves_in N          one worker in N is approved
@@ -91,7 +94,7 @@
  *   owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
  *                                  most N, or what the world has measured:
- *                                  ownerless_ms, stop_answer_ms, foreign_acks; see
+ *                                  ownerless_ms, stop_answer_ms, foreign_acks, store_txns; see
  *                                  World::longest_ownerless_ms and
  *                                  World::longest_stop_answer_ms
  *   broken                         print the violations of guarantees
@@ -191,6 +194,8 @@
 
     if (name == "ownerless_ms")
       return (long)w->longest_ownerless_ms;
+    if (name == "store_txns")
+      return (long)w->txns;
     if (name == "foreign_acks")
       return (long)w->foreign_acks;
     if (name == "stop_answer_ms")
@@ -582,6 +587,16 @@
         in >> n >> payload;
         w->set_links (n, payload);
       }
+    else if (cmd == "kept")
+      {
+        in >> w->kept_ms;
+        w->set_links (0, 1);
+      }
+    else if (cmd == "keys")
+      {
+        in >> a;
+        out.push_back (a + " keys " + std::to_string (w->count_keys (a)));
+      }
     else if (cmd == "peers")
       in >> w->peers_phase;
     else if (cmd == "work")
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -209,7 +209,7 @@
   b.stop_max_ms = 200;
   b.writes_per_s = 400;
   b.link_kbps = (uint32_t)(link_rate * 8);
-  b.retention_ms = 900000;
+  b.retention_ms = kept_ms;
   v.cell = cell_new (v.name.c_str (), v.name.c_str (), v.domain.c_str (), &b,
                      random ());
   v.alive = true;
@@ -642,6 +642,16 @@
   return GL_ST_OK;
 }
 
+int
+World::count_keys (const std::string &prefix) const
+{
+  int n = 0;
+
+  for (auto &it : items_)
+    n += it.first.rfind (prefix, 0) == 0;
+  return n;
+}
+
 void
 World::run_txn (int i, uint64_t tag, const cell_txn_t &x)
 {
@@ -650,6 +660,7 @@
 
   if (x.nchecks + x.nputs > CELL_TXN_KEYS_MAX)
     report_violation ("a transaction with too many entries");
+  txns++;
   txn.lease_id = vms[(size_t)i].lease_id;
   for (int k = 0; k < x.nchecks; k++)
     txn.checks.push_back ({ x.checks[k].key, x.checks[k].revision });
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -206,6 +206,8 @@
   /* Send a configuration with these queues to all VMs.  It becomes the present
      one if its version is higher. */
   void configure (uint64_t version, const std::set<std::string> &names);
+  /* Keys of the store that begin with @prefix. */
+  int count_keys (const std::string &prefix) const;
   /* Index of the VM that owns the cell, or -1. */
   int owner () const;
   /* End all faults and wait for @ms, and up to @more_ms longer while tasks of
@@ -248,8 +250,9 @@
                                   the registration that names its start */
   int fail_one_in = 12; /* one run in this many fails by itself; 0: none */
   gl_ms_t run_ms = 500; /* runs take from half of this to three halves */
-  int long_one_in = 0;  /* one run in this many takes seven times as long; 0:
-                           none */
+  uint32_t kept_ms = 900000; /* how long VMs that start keep ended jobs */
+  int long_one_in = 0; /* one run in this many takes seven times as long; 0:
+                          none */
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
@@ -259,6 +262,7 @@
   uint64_t starts = 0;
   std::map<std::string, gl_ms_t> last_start; /* by task */
   std::map<std::string, gl_ms_t> last_end;   /* by job: of a run */
+  uint64_t txns = 0;                         /* to the store */
   uint64_t calls = 0;                        /* to workers */
   uint64_t call_bytes = 0;                   /* of these and their answers */
   uint64_t foreign_acks = 0; /* polls that acknowledged ends to a worker that
