--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -26,7 +26,8 @@
  *                                  stream that a VM took, so many were
  *                                  accepted
  *   show ID                        print a job's phase
- *   ask VM ID                      ask this VM for a job's phase
+ *   ask VM ID [MS]                 ask this VM for a job's phase; the caller
+ *                                  wants the answer within this time
  *   answer ID                      print the answer to the last "ask" of the
  *                                  job, or that there is none
  *   until EVENT                    let time pass until a VM logs the event
@@ -74,6 +75,9 @@
  *   links BYTES PAYLOAD            links carry so many bytes a millisecond,
  *                                  and jobs have payloads of so many bytes;
  *                                  all VMs are started anew
+ *   kept MS                        how long ended jobs are kept; all VMs are
+ *                                  started anew
+ *   keys PREFIX                    print how many keys of the store begin so
  *   work MS                        usual duration of a run
  *   advisor fails N                N consultations get no answer
  *   advisor approves_in N          one worker in N is approved
@@ -105,7 +109,7 @@
  *   owners                         print how many VMs own the cell
  *   at_most N COUNTER              print whether the owner's counter is at
  *                                  most N, or what the world has measured:
- *                                  ownerless_ms, stop_answer_ms, foreign_acks; see
+ *                                  ownerless_ms, stop_answer_ms, foreign_acks, store_txns; see
  *                                  World::longest_ownerless_ms and
  *                                  World::longest_stop_answer_ms
  *   broken                         print the violations of guarantees
@@ -206,6 +210,8 @@
 
     if (name == "ownerless_ms")
       return (long)w->longest_ownerless_ms;
+    if (name == "store_txns")
+      return (long)w->txns;
     if (name == "foreign_acks")
       return (long)w->foreign_acks;
     if (name == "stop_answer_ms")
@@ -544,7 +550,10 @@
         int i = vm (a);
         in >> a;
         w->jobs[a].phase = "unanswered";
-        w->query (a, i);
+        if (in >> n)
+          w->query (a, i, (gl_ms_t)n);
+        else
+          w->query (a, i);
       }
     else if (cmd == "answer")
       {
@@ -594,6 +603,16 @@
         in >> n >> payload;
         w->set_links (n, payload);
       }
+    else if (cmd == "kept")
+      {
+        in >> w->kept_ms;
+        w->set_links (0, 1);
+      }
+    else if (cmd == "keys")
+      {
+        in >> a;
+        out.push_back (a + " keys " + std::to_string (w->count_keys (a)));
+      }
     else if (cmd == "peers")
       in >> w->peers_phase;
     else if (cmd == "work")
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -162,6 +162,9 @@
 class World
 {
 public:
+  /* Time within which callers want an answer. */
+  static const gl_ms_t CALLER_TIMEOUT_MS = 3000;
+
   World (int vms, int workers, uint64_t seed, bool advised = false,
          int ndomains = 1);
   ~World ();
@@ -173,8 +176,9 @@
                const std::vector<gl_step_t> &steps, int vm = -1);
   void cancel (const std::string &id);
   /* Ask the VM, or a live one if that is -1, for the job's phase; the answer
-     is in jobs[id].phase. */
-  void query (const std::string &id, int vm = -1);
+     is in jobs[id].phase.  The caller wants it within @timeout. */
+  void query (const std::string &id, int vm = -1,
+              gl_ms_t timeout = CALLER_TIMEOUT_MS);
   /* The same by a caller of the team that submitted the job. */
   void query_as_submitter (const std::string &id);
   /* A caller of another team submits, asks for and cancels an accepted job. */
@@ -226,6 +230,8 @@
      only to VM @vm.  It becomes the present one if its version is higher. */
   void configure (uint64_t version, const std::set<std::string> &names,
                   int vm = -1);
+  /* Keys of the store that begin with @prefix. */
+  int count_keys (const std::string &prefix) const;
   /* Index of the VM that owns the cell, or -1. */
   int owner () const;
   /* End all faults and wait for @ms, and up to @more_ms longer while tasks of
@@ -274,6 +280,7 @@
   uint64_t rival_starts = 0; /* starts beside a rival */
   bool interference = false; /* setting of the VMs that are started */
   int long_one_in = 0;       /* one run in so many takes seven times as long */
+  uint32_t kept_ms = 900000; /* how long VMs that start keep ended jobs */
   int max_attempts = 3;
   std::vector<std::string> log;
   uint64_t conf_version = 1;
@@ -288,6 +295,7 @@
   double step_s = 0; /* processor time that the cell has taken */
   std::map<std::string, gl_ms_t> last_start; /* by task */
   std::map<std::string, gl_ms_t> last_end;   /* by job: of a run */
+  uint64_t txns = 0;                         /* to the store */
   uint64_t calls = 0;                        /* to workers */
   uint64_t call_bytes = 0;                   /* of these and their answers */
   uint64_t foreign_acks = 0; /* polls that acknowledged ends to a worker that
@@ -393,7 +401,7 @@
                    const std::string &what);
   /* Give the VM a caller's request; @fn takes the answer. */
   void ask (int vm, gl_verb_t verb, const std::string &id, gl_cell_job_t *job,
-            ReplyFn fn);
+            ReplyFn fn, gl_ms_t timeout = CALLER_TIMEOUT_MS);
   /* End the process of a planned stop once its time has come. */
   void end_when_due (int vm, uint64_t incarnation, gl_ms_t starts_in,
                      Fn started);
