Stops are repeated to every later incarnation of a worker

A start without an answer is stopped, and the stop is repeated to the incarnation that replaces its worker's. When the worker returned twice within the time in which the start may be late, the second next incarnation was told of nothing: the start's timeout came after the first return and was kept with an incarnation that had been replaced already, and what was repeated to one incarnation was not kept for the next. The late start ran there although its task was done.

A new incarnation now gets the stops of all former incarnations of its id that a late start may still follow. A timeout that comes after the return sends the stop to the present incarnation at once, unless the run is bound to it.

--- a/src/cellsettle.c
+++ b/src/cellsettle.c
@@ -23,6 +23,23 @@
 /* A call without an answer may be carried out this much later. */
 #define LATE_CALL_MS 5000
 
+/* The start's worker has been replaced, and may carry the start out as its
+   present incarnation.  A run that is bound to it is stopped by that. */
+static void
+stop_on_present (cell_t *c, const cworker_t *w, const cell_wcall_t *k)
+{
+  cworker_t *present = incarnation_current (c, w->info.self.id);
+  cstep_t *s = NULL;
+  uint32_t index = 0;
+  const ctask_t *t = ctask_find (c, k->task, &s, &index);
+
+  if (present == w
+      || (t && t->worker >= 0 && t->run == k->run && t->state != CT_DONE)
+      || FAULT (FAULT_CELL_STOPS_FORGOTTEN))
+    return;
+  cworker_send_stop (c, present, k->task, k->run);
+}
+
 /* Keep a start without an answer, and drop those that cannot be carried out
    any more. */
 void
@@ -31,6 +48,8 @@
   cunsure_start_t *u;
   int n = 0;
 
+  if (w->replaced)
+    stop_on_present (c, w, k);
   for (int i = 0; i < w->nunsure_starts; i++)
     if (c->now < w->unsure_starts[i].sent_at + LATE_CALL_MS)
       w->unsure_starts[n++] = w->unsure_starts[i];
@@ -44,16 +63,20 @@
   u->sent_at = k->sent_at;
 }
 
-/* The incarnation @o had accepted stops of starts without an answer.  The one
-   that has replaced it knows nothing of them, and gets them anew. */
+/* Former incarnations had accepted stops of starts without an answer.  The
+   present one knows nothing of them, and gets them anew.  A start may arrive
+   after its worker has returned more than once, so those that were sent to
+   incarnations before the last are among them. */
 static void
-repeat_stops (cell_t *c, cworker_t *w, const cworker_t *o)
+repeat_stops (cell_t *c, cworker_t *w)
 {
-  for (int i = 0; i < o->nunsure_starts; i++)
-    if (c->now < o->unsure_starts[i].sent_at + LATE_CALL_MS
-        && !FAULT (FAULT_CELL_STOPS_FORGOTTEN))
-      cworker_send_stop (c, w, o->unsure_starts[i].task,
-                         o->unsure_starts[i].run);
+  for (cworker_t *o = incarnation_next (c, w); o != w;
+       o = incarnation_next (c, o))
+    for (int i = 0; o->replaced && i < o->nunsure_starts; i++)
+      if (c->now < o->unsure_starts[i].sent_at + LATE_CALL_MS
+          && !FAULT (FAULT_CELL_STOPS_FORGOTTEN))
+        cworker_send_stop (c, w, o->unsure_starts[i].task,
+                           o->unsure_starts[i].run);
 }
 
 /* The incarnation has answered, so every other one of its id is over.  What
@@ -62,6 +85,8 @@
 void
 settle_others (cell_t *c, cworker_t *w, const cell_wcall_t *k)
 {
+  int is_new = 0;
+
   for (cworker_t *o = incarnation_next (c, w); o != w;
        o = incarnation_next (c, o))
     {
@@ -72,7 +97,7 @@
       if (!o->heard && !o->record_revision && o->dead)
         continue;
       census_note_foreign (c, w, k->worker_clock, o);
-      repeat_stops (c, w, o);
+      is_new = 1;
       cworker_unregister (c, o);
       c->counters.restarts++;
       cell_log (c,
@@ -89,6 +114,8 @@
       else
         cworker_restarted (c, o);
     }
+  if (is_new)
+    repeat_stops (c, w);
 }
 
 static int
