No starts by capacities that may be old

An owner that does not reach the store went on to start tasks by the capacities that it had read before, for up to 5 s, and again as soon as the store answered a transaction, before its watch of the registrations did. Nothing told the reducer how old the registrations are that it knows.

CELL_EV_WORKERS_SYNCED is now delivered with each answer of that watch that has all events, with the time at which the store was asked and whether it had failed before. Workers write their registrations with every heartbeat of 1.5 s, so a worker has the capacity of its last registration and, when the watch has answered for 1.5 s without a failure, that of 1.5 s before the last answer. A worker takes no start by a capacity from more than 4.2 s ago: rule LIMIT judges a start by the last 4.5 s, and the call takes up to 0.3 s. A worker whose registration has gone keeps the time from before.

Chosen over a limit on the room that is used: the first shrink of a worker breaks any such limit, and answers of workers carry no capacity. Starts go on for 2.7 to 4.2 s of an outage, depending on each worker's last heartbeat, and begin again with its next one; what runs is not touched.

The emulator answers watches, and workers whose heartbeat the store did not take write their registrations with the next one.

--- a/src/cell.c
+++ b/src/cell.c
@@ -270,7 +270,7 @@
       cworker_registration (c, ev);
       break;
     case CELL_EV_WORKERS_SYNCED:
-      cworkers_synced (c);
+      cworkers_synced (c, ev);
       break;
     case CELL_EV_CONF:
       apply_conf (c, ev->conf);
--- a/src/cell.h
+++ b/src/cell.h
@@ -240,7 +240,9 @@
  *   owner's key, or a VM's
  * @CELL_EV_MEMBERS_SYNCED: all keys below gl/m/ have been reported once
  * @CELL_EV_WORKER: a worker's registration has changed
- * @CELL_EV_WORKERS_SYNCED: all registrations have been reported once
+ * @CELL_EV_WORKERS_SYNCED: all registrations that were in the store at
+ *   @asked_at have been reported; delivered again with each answer of their
+ *   watch
  * @CELL_EV_CONF: a configuration
  * @CELL_EV_TXN_DONE: result of CELL_FX_TXN
  * @CELL_EV_PAGE: result of CELL_FX_PAGE
@@ -378,6 +380,8 @@
  * @may_claim: of CELL_EV_HEARTBEAT_ACK, that VM could take the cell over
  * @peer_addr: address that refused a connection
  * @wall: wall clock, milliseconds since the epoch; 0 when not known
+ * @asked_at: of CELL_EV_WORKERS_SYNCED, when the store was asked
+ * @resumed: of CELL_EV_WORKERS_SYNCED, the store did not answer before
  */
 typedef struct
 {
@@ -403,6 +407,8 @@
   int may_claim;
   const char *peer_addr;
   uint64_t wall;
+  gl_ms_t asked_at;
+  int resumed;
 } cell_event_t;
 
 /* ---- effects ---- */
--- a/src/cellincarn.c
+++ b/src/cellincarn.c
@@ -218,7 +218,8 @@
         return NULL;
       /* The registration in the store is that of the former one. */
       found->unregistered_at = c->now;
-      c->workers[asked].registered = 0;
+      cworker_unregister (c, &c->workers[asked]);
+      found->capacity_at = c->workers[asked].capacity_at;
       c->workers[asked].unregistered_at = c->now;
     }
   if (found->replaced)
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -584,6 +584,11 @@
  * @takeover_at: when this VM last won the cell
  * @members_synced, @workers_synced: all keys below gl/m/, and all
  *   registrations, have been reported once
+ * @registrations_at: when the store was asked for the registrations that are
+ *   known
+ * @registrations_since: since when it has answered without a failure
+ * @capacities_at: every registered worker had the capacity that is known at
+ *   this instant or later
  * @load_tag, @load_prefix: page in flight while loading
  * @owner_queues_at: when the owner's last heartbeat arrived, 0 if none has
  * @owner_queues, @nowner_queues: counts of waiting jobs from the owner's last
@@ -701,6 +706,9 @@
   gl_ms_t takeover_at;
   int members_synced;
   int workers_synced;
+  gl_ms_t registrations_at;
+  gl_ms_t registrations_since;
+  gl_ms_t capacities_at;
   uint64_t load_tag;
   char load_prefix[8];
 
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -168,7 +168,11 @@
 
 /* cellwork.c */
 
-void cworkers_synced (cell_t *c);
+/** cworkers_synced - the registrations are known as of ev->asked_at */
+void cworkers_synced (cell_t *c, const cell_event_t *ev);
+/** cworker_capacity_known - whether the worker's capacity was known shortly
+    before, so that tasks may be started by it */
+int cworker_capacity_known (const cell_t *c, const cworker_t *w);
 /** cworker_answer - the result of a call to a worker */
 void cworker_answer (cell_t *c, const cell_event_t *ev);
 void cworkers_tick (void *ctx, gl_ms_t now);
--- a/src/cellreg.c
+++ b/src/cellreg.c
@@ -5,11 +5,26 @@
  * has.  It is no proof of what runs there: anyone who can write it can name
  * any worker and any address, and the watch that shows it may lag.  So one
  * that does not fit what is known only makes the worker be polled.
+ *
+ * A worker's capacity may shrink.  It writes its registration once in
+ * REG_WRITE_MS while the store takes it, so the capacity that is known is that
+ * of its last registration, and, when the watch has answered for that long
+ * without a failure, that of REG_WRITE_MS before the last answer.  A start by
+ * a capacity from more than CAPACITY_MAX_AGE_MS ago may be one too many, so
+ * none is sent: an outage of the store stops starts on each worker after that
+ * time, until the worker has registered again.  What runs there goes on.
  */
 #include "cellint.h"
 
 #include <string.h>
 
+/* Workers write their registrations at least this often (heartbeatMs of the
+   platform's settings). */
+#define REG_WRITE_MS 1500
+/* A start is judged by the largest capacity that its worker had within the
+   last 4500 ms (contactMs and heartbeatMs), when it is carried out. */
+#define CAPACITY_MAX_AGE_MS (4500 - CELL_CALL_TIMEOUT_MS)
+
 /* A new incarnation has registered the address of a known one, which may
    therefore be over.  Registrations are not proof, since anyone who can write
    them can name any address, so the known incarnation is polled. */
@@ -45,12 +60,21 @@
     }
 }
 
+/* When the worker still had the capacity that is known. */
+static gl_ms_t
+capacity_at (const cell_t *c, const cworker_t *w)
+{
+  return w->registered && c->capacities_at > w->capacity_at ? c->capacities_at
+                                                            : w->capacity_at;
+}
+
 /* The registration has gone, or another incarnation has replaced it. */
 void
 cworker_unregister (cell_t *c, cworker_t *w)
 {
   if (!w->registered)
     return;
+  w->capacity_at = capacity_at (c, w);
   w->registered = 0;
   w->unregistered_at = c->now;
 }
@@ -119,13 +143,41 @@
   started_at = w->info.self.started_at;
   w->info = *ev->worker;
   w->info.self.started_at = started_at;
+  /* The answer before did not have it. */
+  w->capacity_at = c->registrations_at;
   w->registered = 1;
   timer_arm_before (&c->timers, c->worker_timer, c->now);
   plan_wake (c);
 }
 
+static int
+is_recent (const cell_t *c, gl_ms_t at)
+{
+  return c->now < at + CAPACITY_MAX_AGE_MS;
+}
+
+int
+cworker_capacity_known (const cell_t *c, const cworker_t *w)
+{
+  return is_recent (c, capacity_at (c, w)) || FAULT (FAULT_CELL_CAPACITY_OLD);
+}
+
 void
-cworkers_synced (cell_t *c)
+cworkers_synced (cell_t *c, const cell_event_t *ev)
 {
+  int was_recent = is_recent (c, c->capacities_at);
+
   c->workers_synced = 1;
+  if (ev->resumed)
+    {
+      cell_log (c, "registrations_resumed gap_ms=%lld capacities_age_ms=%lld",
+                cell_age_ms (c, c->registrations_at),
+                cell_age_ms (c, c->capacities_at));
+      c->registrations_since = ev->asked_at;
+    }
+  c->registrations_at = ev->asked_at;
+  if (ev->asked_at >= c->registrations_since + REG_WRITE_MS)
+    c->capacities_at = ev->asked_at - REG_WRITE_MS;
+  if (!was_recent && is_recent (c, c->capacities_at))
+    plan_wake (c);
 }
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -63,7 +63,8 @@
          && w->accounted && !w->dead && !w->silent && !w->info.leaving
          && w->clock && !w->restarted_at
          && (!w->orphans || FAULT (FAULT_CELL_ORPHANS_FREE)) && !w->suspect
-         && c->now >= w->avoid_until && own_may_renew (c);
+         && c->now >= w->avoid_until && own_may_renew (c)
+         && cworker_capacity_known (c, w);
 }
 
 /* ---- ends of incarnations ---- */
--- a/src/cellworker.h
+++ b/src/cellworker.h
@@ -84,6 +84,7 @@
  * struct cworker_t - one incarnation of a worker
  * @info: its latest registration, or the record by an earlier owner without
  *   the capacity
+ * @capacity_at: it had that capacity at this instant or later
  * @next_incarnation: index of another incarnation of the same id; they form a
  *   ring
  * @replaced: another incarnation of its id has answered since, so it is over
@@ -150,6 +151,7 @@
 typedef struct
 {
   cell_worker_t info;
+  gl_ms_t capacity_at;
   int next_incarnation;
   int replaced;
   int settled;
--- a/src/fault.h
+++ b/src/fault.h
@@ -43,6 +43,7 @@
  *   without confirming the ownership
  * @FAULT_CELL_FOREIGN_LEASE: starts tasks on a worker that may hold a lease by
  *   the clock of its former incarnation
+ * @FAULT_CELL_CAPACITY_OLD: starts tasks by capacities however old
  * @FAULT_CELL_UNSETTLED: counts the runs of a former incarnation as lost
  * before the present one has listed its runs
  * @FAULT_CELL_ACKS_UNPROVEN: acknowledges ends to a worker that may have
@@ -81,6 +82,7 @@
   FAULT_CELL_LATE_WRITE,
   FAULT_CELL_RESTART_UNCONFIRMED,
   FAULT_CELL_FOREIGN_LEASE,
+  FAULT_CELL_CAPACITY_OLD,
   FAULT_CELL_STOPS_FORGOTTEN,
   FAULT_CELL_UNSETTLED,
   FAULT_CELL_ACKS_UNPROVEN,
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -24,8 +24,14 @@
 /* Period at which a worker writes its registration (heartbeatMs of the
    platform's settings). */
 static const gl_ms_t HEARTBEAT_MS = 1500;
+/* Time between the heartbeats of one worker and the next. */
+static const gl_ms_t BEAT_PHASE_MS = 211;
 /* A capacity that has shrunk counts this much later (rule LIMIT). */
 static const gl_ms_t SHRUNK_COUNTS_AFTER_MS = CONTACT_MS + HEARTBEAT_MS;
+/* Time between two answers of the watch of registrations, to the owner and to
+   standbys (platform/watch.c). */
+static const gl_ms_t OWNER_WATCH_MS = 200;
+static const gl_ms_t STANDBY_WATCH_MS = 1500;
 /* Resolution of CELL_EV_TICK. */
 static const gl_ms_t TICK_MS = 5;
 /* A job is idle for too long after this span, if all of it and the span before
@@ -443,11 +449,42 @@
     for (size_t w = 0; w < workers.size (); w++)
       report_worker (i, (int)w);
     ev = {};
+    v.unseen_workers.clear ();
+    v.watch_failing = false;
     ev.kind = CELL_EV_WORKERS_SYNCED;
+    ev.asked_at = now - std::min (now, store_ms);
     step (i, ev);
+    schedule (OWNER_WATCH_MS,
+              [=, this] { answer_watch ((size_t)i, incarnation); });
   });
 }
 
+void
+World::answer_watch (size_t i, uint64_t incarnation)
+{
+  Vm &v = vms[i];
+  cell_event_t ev{};
+
+  if (!v.alive || v.incarnation != incarnation)
+    return;
+  if (v.frozen || !reaches_store (i) || !store_answers ())
+    {
+      v.watch_failing = true;
+      schedule (OWNER_WATCH_MS, [=, this] { answer_watch (i, incarnation); });
+      return;
+    }
+  for (size_t w : v.unseen_workers)
+    report_worker ((int)i, (int)w);
+  v.unseen_workers.clear ();
+  ev.kind = CELL_EV_WORKERS_SYNCED;
+  ev.asked_at = now - std::min (now, store_ms);
+  ev.resumed = v.watch_failing;
+  v.watch_failing = false;
+  step ((int)i, ev);
+  schedule (cell_is_owner (v.cell) ? OWNER_WATCH_MS : STANDBY_WATCH_MS,
+            [=, this] { answer_watch (i, incarnation); });
+}
+
 void
 World::step (int i, cell_event_t &ev)
 {
@@ -890,7 +927,10 @@
   f.capacity = { 8000, 32768, 0 };
   w.capacity = w.full_capacity = f.capacity;
   workers.push_back (w);
-  register_worker ((int)workers.size () - 1);
+  size_t index = workers.size () - 1;
+  register_worker ((int)index);
+  schedule (1 + index * BEAT_PHASE_MS % HEARTBEAT_MS,
+            [=, this] { beat (index); });
 }
 
 void
@@ -956,16 +996,38 @@
     if (id == workers[w].info.self.id && workers[w].alive)
       {
         workers[w].info.capacity = workers[w].capacity;
-        for (size_t i = 0; i < vms.size (); i++)
-          {
-            uint64_t incarnation = vms[i].incarnation;
-
-            schedule (store_ms,
-                      [=, this] { notify_worker (i, w, incarnation); });
-          }
+        write_registration (w);
       }
 }
 
+void
+World::write_registration (size_t w)
+{
+  for (size_t i = 0; i < vms.size (); i++)
+    {
+      uint64_t incarnation = vms[i].incarnation;
+
+      vms[i].unseen_workers.insert (w);
+      schedule (store_ms, [=, this] { notify_worker (i, w, incarnation); });
+    }
+}
+
+void
+World::beat (size_t w)
+{
+  Worker &x = workers[w];
+
+  if (!x.alive)
+    return;
+  /* A capacity that has changed is written by register_capacity. */
+  if (x.missed_beat && store_answers () && x.registered && x.has_written
+      && x.info.capacity.cpus_m == x.capacity.cpus_m
+      && x.info.capacity.memory_mb == x.capacity.memory_mb)
+    write_registration (w);
+  x.missed_beat = !store_answers ();
+  schedule (HEARTBEAT_MS, [=, this] { beat (w); });
+}
+
 void
 World::notify_worker (size_t i, size_t w, uint64_t incarnation)
 {
@@ -973,7 +1035,7 @@
     return;
   if (vms[i].frozen || !reaches_store (i) || !store_answers ())
     schedule (200, [=, this] { notify_worker (i, w, incarnation); });
-  else
+  else if (vms[i].unseen_workers.erase (w))
     report_worker ((int)i, (int)w);
 }
 
@@ -1054,6 +1116,7 @@
         if (workers[(size_t)index].alive)
           register_worker (index);
       });
+    schedule (HEARTBEAT_MS, [=, this] { beat ((size_t)index); });
   });
 }
 
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -69,6 +69,7 @@
   int serial = 0;           /* no other incarnation has it */
   int64_t clock_ahead = 0;  /* its clock, less that of the world */
   bool has_written = false; /* its registration */
+  bool missed_beat = false; /* the store did not take its last heartbeat */
   bool returned = false;    /* under the id of another incarnation */
   gl_ms_t returned_at = 0;
   bool polled = false;
@@ -113,6 +114,8 @@
   std::set<std::string> unreachable_workers; /* addresses */
   uint64_t lease_id = 0;
   uint64_t incarnation = 0;
+  std::set<size_t> unseen_workers; /* registrations not reported to it yet */
+  bool watch_failing = false;      /* that of the registrations */
 };
 
 /* What the callers know of a job; vectors are by step. */
@@ -350,6 +353,14 @@
   void report_worker (int vm, int w);
   /* Write the worker's capacity into its registration. */
   void register_capacity (const std::string &id);
+  /* The watch of registrations answers the VM, time after time. */
+  void answer_watch (size_t vm, uint64_t incarnation);
+  /* Write the worker's registration, if the store takes it, and report it to
+     all VMs. */
+  void write_registration (size_t w);
+  /* A heartbeat of the worker.  Only registrations that follow one which the
+     store did not take are reported: the others say nothing new. */
+  void beat (size_t w);
   /* Report the worker to the VM, once that reaches the store. */
   void notify_worker (size_t vm, size_t w, uint64_t incarnation);
   /* Write the registration of the worker's present incarnation. */
