The last VM releases the cell as late as it may

The only VM that was not down, stopped with 1.6 to 1.8 s to its end, released the cell 1.4 s before that end, as owners do to leave time for their writes and for a release that gets no answer. Nobody could take the cell, and the VM was back 0.3 s after its end: 1.8 s without an owner.

An owner now releases the cell 1.0 s before its end, the latest time until now, while no other VM is registered that stays or has time left to own it. A release that gets no answer is still repeated once.

--- a/src/cellstop.c
+++ b/src/cellstop.c
@@ -9,7 +9,8 @@
  *
  * Ownership: an owner that stops hands the cell over once a VM that stays
  * could claim it, or so long before its end that a release is certain to be
- * written.  Until then it goes on as owner.  A VM that stops claims the cell
+ * written.  Until then it goes on as owner.  While no other VM could own the
+ * cell, it releases it as late as it may.  A VM that stops claims the cell
  * only while no VM stays, and if it has time left to be of use.
  *
  * Connections: a VM accepts new ones until the balancer has taken it out.
@@ -175,6 +176,21 @@
   return !is_near (c, ends_at, RELEASE_MARGIN_MS + OWN_MIN_MS);
 }
 
+/* Whether another VM could own the cell if it were released now. */
+static int
+other_can_own (const cell_t *c)
+{
+  for (int i = 0; i < c->nvms; i++)
+    {
+      const cvm_t *v = &c->vms[i];
+
+      if (is_other (c, v)
+          && (!v->stopping || has_time_to_own (c, v->stop_ends_at)))
+        return 1;
+    }
+  return 0;
+}
+
 int
 stop_may_claim (const cell_t *c)
 {
@@ -233,6 +249,10 @@
     }
   if (is_near (c, c->stop.ends_at, RELEASE_LATEST_MS))
     return 1;
+  /* Until another VM is back, an early release leaves the cell without an
+     owner for longer. */
+  if (!other_can_own (c))
+    return 0;
   if (c->now < c->stop.began_at + CONSULTS_SETTLE_MS
       && consults_since_before (c, c->stop.hand_over_at))
     return 0;
@@ -245,14 +265,9 @@
 stop_nobody_can_own (const cell_t *c)
 {
   if (!c->stop.stopping || c->role != CR_STANDBY || !c->ownership_known
-      || (!c->ownership.released && !c->owner_refused_at)
-      || stop_count_staying (c) || has_time_to_own (c, c->stop.ends_at))
+      || (!c->ownership.released && !c->owner_refused_at))
     return 0;
-  for (int i = 0; i < c->nvms; i++)
-    if (is_other (c, &c->vms[i])
-        && has_time_to_own (c, c->vms[i].stop_ends_at))
-      return 0;
-  return 1;
+  return !has_time_to_own (c, c->stop.ends_at) && !other_can_own (c);
 }
 
 /* When the VM that began to stop at @stop_at is expected back. */
