What an ownership knows of a worker is one struct, reset at once

cworkers_take_over, cworkers_reset and census_begin each reset some of these fields one by one, so a new field had to be thought of in three places. They are struct cworker_owned_t now, whose members stay members of cworker_t, and cworkers_reset clears it when an ownership begins and when it is lost. What a worker that lives again resets stays in worker_revive: that is within one ownership, and keeps the ends that were taken.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -152,18 +152,10 @@
 census_begin (cell_t *c, gl_ms_t lease_ms)
 {
   c->lease_bound_ms = lease_ms;
-  c->unaccounted = 0;
   c->census_complete = 0;
   for (int i = 0; i < c->nworkers; i++)
-    {
-      cworker_t *w = &c->workers[i];
-
-      w->dead = w->replaced;
-      w->heard = 0;
-      w->accounted = w->replaced;
-      if (!w->replaced)
-        census_expect (c, w);
-    }
+    if (!c->workers[i].replaced)
+      census_expect (c, &c->workers[i]);
 }
 
 void
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -179,7 +179,8 @@
 /** cworkers_take_over - as a new owner, begin the census of all workers;
    leases from earlier owners can last for @lease_ms */
 void cworkers_take_over (cell_t *c, gl_ms_t lease_ms);
-/** cworkers_reset - drop calls in flight, when the ownership is lost */
+/** cworkers_reset - forget what an ownership has learnt of the workers, when
+    it begins and when it is lost */
 void cworkers_reset (cell_t *c);
 /** cworker_poll_now - poll the worker at once, without a delayed answer */
 void cworker_poll_now (cell_t *c, int worker);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -119,26 +119,8 @@
 cworkers_take_over (cell_t *c, gl_ms_t lease_ms)
 {
   c->enrol_tag = 0;
+  cworkers_reset (c);
   census_begin (c, lease_ms);
-  for (int i = 0; i < c->nworkers; i++)
-    {
-      cworker_t *w = &c->workers[i];
-
-      w->silent = 0;
-      w->suspect = 0;
-      w->poll_tag = 0;
-      w->poll_at = c->now;
-      w->lease_sent = 0;
-      w->lease_sent_at = 0;
-      w->taken_seq = w->ack_cursor = 0;
-      w->nunacked = 0;
-      w->missed_polls = 0;
-      w->enrolled = 0;
-      w->record_revision = 0;
-      w->lease_over_at = 0;
-      w->restarted_at = 0;
-      w->orphans = 0;
-    }
   timer_arm (&c->timers, c->worker_timer, c->now);
 }
 
@@ -149,9 +131,9 @@
     {
       cworker_t *w = &c->workers[i];
 
-      w->poll_tag = 0;
-      w->nunacked = 0;
-      w->accounted = 0;
+      w->owned
+          = (cworker_owned_t){ .dead = w->replaced, .accounted = w->replaced };
+      w->poll_at = c->now;
     }
   c->unaccounted = 0;
 }
--- a/src/cellworker.h
+++ b/src/cellworker.h
@@ -80,8 +80,62 @@
   gl_ms_t sent_at;
 } cunsure_start_t;
 
+/* The members of struct cworker_owned_t. */
+#define CWORKER_OWNED_MEMBERS                                                 \
+  int enrolled;                                                               \
+  uint64_t record_revision;                                                   \
+  int heard;                                                                  \
+  int accounted;                                                              \
+  int dead;                                                                   \
+  int silent;                                                                 \
+  gl_ms_t lease_over_at;                                                      \
+  gl_ms_t restarted_at;                                                       \
+  uint64_t lease_sent;                                                        \
+  gl_ms_t lease_sent_at;                                                      \
+  uint64_t taken_seq;                                                         \
+  uint64_t ack_cursor;                                                        \
+  size_t nunacked;                                                            \
+  uint64_t poll_tag;                                                          \
+  int orphans;                                                                \
+  uint32_t missed_polls;                                                      \
+  int suspect;
+
+/**
+ * struct cworker_owned_t - what this owner knows of one incarnation, which
+ *   begins anew with each ownership
+ * @enrolled: its record is in the store, so that a successor will know it, and
+ *   is not being removed
+ * @record_revision: revision of that record as far as it is known, 0 if there
+ *   is none
+ * @heard: it has answered a poll of this owner
+ * @accounted: this owner knows what runs there, from its report or because
+ *   its leases have ended
+ * @dead: this incarnation counts as over, and nothing of it runs: it has
+ *   restarted, or its leases have ended
+ * @silent: its last poll got no answer
+ * @lease_over_at: when its leases were found to have ended, 0 if not
+ * @restarted_at: when another incarnation was first found at its address, 0 if
+ *   none was
+ * @lease_sent, @lease_sent_at: latest end of a lease that was sent to it, in
+ *   its own clock, and when it was first sent; 0 if none was
+ * @taken_seq, @ack_cursor: number of the last end taken from its reports, and
+ *   of the last end that it may forget
+ * @nunacked: number of ends in between
+ * @poll_tag: tag of the poll in flight, 0 for none
+ * @orphans: runs in its last report that this owner does not know; they take
+ *   room
+ * @missed_polls: polls in a row without an answer
+ * @suspect: it may be gone: no task is started there until it has answered
+ */
+typedef struct
+{
+  CWORKER_OWNED_MEMBERS
+} cworker_owned_t;
+
 /**
  * struct cworker_t - one incarnation of a worker
+ * @owned: see struct cworker_owned_t, the members of which are also members of
+ *   this one
  * @info: its latest registration, or the record by an earlier owner without
  *   the capacity
  * @capacity_at: it had that capacity at this instant or later
@@ -94,43 +148,21 @@
  * @used: resources of the tasks that are bound to it
  * @registered, @unregistered_at: its registration is in the store, else since
  *   when it is not
- * @enrolled: its record is in the store, so that a successor will know it, and
- *   is not being removed
- * @record_revision: revision of that record as far as it is known, 0 if there
- *   is none
  * @record_start: the start in that record's key, 0 for none
- * @heard: it has answered a poll of this owner
- * @accounted: this owner knows what runs there, from its report or because
- *   its leases have ended
- * @dead: this incarnation counts as over, and nothing of it runs: it has
- *   restarted, or its leases have ended
- * @silent: its last poll got no answer
- * @lease_over_at: when its leases were found to have ended, 0 if not
- * @restarted_at: when another incarnation was first found at its address, 0 if
- *   none was
  * @lease_bound_at: instant by which every lease that it can hold from earlier
  *   owners has ended
  * @foreign_until: instant by which every lease has ended that calls to former
  *   incarnations can have given it, 0 for none
  * @avoid_until: no task is started there before this
  * @clock, @clock_at: its clock in its last answer, and when that arrived
- * @lease_sent, @lease_sent_at: latest end of a lease that was sent to it, in
- *   its own clock, and when it was first sent; 0 if none was
- * @taken_seq, @ack_cursor: number of the last end taken from its reports, and
- *   of the last end that it may forget
- * @unacked: ends in between, in order
+ * @unacked: the ends that @nunacked counts, in order
  * @unsure_starts, @nunsure_starts: starts without an answer that may still be
  *   carried out
- * @poll_tag: tag of the poll in flight, 0 for none
  * @poll_now: its next poll is not to be delayed
  * @poll_at: when to poll it next
- * @orphans: runs in its last report that this owner does not know; they take
- *   room
  * @orphans_stopped_at: when they were last sent stops
- * @missed_polls: polls in a row without an answer
  * @unproven: a call got no answer since it last listed its runs, so it may
  * have restarted
- * @suspect: it may be gone: no task is started there until it has answered
  * @failed_jobs, @last_failed_job: different jobs in a row whose runs failed
  *   there, and the last of them
  * @backoff: exponent of the span for which it is avoided next
@@ -150,6 +182,14 @@
  */
 typedef struct
 {
+  union
+  {
+    cworker_owned_t owned;
+    struct
+    {
+      CWORKER_OWNED_MEMBERS
+    };
+  };
   cell_worker_t info;
   gl_ms_t capacity_at;
   int next_incarnation;
@@ -158,39 +198,22 @@
   int rack;
   gl_res_t used;
   int registered;
-  int enrolled;
-  uint64_t record_revision;
   uint64_t record_start;
-  int heard;
-  int accounted;
-  int dead;
-  int silent;
-  gl_ms_t lease_over_at;
-  gl_ms_t restarted_at;
   gl_ms_t unregistered_at;
   gl_ms_t lease_bound_at;
   gl_ms_t foreign_until;
   gl_ms_t avoid_until;
   uint64_t clock;
   gl_ms_t clock_at;
-  uint64_t lease_sent;
-  gl_ms_t lease_sent_at;
-  uint64_t taken_seq;
-  uint64_t ack_cursor;
   cunacked_t *unacked;
-  size_t nunacked;
   size_t capunacked;
   cunsure_start_t *unsure_starts;
   int nunsure_starts;
   int capunsure_starts;
-  uint64_t poll_tag;
   int poll_now;
   gl_ms_t poll_at;
-  int orphans;
   gl_ms_t orphans_stopped_at;
-  uint32_t missed_polls;
   int unproven;
-  int suspect;
   uint32_t failed_jobs;
   handle_t last_failed_job;
   uint32_t backoff;
