--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -665,6 +665,11 @@
 {
 };
 
+INSTANTIATE_TEST_SUITE_P (Capacities, CellFault,
+                          testing::Values (FaultCase{
+                              FAULT_CELL_CAPACITY_OLD,
+                              "shrunk-while-the-store-is-away" }));
+
 TEST_P (CellFault, IsNoticed)
 {
   std::vector<std::string> out;
@@ -695,10 +700,6 @@
                                 "no-ends-are-acknowledged-unheard" },
                      FaultCase{ FAULT_CELL_LATE_WRITE,
                                 "unanswered-write-carried-out-late" }));
-INSTANTIATE_TEST_SUITE_P (Capacities, CellFault,
-                          testing::Values (FaultCase{
-                              FAULT_CELL_CAPACITY_OLD,
-                              "shrunk-while-the-store-is-away" }));
 #endif
 
 /* What a restart of workers costs. */
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -112,10 +112,12 @@
       = 0;               /* when its link has sent, and received, what is on */
   double in_free_at = 0; /* its way */
   std::set<std::string> unreachable_workers; /* addresses */
+  /* Of the watch of registrations: those not reported yet, and whether it
+     fails. */
+  std::set<size_t> unseen_workers;
+  bool watch_failing = false;
   uint64_t lease_id = 0;
   uint64_t incarnation = 0;
-  std::set<size_t> unseen_workers; /* registrations not reported to it yet */
-  bool watch_failing = false;      /* that of the registrations */
 };
 
 /* What the callers know of a job; vectors are by step. */
