--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -209,7 +209,11 @@
 
 /* cellwork.c */
 
-void cworkers_synced (cell_t *c);
+/** cworkers_synced - the registrations are known as of ev->asked_at */
+void cworkers_synced (cell_t *c, const cell_event_t *ev);
+/** cworker_capacity_known - whether the worker's capacity was known shortly
+    before, so that tasks may be started by it */
+int cworker_capacity_known (const cell_t *c, const cworker_t *w);
 /** cworker_answer - the result of a call to a worker */
 void cworker_answer (cell_t *c, const cell_event_t *ev);
 void cworkers_tick (void *ctx, gl_ms_t now);
@@ -219,7 +223,8 @@
 /** cworkers_take_over - as a new owner, begin the census of all workers;
    leases from earlier owners can last for @lease_ms */
 void cworkers_take_over (cell_t *c, gl_ms_t lease_ms);
-/** cworkers_reset - drop calls in flight, when the ownership is lost */
+/** cworkers_reset - forget what an ownership has learnt of the workers, when
+    it begins and when it is lost */
 void cworkers_reset (cell_t *c);
 /** cworker_poll_now - poll the worker at once, without a delayed answer */
 void cworker_poll_now (cell_t *c, int worker);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -66,7 +66,8 @@
          && w->accounted && !w->dead && !w->silent && !w->info.leaving
          && w->clock && !w->restarted_at
          && (!w->orphans || FAULT (FAULT_CELL_ORPHANS_FREE)) && !w->suspect
-         && c->now >= w->avoid_until && own_may_renew (c);
+         && c->now >= w->avoid_until && own_may_renew (c)
+         && cworker_capacity_known (c, w);
 }
 
 /* ---- ends of incarnations ---- */
@@ -121,26 +122,8 @@
 cworkers_take_over (cell_t *c, gl_ms_t lease_ms)
 {
   c->enrol_tag = 0;
+  cworkers_reset (c);
   census_begin (c, lease_ms);
-  for (int i = 0; i < c->nworkers; i++)
-    {
-      cworker_t *w = &c->workers[i];
-
-      w->silent = 0;
-      w->suspect = 0;
-      w->poll_tag = 0;
-      w->poll_at = c->now;
-      w->lease_sent = 0;
-      w->lease_sent_at = 0;
-      w->taken_seq = w->ack_cursor = 0;
-      w->nunacked = 0;
-      w->missed_polls = 0;
-      w->enrolled = 0;
-      w->record_revision = 0;
-      w->lease_over_at = 0;
-      w->restarted_at = 0;
-      w->orphans = 0;
-    }
   timer_arm (&c->timers, c->worker_timer, c->now);
 }
 
@@ -151,9 +134,9 @@
     {
       cworker_t *w = &c->workers[i];
 
-      w->poll_tag = 0;
-      w->nunacked = 0;
-      w->accounted = 0;
+      w->owned
+          = (cworker_owned_t){ .dead = w->replaced, .accounted = w->replaced };
+      w->poll_at = c->now;
     }
   c->unaccounted = 0;
 }
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -818,6 +818,11 @@
 {
 };
 
+INSTANTIATE_TEST_SUITE_P (Capacities, CellFault,
+                          testing::Values (FaultCase{
+                              FAULT_CELL_CAPACITY_OLD,
+                              "shrunk-while-the-store-is-away" }));
+
 TEST_P (CellFault, IsNoticed)
 {
   std::vector<std::string> out;
