Submissions beyond a team's rate are marked, and refused while work waits

A team at many times its rate filled the queue of the cell, and callers were told nothing. The owner keeps a token bucket for each team, filled at its weight in jobs a second and one second deep. A job beyond it is accepted and served after those within their team's rate. Work waits for room when the workers that it may use have had none for 200 ms, or when three consultations and 200 ms would be over. A log line team_state tells a change of a team's state, at most one a second for each team.

--- a/src/cell.h
+++ b/src/cell.h
@@ -115,6 +115,10 @@
   teams_t teams;
 } cell_conf_t;
 
+/** CELL_WHY_RATE - reason of a GL_RETRY for a submission beyond its team's
+   rate; other reasons are of the cell */
+#define CELL_WHY_RATE "the team is over its rate"
+
 /** cell_conf_free - free a configuration; NULL is ignored */
 void cell_conf_free (cell_conf_t *conf);
 
--- a/src/cellask.c
+++ b/src/cellask.c
@@ -160,6 +160,7 @@
   cjob_t *j = cjob_find (c, r->body.id);
   const char *why;
   gl_request_t copy;
+  uint32_t retry_ms = CELL_RETRY_MS;
 
   if (j && j->durable)
     {
@@ -193,6 +194,13 @@
       return;
     }
   j->team = cjob_team (c, r->body.team);
+  if (!plan_admits (c, j->team, plan_queue (c, j), &j->beyond, &retry_ms))
+    {
+      c->counters.refused++;
+      cjob_free (c, j);
+      cell_reply (c, r->tag, GL_RETRY, retry_ms, 0, CELL_WHY_RATE);
+      return;
+    }
   j->spec.accepted_ms = c->wall;
   tags_add (&j->accept_waiters, r->tag);
   if (FAULT (FAULT_CELL_ACCEPT_EARLY))
--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -287,7 +287,10 @@
       if (w->dead)
         continue;
       if (cworker_usable (c, w))
-        csum_add (&c->shares.total, &w->info.capacity, 1);
+        {
+          csum_add (&c->shares.total, &w->info.capacity, 1);
+          csum_add (&c->shares.taken, &w->used, 1);
+        }
       if (w->orphans)
         csum_add (&c->shares.orphaned, &room, 1);
       else if (!c->census_complete && !w->accounted && !w->capacity_max.cpus_m)
--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -557,6 +557,8 @@
   vm = n ? choose_vm (c, q->priority,
                       q->consult_base_ms + n * q->consult_per_worker_ms)
          : -1;
+  if (!n)
+    cstep_note_short (c, s);
   if (vm >= 0)
     send_consult (c, s, q, v, n, vm, 0);
   else
--- a/src/celldue.c
+++ b/src/celldue.c
@@ -56,15 +56,18 @@
   return 0;
 }
 
+double
+due_consult_ms (const cell_queue_t *q)
+{
+  return q->consult_base_ms + CONSULTED_WORKERS * q->consult_per_worker_ms;
+}
+
 int
 due_lateness (const cell_t *c, const cstep_t *s)
 {
   const cjob_t *j = pool_get (&c->jobs, s->job);
   const cell_queue_t *q = plan_queue (c, j);
-  double consult_ms
-      = q && q->advised
-            ? q->consult_base_ms + CONSULTED_WORKERS * q->consult_per_worker_ms
-            : 0;
+  double consult_ms = q && q->advised ? due_consult_ms (q) : 0;
   double expected_ms;
   double due_ms;
 
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -490,7 +490,7 @@
       else if (s)
         {
           if (s->def->gang && s->nwaiting == s->def->count && s->capped)
-            log_wait (c, s, "team_cap");
+            log_wait (c, s, "team_cap why=team_cap");
           s->nreservations = s->reserve_order = 0;
         }
     }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -239,6 +239,8 @@
  *   answer so far, and the earliest time for another
  * @searched_at: when workers were last searched for a consultation, 0 if never
  * @put_off: in the present planning pass, no search was left for it
+ * @short_since: since when the workers that it may use have had no room for
+ * it, 0 if they had when it was last tried
  * @capped: in the present planning pass, its team's cap kept it from starting
  * @surveyed_workers: workers that were known when it was last surveyed, 0
  *   before its first survey
@@ -274,6 +276,7 @@
   gl_ms_t consult_after;
   gl_ms_t searched_at;
   int put_off;
+  gl_ms_t short_since;
   int capped;
   int surveyed_workers;
   int approved_scarce;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -518,6 +518,8 @@
 /** due_compute_paths - set the path lengths of a new job; -1 without memory
  */
 int due_compute_paths (cjob_t *j);
+/** due_consult_ms - time that the advisor takes for a step of the queue */
+double due_consult_ms (const cell_queue_t *q);
 /** due_lateness - 0: the step's job can still end in time, 1: it will be
     late, 2: so late that it is of little use */
 int due_lateness (const cell_t *c, const cstep_t *s);
@@ -530,6 +532,18 @@
 void plan_wake (cell_t *c);
 /** plan_queue - the job's queue, or NULL when it is not known here */
 const cell_queue_t *plan_queue (const cell_t *c, const cjob_t *j);
+/** cstep_note_short - the workers that the step may use have no room for it */
+void cstep_note_short (const cell_t *c, cstep_t *s);
+/**
+ * plan_admits - 1 if a job of the team may be submitted to the queue now
+ * @beyond: set to 1 if it is beyond the team's rate, else to 0
+ * @retry_ms: set if it is refused: time after which to retry
+ *
+ * A job beyond the rate is refused while work of its priority or a higher one
+ * waits for room, or work of its team for the team's cap.
+ */
+int plan_admits (cell_t *c, int team, const cell_queue_t *q, int *beyond,
+                 uint32_t *retry_ms);
 /** plan_run - make a planning pass if one is due */
 void plan_run (cell_t *c);
 void plan_tick (void *ctx, gl_ms_t now);
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -20,6 +20,12 @@
    STEPS_PER_MS waiting steps, since they make a pass take longer. */
 #define PASS_INTERVAL_MIN_MS 3
 #define STEPS_PER_MS 40
+/* Work waits for room when there has been none for it for this long.  Room
+   that others have taken since the advisor's decision costs less. */
+#define SHORT_OF_ROOM_MS 200
+/* Work that waits for tickets waits for room when this many consultations and
+   SHORT_OF_ROOM_MS would have been over. */
+#define CONSULTS_WITHOUT_ROOM 3
 /* Where teams are configured, a step starts at most so many tasks in a row
    while it is the turn of its team, so that a wide step does not take all
    room. */
@@ -131,6 +137,17 @@
   return t->run + (t->inherited ? UNSEEN_RUNS_MAX : 0) + 1;
 }
 
+/* Whether the team's cap allows one task of the step, or the whole gang, while
+   nothing else of the team runs. */
+static int
+fits_cap (cell_t *c, const cstep_t *s)
+{
+  const gl_res_t need = cstep_need (s);
+
+  return share_cap_fits (&c->conf.teams, cstep_job (c, s)->team, &need,
+                         s->def->gang ? (int)s->def->count : 1);
+}
+
 /* Whether the room that is left of the team's cap is kept for a gang of it. */
 static int
 team_is_held (const cell_t *c, const cstep_t *s)
@@ -163,10 +180,16 @@
           return;
         }
       w = choose_worker (c, s, q, -1, t->failed_worker);
+      if (w < 0 && (!q->advised || s->ntickets))
+        {
+          cstep_note_short (c, s);
+          return;
+        }
       if (w < 0)
         return;
       if (ctask_bind (c, s, i, w, 1))
         return;
+      s->short_since = 0;
       s->starved = 0;
       c->turn_left--;
       t->run = next_run (t);
@@ -247,12 +270,10 @@
   if (cstep_cap_room (c, s, (int)s->def->count) < (int)s->def->count)
     {
       const cjob_t *j = cstep_job (c, s);
-      const gl_res_t need = cstep_need (s);
 
       s->capped = 1;
       if (!shares_reserve (&c->shares, j->team))
-        c->shares.v[j->team + 1].held |= share_cap_fits (
-            &c->conf.teams, j->team, &need, (int)s->def->count);
+        c->shares.v[j->team + 1].held |= fits_cap (c, s);
       return;
     }
   for (int r = 0; s->def->same_rack && r < c->nracks && !bound; r++)
@@ -260,7 +281,13 @@
   if (!bound && (!s->def->same_rack || !room_waits_for_rack (c, s)))
     bound = bind_gang (c, s, q, -1);
   if (!bound)
-    return;
+    {
+      /* A gang of an advised queue without tickets was not tried. */
+      if (!q->advised || s->ntickets)
+        cstep_note_short (c, s);
+      return;
+    }
+  s->short_since = 0;
   for (uint32_t i = 0; i < s->def->count; i++)
     {
       s->tasks[i].run = run;
@@ -287,6 +314,13 @@
   return s->def->gang ? n == s->def->count : n > 0;
 }
 
+void
+cstep_note_short (const cell_t *c, cstep_t *s)
+{
+  if (!s->short_since)
+    s->short_since = c->now;
+}
+
 static void
 plan_step (cell_t *c, cstep_t *s)
 {
@@ -529,6 +563,82 @@
   return 0;
 }
 
+/* Whether the step waits for room: there has been none for a while, or it
+   waits for much longer than the advisor takes. */
+static int
+waits_for_room (cell_t *c, const cstep_t *s, const cell_queue_t *q)
+{
+  double consult_ms = q->advised ? due_consult_ms (q) : 0;
+
+  if (s->short_since)
+    return c->now >= s->short_since + SHORT_OF_ROOM_MS;
+  return q->advised
+         && (double)(c->now - s->ready_at)
+                > CONSULTS_WITHOUT_ROOM * consult_ms + SHORT_OF_ROOM_MS;
+}
+
+/* Keep what the pass has shown of the teams: which wait for their caps, and of
+   which priorities work waits for room.  In a cell of which half is free, what
+   waits for room needs much at once, or workers of a kind, so that refusing
+   other work would not help it. */
+static void
+note_shares (cell_t *c)
+{
+  cshares_t *sh = &c->shares;
+
+  sh->short_of_room = 0;
+  for (int i = 0; i < sh->n; i++)
+    sh->v[i].capped = 0;
+  for (size_t i = 0; i < c->waiting.n; i++)
+    {
+      const cstep_t *s = pool_get (&c->steps, c->waiting.v[i]);
+      const cjob_t *j = s ? cstep_job (c, s) : NULL;
+      const cell_queue_t *q = s ? plan_queue (c, j) : NULL;
+
+      if (!q || !s->nwaiting || !j->durable
+          || j->next_phase >= GL_PHASE_COMPLETED)
+        continue;
+      if (s->capped && !shares_reserve (sh, j->team))
+        sh->v[j->team + 1].capped |= fits_cap (c, s);
+      else if (may_start_any (c, s) && waits_for_room (c, s, q))
+        sh->short_of_room |= 1u << priority_of (c, s);
+    }
+  if (!shares_half_taken (sh))
+    sh->short_of_room = 0;
+  for (int i = 0; i < sh->n; i++)
+    if (share_note_pass (sh, &c->conf.teams, i - 1, c->now))
+      cell_log (c,
+                "team_state team=%s at_cap=%d over_rate=%d cpus=%lld "
+                "memory_mb=%lld refused=%llu",
+                i ? c->conf.teams.v[i - 1].name : "-", sh->v[i].capped,
+                sh->v[i].over, (long long)sh->v[i].used.cpus_m / 1000,
+                (long long)sh->v[i].used.memory_mb,
+                (unsigned long long)sh->v[i].refused);
+  sh->noted_at = c->now;
+}
+
+int
+plan_admits (cell_t *c, int team, const cell_queue_t *q, int *beyond,
+             uint32_t *retry_ms)
+{
+  cshares_t *sh = &c->shares;
+  int p = q->priority >= 0 && q->priority < CELL_PRIORITIES ? q->priority
+                                                            : CELL_PRIORITIES;
+
+  *beyond = 0;
+  if (!sh->on || share_take_token (sh, &c->conf.teams, team, c->now))
+    return 1;
+  *beyond = 1;
+  if (!(sh->short_of_room & ((2u << p) - 1))
+      && !(sh->v[team + 1].capped_since
+           && c->now >= sh->v[team + 1].capped_since + SHORT_OF_ROOM_MS))
+    return 1;
+  sh->v[team + 1].refused++;
+  *retry_ms = share_retry_ms (sh, &c->conf.teams, team);
+  plan_wake (c);
+  return 0;
+}
+
 void
 plan_run (cell_t *c)
 {
@@ -573,6 +683,8 @@
         idle_lines += log_idle (c, s);
     }
   some_put_off = serve_put_off (c);
+  if (c->shares.on)
+    note_shares (c);
   consult_before_leases_end (c);
   poll_note_waiting (c);
   timer_arm_before (&c->timers, c->plan_timer,
@@ -599,4 +711,5 @@
   c->waiting.n = 0;
   c->to_fail.n = 0;
   c->ncrashes = 0;
+  shares_reset (&c->shares);
 }
--- a/src/cellshare.c
+++ b/src/cellshare.c
@@ -18,6 +18,10 @@
  * fixed during a pass and sorted once.  Within a class of equal keys, a heap
  * of the teams gives the one with the smallest share; only the share of the
  * team that was served last can have changed.
+ *
+ * Each team has a token bucket, filled at its weight in jobs a second and one
+ * second deep.  A job beyond that is accepted and served after those within
+ * it, and refused while work of its priority or a higher one waits for room.
  */
 #include "cellshare.h"
 
@@ -27,6 +31,12 @@
 #include "fault.h"
 #include "pool.h"
 
+/* Bounds on the retry time in a refusal for the team's rate. */
+#define RETRY_MIN_MS 1000
+#define RETRY_MAX_MS 5000
+/* Time between two log lines on the state of a team. */
+#define LOG_INTERVAL_MS 1000
+
 void
 csum_add (csum_t *sum, const gl_res_t *r, int64_t n)
 {
@@ -68,6 +78,7 @@
   memset (&sh->hidden, 0, sizeof sh->hidden);
   memset (&sh->orphaned, 0, sizeof sh->orphaned);
   memset (&sh->total, 0, sizeof sh->total);
+  memset (&sh->taken, 0, sizeof sh->taken);
   for (int i = 0; i < sh->n; i++)
     {
       memset (&sh->v[i].unlocated, 0, sizeof sh->v[i].unlocated);
@@ -148,8 +159,6 @@
   return share_room (&none, teams, team, need, n) >= n;
 }
 
-/* ---- order ---- */
-
 static double
 weight_of (const teams_t *teams, int team)
 {
@@ -201,6 +210,99 @@
              || (cap->accels > 0 && 2 * s->used.accels >= cap->accels));
 }
 
+/* ---- rate ---- */
+
+int
+shares_half_taken (const cshares_t *sh)
+{
+  return 2 * sh->taken.cpus_m >= sh->total.cpus_m
+         || 2 * sh->taken.memory_mb >= sh->total.memory_mb;
+}
+
+void
+shares_reset (cshares_t *sh)
+{
+  for (int i = 0; i < sh->n; i++)
+    {
+      cshare_t *s = &sh->v[i];
+
+      s->filled_at = 0;
+      s->over = 0;
+      s->capped = 0;
+      s->capped_since = 0;
+    }
+  sh->short_of_room = 0;
+  sh->noted_at = 0;
+}
+
+/* Add the tokens since the last time, to one second's at most. */
+static void
+fill_bucket (cshare_t *s, double weight, gl_ms_t now)
+{
+  double depth = weight > 1 ? weight : 1;
+
+  if (!s->filled_at)
+    s->tokens = depth;
+  else
+    s->tokens += weight * (double)(now - s->filled_at) / 1000;
+  if (s->tokens > depth)
+    s->tokens = depth;
+  s->filled_at = now;
+}
+
+int
+share_take_token (cshares_t *sh, const teams_t *teams, int team, gl_ms_t now)
+{
+  cshare_t *s;
+
+  if (shares_reserve (sh, team))
+    return 1;
+  s = &sh->v[team + 1];
+  fill_bucket (s, weight_of (teams, team), now);
+  s->over = s->tokens < 1;
+  if (s->over)
+    return 0;
+  s->tokens -= 1;
+  return 1;
+}
+
+uint32_t
+share_retry_ms (const cshares_t *sh, const teams_t *teams, int team)
+{
+  double ms = (1 - sh->v[team + 1].tokens) * 1000 / weight_of (teams, team);
+
+  return ms < RETRY_MIN_MS   ? RETRY_MIN_MS
+         : ms > RETRY_MAX_MS ? RETRY_MAX_MS
+                             : (uint32_t)ms;
+}
+
+int
+share_note_pass (cshares_t *sh, const teams_t *teams, int team, gl_ms_t now)
+{
+  cshare_t *s = &sh->v[team + 1];
+
+  if (s->capped && s->capped_since && sh->noted_at)
+    s->capped_ms += now - sh->noted_at;
+  if (!s->capped)
+    s->capped_since = 0;
+  else if (!s->capped_since)
+    s->capped_since = now;
+  if (s->over)
+    {
+      fill_bucket (s, weight_of (teams, team), now);
+      s->over = s->tokens < 1;
+    }
+  if ((s->capped == s->logged_capped && s->over == s->logged_over)
+      || now < s->logged_at + LOG_INTERVAL_MS)
+    return 0;
+  s->logged_at = now;
+  s->logged_capped = s->capped;
+  s->logged_over = s->over;
+  return 1;
+}
+
+/* ---- order ---- */
+
 static int
 class_cmp (const cturn_t *x, const cturn_t *y)
 {
--- a/src/cellshare.h
+++ b/src/cellshare.h
@@ -21,6 +21,15 @@
  * @planned: resources of its gangs that are in front in the order in which
  *   reservations are made
  * @held: in the present planning pass, a gang that fits its cap waits for that
+ * @tokens, @filled_at: its token bucket: jobs that it may still submit within
+ *   its rate, and when that was computed; 0: the bucket is full
+ * @over: its last submission was beyond its rate, and there is no token since
+ * @capped, @capped_since: its cap kept a step from starting in the last
+ * planning pass, and since when that is so
+ * @capped_ms: time for which that was so, up to the last pass
+ * @refused: submissions refused for its rate
+ * @logged_at, @logged_capped, @logged_over: when its state was last logged,
+ * and that state
  */
 typedef struct
 {
@@ -28,6 +37,16 @@
   csum_t unlocated;
   csum_t planned;
   int held;
+  double tokens;
+  gl_ms_t filled_at;
+  int over;
+  int capped;
+  gl_ms_t capped_since;
+  gl_ms_t capped_ms;
+  uint64_t refused;
+  gl_ms_t logged_at;
+  int logged_capped;
+  int logged_over;
 } cshare_t;
 
 /**
@@ -37,7 +56,11 @@
  *   team
  * @hidden: capacity of the workers of which it is not known what runs there
  * @orphaned: room on the workers with orphaned runs that no known task uses
- * @total: capacity of the workers that take tasks
+ * @total, @taken: capacity of the workers that take tasks, and what is used of
+ *   it
+ * @short_of_room: for each priority, by its bit, whether work of it waited for
+ *   room in the last planning pass
+ * @noted_at: when the last planning pass was
  */
 typedef struct
 {
@@ -48,6 +71,9 @@
   csum_t hidden;
   csum_t orphaned;
   csum_t total;
+  csum_t taken;
+  unsigned int short_of_room;
+  gl_ms_t noted_at;
 } cshares_t;
 
 /**
@@ -134,6 +160,25 @@
     waits for the rest of it */
 int share_is_held (const cshares_t *sh, const teams_t *teams, int team);
 
+/** shares_half_taken - 1 if half of the cell's processors or memory is in use
+ */
+int shares_half_taken (const cshares_t *sh);
+/** shares_reset - the ownership is lost: buckets are full, and no team waits
+ */
+void shares_reset (cshares_t *sh);
+/** share_take_token - 1 if the team submits a job within its rate, which takes
+   a token */
+int share_take_token (cshares_t *sh, const teams_t *teams, int team,
+                      gl_ms_t now);
+/** share_retry_ms - time until the team has a token, within the bounds for
+    refusals */
+uint32_t share_retry_ms (const cshares_t *sh, const teams_t *teams, int team);
+/** share_note_pass - after a planning pass: keep the team's times, and tell by
+    the result whether its state is to be logged: it has changed, and was not
+    logged in the last second */
+int share_note_pass (cshares_t *sh, const teams_t *teams, int team,
+                     gl_ms_t now);
+
 /** turns_begin - put the steps @v in order; @v is taken over and sorted; -1
     without memory */
 int turns_begin (cturns_t *t, const teams_t *teams, cturn_t *v, size_t n);
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -79,6 +79,10 @@
  *                                  first
  *   team NAME WEIGHT PRIORITY CPUS_M MEM_MB   a team of the next
  *                                  configuration; a cap of 0 is no limit
+ *   background MS N PREFIX QUEUE STEP...   as stream, while the script goes on
+ *   in_time PERCENT MS PREFIX      print whether of the jobs of a burst or
+ *                                  stream, accepted or not, so many have been
+ *                                  completed within MS
  *   running TEAM                   print the team's part of the processors in
  *                                  use, in quarters: 50 is 38 to 62 percent
  *   as [TEAM]                      callers are of this team from now on
@@ -560,6 +564,48 @@
                        [&] (const team_t &o) { return o.name == a; });
         w->teams.push_back (t);
       }
+    else if (cmd == "background")
+      {
+        std::string queue;
+        std::string s;
+        std::vector<gl_step_t> steps;
+        int gap = 0;
+        in >> gap >> n >> a >> queue;
+        while (in >> s)
+          steps.push_back (parse_step (s));
+        for (int i = 0; i < n; i++)
+          {
+            char id[20];
+            snprintf (id, sizeof id, "%.8s%08d", (a + "00000000").c_str (), i);
+            w->schedule ((gl_ms_t)(gap * i),
+                         [=, this, id = std::string (id), team = w->team] {
+                           std::string before = w->team;
+                           w->team = team;
+                           w->submit (id, queue, steps);
+                           w->team = before;
+                         });
+          }
+      }
+    else if (cmd == "in_time")
+      {
+        int ms = 0;
+        int all = 0;
+        int in_time = 0;
+        in >> n >> ms >> a;
+        for (auto &j : w->jobs)
+          all += j.first.rfind (a, 0) == 0;
+        for (const std::string &l : w->log)
+          {
+            size_t at = l.find (" job_ended id=" + a);
+            size_t age = l.find ("phase=completed age_ms=");
+            in_time += at != std::string::npos && age != std::string::npos
+                       && atoi (l.c_str () + age + 23) <= ms;
+          }
+        out.push_back (all && in_time * 100 >= n * all
+                           ? a + " in time often enough"
+                           : a + " in time " + std::to_string (in_time)
+                                 + " of " + std::to_string (all));
+      }
     else if (cmd == "running")
       {
         int64_t all = 0;
