--- a/src/cell.c
+++ b/src/cell.c
@@ -362,6 +362,42 @@
   text_add (t, "cell_jobs_waiting_known %d\n", known);
 }
 
+/* What the first SHARE_METRICS_MAX teams have and wait for. */
+static void
+print_teams (const cell_t *c, text_t *t)
+{
+  uint32_t waiting[SHARE_METRICS_MAX] = { 0 };
+  size_t pos = 0;
+  handle_t h;
+
+  if (c->role != CR_OWNER || !c->shares.on)
+    return;
+  while ((h = pool_next (&c->jobs, &pos)))
+    {
+      const cjob_t *j = pool_get (&c->jobs, h);
+
+      if (j->durable && !j->begun && j->next_phase < GL_PHASE_COMPLETED
+          && j->team + 1 < SHARE_METRICS_MAX)
+        waiting[j->team + 1]++;
+    }
+  for (int i = 0; i < c->shares.n && i < SHARE_METRICS_MAX; i++)
+    {
+      const cshare_t *s = &c->shares.v[i];
+      const char *name = i ? c->conf.teams.v[i - 1].name : "";
+
+      text_add (t, "cell_team_jobs_waiting{team=\"%s\"} %u\n", name,
+                waiting[i]);
+      text_add (t, "cell_team_cpus{team=\"%s\"} %.3f\n", name,
+                (double)s->used.cpus_m / 1000);
+      text_add (t, "cell_team_refused{team=\"%s\"} %llu\n", name,
+                (unsigned long long)s->refused);
+      text_add (t, "cell_team_share{team=\"%s\"} %.4f\n", name,
+                share_dominant (&c->shares, i - 1));
+      text_add (t, "cell_team_at_cap_s{team=\"%s\"} %.3f\n", name,
+                (double)s->capped_ms / 1000);
+    }
+}
+
 void
 cell_metrics (const cell_t *c, text_t *t)
 {
@@ -377,6 +413,7 @@
   text_add (t, "cell_steps_waiting %zu\ncell_requests_open %zu\n",
             c->waiting.n, c->nrequests);
   print_waiting (c, t);
+  print_teams (c, t);
   text_add (t, "cell_reserved_cpus %lld\ncell_usable_cpus %lld\n",
             (long long)c->reserved_cpus_m / 1000,
             (long long)c->usable_cpus_m / 1000);
--- a/src/cellshare.c
+++ b/src/cellshare.c
@@ -174,7 +174,7 @@
 }
 
 double
-share_weighted (const cshares_t *sh, const teams_t *teams, int team)
+share_dominant (const cshares_t *sh, int team)
 {
   const cshare_t *s;
   double cpus;
@@ -190,9 +190,13 @@
   accels = part (s->used.accels + s->planned.accels, sh->total.accels);
   if (memory > cpus)
     cpus = memory;
-  if (accels > cpus)
-    cpus = accels;
-  return cpus / weight_of (teams, team);
+  return accels > cpus ? accels : cpus;
+}
+
+double
+share_weighted (const cshares_t *sh, const teams_t *teams, int team)
+{
+  return share_dominant (sh, team) / weight_of (teams, team);
 }
 
 int
--- a/src/cellshare.h
+++ b/src/cellshare.h
@@ -153,8 +153,12 @@
 int share_cap_fits (const teams_t *teams, int team, const gl_res_t *need,
                     int n);
 
-/** share_weighted - the team's largest share of a resource of the cell, over
-    its weight */
+/** SHARE_METRICS_MAX - teams in the metrics, jobs without a team included */
+#define SHARE_METRICS_MAX 128
+
+/** share_dominant - the team's largest share of a resource of the cell */
+double share_dominant (const cshares_t *sh, int team);
+/** share_weighted - the same, over its weight */
 double share_weighted (const cshares_t *sh, const teams_t *teams, int team);
 /** share_is_held - 1 if the team uses half of its cap, and one of its gangs
     waits for the rest of it */
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -16,6 +16,7 @@
 extern "C"
 {
 #include "ask.h"
+#include "cellshare.h"
 #include "codec.h"
 #include "gl_cell.h"
 #include "conf.h"
@@ -1108,3 +1109,123 @@
                                   (xdrproc_t)xdr_gl_cancel_t, &in,
                                   (xdrproc_t)xdr_gl_answer_t, &out, 500));
 }
+
+/* ---- shares of teams ---- */
+
+struct SharesTest : testing::Test
+{
+  teams_t teams{};
+  cshares_t shares{};
+
+  void
+  SetUp () override
+  {
+    for (int i = 0; i < 95; i++)
+      {
+        std::string name = "t" + std::to_string (i);
+
+        teams_add (&teams, name.c_str ());
+        teams.v[i].weight = 1 + i % 3;
+        teams.v[i].cap = { 1000, 0, 2 };
+      }
+    ASSERT_EQ (0, shares_reserve (&shares, teams.n - 1));
+    shares.on = 1;
+    shares.total = { 1000000, 1000000, 100 };
+  }
+
+  void
+  TearDown () override
+  {
+    teams_destroy (&teams);
+    shares_destroy (&shares);
+  }
+};
+
+/* Guards against a cap that leaves out one of the resources, or what a new
+   owner has not found, or counts more of it than can hide. */
+TEST_F (SharesTest, CapCountsWhatMayRun)
+{
+  gl_res_t cpus = { 300, 500, 0 };
+  gl_res_t accel = { 0, 0, 1 };
+
+  EXPECT_EQ (3, share_room (&shares, &teams, 0, &cpus, 10));
+  EXPECT_EQ (2, share_room (&shares, &teams, 0, &accel, 10));
+  EXPECT_EQ (10, share_room (&shares, &teams, -1, &cpus, 10));
+  share_bound (&shares, 0, &cpus);
+  EXPECT_EQ (2, share_room (&shares, &teams, 0, &cpus, 10));
+  for (int i = 0; i < 5; i++)
+    share_unlocated (&shares, 0, &cpus);
+  EXPECT_EQ (2, share_room (&shares, &teams, 0, &cpus, 10));
+  shares.hidden.cpus_m = 400;
+  EXPECT_EQ (1, share_room (&shares, &teams, 0, &cpus, 10));
+  EXPECT_EQ (3, share_room (&shares, &teams, 1, &cpus, 10));
+  shares.orphaned.cpus_m = 101;
+  EXPECT_EQ (0, share_room (&shares, &teams, 0, &cpus, 10));
+  EXPECT_EQ (2, share_room (&shares, &teams, 1, &cpus, 10));
+  teams.v[0].removed = 1;
+  EXPECT_EQ (10, share_room (&shares, &teams, 0, &cpus, 10));
+  EXPECT_FALSE (share_cap_fits (&teams, 1, &cpus, 4));
+  EXPECT_TRUE (share_cap_fits (&teams, 1, &cpus, 3));
+}
+
+/* Guards against an order in which a team with many steps goes before others,
+   a weight is ignored, or a step is left out or served twice; 95 teams with
+   5,300 steps, of which each uses as much as the others. */
+TEST_F (SharesTest, OrderFollowsWeightedShares)
+{
+  static const size_t STEPS = 5300;
+  cturn_t *v = (cturn_t *)calloc (STEPS, sizeof *v);
+  std::vector<int> served (STEPS);
+  std::vector<int> by_team (95);
+  gl_res_t need = { 10, 0, 0 };
+  cturns_t turns;
+  int last_priority = 0;
+  size_t n = 0;
+
+  for (size_t i = 0; i < STEPS; i++)
+    {
+      v[i].priority = i >= 4000;
+      v[i].team = (int)(i % 95);
+      v[i].pos = i;
+      v[i].item = &served[i];
+    }
+  ASSERT_EQ (0, turns_begin (&turns, &teams, v, STEPS));
+  while (cturn_t *t = turns_next (&turns, &shares, &teams, 0))
+    {
+      EXPECT_LE (last_priority, t->priority);
+      last_priority = t->priority;
+      ++*(int *)t->item;
+      share_bound (&shares, t->team, &need);
+      by_team[(size_t)t->team]++;
+      if (++n == 1900)
+        for (size_t i = 0; i < 95; i++)
+          EXPECT_NEAR (1900.0 * (double)(1 + i % 3) / 189, by_team[i], 1.5);
+    }
+  EXPECT_EQ (STEPS, n);
+  for (int times : served)
+    EXPECT_EQ (1, times);
+  turns_end (&turns);
+}
+
+/* Guards against a bucket that refuses a team within its rate, never fills, or
+   holds more than a second's jobs. */
+TEST_F (SharesTest, BucketHoldsOneSecond)
+{
+  int taken = 0;
+
+  teams.v[0].weight = 20;
+  for (int i = 0; i < 100; i++)
+    taken += share_take_token (&shares, &teams, 0, 1000);
+  EXPECT_EQ (20, taken);
+  EXPECT_EQ (1000u, share_retry_ms (&shares, &teams, 0));
+  for (int i = 1; i <= 100; i++)
+    taken += share_take_token (&shares, &teams, 0, 1000 + (gl_ms_t)i * 50);
+  EXPECT_EQ (120, taken);
+  for (int i = 0; i < 100; i++)
+    taken += share_take_token (&shares, &teams, 0, 60000);
+  EXPECT_EQ (140, taken);
+  teams.v[1].weight = 0.1;
+  EXPECT_EQ (1, share_take_token (&shares, &teams, 1, 1000));
+  EXPECT_EQ (0, share_take_token (&shares, &teams, 1, 1100));
+  EXPECT_EQ (5000u, share_retry_ms (&shares, &teams, 1));
+}
