A team whose steps wait for the advisor gives way to other teams

In a pass, the team with the smallest share was served with all its steps before others, since steps without tickets start nothing; on a cell with an advisor it took the searches for consultations. A step for which the advisor is being consulted now counts in its team's share until the end of the pass. Jobs without a team have the priority of the last team, not the first.

--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -438,8 +438,7 @@
       ordered[at++] = *g;
     }
   memcpy (v, ordered, n * sizeof *v);
-  for (int i = 0; i < c->shares.n; i++)
-    memset (&c->shares.v[i].planned, 0, sizeof c->shares.v[i].planned);
+  shares_clear_planned (&c->shares);
   free (ordered);
   turns_end (&turns);
   return 0;
--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -557,8 +557,17 @@
       c->turn_left = TASKS_PER_TURN;
       plan_step (c, s);
       again = c->turn_left <= 0 && s->nwaiting;
+      /* Otherwise the team with the smallest share would take all searches of
+         a pass for its own steps, which have no tickets yet. */
+      if (s->consults_in_flight && !shares_reserve (&c->shares, turn->team))
+        {
+          const gl_res_t need = cstep_need (s);
+
+          csum_add (&c->shares.v[turn->team + 1].planned, &need, s->nwaiting);
+        }
     }
   c->turn_left = INT_MAX;
+  shares_clear_planned (&c->shares);
   turns_end (&turns);
   return 0;
 }
--- a/src/cellshare.c
+++ b/src/cellshare.c
@@ -86,6 +86,13 @@
     }
 }
 
+void
+shares_clear_planned (cshares_t *sh)
+{
+  for (int i = 0; i < sh->n; i++)
+    memset (&sh->v[i].planned, 0, sizeof sh->v[i].planned);
+}
+
 void
 share_bound (cshares_t *sh, int team, const gl_res_t *need)
 {
@@ -121,13 +128,17 @@
   return room / need < max ? (int)(room / need) : max;
 }
 
+static int
+is_configured (const teams_t *teams, int team)
+{
+  return team >= 0 && team < teams->n && !teams->v[team].removed;
+}
+
 /* The team's cap, or NULL if it has none. */
 static const gl_res_t *
 cap_of (const teams_t *teams, int team)
 {
-  return team >= 0 && team < teams->n && !teams->v[team].removed
-             ? &teams->v[team].cap
-             : NULL;
+  return is_configured (teams, team) ? &teams->v[team].cap : NULL;
 }
 
 int
@@ -162,9 +173,9 @@
 static double
 weight_of (const teams_t *teams, int team)
 {
-  const int known = team >= 0 && team < teams->n && !teams->v[team].removed;
-
-  return known && teams->v[team].weight > 0 ? teams->v[team].weight : 1;
+  return is_configured (teams, team) && teams->v[team].weight > 0
+             ? teams->v[team].weight
+             : 1;
 }
 
 static double
@@ -365,9 +376,13 @@
     }
 }
 
+/* Jobs without a team, or of one that has left the configuration, have the
+   priority of the last of the teams: nobody vouches for them. */
 int
 turns_begin (cturns_t *t, const teams_t *teams, cturn_t *v, size_t n)
 {
+  int last = 0;
+
   memset (t, 0, sizeof *t);
   t->v = v;
   t->n = n;
@@ -377,10 +392,13 @@
       turns_end (t);
       return -1;
     }
+  for (int i = 0; i < teams->n; i++)
+    if (!teams->v[i].removed && teams->v[i].priority > last)
+      last = teams->v[i].priority;
   for (size_t i = 0; i < n; i++)
-    v[i].team_priority = v[i].team >= 0 && v[i].team < teams->n
+    v[i].team_priority = is_configured (teams, v[i].team)
                              ? teams->v[v[i].team].priority
-                             : 0;
+                             : last;
   if (n)
     qsort (v, n, sizeof *v, turn_cmp);
   return 0;
--- a/src/cellshare.h
+++ b/src/cellshare.h
@@ -18,8 +18,9 @@
  * @used: resources of its tasks that are bound to a worker
  * @unlocated: resources of its tasks that an earlier owner may have started
  *   and that have not been found yet, as of the present planning pass
- * @planned: resources of its gangs that are in front in the order in which
- *   reservations are made
+ * @planned: resources of its steps that have been served in the present order
+ *   without a start: gangs for which reservations are made, and steps for
+ * which the advisor is being consulted
  * @held: in the present planning pass, a gang that fits its cap waits for that
  * @tokens, @filled_at: its token bucket: jobs that it may still submit within
  *   its rate, and when that was computed; 0: the bucket is full
@@ -138,6 +139,8 @@
 /** shares_clear_census - before a planning pass: nothing is hidden, orphaned
    or unlocated, and no worker takes tasks */
 void shares_clear_census (cshares_t *sh);
+/** shares_clear_planned - nothing is planned for any team */
+void shares_clear_planned (cshares_t *sh);
 /** share_bound, share_unbound - a task of the team that needs @need has been
     bound to a worker, or is no longer */
 void share_bound (cshares_t *sh, int team, const gl_res_t *need);
