--- a/src/cellask.c
+++ b/src/cellask.c
@@ -206,6 +206,7 @@
   const char *why;
   gl_request_t copy = { 0 };
   int team;
+  uint32_t retry_ms = CELL_RETRY_MS;
 
   if (j && is_other_team (c, r, j->team))
     {
@@ -246,6 +247,13 @@
       return;
     }
   j->team = team;
+  if (!plan_admits (c, j->team, plan_queue (c, j), &j->beyond, &retry_ms))
+    {
+      c->counters.refused++;
+      cjob_free (c, j);
+      cell_reply (c, r->tag, GL_RETRY, retry_ms, 0, CELL_WHY_RATE);
+      return;
+    }
   j->spec.accepted_ms = c->wall;
   tags_add (&j->accept_waiters, r->tag);
   if (FAULT (FAULT_CELL_ACCEPT_EARLY))
--- a/src/cellhold.c
+++ b/src/cellhold.c
@@ -441,8 +441,7 @@
       ordered[at++] = *g;
     }
   memcpy (v, ordered, n * sizeof *v);
-  for (int i = 0; i < c->shares.n; i++)
-    memset (&c->shares.v[i].planned, 0, sizeof c->shares.v[i].planned);
+  shares_clear_planned (&c->shares);
   free (ordered);
   turns_end (&turns);
   return 0;
@@ -493,7 +492,7 @@
       else if (s)
         {
           if (s->def->gang && s->nwaiting == s->def->count && s->capped)
-            log_wait (c, s, "team_cap");
+            log_wait (c, s, "team_cap why=team_cap");
           s->nreservations = s->reserve_order = 0;
         }
     }
