--- a/src/cellconsult.c
+++ b/src/cellconsult.c
@@ -15,7 +15,8 @@
  * gangs of a burst do not all wait for the same ones.  Later consultations
  * renew the tickets for workers on which the gang has reserved room, and for
  * the others that were approved, since room may come free there first; a
- * starved gang without a reservation asks for workers that have room now.
+ * starved gang whose reserved room does not come free, or that has none, asks
+ * for workers that have room now.
  */
 #include "cellint.h"
 
@@ -75,6 +76,9 @@
 #define VM_BUSY_URGENT_MAX_MS 60
 #define VM_BUSY_MAX_MS 10
 
+/* A starved gang waits this long for room that it has reserved. */
+#define RESERVED_WAIT_MS 2000
+
 /* ---- tickets ---- */
 
 void
@@ -514,6 +518,17 @@
   return 1;
 }
 
+/* Whether the gang asks for the workers that it has reserved rather than for
+   workers that have room now.  The expected time of reserved room can move on
+   again and again, when tasks there run longer than expected or others take
+   the room, while there is room elsewhere. */
+static int
+waits_for_reserved (const cell_t *c, const cstep_t *s)
+{
+  return !s->starved
+         || (s->nreservations && c->now < s->ready_at + RESERVED_WAIT_MS);
+}
+
 void
 consult_step (cell_t *c, cstep_t *s, const cell_queue_t *q)
 {
@@ -546,8 +561,7 @@
     return;
   if (needs_survey (c, s, q) && send_survey (c, s, q, v))
     goto out;
-  if (consult_is_costly (q) && s->def->gang
-      && (s->nreservations || !s->starved))
+  if (consult_is_costly (q) && s->def->gang && waits_for_reserved (c, s))
     n = list_reserved (c, s, q, v);
   else
     {
