A former owner does not deny a job that its successor has accepted

An owner that goes on after a pause does not know yet that it has lost the cell. Asked for a job that its successor had accepted, it found neither the job in memory nor a result in the store, and answered "no such job".

That answer is given only while the ownership was confirmed within the time in which no other VM claims the cell; otherwise the ownership is confirmed first and the request is served again. A VM that has lost the cell meanwhile does not use what it has read.

--- a/src/cellask.c
+++ b/src/cellask.c
@@ -406,6 +406,16 @@
       && !codec_decode ((xdrproc_t)xdr_gl_job_result_t, &result,
                         ev->items[0].value, ev->items[0].len))
     cell_reply (c, r->tag, GL_OK, 0, result.phase, NULL);
+  else if (c->role != CR_OWNER)
+    return;
+  else if (ev->status == GL_ST_ABSENT
+           && c->now >= c->confirmed_at + CELL_HEARTBEAT_LOST_MS)
+    {
+      /* A successor may have accepted the job meanwhile. */
+      own_confirm_now (c);
+      r->dispatched = 0;
+      r->retry_at = c->now + RETRY_PAUSE_MS;
+    }
   else if (ev->status == GL_ST_ABSENT)
     cell_reply (c, r->tag, GL_NOT_FOUND, 0, 0, "no such job");
   else
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1878,6 +1878,9 @@
           report_violation ("accepted job lost: " + id);
         if (j.phase == "failed" && !attempts_used_up (id) && !may_give_up (id))
           report_violation ("failed without cause: " + id);
+        if (t.code == GL_OK && t.phase >= GL_PHASE_COMPLETED
+            && !items_.count ("gl/d/" + id))
+          report_violation ("end shown before it is in the store: " + id);
         if (j.phase != "completed")
           return;
         if (!j.shown_at)
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -341,6 +341,18 @@
     w.submit (id, "batch", steps);
   }
 
+  /* Ask the owner for the phases of all accepted jobs.  Uses no chance, so
+     that scripts go on as without it. */
+  void
+  ask_phases (int owner)
+  {
+    if (owner < 0 || w.vms[(size_t)owner].stopping)
+      return;
+    for (int i = 1; i <= submitted; i++)
+      if (w.jobs[job_id (i)].accepted)
+        w.query (job_id (i), owner);
+  }
+
   /* Make one step of a script, then let its time pass. */
   void
   run_step (const Step &s)
@@ -351,6 +363,7 @@
 
     if (w.now >= cut_ends_at)
       w.cut_domain = "";
+    ask_phases (owner);
     if (s.kind < 7)
       submit (s.arg);
     else if (s.kind == 7)
@@ -674,5 +687,6 @@
     All, FuzzCellFault,
     testing::Values (FAULT_CELL_FORGET_EARLY, FAULT_CELL_NO_CENSUS,
                      FAULT_CELL_ACCEPT_EARLY, FAULT_CELL_FAILURE_TWICE,
-                     FAULT_CELL_NO_FENCE, FAULT_CELL_LATE_WRITE));
+                     FAULT_CELL_NO_FENCE, FAULT_CELL_LATE_WRITE,
+                     FAULT_CELL_END_EARLY));
 #endif
