Teams: a pending submission of another team hides no result

Until the job is accepted, the stored result decides; submissions wait for the outcome, and the answer that accepts a job is checked against the caller's team.

--- a/src/cellask.c
+++ b/src/cellask.c
@@ -189,7 +189,7 @@
 }
 
 void
-request_answer_ended (cell_t *c, uint64_t tag, const cjob_t *j)
+request_answer_job (cell_t *c, uint64_t tag, const cjob_t *j)
 {
   const crequest_t *r = find_request (c, tag);
 
@@ -208,14 +208,9 @@
   int team;
   uint32_t retry_ms = CELL_RETRY_MS;
 
-  if (j && is_other_team (c, r, j->team))
-    {
-      refuse_other_team (c, r);
-      return;
-    }
   if (j && j->durable)
     {
-      cell_reply (c, r->tag, GL_OK, 0, j->phase, NULL);
+      request_answer_job (c, r->tag, j);
       return;
     }
   if (j)
@@ -278,6 +273,17 @@
   snprintf (e->key, sizeof e->key, "gl/d/%s", r->body.id);
 }
 
+/* Another team's job has the id.  While that is not accepted, an earlier job
+   of the caller's team may have ended under the id: its result decides. */
+static void
+answer_beside_other_team (cell_t *c, const crequest_t *r, const cjob_t *j)
+{
+  if (j->durable)
+    refuse_other_team (c, r);
+  else
+    read_result (c, r);
+}
+
 static gl_phase_t
 current_phase (const cjob_t *j)
 {
@@ -413,7 +419,7 @@
 
   if (j && is_other_team (c, r, j->team))
     {
-      refuse_other_team (c, r);
+      answer_beside_other_team (c, r, j);
       return;
     }
   if (j && j->durable && wait_for_end (c, r, j))
@@ -440,7 +446,7 @@
     }
   if (is_other_team (c, r, j->team))
     {
-      refuse_other_team (c, r);
+      answer_beside_other_team (c, r, j);
       return;
     }
   if (j->phase >= GL_PHASE_COMPLETED)
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -635,9 +635,9 @@
 void request_receive (cell_t *c, const cell_event_t *ev);
 /** request_forward_reply - the owner's answer to a forwarded request */
 void request_forward_reply (cell_t *c, const cell_event_t *ev);
-/** request_answer_ended - answer request @tag with the phase of the job @j,
-    whose end was found in the store, if the job may be shown to the caller */
-void request_answer_ended (cell_t *c, uint64_t tag, const cjob_t *j);
+/** request_answer_job - answer request @tag with the phase of the job @j, if
+    the job may be shown to the caller */
+void request_answer_job (cell_t *c, uint64_t tag, const cjob_t *j);
 /** request_result_read - the stored result of a job that is not in memory */
 void request_result_read (cell_t *c, const cell_event_t *ev);
 void request_tick (void *ctx, gl_ms_t now);
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -477,7 +477,7 @@
             j->spec.queue, j->spec.steps.steps_len,
             (unsigned long long)(c->now - j->arrived_at));
   for (size_t i = 0; i < j->accept_waiters.n; i++)
-    cell_reply (c, j->accept_waiters.v[i], GL_OK, 0, j->phase, NULL);
+    request_answer_job (c, j->accept_waiters.v[i], j);
   j->accept_waiters.n = 0;
   if (j->next_phase < GL_PHASE_COMPLETED)
     cjob_ready_steps (c, j);
@@ -564,7 +564,7 @@
   j->ended_at = c->now;
   j->team = cjob_result_team (c, item);
   for (size_t i = 0; i < j->accept_waiters.n; i++)
-    request_answer_ended (c, j->accept_waiters.v[i], j);
+    request_answer_job (c, j->accept_waiters.v[i], j);
   j->accept_waiters.n = 0;
   return 1;
 }
