gl-checkconf: a configuration is checked before it is sent

Operators learned of an entry that never matches, or of a cap below any task, from callers. gl-checkconf reads a configuration, and the one in force, and prints errors with their place, entries without effect, limits that contradict each other, and what differs; keys are counted, never printed.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # The reducers of the scheduler and of the cell, and what they use.
 CORE = team pool timer metrics place conf change codec fx jobs workers lease journal \
 	snap fit policy sched view names cell cellfx cellown cellreach cellpoll celljob cellwork cellend cellcensus cellformer cellmember \
-	cellsave celldue cellshare cellincarn cellreg cellsettle cellenrol cellpace cellratio cellpair cellhealth cellcrash cellroom cellhold cellconsult cellplan cellflow cellyield cellstop cellask cellconf
+	cellsave celldue cellshare cellincarn cellreg cellsettle cellenrol cellpace cellratio cellpair cellhealth cellcrash cellroom cellhold cellconsult cellplan cellflow cellyield cellstop cellask cellconf conflint
 GEN = gl_rec_xdr gl_cell_xdr
 # The entry's reducer, and the I/O that the daemons share.
 ROUTE = route upstream claim
@@ -36,7 +36,7 @@
 PLATFORM_PARTS = http store watch entries worker advice ingress
 PLATFORM = $(PLATFORM_PARTS) main
 BINS = $(BUILD)/gl-cell $(BUILD)/gl-scheduler $(BUILD)/gl-entry $(BUILD)/gl-admin \
-	$(BUILD)/glctl
+	$(BUILD)/glctl $(BUILD)/gl-checkconf
 STANDIN_BINS = $(STANDINS:%=$(BUILD)/standin-%)
 
 all: $(BINS) $(STANDIN_BINS) $(BUILD)/example-pack
@@ -47,6 +47,9 @@
 	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
 $(BUILD)/gl-cell: $(PLATFORM:%=$(BUILD)/platform/%.o) $(LIB)
 	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
+$(BUILD)/gl-checkconf: $(PLATFORM_PARTS:%=$(BUILD)/platform/%.o) \
+		$(BUILD)/platform/checkconf.o $(LIB)
+	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
 $(BUILD)/gl-%: $(BUILD)/src/%.o $(LIB)
 	@echo LD $@; $(CC) $(MODE) -o $@ $^ $(LDLIBS)
 $(BUILD)/glctl: $(BUILD)/src/glctl.o $(LIB)
@@ -149,6 +152,7 @@
 	@$(MAKE) --no-print-directory tsan
 	@$(MAKE) --no-print-directory bounds
 	tests/words.sh
+	BUILD=$(BUILD) tests/checkconf.sh
 	@$(MAKE) --no-print-directory $(BUILD)/bench-split
 	$(BUILD)/bench-split tests/split/day.json | diff - tests/split/expected.txt
 	tests/system.sh
