Codec: one function appends a record to another; smaller files

What follows a record was appended in the same nine lines in four places. Two constants of celljob.c had no use.

--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -571,9 +571,7 @@
 crash_encode (cell_t *c, const cjob_t *j, char **value, size_t *len)
 {
   gl_crashes_t records = { { 0, NULL } };
-  size_t more = 0;
-  char *tail;
-  char *whole = NULL;
+  int rc;
 
   if (!j->nsuspects)
     return 0;
@@ -582,18 +580,9 @@
   if (!records.tasks.tasks_val)
     return -1;
   fill_records (c, j, &records);
-  tail = codec_encode ((xdrproc_t)xdr_gl_crashes_t, &records, &more);
+  rc = codec_append ((xdrproc_t)xdr_gl_crashes_t, &records, value, len);
   free (records.tasks.tasks_val);
-  if (tail)
-    whole = realloc (*value, *len + more);
-  if (whole)
-    {
-      memcpy (whole + *len, tail, more);
-      *value = whole;
-      *len += more;
-    }
-  free (tail);
-  return whole ? 0 : -1;
+  return rc;
 }
 
 void
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -36,19 +36,11 @@
               uint64_t foreign_until)
 {
   gl_worker_start_t start = { started_at, foreign_until };
-  size_t more = 0;
-  char *tail = codec_encode ((xdrproc_t)xdr_gl_worker_start_t, &start, &more);
-  char *whole = tail ? realloc (record, *len + more) : NULL;
 
-  if (whole)
-    {
-      memcpy (whole + *len, tail, more);
-      *len += more;
-    }
-  else
-    free (record);
-  free (tail);
-  return whole;
+  if (!codec_append ((xdrproc_t)xdr_gl_worker_start_t, &start, &record, len))
+    return record;
+  free (record);
+  return NULL;
 }
 
 static char *
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -19,12 +19,8 @@
 
 #include "codec.h"
 
-/* Not used: run numbers of one generation. */
-#define RUNS_PER_GENERATION 1000
 /* Period of cjobs_tick. */
 #define TICK_MS 200
-/* Not used: iterations that are prepared in advance. */
-#define ITERATIONS_AHEAD 4
 
 cjob_t *
 cjob_find (cell_t *c, const char *id)
@@ -160,47 +156,6 @@
   return j;
 }
 
-int
-cjob_team (cell_t *c, const char *name)
-{
-  int known = teams_find (&c->conf.teams, name);
-  int i = name[0] ? teams_add (&c->conf.teams, name) : -1;
-
-  if (i >= 0 && known < 0)
-    c->conf.teams.v[i].removed = 1;
-  return i;
-}
-
-int
-cjob_team_at (cell_t *c, const cell_item_t *item, size_t used)
-{
-  gl_team_t team;
-  int i;
-
-  memset (&team, 0, sizeof team);
-  if (item->len <= used)
-    return -1;
-  if (codec_decode ((xdrproc_t)xdr_gl_team_t, &team, item->value + used,
-                    item->len - used))
-    {
-      cell_log (c, "team_unreadable key=%s", item->key);
-      return -1;
-    }
-  i = cjob_team (c, team.name);
-  codec_free ((xdrproc_t)xdr_gl_team_t, &team);
-  return i;
-}
-
-int
-cjob_result_team (cell_t *c, const cell_item_t *item)
-{
-  gl_job_result_t none = { 0 };
-
-  /* All results have the same length before the team. */
-  return cjob_team_at (c, item,
-                       xdr_sizeof ((xdrproc_t)xdr_gl_job_result_t, &none));
-}
-
 static void
 free_steps (cell_t *c, cjob_t *j)
 {
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -166,25 +166,14 @@
       = { (char *)c->vm, (char *)c->addr, (char *)c->domain, c->limits.cpu_m };
   gl_vmstate_t state = { c->stop.stopping, 0 };
   cell_put_t *p = &txn->puts[txn->nputs++];
-  size_t more = 0;
-  char *tail;
-  char *whole = NULL;
 
   if (c->stop.stopping && c->stop.ends_at > c->now)
     state.ends_in_ms = (u_int)(c->stop.ends_at - c->now);
   snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
   p->leased = 1;
   p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
-  tail = codec_encode ((xdrproc_t)xdr_gl_vmstate_t, &state, &more);
-  if (p->value && tail)
-    whole = realloc (p->value, p->len + more);
-  if (whole)
-    {
-      memcpy (whole + p->len, tail, more);
-      p->value = whole;
-      p->len += more;
-    }
-  free (tail);
+  if (p->value)
+    codec_append ((xdrproc_t)xdr_gl_vmstate_t, &state, &p->value, &p->len);
 }
 
 void
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -130,21 +130,12 @@
 
 /** cjob_find - the job with this id, or NULL */
 cjob_t *cjob_find (cell_t *c, const char *id);
-/** cjob_team_at - index of the team in @item that follows the first @used
-    bytes, -1 for none */
-int cjob_team_at (cell_t *c, const cell_item_t *item, size_t used);
-/** cjob_result_team - index of the team of a job's result in the store, -1 for
-    none */
-int cjob_result_team (cell_t *c, const cell_item_t *item);
 /** cjobs_waiting - count, by queue, accepted jobs of which no task has
     started; queues without any are left out; returns the number of rows */
 int cjobs_waiting (const cell_t *c, cqueue_count_t v[CELL_QUEUES_MAX]);
 /** cjob_new - a job of @spec, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_cell_job_t *spec);
 void cjob_free (cell_t *c, cjob_t *j);
-/** cjob_team - index of the team with this name, which is added as a removed
-    one if the configuration does not have it; -1 for "" or without memory */
-int cjob_team (cell_t *c, const char *name);
 /** cjob_records - fill @p with the task records to write; the caller frees
     them */
 void cjob_records (cell_t *c, cjob_t *j, gl_progress_t *p);
@@ -207,6 +198,18 @@
 /** cjobs_tick - timer: make iterations that are due, forget old jobs */
 void cjobs_tick (void *ctx, gl_ms_t now);
 
+/* cellteam.c */
+
+/** cjob_team - index of the team with this name, which is added as a removed
+    one if the configuration does not have it; -1 for "" or without memory */
+int cjob_team (cell_t *c, const char *name);
+/** cjob_team_at - index of the team in @item that follows the first @used
+    bytes, -1 for none */
+int cjob_team_at (cell_t *c, const cell_item_t *item, size_t used);
+/** cjob_result_team - index of the team of a job's result in the store, -1 for
+    none */
+int cjob_result_team (cell_t *c, const cell_item_t *item);
+
 /* cellwork.c */
 
 /** cworkers_synced - the registrations are known as of ev->asked_at */
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -35,14 +35,6 @@
 /* Standbys wait a random part of this before they claim, so that most see the
    first claim succeed and make none. */
 #define CLAIM_JITTER_MS 60
-/* VMs with a smaller share of a core than another one wait this much longer,
-   and those with less than half as much processor even longer.  A stronger VM
-   that has just come back to the store may claim only CELL_STORE_CONTACT_MS
-   later, and an owner without the processor for the load costs callers more
-   than the wait. */
-#define WEAKER_VM_DELAY_MS 250
-#define MUCH_WEAKER_VM_DELAY_MS 700
-#define MUCH_STRONGER_FACTOR 2
 #define CLAIM_TIMEOUT_MS 1500
 /* Short enough that a release is repeated before the process ends. */
 #define RELEASE_TIMEOUT_MS 400
@@ -250,29 +242,6 @@
   return NULL;
 }
 
-/* How long this VM leaves a claim to VMs with a larger share of a core.  The
-   owner does most of the work of the cell, so such a VM should become it.  The
-   VM that loses the cell is not among them, nor are VMs that stop. */
-static gl_ms_t
-weaker_delay_ms (const cell_t *c)
-{
-  uint32_t strongest = 0;
-
-  for (int i = 0; i < c->nvms; i++)
-    {
-      const cvm_t *v = &c->vms[i];
-
-      if (v->registered && !v->stopping && v->cpu_m > strongest
-          && (!c->ownership.vm || strcmp (v->vm, c->ownership.vm)))
-        strongest = v->cpu_m;
-    }
-  if (strongest <= c->limits.cpu_m)
-    return 0;
-  return strongest > MUCH_STRONGER_FACTOR * c->limits.cpu_m
-             ? MUCH_WEAKER_VM_DELAY_MS
-             : WEAKER_VM_DELAY_MS;
-}
-
 int
 cell_may_claim (const cell_t *c)
 {
@@ -297,7 +266,9 @@
   if (!c->claim_at)
     c->claim_at = c->now + gsl_rng_uniform_int (c->rng, CLAIM_JITTER_MS);
   /* Stronger VMs may have registered since the claim became due. */
-  if (c->now < c->claim_at + weaker_delay_ms (c))
+  if (c->now < c->claim_at
+                   + yield_claim_delay_ms (c->vms, c->nvms, c->ownership.vm,
+                                           c->limits.cpu_m))
     return;
   c->claim_at = 0;
   c->generation = c->ownership.generation + 1;
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -158,24 +158,11 @@
 append_team (const cell_t *c, const cjob_t *j, cell_put_t *p)
 {
   gl_team_t team;
-  size_t more;
-  char *tail;
-  char *whole = NULL;
 
   if (j->team < 0)
     return 0;
   team.name = c->conf.teams.v[j->team].name;
-  tail = codec_encode ((xdrproc_t)xdr_gl_team_t, &team, &more);
-  if (tail)
-    whole = realloc (p->value, p->len + more);
-  if (whole)
-    {
-      memcpy (whole + p->len, tail, more);
-      p->value = whole;
-      p->len += more;
-    }
-  free (tail);
-  return whole ? 0 : -1;
+  return codec_append ((xdrproc_t)xdr_gl_team_t, &team, &p->value, &p->len);
 }
 
 static int
--- a/src/cellyield.c
+++ b/src/cellyield.c
@@ -1,5 +1,5 @@
 /*
- * cellyield.c -- when an owner hands the cell over to a stronger VM
+ * cellyield.c -- which VMs leave the cell to stronger ones, and when
  *
  * The owner does most of the work of the cell, and VMs may differ by a factor
  * of five in processor.  Standbys with less processor leave a claim to the
@@ -17,6 +17,13 @@
 
 #include <string.h>
 
+/* A VM with a smaller share of a core than another one leaves a claim to it
+   for this long, and one with less than half as much processor longer.  A
+   stronger VM that has just come back to the store may claim only 0.4 s later,
+   and an owner without the processor for the load costs callers more than the
+   wait. */
+#define WEAKER_VM_DELAY_MS 250
+#define MUCH_WEAKER_VM_DELAY_MS 700
 /* A hand-over costs 0.2 s, so the successor has to be much stronger. */
 #define STRENGTH_FACTOR 2
 /* The successor must have been ready for this long, which is several
@@ -29,6 +36,26 @@
 /* After the decision, writes may take this long to settle. */
 #define SETTLE_MS 200
 
+gl_ms_t
+yield_claim_delay_ms (const cvm_t *vms, int nvms, const char *former,
+                      uint32_t cpu_m)
+{
+  uint32_t strongest = 0;
+
+  for (int i = 0; i < nvms; i++)
+    {
+      const cvm_t *v = &vms[i];
+
+      if (v->registered && !v->stopping && v->cpu_m > strongest
+          && (!former || strcmp (v->vm, former)))
+        strongest = v->cpu_m;
+    }
+  if (strongest <= cpu_m)
+    return 0;
+  return strongest > STRENGTH_FACTOR * cpu_m ? MUCH_WEAKER_VM_DELAY_MS
+                                             : WEAKER_VM_DELAY_MS;
+}
+
 void
 yield_reset (cyield_t *y)
 {
--- a/src/cellyield.h
+++ b/src/cellyield.h
@@ -1,4 +1,4 @@
-/* cellyield.h -- when an owner hands the cell over to a stronger VM */
+/* cellyield.h -- which VMs leave the cell to stronger ones, and when */
 #ifndef GL_CELLYIELD_H
 #define GL_CELLYIELD_H
 
@@ -17,6 +17,15 @@
   gl_ms_t decided_at;
 } cyield_t;
 
+/**
+ * yield_claim_delay_ms - how long a standby leaves a claim to stronger VMs
+ * @vms, @nvms: the VMs of the cell
+ * @former: name of the VM that loses the cell, which does not count; may be
+ *   NULL
+ * @cpu_m: share of a core of this VM, in thousandths
+ */
+gl_ms_t yield_claim_delay_ms (const cvm_t *vms, int nvms, const char *former,
+                              uint32_t cpu_m);
 /** yield_reset - this VM has become the owner, or is no longer */
 void yield_reset (cyield_t *y);
 /**
--- a/src/codec.c
+++ b/src/codec.c
@@ -8,6 +8,7 @@
 #include "codec.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 char *
 codec_encode (xdrproc_t proc, const void *obj, size_t *len)
@@ -31,6 +32,23 @@
   return data;
 }
 
+int
+codec_append (xdrproc_t proc, const void *obj, char **data, size_t *len)
+{
+  size_t more = 0;
+  char *tail = codec_encode (proc, obj, &more);
+  char *whole = tail ? realloc (*data, *len + more) : NULL;
+
+  if (whole)
+    {
+      memcpy (whole + *len, tail, more);
+      *data = whole;
+      *len += more;
+    }
+  free (tail);
+  return whole ? 0 : -1;
+}
+
 int
 codec_decode (xdrproc_t proc, void *obj, const char *data, size_t len)
 {
--- a/tests/unit.cc
+++ b/tests/unit.cc
@@ -23,6 +23,7 @@
 #include "cellratio.h"
 #include "cellset.h"
 #include "cellshare.h"
+#include "cellyield.h"
 #include "codec.h"
 #include "gl_cell.h"
 #include "conf.h"
@@ -48,6 +49,65 @@
 
 /* ---- tables and timers ---- */
 
+/* ---- VMs of unequal strength ---- */
+
+/* The VMs of a cell: the former owner, a strong one and a weak one. */
+static std::vector<cvm_t>
+unequal_vms ()
+{
+  std::vector<cvm_t> vms (3);
+  const uint32_t cpus_m[] = { 500, 500, 90 };
+
+  for (size_t i = 0; i < vms.size (); i++)
+    {
+      vms[i] = {};
+      snprintf (vms[i].vm, sizeof vms[i].vm, "vm%zu", i);
+      vms[i].registered = 1;
+      vms[i].may_claim = 1;
+      vms[i].cpu_m = cpus_m[i];
+    }
+  return vms;
+}
+
+/* Guards against a weak VM that takes the cell over before a strong one may,
+   which has just come back to the store as the owner is lost. */
+TEST (Yield, WeakVmsLeaveClaimsToStrongOnes)
+{
+  std::vector<cvm_t> vms = unequal_vms ();
+
+  EXPECT_EQ (0u, yield_claim_delay_ms (vms.data (), 3, "vm0", 500));
+  EXPECT_LT (400u + 60, yield_claim_delay_ms (vms.data (), 3, "vm0", 90));
+  EXPECT_EQ (250u, yield_claim_delay_ms (vms.data (), 3, "vm0", 300));
+  /* The VM that loses the cell, those that stop and those that are gone do not
+     count. */
+  vms[1].stopping = 1;
+  EXPECT_EQ (0u, yield_claim_delay_ms (vms.data (), 3, "vm0", 90));
+  vms[1].stopping = 0;
+  vms[1].registered = 0;
+  EXPECT_EQ (0u, yield_claim_delay_ms (vms.data (), 3, "vm0", 90));
+}
+
+/* Guards against an owner that stays without the processor for the load, and
+   against a cell that is handed over to a VM which is not ready for long. */
+TEST (Yield, AWeakOwnerHandsOverToAReadyVm)
+{
+  std::vector<cvm_t> vms = unequal_vms ();
+  cyield_t y;
+
+  yield_reset (&y);
+  vms[0].registered = 0;
+  for (gl_ms_t now = 1000; now <= 2000; now += 50)
+    {
+      vms[1].answered_at = now;
+      vms[1].store_age_ms = now < 1300 ? 900 : 10;
+      EXPECT_EQ (now >= 1900,
+                 yield_is_due (&y, vms.data (), 3, "vm2", 90, 1, now) != 0)
+          << now;
+    }
+  EXPECT_FALSE (yield_is_due (&y, vms.data (), 3, "vm2", 300, 1, 9000));
+  EXPECT_FALSE (yield_is_due (&y, vms.data (), 3, "vm2", 0, 1, 9000));
+}
+
 TEST (Pool, StaleHandlesFindNothing)
 {
   pool_t p;
