--- a/src/cellplan.c
+++ b/src/cellplan.c
@@ -67,9 +67,9 @@
    on which a crash ends fewer runs; else one on the wanted rack
    first, then one with room that is not reserved for others, then the faster
    one, then one where tasks slow each other down less, then the one with fewer
-   free processors.  Steps with time to spare take
-   the faster one, too: where they left it to urgent steps, no fewer of those
-   were late (Speeds.UrgentJobsGetFastWorkers). */
+   free processors.  Steps with time to spare take the faster one, too: where
+   they left it to urgent steps, no fewer of those were late
+   (Speeds.UrgentJobsGetFastWorkers). */
 static int
 is_better (const cell_t *c, const cstep_t *s, int a, int b)
 {
--- a/src/cellshare.c
+++ b/src/cellshare.c
@@ -377,7 +377,7 @@
 }
 
 /* Jobs without a team, or of one that has left the configuration, have the
-   priority of the last of the teams: nobody vouches for them. */
+   lowest priority of a configured team. */
 int
 turns_begin (cturns_t *t, const teams_t *teams, cturn_t *v, size_t n)
 {
