--- a/review/stand.c
+++ b/review/stand.c
@@ -482,7 +482,7 @@
 
 typedef struct
 {
-  int index, port, cpu, mem, life;
+  int index, port, cpu, mem, life, weak;
   char id[32];
   struct evhttp *http;
   int dark;
@@ -652,6 +652,22 @@
   w->polls[w->npolls++] = (poll_t){ r, now () + wait };
 }
 
+/* Without power nothing answers, and channels hang until it is back. */
+static void
+crash (worker_t *w, ms_t ms)
+{
+  note ("worker%d crash id=%s runs=%zu", w->index, w->id, w->nruns);
+  for (size_t i = 0; i < w->nruns; i++)
+    note ("worker%d lost task=%s run=%d", w->index, w->runs[i].task,
+          w->runs[i].run);
+  w->dark = 1;
+  w->nruns = 0;
+  w->back_at = now () + ms;
+  strcpy (w->gone_key, "servers/");
+  strcat (w->gone_key, w->id);
+  w->gone_at = now () + 3 * HEARTBEAT_MS;
+}
+
 static void
 on_worker (struct evhttp_request *r, void *ctx)
 {
@@ -664,6 +680,11 @@
 
   if (w->dark)
     return;
+  if (w->weak && !strcmp (path, "/run-start"))
+    {
+      crash (w, w->weak);
+      return;
+    }
   o = body_of (r);
   if (!id || strcmp (id, w->id))
     answer (r, 421, NULL);
@@ -726,22 +747,6 @@
   register_worker (w);
 }
 
-/* Without power nothing answers, and channels hang until it is back. */
-static void
-crash (worker_t *w, ms_t ms)
-{
-  note ("worker%d crash id=%s runs=%zu", w->index, w->id, w->nruns);
-  for (size_t i = 0; i < w->nruns; i++)
-    note ("worker%d lost task=%s run=%d", w->index, w->runs[i].task,
-          w->runs[i].run);
-  w->dark = 1;
-  w->nruns = 0;
-  w->back_at = now () + ms;
-  strcpy (w->gone_key, "servers/");
-  strcat (w->gone_key, w->id);
-  w->gone_at = now () + 3 * HEARTBEAT_MS;
-}
-
 static void
 tick_worker (worker_t *w)
 {
@@ -931,6 +936,8 @@
     }
   else if (!strcmp (word, "crash"))
     crash (&workers[atoi (first)], atoll (rest));
+  else if (!strcmp (word, "weak"))
+    workers[atoi (first)].weak = atoi (rest);
   else if (!strcmp (word, "job") || !strcmp (word, "ask"))
     {
       const char *prefix = strsep (&rest, " ");
