--- a/review/stand.c
+++ b/review/stand.c
@@ -559,18 +559,21 @@
 end_run (worker_t *w, size_t i, const char *how)
 {
   run_t r = w->runs[i];
+  char outcome[sizeof r.how];
   end_t *e;
 
+  /* @how may be a member of the run. */
+  snprintf (outcome, sizeof outcome, "%s", how);
   w->runs[i] = w->runs[--w->nruns];
   w->ends = grow (w->ends, w->nends, sizeof *w->ends);
   e = &w->ends[w->nends++];
   *e = (end_t){ ++w->last_end, "", r.run, "", r.saves };
   memcpy (e->task, r.task, sizeof e->task);
-  snprintf (e->how, sizeof e->how, "%s", how);
+  snprintf (e->how, sizeof e->how, "%s", outcome);
   if (highest_of (w, r.task)->run < r.run)
     highest_of (w, r.task)->run = r.run;
   note ("worker%d end n=%d task=%s run=%d how=%s", w->index, e->n, r.task,
-        r.run, how);
+        r.run, outcome);
 }
 
 static const char *
