--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
 # run.sh -- an entry below servers/ under a long key, while VMs start again
+# What was sent, answered and run is written to record.txt.
 . "$(dirname "$0")/../lib.sh"
 set_up 4 16000 65536
 config 1 "$(route q1 $PREFIX 3)"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
 # run.sh -- one large job, and small jobs beside it
+# What was sent, answered and run is written to record.txt.
 . "$(dirname "$0")/../lib.sh"
 set_up 8 16000 65536
 config 1 "$(route q1 $PREFIX 3)"
