Review: ports of the scripts are not those of outgoing connections

Cause: a port that the kernel gives out may be taken by a connection while its VM is restarted; seen in a soak with such ports, not in a script. Change: ports from 10000 on, each tried.

--- a/review/stand.c
+++ b/review/stand.c
@@ -977,24 +977,30 @@
     }
 }
 
+/* Ports below those that outgoing connections get, from a random one on. */
 static int
 print_ports (int n)
 {
-  int fds[256];
+  struct timespec t;
+  int port;
 
-  for (int i = 0; i < n && i < 256; i++)
+  clock_gettime (CLOCK_REALTIME, &t);
+  port = 10000 + (int)((t.tv_nsec / 1000 + getpid () * 131) % 18000);
+  for (; n > 0 && port < 32000; port++)
     {
-      struct sockaddr_in a = { .sin_family = AF_INET };
-      socklen_t len = sizeof a;
+      struct sockaddr_in a
+          = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
 
       a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-      fds[i] = socket (AF_INET, SOCK_STREAM, 0);
-      if (fds[i] < 0 || bind (fds[i], (struct sockaddr *)&a, sizeof a)
-          || getsockname (fds[i], (struct sockaddr *)&a, &len))
-        return 2;
-      printf ("%d\n", ntohs (a.sin_port));
+      if (fd >= 0 && !bind (fd, (struct sockaddr *)&a, sizeof a))
+        {
+          printf ("%d\n", port);
+          n--;
+        }
+      close (fd);
     }
-  return 0;
+  return n ? 2 : 0;
 }
 
 int
