Watches: an entry under a long key ends no process

What callers saw: nothing was served any more once the VMs had been restarted in turn while an entry with a key of 128 bytes or more was below servers/.

Cause: a key of the store has up to 200 bytes, cell_item_t had room for 127. A longer key was decoded as "". The listing of registrations then looked for the id behind the slash of an empty key (report_worker) and read address 1. The last key of a page was taken from the same buffer, so with such a key at the end of a page the listing would have begun again with its first page.

Change: keys of items, writes and effects have room for the protocol's 200 bytes. The next page of a listing begins behind the last key as the answer has it. An answer without its list of items is a failed one, not an empty list. Items without a readable key are passed over at a takeover, too. cell_workers_registered tells how many registrations hold.

--- a/Makefile
+++ b/Makefile
@@ -100,7 +100,7 @@
 $(BUILD)/cell $(BUILD)/fuzz_cell: $(BUILD)/%: $(TBUILD)/tests/%.o \
 		$(TBUILD)/tests/cellworld.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
-$(BUILD)/wire: $(TBUILD)/tests/wire.o \
+$(BUILD)/wire: $(TBUILD)/tests/wire.o $(TBUILD)/tests/watch.o \
 		$(PLATFORM_PARTS:%=$(TBUILD)/platform/%.o) \
 		$(IO:%=$(TBUILD)/src/%.o) $(TBUILD)/proto/gl_rpc_xdr.o $(T_CORE)
 	@echo LD $@; $(CXX) $(MODE) -o $@ $^ -lgtest_main -lgtest $(LDLIBS)
--- a/src/cell.c
+++ b/src/cell.c
@@ -419,6 +419,16 @@
     }
 }
 
+static int
+count_registered (const cell_t *c)
+{
+  int n = 0;
+
+  for (int i = 0; i < c->nworkers; i++)
+    n += c->workers[i].registered;
+  return n;
+}
+
 void
 cell_metrics (const cell_t *c, text_t *t)
 {
@@ -441,6 +451,7 @@
   text_add (t, "cell_reserved_cpus %lld\ncell_usable_cpus %lld\n",
             (long long)c->reserved_cpus_m / 1000,
             (long long)c->usable_cpus_m / 1000);
+  text_add (t, "cell_workers_registered %d\n", count_registered (c));
   text_add (t, "cell_stopping %d\ncell_vms_staying %d\n", c->stop.stopping,
             stop_count_staying (c));
   text_add (t, "cell_census_complete %d\ncell_workers_unaccounted %d\n",
--- a/src/cell.h
+++ b/src/cell.h
@@ -21,9 +21,12 @@
 #include "metrics.h"
 #include "team.h"
 
-/** CELL_NAME_SIZE - bytes of the longest name of a worker, VM, queue, task or
-    key, with its terminating NUL */
+/** CELL_NAME_SIZE - bytes of the longest name of a worker, VM, queue or task,
+    with its terminating NUL */
 #define CELL_NAME_SIZE 128
+/** CELL_KEY_SIZE - bytes of the longest key of the store, with its terminating
+    NUL */
+#define CELL_KEY_SIZE 201
 /** CELL_LABELS_MAX - labels of a worker that are kept; further ones are
     ignored */
 #define CELL_LABELS_MAX 4
@@ -235,7 +238,7 @@
  */
 typedef struct
 {
-  char key[CELL_NAME_SIZE];
+  char key[CELL_KEY_SIZE];
   char *value;
   size_t len;
   uint64_t revision;
@@ -470,7 +473,7 @@
  */
 typedef struct
 {
-  char key[CELL_NAME_SIZE];
+  char key[CELL_KEY_SIZE];
   char *value;
   size_t len;
   int leased;
@@ -501,8 +504,8 @@
 {
   cell_fxkind_t kind;
   uint64_t tag;
-  char key[CELL_NAME_SIZE];
-  char after_key[CELL_NAME_SIZE];
+  char key[CELL_KEY_SIZE];
+  char after_key[CELL_KEY_SIZE];
   gl_ms_t timeout;
   cell_txn_t *txn;
   cell_wcall_t *wcall;
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -67,13 +67,13 @@
 
 /* Each incarnation has a record of its own. */
 static void
-record_key (const cworker_t *w, char key[CELL_NAME_SIZE])
+record_key (const cworker_t *w, char key[CELL_KEY_SIZE])
 {
   if (w->record_start)
-    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s/%llu", w->info.self.id,
+    snprintf (key, CELL_KEY_SIZE, "gl/w/%.100s/%llu", w->info.self.id,
               (unsigned long long)w->record_start);
   else
-    snprintf (key, CELL_NAME_SIZE, "gl/w/%.100s", w->info.self.id);
+    snprintf (key, CELL_KEY_SIZE, "gl/w/%.100s", w->info.self.id);
 }
 
 /* What follows the record; all 0 if nothing does, as in an older version. */
@@ -203,7 +203,7 @@
     {
       cworker_t *w = &c->workers[c->enrolling[i]];
       const cell_item_t *item;
-      char key[CELL_NAME_SIZE];
+      char key[CELL_KEY_SIZE];
 
       record_key (w, key);
       item = own_conflicting_item (ev, key);
--- a/src/cellformer.c
+++ b/src/cellformer.c
@@ -121,9 +121,9 @@
 
 /* The key of a claim.  They are listed in the order of generations. */
 void
-former_claim_key (uint64_t generation, char key[CELL_NAME_SIZE])
+former_claim_key (uint64_t generation, char key[CELL_KEY_SIZE])
 {
-  snprintf (key, CELL_NAME_SIZE, "%s%016llx", KEY_CLAIM,
+  snprintf (key, CELL_KEY_SIZE, "%s%016llx", KEY_CLAIM,
             (unsigned long long)generation);
 }
 
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -834,7 +834,7 @@
   if (!txn || txn->nchecks + txn->nputs == CELL_TXN_KEYS_MAX)
     txn = new_removal (c);
   if (txn)
-    snprintf (txn->puts[txn->nputs++].key, CELL_NAME_SIZE, "gl/d/%s", j->id);
+    snprintf (txn->puts[txn->nputs++].key, CELL_KEY_SIZE, "gl/d/%s", j->id);
   cjob_free (c, j);
   return txn;
 }
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -67,6 +67,11 @@
   gl_vmstate_t state;
   cvm_t *v;
 
+  if (strlen (name) >= CELL_NAME_SIZE)
+    {
+      cell_log (c, "vm_unreadable key=%s", item->key);
+      return;
+    }
   if (removed)
     {
       if (i && c->vms[i - 1].registered)
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -329,7 +329,7 @@
 
 /** former_claim_key - the key of a claim; keys are listed in the order of
     generations */
-void former_claim_key (uint64_t generation, char key[CELL_NAME_SIZE]);
+void former_claim_key (uint64_t generation, char key[CELL_KEY_SIZE]);
 /** former_claim_changed - the key of a claim has been written */
 void former_claim_changed (cell_t *c, const cell_item_t *item);
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -598,6 +598,16 @@
   request_owner_changed (c);
 }
 
+/* Key behind which the page after this one begins, NULL if there is none. */
+static const char *
+last_key (const cell_event_t *ev)
+{
+  for (int i = ev->nitems; i-- > 0;)
+    if (ev->items[i].key[0])
+      return ev->items[i].key;
+  return NULL;
+}
+
 void
 own_load_page (cell_t *c, const cell_event_t *ev)
 {
@@ -605,7 +615,7 @@
 
   if (ev->tag != c->load_tag || c->role != CR_LOADING)
     return;
-  if (ev->status != GL_ST_OK)
+  if (ev->status != GL_ST_OK || (ev->more && !last_key (ev)))
     {
       /* Read the prefix again from its start.  Workers and jobs that are known
          already are skipped, task records are restored again. */
@@ -618,8 +628,8 @@
     stage++;
   for (int i = 0; i < ev->nitems; i++)
     load_item (c, stage, &ev->items[i]);
-  if (ev->more && ev->nitems)
-    request_page (c, ev->items[ev->nitems - 1].key);
+  if (ev->more)
+    request_page (c, last_key (ev));
   else if (load_order[stage + 1])
     {
       cell_strcpy (c->load_prefix, load_order[stage + 1]);
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -501,7 +501,7 @@
 static const cell_item_t *
 conflicting_item (const cell_event_t *ev, const char *kind, const char *id)
 {
-  char key[CELL_NAME_SIZE];
+  char key[CELL_KEY_SIZE];
 
   snprintf (key, sizeof key, "gl/%s/%s", kind, id);
   return own_conflicting_item (ev, key);
