--- a/tests/watch.cc
+++ b/tests/watch.cc
@@ -208,6 +208,20 @@
   follow_past (long_keys (), 1);
 }
 
+/* Guards against a VM that never serves, since its listing does not go on
+   behind a page whose last key has characters that are reserved in a URL. */
+TEST (Watch, GoesOnPastReservedCharacters)
+{
+  Watching w;
+
+  for (const char *id : { "a", "b&prefix=c", "d#e", "f%2f", "g+h", "i=j", "k?",
+                          "l\xc3\xa9", "m" })
+    w.store.entries[std::string ("servers/") + id] = VALID;
+  w.start ();
+  EXPECT_EQ (9, w.await_workers (9));
+  EXPECT_EQ (9, w.store.pages.load ());
+}
+
 /* Guards against a VM that ends or stops to follow registrations at a value
    that is deeply nested or has numbers or ports out of range; such an entry
    names no worker, and the others hold. */
