--- a/tests/watch.cc
+++ b/tests/watch.cc
@@ -208,6 +208,16 @@
   follow_past (long_keys (), 1);
 }
 
+/* Guards against workers under ids that would break a header, the key of
+   another worker's record, or are none; a NUL made the whole page unreadable.
+ */
+TEST (Watch, GoesOnPastKeysThatAreNoIds)
+{
+  follow_past ({ "servers/", "servers/a/17", "servers/a b",
+                 "servers/a\r\nX-Y: z", std::string ("servers/a\0b", 11) },
+               1000);
+}
+
 /* Guards against a VM that never serves, since its listing does not go on
    behind a page whose last key has characters that are reserved in a URL. */
 TEST (Watch, GoesOnPastReservedCharacters)
