--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -66,6 +66,19 @@
   EXPECT_EQ (900u, w.leaves_in_ms);
 }
 
+/* Guards against a span that is logged as a few milliseconds, since it does
+   not fit into 32 bits and was cut. */
+TEST (Registration, MayLeaveAfterAnySpan)
+{
+  std::string text = VALID;
+  cell_worker_t w;
+
+  text.replace (text.find ("\"ready\""), 7, "\"draining\"");
+  text.insert (1, "\"remainingMs\":4294967301,");
+  ASSERT_EQ (0, read_worker (text, &w));
+  EXPECT_EQ (UINT32_MAX, w.leaves_in_ms);
+}
+
 TEST (Registration, MaySayWhenTheWorkerStarted)
 {
   std::string text = VALID;
