Records: keys have the whole id of a worker, and the whole name of a VM

What could be seen: a successor that starts a task anew while it still runs on a worker, as that worker's record has been overwritten with another one's.

Cause: the keys of workers' records, and those of VMs and processes, were cut after 100 bytes of the name, while names have up to 127. Workers whose ids differ only behind that shared a record.

Evidence: Records.OfWorkersWithLongIdsAreKeptApart: one record for two workers before. Found by looking for the cause of the long keys on related paths.

Change: whole names. A record that an older version has written under a cut key keeps that key until it is removed (Records.UnderAKeyOfAnOlderVersionAreRemoved fails without record_cut).

--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -26,6 +26,8 @@
 /* Each worker adds a check and a write to a transaction, which has the check
    of the ownership besides. */
 #define WORKERS_PER_TXN ((CELL_TXN_KEYS_MAX - 1) / 2)
+/* Older versions put only this many bytes of an id into the record's key. */
+#define OLD_KEY_ID_BYTES 100
 /* Pause after a transaction that failed. */
 #define RETRY_PAUSE_MS 100
 
@@ -69,11 +71,13 @@
 static void
 record_key (const cworker_t *w, char key[CELL_KEY_SIZE])
 {
+  int len = w->record_cut ? OLD_KEY_ID_BYTES : CELL_NAME_SIZE;
+
   if (w->record_start)
-    snprintf (key, CELL_KEY_SIZE, "gl/w/%.100s/%llu", w->info.self.id,
+    snprintf (key, CELL_KEY_SIZE, "gl/w/%.*s/%llu", len, w->info.self.id,
               (unsigned long long)w->record_start);
   else
-    snprintf (key, CELL_KEY_SIZE, "gl/w/%.100s", w->info.self.id);
+    snprintf (key, CELL_KEY_SIZE, "gl/w/%.*s", len, w->info.self.id);
 }
 
 /* What follows the record; all 0 if nothing does, as in an older version. */
@@ -97,6 +101,7 @@
   gl_worker_record_t record;
   cell_worker_t info;
   gl_worker_start_t start;
+  char key[CELL_KEY_SIZE];
   cworker_t *w;
   int known = c->nworkers;
 
@@ -135,6 +140,9 @@
       cworker_note_capacity (w, &record.capacity);
       w->record_revision = item->revision;
       w->record_start = info.self.started_at;
+      w->record_cut = 0;
+      record_key (w, key);
+      w->record_cut = strcmp (key, item->key) != 0;
       census_learn_foreign (c, w, start.foreign_until);
     }
   codec_free ((xdrproc_t)xdr_gl_worker_record_t, &record);
@@ -179,7 +187,10 @@
           c->enrol_tag = e->tag = cell_new_tag (c);
         }
       if (!w->record_revision)
-        w->record_start = w->info.self.started_at;
+        {
+          w->record_start = w->info.self.started_at;
+          w->record_cut = 0;
+        }
       p = &e->txn->puts[e->txn->nputs++];
       record_key (w, p->key);
       check = &e->txn->checks[e->txn->nchecks++];
--- a/src/cellmember.c
+++ b/src/cellmember.c
@@ -158,7 +158,7 @@
   cell_put_t *p = &txn->puts[txn->nputs++];
 
   own_add_fence (c, txn);
-  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_PROCESS, c->vm);
+  snprintf (p->key, sizeof p->key, "%s%s", KEY_PROCESS, c->vm);
   p->value = codec_encode ((xdrproc_t)xdr_gl_process_t, &process, &p->len);
   p->leased = 1;
 }
@@ -174,7 +174,7 @@
 
   if (c->stop.stopping && c->stop.ends_at > c->now)
     state.ends_in_ms = (u_int)(c->stop.ends_at - c->now);
-  snprintf (p->key, sizeof p->key, "%s%.100s", KEY_VM, c->vm);
+  snprintf (p->key, sizeof p->key, "%s%s", KEY_VM, c->vm);
   p->leased = 1;
   p->value = codec_encode ((xdrproc_t)xdr_gl_vminfo_t, &info, &p->len);
   if (p->value)
--- a/src/cellworker.h
+++ b/src/cellworker.h
@@ -152,6 +152,7 @@
  * @registered, @unregistered_at: its registration is in the store, else since
  *   when it is not
  * @record_start: the start in that record's key, 0 for none
+ * @record_cut: that key has only the beginning of a long id
  * @lease_bound_at: instant by which every lease that it can hold from earlier
  *   owners has ended
  * @foreign_until: instant by which every lease has ended that calls to former
@@ -207,6 +208,7 @@
   gl_res_t used;
   int registered;
   uint64_t record_start;
+  int record_cut;
   gl_ms_t unregistered_at;
   gl_ms_t lease_bound_at;
   gl_ms_t foreign_until;
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -914,6 +914,50 @@
                    "end-query-when-the-owner-changes" }));
 #endif
 
+/* Guards against a successor that does not wait for a worker on which tasks
+   run, since its record has the key of another worker's: ids of over 100 bytes
+   were cut in these keys. */
+TEST (Records, OfWorkersWithLongIdsAreKeptApart)
+{
+  for (bool says_starts : { false, true })
+    {
+      World w (3, 0, 1);
+
+      w.says_starts = says_starts;
+      w.id_prefix = std::string (110, 'x');
+      w.add_worker (-1);
+      w.add_worker (-1);
+      w.run (1500);
+      EXPECT_EQ (2, w.count_keys ("gl/w/"));
+    }
+}
+
+/* Guards against a record of an older version that is never removed: such a
+   version has written it under a key with 100 bytes of the id. */
+TEST (Records, UnderAKeyOfAnOlderVersionAreRemoved)
+{
+  World w (3, 0, 1);
+  std::string id;
+
+  w.says_starts = false;
+  w.id_prefix = std::string (110, 'x');
+  w.add_worker (-1);
+  w.run (1500);
+  for (int i = 0; i < 3; i++)
+    w.kill_vm (i);
+  id = w.workers[0].info.self.id;
+  w.rename_key ("gl/w/" + id, "gl/w/" + id.substr (0, 100));
+  for (int i = 0; i < 3; i++)
+    w.start_vm (i);
+  w.run (6000);
+  EXPECT_EQ (1, w.count_keys ("gl/w/"));
+  w.crash_worker (0);
+  w.run (12000);
+  EXPECT_EQ (1, w.count_keys ("gl/w/"
+                              + std::string (w.workers.back ().info.self.id)));
+  EXPECT_EQ (1, w.count_keys ("gl/w/"));
+}
+
 /* What a restart of workers costs. */
 struct RestartCost
 {
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -855,6 +855,13 @@
   return n;
 }
 
+void
+World::rename_key (const std::string &from, const std::string &to)
+{
+  items_[to] = items_.at (from);
+  items_.erase (from);
+}
+
 void
 World::run_txn (int i, uint64_t tag, const cell_txn_t &x)
 {
@@ -1089,12 +1096,14 @@
   Worker w;
   cell_worker_t &f = w.info;
 
-  snprintf (f.self.id, sizeof f.self.id, "w%d", ids_++);
+  std::string name = "w" + std::to_string (ids_++);
+
+  snprintf (f.self.id, sizeof f.self.id, "%s", (id_prefix + name).c_str ());
   w.serial = ++incarnations_;
   f.self.started_at = says_starts ? WALL_MS + now : 0;
   snprintf (f.addr, sizeof f.addr, "%s",
             same_addr_as >= 0 ? workers[(size_t)same_addr_as].info.addr
-                              : f.self.id);
+                              : name.c_str ());
   snprintf (f.domain, sizeof f.domain, "%s",
             domain_name ((int)workers.size ()).c_str ());
   snprintf (f.service, sizeof f.service, "svc");
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -237,6 +237,8 @@
                   int vm = -1);
   /* Keys of the store that begin with @prefix. */
   int count_keys (const std::string &prefix) const;
+  /* Move a key of the store, and its lease and revision, without a report. */
+  void rename_key (const std::string &from, const std::string &to);
   /* Index of the VM that owns the cell, or -1. */
   int owner () const;
   /* End all faults and wait for @ms, and up to @more_ms longer while tasks of
@@ -275,6 +277,7 @@
                              three in four */
   gl_ms_t now = 1000;
   bool says_starts = true;     /* workers say when they started */
+  std::string id_prefix;       /* ids of workers that are added begin so */
   gl_ms_t registers_in_ms = 0; /* time from a worker's return under its id to
                                   the registration that names its start */
   int fail_one_in = 12;  /* one run in this many fails by itself; 0: none */
