Task records: values of bounded length; a refused write holds up no other

What callers saw: one job of 32,000 tasks was accepted, and from then on hardly any other accepted job was gone on with, beside empty workers.

Cause: all task records of a job were one value. With 24,000 records that have checkpoints it passed the store's limit of 1 MB. The store's 400 was taken for a refusal for want of time, so the same value was sent again every 60 ms, in one transaction with the writes of other jobs, and none of them was written; no end was acknowledged. Beside that a write that could not be encoded stayed in its transaction without a value, that is, as the removal of the key.

Change: the records of 512 tasks are one value (cellrecord.c). GL_ST_INVALID is a refusal for what a call holds; the writes of such a transaction are sent one by one, and the one that is refused alone is tried again after growing pauses. Workers are kept from filling up with ends of its job. An owner takes over records of the version before, removes records that have no job, and completes gangs of which it finds some members done.

The test of store statuses asked for GL_ST_REFUSED after 400 and 403. Both statuses say that nothing was done, which is what it guards; it now asks for the more precise one, and for 413 as well.

Tests that fail without the change: cell scripts large-job-beside-small-ones, refused-write-holds-up-no-other, refused-ends-hold-up-no-other. Those that fail without one part of it: chunk-that-is-not-written-keeps-its-ends (with FAULT_CELL_CHUNK_FORGOTTEN), first-key-of-an-older-version, chunks-left-behind-are-removed, gang-of-which-some-members-are-written.

--- a/src/cell.c
+++ b/src/cell.c
@@ -89,6 +89,7 @@
       hist_destroy (&c->total_time[i]);
     }
   free (c->pairs);
+  free (c->removals);
   free (c->requests);
   free (c->workers);
   free (c->vms);
--- a/src/cellcount.h
+++ b/src/cellcount.h
@@ -36,6 +36,7 @@
   X (looks_failed, "looks without an answer")                                 \
   X (txns, "transactions")                                                    \
   X (txns_failed, "transactions refused or unsure")                           \
+  X (writes_invalid, "writes that the store refuses for what they hold")      \
   X (consults, "consultations")                                               \
   X (consulted, "workers named in consultations")                             \
   X (placements_changed, "tasks placed elsewhere to avoid interference")      \
--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -141,6 +141,7 @@
       t->sole_crashes += (uint32_t)sole;
       t->crashed_run = run;
       j->version++;
+      records_changed (c, s, (uint32_t)(t - s->tasks));
       j->nsuspects++;
       crash_recount (c, j);
       save_job (c, j, 1);
@@ -289,6 +290,7 @@
   cell_log (c, "crash_excused task=%s run=%u crashes=%u sole_crashes=%u", name,
             t->crashed_run, t->crashes, t->sole_crashes);
   j->version++;
+  records_changed (c, s, (uint32_t)(t - s->tasks));
   crash_recount (c, j);
   save_job (c, j, 1);
   plan_wake (c);
@@ -384,6 +386,7 @@
   c->counters.crash_cleared++;
   t->crashes = t->sole_crashes = 0;
   j->version++;
+  records_changed (c, s, (uint32_t)(t - s->tasks));
   crash_recount (c, j);
   save_job (c, j, 1);
   plan_wake (c);
@@ -549,13 +552,17 @@
 /* ---- records ---- */
 
 static void
-fill_records (cell_t *c, const cjob_t *j, gl_crashes_t *records)
+fill_records (cell_t *c, const cjob_t *j, size_t chunk, gl_crashes_t *records)
 {
   for (size_t i = 0; i < j->steps.n; i++)
     {
       const cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
+      uint32_t from = 0;
+      uint32_t to = 0;
 
-      for (uint32_t k = 0; s && k < s->def->count; k++)
+      if (s)
+        records_range (s, chunk, &from, &to);
+      for (uint32_t k = from; k < to; k++)
         {
           const ctask_t *t = &s->tasks[k];
 
@@ -568,10 +575,11 @@
 }
 
 int
-crash_encode (cell_t *c, const cjob_t *j, char **value, size_t *len)
+crash_encode (cell_t *c, const cjob_t *j, size_t chunk, char **value,
+              size_t *len)
 {
   gl_crashes_t records = { { 0, NULL } };
-  int rc;
+  int rc = 0;
 
   if (!j->nsuspects)
     return 0;
@@ -579,14 +587,16 @@
       = calloc ((size_t)j->nsuspects, sizeof (gl_crash_record_t));
   if (!records.tasks.tasks_val)
     return -1;
-  fill_records (c, j, &records);
-  rc = codec_append ((xdrproc_t)xdr_gl_crashes_t, &records, value, len);
+  fill_records (c, j, chunk, &records);
+  if (records.tasks.tasks_len)
+    rc = codec_append ((xdrproc_t)xdr_gl_crashes_t, &records, value, len);
   free (records.tasks.tasks_val);
   return rc;
 }
 
 void
-crash_restore (cell_t *c, cjob_t *j, const char *data, size_t len)
+crash_restore (cell_t *c, cjob_t *j, size_t chunk, const char *data,
+               size_t len)
 {
   gl_crashes_t records;
 
@@ -609,6 +619,7 @@
       t = ctask_find (c, name, &s, &index);
       if (!t)
         continue;
+      records_found (j, s, index, chunk);
       t->crashes = r->crashes;
       t->sole_crashes = r->sole;
       j->nsuspects++;
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -61,6 +61,13 @@
 /* A worker that lists ends which are not in the store yet is polled again
    only after this time: it would answer at once. */
 #define CELL_UNSAVED_POLL_MS 150
+/* Tasks of a job whose records are one value of the store.  A record takes 180
+   bytes at most, and one of a crash 20. */
+#define CELL_CHUNK_TASKS 512
+/* Bytes of a job's id, with its terminating NUL. */
+#define CELL_JOB_ID_SIZE 20
+/* Pause after a transaction that was refused or got no answer. */
+#define CELL_STORE_RETRY_MS 60
 /* Transactions of cellsave.c that may be in flight at once. */
 #define CELL_SAVE_TXNS_MAX 12
 /* Timeout of a transaction, after which its outcome is unknown.  For those of
@@ -236,6 +243,7 @@
  * @iteration: number of the iteration, from 0
  * @index: its number in the job, from 0
  * @def: its definition in the job's specification
+ * @first_task: tasks of the job in earlier iterations and steps
  * @tasks: its tasks, def->count of them
  * @ndone, @nwaiting: how many tasks are done, and how many wait (CT_WAITING)
  * @lateness: due_lateness in the present planning pass
@@ -271,6 +279,7 @@
   uint32_t iteration;
   uint32_t index;
   const gl_step_t *def;
+  uint64_t first_task;
   ctask_t *tasks;
   uint32_t ndone;
   uint32_t nwaiting;
@@ -318,6 +327,29 @@
   size_t cap;
 } tags_t;
 
+/**
+ * struct cchunk_t - the records of CELL_CHUNK_TASKS tasks
+ * @revision: of its key in the store; 0 if absent, or not known yet
+ * @version: version of the job's records at its last change
+ * @written: that of the last write
+ * @in_first_key: an older version has written its records into the job's first
+ *   key
+ */
+typedef struct
+{
+  uint64_t revision;
+  uint64_t version;
+  uint64_t written;
+  int in_first_key;
+} cchunk_t;
+
+/** struct cremoval_t - a chunk to be removed from the store */
+typedef struct
+{
+  char id[CELL_JOB_ID_SIZE];
+  size_t chunk;
+} cremoval_t;
+
 /**
  * struct cjob_t - one job
  * @self: its handle
@@ -336,12 +368,19 @@
  * @nbound, @idle_since: how many of its tasks are bound to a worker, and since
  *   when there have been none
  * @nsuspects, @may_crash: tasks with crashes, and that one has sole crashes
- * @saving: a transaction with it is in flight
+ * @saving: writes of it in the transaction that is in flight
+ * @alone: a transaction with it was refused for what it held, so its writes
+ *   are sent one by one
+ * @refusals, @write_after: refusals in a row of a write that was sent alone,
+ *   and earliest time for the next one
  * @in_dirty, @dirty_at: it is in the list of jobs to write, and since when
- * @version, @written_version: version of its task records here and in the
- *   store
- * @spec_revision, @records_revision: revisions in the store of the keys of its
- *   specification and of its task records; 0 if absent, or not known yet
+ * @version, @written_version: version of its task records here, and up to
+ *   which all changes are in the store
+ * @spec_revision: revision in the store of its specification; 0 if absent, or
+ *   not known yet
+ * @ntasks: tasks of the iterations that exist
+ * @chunks, @nchunks: their records, see cellrecord.c
+ * @next_chunk: where the search for a chunk to write goes on
  * @arrived_at: when this owner received it; for a job loaded from the store,
  *   when an earlier owner accepted it, by the wall clock
  * @ended_at: when its end was written
@@ -360,7 +399,7 @@
 typedef struct
 {
   handle_t self;
-  char id[20];
+  char id[CELL_JOB_ID_SIZE];
   gl_cell_job_t spec;
   int queue;
   int team;
@@ -376,11 +415,17 @@
   int nsuspects;
   int may_crash;
   int saving;
+  int alone;
+  unsigned int refusals;
+  gl_ms_t write_after;
   int in_dirty;
   uint64_t version;
   uint64_t written_version;
   uint64_t spec_revision;
-  uint64_t records_revision;
+  uint64_t ntasks;
+  cchunk_t *chunks;
+  size_t nchunks;
+  size_t next_chunk;
   gl_ms_t arrived_at;
   double *path_ms;
   double critical_path_ms;
@@ -407,18 +452,19 @@
   SAVE_RESULT
 } csave_kind_t;
 
-/** struct csave_t - a job in a transaction; @version and @phase are those
-    that it writes */
+/** struct csave_t - a write of a job in a transaction; @version and @phase are
+    those that it writes, @chunk is that of SAVE_PROGRESS */
 typedef struct
 {
   handle_t job;
   csave_kind_t kind;
+  size_t chunk;
   uint64_t version;
   gl_phase_t phase;
 } csave_t;
 
-/** struct csave_txn_t - a transaction in flight, with the jobs in it; @tag 0:
-    the slot is free; @leaves_at: when it will have left this VM's link */
+/** struct csave_txn_t - a transaction in flight, with the writes in it; @tag
+   0: the slot is free; @leaves_at: when it will have left this VM's link */
 typedef struct
 {
   uint64_t tag;
@@ -684,6 +730,9 @@
  * @write_budget, @budget_at: transactions allowed now, and when that was
  *   computed
  * @store_failures: failed calls to the store since the last success
+ * @removals, @nremovals: chunks to be removed, see cellrecord.c
+ * @removal_tag, @nremoving, @removal_after: transaction in flight that removes
+ *   the first @nremoving of them, or 0; earliest time for another
  *
  * Consultations and requests (cellconsult.c, cellask.c):
  * @consults, @nconsults: consultations in flight, in no order
@@ -828,6 +877,12 @@
   double write_budget;
   gl_ms_t budget_at;
   int store_failures;
+  cremoval_t *removals;
+  int nremovals;
+  int capremovals;
+  uint64_t removal_tag;
+  int nremoving;
+  gl_ms_t removal_after;
   cconsult_t *consults;
   int nconsults;
   int capconsults;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -55,8 +55,10 @@
   s->iteration = iteration;
   s->index = index;
   s->def = &j->spec.steps.steps_val[index];
+  s->first_task = j->ntasks;
   s->tasks = calloc (s->def->count, sizeof *s->tasks);
-  if (!s->tasks || handles_add (&j->steps, h))
+  if (!s->tasks || records_add_tasks (j, s->def->count)
+      || handles_add (&j->steps, h))
     {
       free (s->tasks);
       pool_del (&c->steps, h);
@@ -177,6 +179,7 @@
   names_del (&c->job_names, j->id);
   codec_free ((xdrproc_t)xdr_gl_cell_job_t, &j->spec);
   free (j->path_ms);
+  free (j->chunks);
   free (j->accept_waiters.v);
   free (j->end_waiters.v);
   pool_del (&c->jobs, j->self);
@@ -260,6 +263,7 @@
       && c->conf.queues[j->queue].priority < CELL_PRIORITIES)
     hist_add (&c->total_time[c->conf.queues[j->queue].priority],
               (double)(c->now - j->arrived_at));
+  records_job_ended (c, j);
   cell_log (c, "job_ended id=%s phase=%s age_ms=%llu", j->id, names[phase],
             (unsigned long long)(c->now - j->arrived_at));
   if (j->decided_at)
@@ -506,6 +510,7 @@
   t->has_record = 1;
   t->inherited = 0;
   s->ndone++;
+  records_changed (c, s, index);
 }
 
 /* A run of the task has ended well that is not the one bound to a worker. That
@@ -525,6 +530,7 @@
   t->inherited = 0;
   t->surplus = 1;
   s->ndone++;
+  records_changed (c, s, index);
   cworker_stop (c, s, index);
 }
 
@@ -551,6 +557,7 @@
       t->inherited = 0;
       t->stop_tag = c->next_tag;
       s->ndone++;
+      records_changed (c, s, i);
       cworker_poll_now (c, t->worker);
     }
 }
@@ -591,6 +598,7 @@
     return j->version;
   j->version++;
   record_failure (c, j, s, index, run);
+  records_changed (c, s, index);
   save_job (c, j, j->next_phase >= GL_PHASE_COMPLETED);
   return j->version;
 }
@@ -654,6 +662,7 @@
   /* An inherited task stays inherited: another worker may have a later run. */
   t->has_record = 1;
   j->version++;
+  records_changed (c, s, index);
   if (outcome == CELL_RUN_DONE && !s->def->long_running)
     {
       c->counters.ends_done++;
@@ -689,54 +698,7 @@
 /* ---- task records ---- */
 
 void
-cjob_records (cell_t *c, cjob_t *j, gl_progress_t *p)
-{
-  size_t n = 0;
-
-  memset (p, 0, sizeof *p);
-  for (size_t i = 0; i < j->steps.n; i++)
-    {
-      cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
-
-      for (uint32_t k = 0; s && k < s->def->count; k++)
-        n += s->tasks[k].has_record;
-    }
-  p->tasks.tasks_val = calloc (n + 1, sizeof (gl_task_record_t));
-  if (!p->tasks.tasks_val)
-    return;
-  for (size_t i = 0; i < j->steps.n; i++)
-    {
-      cstep_t *s = pool_get (&c->steps, j->steps.v[i]);
-
-      for (uint32_t k = 0; s && k < s->def->count; k++)
-        {
-          ctask_t *t = &s->tasks[k];
-          gl_task_record_t *r;
-
-          if (!t->has_record)
-            continue;
-          r = &p->tasks.tasks_val[p->tasks.tasks_len++];
-          r->iteration = s->iteration;
-          r->step = s->index;
-          r->index = k;
-          /* A successor is to take the surplus run for an unknown one. */
-          r->run = t->surplus ? 0 : t->run;
-          r->failed_runs.failed_runs_len = t->nfailed_runs;
-          r->failed_runs.failed_runs_val
-              = calloc (t->nfailed_runs + 1, sizeof *t->failed_runs);
-          if (r->failed_runs.failed_runs_val)
-            memcpy (r->failed_runs.failed_runs_val, t->failed_runs,
-                    t->nfailed_runs * sizeof *t->failed_runs);
-          else
-            r->failed_runs.failed_runs_len = 0;
-          r->done = t->state == CT_DONE;
-          r->checkpoint = strdup (t->checkpoint);
-        }
-    }
-}
-
-void
-cjob_restore (cell_t *c, cjob_t *j, const gl_progress_t *p)
+cjob_restore (cell_t *c, cjob_t *j, const gl_progress_t *p, size_t chunk)
 {
   for (u_int i = 0; i < p->tasks.tasks_len; i++)
     {
@@ -755,6 +717,7 @@
           cell_log (c, "task_record_unknown id=%s", j->id);
           continue;
         }
+      records_found (j, s, r->index, chunk);
       t = &s->tasks[r->index];
       t->has_record = 1;
       t->run = r->run;
@@ -769,7 +732,30 @@
       if (r->done)
         task_set_done (c, s, r->index);
     }
-  j->version = j->written_version = 1;
+}
+
+void
+cjobs_complete_gangs (cell_t *c)
+{
+  size_t pos = 0;
+  handle_t h;
+
+  while ((h = pool_next (&c->steps, &pos)))
+    {
+      cstep_t *s = pool_get (&c->steps, h);
+      cjob_t *j = cstep_job (c, s);
+
+      if (!s->def->gang || !s->ndone || s->ndone == s->def->count)
+        continue;
+      cell_log (c, "gang_completed id=%s step=%u done=%u", j->id, s->index,
+                s->ndone);
+      j->version++;
+      for (uint32_t i = 0; i < s->def->count; i++)
+        task_set_done (c, s, i);
+      if (job_done (c, j))
+        cjob_finish (c, j, GL_PHASE_COMPLETED);
+      save_job (c, j, 1);
+    }
 }
 
 static int
@@ -850,6 +836,7 @@
   timer_arm (&c->timers, c->job_timer, now + TICK_MS);
   if (c->role != CR_OWNER)
     return;
+  records_remove (c);
   while ((h = pool_next (&c->jobs, &pos)))
     {
       cjob_t *j = pool_get (&c->jobs, h);
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -126,6 +126,50 @@
 /** conf_metrics - append the configuration's version and age */
 void conf_metrics (const cell_t *c, text_t *t);
 
+/* cellrecord.c */
+
+/** records_add_tasks - make room for the records of @count more tasks of the
+    job; -1 without memory */
+int records_add_tasks (cjob_t *j, uint32_t count);
+/** records_range - the tasks of the step, from *@from up to *@to, whose
+   records are in @chunk */
+void records_range (const cstep_t *s, size_t chunk, uint32_t *from,
+                    uint32_t *to);
+/** records_changed - the record of the task has changed with the job's present
+    version */
+void records_changed (cell_t *c, const cstep_t *s, uint32_t index);
+/** records_are_written - 1 if all records of the job are in the store */
+int records_are_written (const cjob_t *j);
+/** records_next - find the first chunk from @from on that may be written now;
+    1 if there is one */
+int records_next (const cjob_t *j, size_t from, size_t *chunk);
+/** records_written - the chunk is in the store, at @revision, with all changes
+    up to @version */
+void records_written (cjob_t *j, size_t chunk, uint64_t version,
+                      uint64_t revision);
+/** records_key - the key of a chunk */
+void records_key (const char *id, size_t chunk, char key[CELL_KEY_SIZE]);
+/** records_encode - the records of a chunk, malloc'd; -1 without memory, with
+ *@value NULL or to be freed */
+int records_encode (cell_t *c, const cjob_t *j, size_t chunk, char **value,
+                    size_t *len);
+/** records_found - the key of @chunk had a record of the task */
+void records_found (cjob_t *j, const cstep_t *s, uint32_t index, size_t chunk);
+/** records_load - take over the records of an earlier owner */
+void records_load (cell_t *c, const cell_item_t *item);
+/** records_remove_later - have a chunk removed; its job has no specification
+    in the store */
+void records_remove_later (cell_t *c, const char *id, size_t chunk);
+/** records_job_ended - the job's result, and the removal of its first chunk,
+    are in the store */
+void records_job_ended (cell_t *c, const cjob_t *j);
+/** records_remove - remove chunks that are to be removed */
+void records_remove (cell_t *c);
+/** records_txn_result - handle the result of a removal; 0 if it is not one */
+int records_txn_result (cell_t *c, const cell_event_t *ev);
+/** records_reset - forget the removals, when the cell is lost */
+void records_reset (cell_t *c);
+
 /* celljob.c */
 
 /** cjob_find - the job with this id, or NULL */
@@ -136,11 +180,12 @@
 /** cjob_new - a job of @spec, which is taken over; NULL without memory */
 cjob_t *cjob_new (cell_t *c, gl_cell_job_t *spec);
 void cjob_free (cell_t *c, cjob_t *j);
-/** cjob_records - fill @p with the task records to write; the caller frees
-    them */
-void cjob_records (cell_t *c, cjob_t *j, gl_progress_t *p);
-/** cjob_restore - set the job's tasks from the records of an earlier owner */
-void cjob_restore (cell_t *c, cjob_t *j, const gl_progress_t *p);
+/** cjob_restore - set the job's tasks from the records of an earlier owner, as
+    read from the key of @chunk */
+void cjob_restore (cell_t *c, cjob_t *j, const gl_progress_t *p, size_t chunk);
+/** cjobs_complete_gangs - take gangs with a member that is done as done: an
+    earlier owner may have written the records of some members only */
+void cjobs_complete_gangs (cell_t *c);
 /** cjob_ready_steps - make due iterations and mark the steps whose
     predecessors are done as ready */
 void cjob_ready_steps (cell_t *c, cjob_t *j);
@@ -475,12 +520,14 @@
 void crash_plan_begin (cell_t *c);
 /** crash_tick - poll workers of probing runs, and fail jobs */
 void crash_tick (cell_t *c);
-/** crash_encode - append the job's crash records to its encoded task records,
- *@value of *@len bytes; -1 without memory */
-int crash_encode (cell_t *c, const cjob_t *j, char **value, size_t *len);
-/** crash_restore - set the counts from the records that follow the job's task
-    records, if there are any */
-void crash_restore (cell_t *c, cjob_t *j, const char *data, size_t len);
+/** crash_encode - append the crash records of a chunk to its encoded task
+    records, *@value of *@len bytes; -1 without memory */
+int crash_encode (cell_t *c, const cjob_t *j, size_t chunk, char **value,
+                  size_t *len);
+/** crash_restore - set the counts from the records that follow the task
+    records in the key of @chunk, if there are any */
+void crash_restore (cell_t *c, cjob_t *j, size_t chunk, const char *data,
+                    size_t len);
 
 /* cellroom.c */
 
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -465,7 +465,7 @@
       return;
     }
   if (member_txn_result (c, ev) || save_txn_result (c, ev)
-      || enrol_txn_result (c, ev))
+      || enrol_txn_result (c, ev) || records_txn_result (c, ev))
     return;
   if (ev->tag == c->release_tag && c->release_tag)
     {
@@ -543,29 +543,6 @@
     j->arrived_at = c->now - (c->wall - j->spec.accepted_ms);
 }
 
-static void
-load_progress (cell_t *c, const cell_item_t *item)
-{
-  cjob_t *j = cjob_find (c, item->key + strlen ("gl/p/"));
-  gl_progress_t p;
-  size_t used;
-
-  memset (&p, 0, sizeof p);
-  if (!j)
-    return;
-  if (codec_decode ((xdrproc_t)xdr_gl_progress_t, &p, item->value, item->len))
-    {
-      cell_log (c, "progress_unreadable key=%s", item->key);
-      return;
-    }
-  cjob_restore (c, j, &p);
-  used = xdr_sizeof ((xdrproc_t)xdr_gl_progress_t, &p);
-  if (item->len > used)
-    crash_restore (c, j, item->value + used, item->len - used);
-  j->records_revision = item->revision;
-  codec_free ((xdrproc_t)xdr_gl_progress_t, &p);
-}
-
 static void
 load_item (cell_t *c, int stage, const cell_item_t *item)
 {
@@ -574,7 +551,7 @@
   else if (stage == 1)
     load_job (c, item);
   else
-    load_progress (c, item);
+    records_load (c, item);
 }
 
 static void
@@ -586,6 +563,7 @@
   c->role = CR_OWNER;
   c->stop.hand_over_at = 0;
   hist_add (&c->takeover_time, (double)(c->now - c->takeover_at));
+  cjobs_complete_gangs (c);
   while ((h = pool_next (&c->jobs, &pos)))
     cjob_ready_steps (c, pool_get (&c->jobs, h));
   census_loaded (c);
@@ -686,6 +664,7 @@
   former_process_seen (c, &process, UINT64_MAX);
 
   save_reset (c);
+  records_reset (c);
   plan_reset (c);
   while ((h = pool_next (&c->jobs, &pos)))
     cjob_free (c, pool_get (&c->jobs, h));
--- a/src/cellroom.c
+++ b/src/cellroom.c
@@ -17,6 +17,9 @@
 #define PRIORITY0_CPU_SHARE 0.1
 /* Tasks that want a rack wait for it this many times their estimate. */
 #define RACK_WAIT_FACTOR 1.0
+/* Unacknowledged ends on a worker, half of what one of its answers lists, from
+   which on no task of a job that cannot be written is started there. */
+#define UNACKED_MAX 250
 
 int
 room_has_label (const cworker_t *w, const char *label)
@@ -72,13 +75,23 @@
   return unused->cpus_m < 0 || unused->memory_mb < 0 || unused->accels < 0;
 }
 
+/* Whether ends of the step's job would hold up those of others on the worker:
+   ends are acknowledged in their order, and the job's cannot be written. */
+static int
+would_clog (const cell_t *c, const cstep_t *s, const cworker_t *w)
+{
+  const cjob_t *j = pool_get (&c->jobs, s->job);
+
+  return w->nunacked >= UNACKED_MAX && j && j->refusals;
+}
+
 /* Whether the step may use the worker, regardless of room. */
 static int
 is_eligible (const cell_t *c, const cstep_t *s, const cell_queue_t *q,
              const cworker_t *w)
 {
   return cworker_usable (c, w) && !strcmp (w->info.service, q->service)
-         && room_has_label (w, s->def->label);
+         && room_has_label (w, s->def->label) && !would_clog (c, s, w);
 }
 
 int
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -3,12 +3,15 @@
  *
  * Keys of a job:
  *   gl/j/ID   its specification, from its acceptance to its end
- *   gl/p/ID   its task records, once there are some, until its end
+ *   gl/p/ID   its task records, once there are some, until its end; further
+ *             keys if it has many tasks, see cellrecord.c
  *   gl/d/ID   its result, from its end on
  *
  * One transaction writes several jobs, and a job is in one transaction at a
- * time, so that its writes keep their order.  Every transaction checks the
- * ownership record; see cellown.c.
+ * time, so that its writes keep their order.  A transaction that the store
+ * refuses for what it holds is not sent again: its writes are sent one by one,
+ * and the one that is refused alone is tried again after growing pauses. Every
+ * transaction checks the ownership record; see cellown.c.
  *
  * A transaction without an answer may be carried out seconds later, if its
  * conditions still hold.  So that it cannot undo a newer write, task records
@@ -66,8 +69,12 @@
 #define SAVE_DELAY_FACTOR 4
 /* Pause when the budget is used up. */
 #define BUDGET_WAIT_MS 5
-/* Pause after a transaction that was refused or got no answer. */
-#define RETRY_PAUSE_MS 60
+/* Bytes of values after which nothing more is added to a transaction. */
+#define TXN_VALUES_MAX 262144
+/* Pause after the first refusal of a write for what it holds, and the longest
+   one. */
+#define REFUSED_PAUSE_MS 250
+#define REFUSED_PAUSE_MAX_MS 32000
 /* Most checks and writes that one job adds to a transaction: a specification
    has two checks and a write, task records the same, a result a write and two
    removals. */
@@ -121,7 +128,15 @@
   for (int i = 0; i < CELL_SAVE_TXNS_MAX; i++)
     if (c->save_txns[i].tag)
       return 0;
-  return !c->dirty.n;
+  for (size_t i = 0; i < c->dirty.n; i++)
+    {
+      const cjob_t *j = pool_get (&c->jobs, c->dirty.v[i]);
+
+      /* A successor may do no better with a write that the store refuses. */
+      if (j && !j->refusals)
+        return 0;
+    }
+  return 1;
 }
 
 void
@@ -178,21 +193,23 @@
 }
 
 static int
-add_progress (cell_t *c, cell_txn_t *txn, cjob_t *j)
+add_progress (cell_t *c, cell_txn_t *txn, const cjob_t *j, size_t chunk,
+              int checked)
 {
-  cell_put_t *p = add_put (txn, "p", j->id);
-  gl_progress_t records;
+  uint64_t revision = j->chunks[chunk].revision;
+  cell_put_t *p = &txn->puts[txn->nputs++];
+  cell_item_t *check;
 
+  records_key (j->id, chunk, p->key);
   if (!FAULT (FAULT_CELL_LATE_WRITE))
     {
-      if (!j->records_revision)
+      if (!revision && !checked)
         add_check (txn, "j", j->id, j->spec_revision);
-      add_check (txn, "p", j->id, j->records_revision);
+      check = &txn->checks[txn->nchecks++];
+      records_key (j->id, chunk, check->key);
+      check->revision = revision;
     }
-  cjob_records (c, j, &records);
-  p->value = codec_encode ((xdrproc_t)xdr_gl_progress_t, &records, &p->len);
-  codec_free ((xdrproc_t)xdr_gl_progress_t, &records);
-  return p->value ? crash_encode (c, j, &p->value, &p->len) : -1;
+  return records_encode (c, j, chunk, &p->value, &p->len);
 }
 
 static int
@@ -207,14 +224,21 @@
   return p->value ? append_team (c, j, p) : -1;
 }
 
+/* Add one write of the job, of its records that of @chunk; -1, with @txn
+   unchanged, without memory.  @checked: @txn has the check on the job's
+   specification. */
 static int
-add_job (cell_t *c, cell_txn_t *txn, csave_txn_t *slot, cjob_t *j)
+add_write (cell_t *c, cell_txn_t *txn, csave_txn_t *slot, cjob_t *j,
+           size_t chunk, int checked)
 {
   csave_t *s = &slot->saves[slot->nsaves];
+  int nchecks = txn->nchecks;
+  int nputs = txn->nputs;
   int rc;
 
   s->job = j->self;
   s->kind = next_save_kind (j);
+  s->chunk = chunk;
   s->version = j->version;
   s->phase = j->next_phase;
   if (s->kind == SAVE_CREATE)
@@ -222,22 +246,84 @@
   else if (s->kind == SAVE_RESULT)
     rc = add_result (c, txn, j);
   else
-    rc = add_progress (c, txn, j);
+    rc = add_progress (c, txn, j, chunk, checked);
   if (rc)
-    return -1;
+    {
+      /* A write without a value would remove the key. */
+      while (txn->nputs > nputs)
+        free (txn->puts[--txn->nputs].value);
+      memset (&txn->puts[nputs], 0,
+              (size_t)(CELL_TXN_KEYS_MAX - nputs) * sizeof *txn->puts);
+      txn->nchecks = nchecks;
+      return -1;
+    }
   slot->nsaves++;
-  j->saving = 1;
+  j->saving++;
   j->in_dirty = 0;
   return 0;
 }
 
+static size_t
+value_bytes (const cell_txn_t *txn)
+{
+  size_t n = 0;
+
+  for (int i = 0; i < txn->nputs; i++)
+    n += txn->puts[i].len;
+  return n;
+}
+
+static int
+is_full (const cell_txn_t *txn)
+{
+  return txn->nchecks + txn->nputs + JOB_ENTRIES_MAX > CELL_TXN_KEYS_MAX
+         || value_bytes (txn) >= TXN_VALUES_MAX;
+}
+
+/* Add what of the job is to be written and has room; -1 if that is nothing. */
+static int
+add_job (cell_t *c, cell_txn_t *txn, csave_txn_t *slot, cjob_t *j)
+{
+  size_t chunk = 0;
+  size_t from = j->next_chunk;
+  int wrapped = 0;
+  int added = 0;
+  int checked = 0;
+
+  if (j->alone && slot->nsaves)
+    return -1;
+  if (next_save_kind (j) != SAVE_PROGRESS)
+    return add_write (c, txn, slot, j, 0, 0);
+  /* Begin where the write before has ended, so that each chunk has its turn.
+   */
+  while (!is_full (txn) && !(j->alone && added))
+    {
+      if (!records_next (j, from, &chunk)
+          || (wrapped && chunk >= j->next_chunk))
+        {
+          if (wrapped || !j->next_chunk)
+            break;
+          wrapped = 1;
+          from = 0;
+          continue;
+        }
+      if (add_write (c, txn, slot, j, chunk, checked))
+        break;
+      checked |= !j->chunks[chunk].revision;
+      added++;
+      from = chunk + 1;
+    }
+  j->next_chunk = from < j->nchunks ? from : 0;
+  return added ? 0 : -1;
+}
+
 /* 1 if nothing of the job has to be written. */
 static int
 is_clean (const cjob_t *j)
 {
   return j->phase >= GL_PHASE_COMPLETED
          || (j->durable && j->next_phase < GL_PHASE_COMPLETED
-             && j->written_version == j->version);
+             && records_are_written (j));
 }
 
 static gl_ms_t
@@ -289,13 +375,12 @@
 fill_txn (cell_t *c, cell_txn_t *txn, csave_txn_t *slot)
 {
   int doubtful = is_store_doubtful (c);
+  int closed = 0;
   size_t kept = 0;
 
   for (size_t i = 0; i < c->dirty.n; i++)
     {
       cjob_t *j = pool_get (&c->jobs, c->dirty.v[i]);
-      int full
-          = txn->nchecks + txn->nputs + JOB_ENTRIES_MAX > CELL_TXN_KEYS_MAX;
 
       if (!j)
         continue;
@@ -304,9 +389,11 @@
           j->in_dirty = 0;
           continue;
         }
-      if (j->saving || full || (doubtful && is_unsent (j))
-          || add_job (c, txn, slot, j))
+      if (j->saving || closed || is_full (txn) || (doubtful && is_unsent (j))
+          || c->now < j->write_after || add_job (c, txn, slot, j))
         c->dirty.v[kept++] = c->dirty.v[i];
+      else
+        closed = j->alone;
     }
   c->dirty.n = kept;
 }
@@ -328,6 +415,11 @@
 
       if (!j || j->saving || (doubtful && is_unsent (j)))
         continue;
+      if (c->now < j->write_after)
+        {
+          next = j->write_after < next ? j->write_after : next;
+          continue;
+        }
       urgent += is_urgent (j);
       due = j->dirty_at;
       if (!is_urgent (j))
@@ -477,22 +569,24 @@
 
   if (!j)
     return;
-  j->saving = 0;
+  j->saving--;
+  j->refusals = 0;
+  j->write_after = 0;
   if (s->kind == SAVE_CREATE)
     {
       j->spec_revision = revision;
       mark_accepted (c, j);
     }
-  else
-    j->written_version = s->version;
   if (s->kind == SAVE_PROGRESS)
-    j->records_revision = revision;
+    records_written (j, s->chunk, s->version, revision);
   if (s->kind == SAVE_RESULT)
     {
       j->written_version = j->version;
       cjob_end_written (c, j, s->phase);
     }
-  else if (!is_clean (j))
+  else if (is_clean (j))
+    j->alone = 0;
+  else if (!j->saving)
     save_job (c, j, 0);
 }
 
@@ -510,11 +604,14 @@
 /* Expect the revisions that the job's keys have now: an earlier transaction
    without an answer was carried out. */
 static void
-adopt_revisions (cjob_t *j, const cell_event_t *ev)
+adopt_revisions (cjob_t *j, size_t chunk, const cell_event_t *ev)
 {
-  const cell_item_t *item = conflicting_item (ev, "p", j->id);
+  char key[CELL_KEY_SIZE];
+  const cell_item_t *item;
 
-  j->records_revision = item ? item->revision : 0;
+  records_key (j->id, chunk, key);
+  item = own_conflicting_item (ev, key);
+  j->chunks[chunk].revision = item ? item->revision : 0;
   item = conflicting_item (ev, "j", j->id);
   if (item)
     j->spec_revision = item->revision;
@@ -589,7 +686,8 @@
 
   if (!j)
     return;
-  j->saving = 0;
+  if (j->saving)
+    j->saving--;
   requests_end_unwritten (c, j);
   if (s->kind == SAVE_CREATE && lost)
     j->maybe_written = 1;
@@ -622,7 +720,7 @@
       else
         {
           if (j && slot->saves[i].kind == SAVE_PROGRESS)
-            adopt_revisions (j, ev);
+            adopt_revisions (j, slot->saves[i].chunk, ev);
           retry_save (c, &slot->saves[i], 0);
         }
     }
@@ -648,6 +746,38 @@
     }
 }
 
+/* The store has refused the transaction for what it holds: send its writes one
+   by one, and the one that was refused alone after a pause. */
+static void
+handle_invalid (cell_t *c, const csave_txn_t *slot)
+{
+  gl_ms_t pause = REFUSED_PAUSE_MS;
+
+  for (int i = 0; i < slot->nsaves; i++)
+    {
+      const csave_t *s = &slot->saves[i];
+      cjob_t *j = pool_get (&c->jobs, s->job);
+
+      if (j && slot->nsaves == 1)
+        {
+          for (unsigned int k = 0;
+               k < j->refusals && pause < REFUSED_PAUSE_MAX_MS; k++)
+            pause *= 2;
+          j->refusals++;
+          j->write_after = c->now + pause;
+          c->counters.writes_invalid++;
+          cell_log (c,
+                    "write_invalid id=%s kind=%d chunk=%zu refusals=%u "
+                    "retry_ms=%llu",
+                    j->id, s->kind, s->chunk, j->refusals,
+                    (unsigned long long)pause);
+        }
+      if (j)
+        j->alone = 1;
+      retry_save (c, s, 0);
+    }
+}
+
 static void
 handle_result (cell_t *c, const csave_txn_t *slot, const cell_event_t *ev)
 {
@@ -677,8 +807,13 @@
       return;
     }
   c->counters.txns_failed++;
+  if (ev->status == GL_ST_INVALID)
+    {
+      handle_invalid (c, slot);
+      return;
+    }
   c->store_failures++;
-  c->save_after = c->now + RETRY_PAUSE_MS;
+  c->save_after = c->now + CELL_STORE_RETRY_MS;
   cell_log (c, "txn_failed status=%d jobs=%d ms=%llu", ev->status,
             slot->nsaves, (unsigned long long)(c->now - slot->sent_at));
   for (int i = 0; i < slot->nsaves; i++)
--- a/src/fault.h
+++ b/src/fault.h
@@ -39,6 +39,8 @@
  * @FAULT_CELL_NO_FENCE: writes as owner without checking the ownership
  * @FAULT_CELL_LATE_WRITE: writes task records without checking that no later
  *   ones are in the store
+ * @FAULT_CELL_CHUNK_FORGOTTEN: takes all records of a job as written when one
+ *   chunk of them is
  * @FAULT_CELL_RESTART_UNCONFIRMED: starts the tasks of a restarted worker anew
  *   without confirming the ownership
  * @FAULT_CELL_FOREIGN_LEASE: starts tasks on a worker that may hold a lease by
@@ -89,6 +91,7 @@
   FAULT_CELL_FAILURE_TWICE,
   FAULT_CELL_NO_FENCE,
   FAULT_CELL_LATE_WRITE,
+  FAULT_CELL_CHUNK_FORGOTTEN,
   FAULT_CELL_RESTART_UNCONFIRMED,
   FAULT_CELL_FOREIGN_LEASE,
   FAULT_CELL_CAPACITY_OLD,
--- a/src/gentianlatch.h
+++ b/src/gentianlatch.h
@@ -68,6 +68,8 @@
  * @GL_ST_ABSENT: the key does not exist
  * @GL_ST_REFUSED: not done for certain: not sent, or refused for overload
  * @GL_ST_UNKNOWN: no reply arrived; a write may have taken effect
+ * @GL_ST_INVALID: not done for certain, and refused for what it holds; the
+ *   same call would be refused again
  */
 typedef enum
 {
@@ -75,7 +77,8 @@
   GL_ST_CONFLICT,
   GL_ST_ABSENT,
   GL_ST_REFUSED,
-  GL_ST_UNKNOWN
+  GL_ST_UNKNOWN,
+  GL_ST_INVALID
 } gl_store_status_t;
 
 /**
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -50,6 +50,10 @@
  *   part VM WORKER, join VM WORKER the VM does not reach the worker
  *   store fine|down|silent|loses|late   see StoreMode
  *   store_takes MS                 duration of a call to the store
+ *   chunks N                       records of N tasks are one value
+ *   store_refuses [PREFIX]         it refuses transactions that write a key
+ *                                  that begins so, for what they hold
+ *   values_up_to BYTES             it refuses such as have longer values
  *   answers_after MS               the store's watches report a transaction
  *                                  this much earlier than its answer arrives
  *   linger MS                      see World::linger_ms
@@ -323,6 +327,7 @@
           in >> domains;
         else if (!a.empty ())
           domains = atoi (a.c_str ());
+        cell_chunk_tasks = 512;
         w = std::make_unique<World> (vms, workers, 1, a == "advised", domains);
       }
     else if (cmd == "run")
@@ -511,6 +516,15 @@
         in >> n;
         w->store_ms = (gl_ms_t)n;
       }
+    else if (cmd == "chunks")
+      in >> cell_chunk_tasks;
+    else if (cmd == "store_refuses")
+      {
+        w->refused_prefix.clear ();
+        in >> w->refused_prefix;
+      }
+    else if (cmd == "values_up_to")
+      in >> w->value_max;
     else if (cmd == "answers_after")
       {
         in >> n;
@@ -905,6 +919,8 @@
         FaultCase{ FAULT_CELL_CONF_REVERTS, "configurations-in-order" },
         FaultCase{ FAULT_CELL_CONF_TRUSTED,
                    "outdated-configuration-serves-no-key" },
+        FaultCase{ FAULT_CELL_CHUNK_FORGOTTEN,
+                   "chunk-that-is-not-written-keeps-its-ends" },
         FaultCase{ FAULT_CELL_LATE_WRITE,
                    "unanswered-write-carried-out-late" },
         FaultCase{ FAULT_CELL_END_WAIT_LONG,
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -827,6 +827,10 @@
   for (auto &p : x.puts)
     if (p.leased && !leases_.count (x.lease_id))
       return GL_ST_REFUSED;
+  for (auto &p : x.puts)
+    if (p.value.size () > value_max
+        || (!refused_prefix.empty () && p.key.rfind (refused_prefix, 0) == 0))
+      return GL_ST_INVALID;
   for (auto &c : x.checks)
     if ((items_.count (c.first) ? items_[c.first].revision : 0) != c.second)
       return GL_ST_CONFLICT;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -16,6 +16,8 @@
 extern "C"
 {
 #include "cell.h"
+  /* Of src/cellrecord.c. */
+  extern unsigned int cell_chunk_tasks;
 }
 
 enum class StoreMode
@@ -252,7 +254,10 @@
   StoreMode store_mode = StoreMode::up;
   gl_ms_t linger_ms = 60; /* when one member of a gang ends well, the others
                              are listed as running for this much longer */
-  gl_ms_t store_ms = 4;   /* duration of a call to the store */
+  size_t value_max = 1048576; /* length of the longest value of the store */
+  std::string refused_prefix; /* the store refuses transactions that write a
+                                 key that begins so; "": none */
+  gl_ms_t store_ms = 4;       /* duration of a call to the store */
   double link_rate = 0;  /* bytes a ms of each VM's link, in each direction; 0:
                             links take no time */
   int payload_bytes = 1; /* length of the payload of jobs */
--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -21,6 +21,10 @@
 /* Kinds of steps in a script, see Simulation::run_step.  Recorded scripts name
    them by number, so new ones are appended. */
 static const int KINDS = 41;
+/* Tasks whose records are one value of the store, and the same in half of the
+   worlds, so that jobs have several. */
+static const unsigned int CHUNK_TASKS = 512;
+static const unsigned int SMALL_CHUNK_TASKS = 3;
 /* Scripts of a world from this number on run in a larger one, in which most of
    the time is without faults. */
 static const uint64_t CALM_WORLDS = 1000000;
@@ -590,6 +594,7 @@
 run_script (uint64_t seed, const std::vector<Step> &steps, uint64_t *starts,
             const std::vector<std::string> &red = {})
 {
+  cell_chunk_tasks = seed % 4 < 2 ? CHUNK_TASKS : SMALL_CHUNK_TASKS;
   Simulation sim (seed, seed % 2 == 0);
   auto rank = [&] (const std::string &v) {
     return 4 * is_red (v, red) + 2 * is_idle (v) + is_count (v);
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -287,11 +287,16 @@
   httpc_result_t res{};
 
   res.outcome = HTTPC_COMPLETE;
-  for (int status : { 429, 503, 400, 403 })
+  for (int status : { 429, 503 })
     {
       res.status = status;
       EXPECT_EQ (GL_ST_REFUSED, store_status (&res)) << status;
     }
+  for (int status : { 400, 403, 413 })
+    {
+      res.status = status;
+      EXPECT_EQ (GL_ST_INVALID, store_status (&res)) << status;
+    }
   for (int status : { 500, 502, 504, 204, 302 })
     {
       res.status = status;
