Task records: chunks whose write got no answer are removed, too

A write without an answer may have made a key that this owner knows no revision of. When its job ended before the write was repeated, the key stayed in the store until the next takeover. By reading; chunks-left-behind-are-removed covers the takeover. The types move to cellrecord.h.

--- a/src/cellint.h
+++ b/src/cellint.h
@@ -9,6 +9,7 @@
 #include "cellcount.h"
 #include "cellpair.h"
 #include "cellratio.h"
+#include "cellrecord.h"
 #include "cellshare.h"
 #include "cellvm.h"
 #include "cellworker.h"
@@ -61,11 +62,6 @@
 /* A worker that lists ends which are not in the store yet is polled again
    only after this time: it would answer at once. */
 #define CELL_UNSAVED_POLL_MS 150
-/* Tasks of a job whose records are one value of the store.  A record takes 180
-   bytes at most, and one of a crash 20. */
-#define CELL_CHUNK_TASKS 512
-/* Bytes of a job's id, with its terminating NUL. */
-#define CELL_JOB_ID_SIZE 20
 /* Pause after a transaction that was refused or got no answer. */
 #define CELL_STORE_RETRY_MS 60
 /* Transactions of cellsave.c that may be in flight at once. */
@@ -327,29 +323,6 @@
   size_t cap;
 } tags_t;
 
-/**
- * struct cchunk_t - the records of CELL_CHUNK_TASKS tasks
- * @revision: of its key in the store; 0 if absent, or not known yet
- * @version: version of the job's records at its last change
- * @written: that of the last write
- * @in_first_key: an older version has written its records into the job's first
- *   key
- */
-typedef struct
-{
-  uint64_t revision;
-  uint64_t version;
-  uint64_t written;
-  int in_first_key;
-} cchunk_t;
-
-/** struct cremoval_t - a chunk to be removed from the store */
-typedef struct
-{
-  char id[CELL_JOB_ID_SIZE];
-  size_t chunk;
-} cremoval_t;
-
 /**
  * struct cjob_t - one job
  * @self: its handle
--- a/src/cellrecord.c
+++ b/src/cellrecord.c
@@ -276,7 +276,8 @@
 records_job_ended (cell_t *c, const cjob_t *j)
 {
   for (size_t i = 1; i < j->nchunks; i++)
-    if (j->chunks[i].revision)
+    /* A write without an answer may have made the key. */
+    if (j->chunks[i].version)
       records_remove_later (c, j->id, i);
 }
 
