Answers that cannot be read are not empty lists

What callers could see: a new owner that takes over no jobs and no records of workers, so that accepted jobs are lost and tasks run twice; or a task that is started again while it runs.

Cause: an answer with status 200 whose body is not JSON, or has no list, was taken for one with an empty list: pages of a takeover, single keys, the lists of a worker's poll, and, with a conflict, the items that explain it. The same when there was no memory for the items.

Evidence: by reading, on the paths beside the listing of registrations, which forgot all workers at such an answer.

A conflict without its items is a refusal.

--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -304,6 +304,86 @@
     }
 }
 
+/* A complete response with this body. */
+static httpc_result_t
+response (int status, const char *body)
+{
+  httpc_result_t res{};
+
+  res.outcome = HTTPC_COMPLETE;
+  res.status = status;
+  res.body = (char *)body;
+  res.len = strlen (body);
+  return res;
+}
+
+/* Guards against a new owner that takes over no jobs and no workers' records,
+   since the store's answer cannot be read. */
+TEST (StoreStatus, OfAListThatCannotBeReadIsUnknown)
+{
+  static const struct
+  {
+    int status;
+    const char *body;
+    gl_store_status_t result;
+  } cases[] = {
+    { 200, "{\"currentRev\":1,\"items\":[]}", GL_ST_OK },
+    { 200, "{\"currentRev\":1}", GL_ST_UNKNOWN },
+    { 200, "{\"currentRev\":1,\"items\":{}}", GL_ST_UNKNOWN },
+    { 200, "{\"currentRev\":1,\"items\":[", GL_ST_UNKNOWN },
+    { 200, "", GL_ST_UNKNOWN },
+    { 412, "{\"items\":[]}", GL_ST_CONFLICT },
+    { 412, "{}", GL_ST_REFUSED },
+    { 503, "", GL_ST_REFUSED },
+  };
+
+  for (auto &c : cases)
+    {
+      httpc_result_t res = response (c.status, c.body);
+      json_t *o = http_json_body (&res);
+
+      EXPECT_EQ (c.result, store_list_status (&res, o)) << c.body;
+      json_decref (o);
+    }
+}
+
+/* Guards against a task that is started a second time while it runs, since
+   the answer of its worker cannot be read and was taken for empty lists. */
+TEST (Worker, ListsThatCannotBeReadAreNotEmpty)
+{
+  static const struct
+  {
+    const char *body;
+    cell_wstatus_t status;
+    int nruns;
+  } cases[] = {
+    { "{\"timestampMs\":5,\"running\":[[\"t\",1,\"\",3,0]],\"finished\":[]}",
+      CELL_W_OK, 1 },
+    { "{\"timestampMs\":5,\"running\":[],\"finished\":[]}", CELL_W_OK, 0 },
+    { "{\"timestampMs\":5,\"finished\":[]}", CELL_W_UNKNOWN, 0 },
+    { "{\"timestampMs\":5,\"running\":[[\"t\",1,\"\",3,0]]}", CELL_W_UNKNOWN,
+      0 },
+    { "{\"timestampMs\":5,\"running\":{},\"finished\":[]}", CELL_W_UNKNOWN,
+      0 },
+    { "{\"timestampMs\":5,\"running\":[[\"t\",1", CELL_W_UNKNOWN, 0 },
+    { "", CELL_W_UNKNOWN, 0 },
+  };
+
+  for (auto &c : cases)
+    {
+      cell_wcall_t k{};
+      httpc_result_t res = response (200, c.body);
+
+      k.op = CELL_OP_POLL;
+      worker_decode (&k, &res);
+      EXPECT_EQ (c.status, k.status) << c.body;
+      EXPECT_EQ (c.nruns, k.nruns) << c.body;
+      EXPECT_EQ (c.status == CELL_W_OK ? 5u : 0u, k.worker_clock) << c.body;
+      free (k.runs);
+      free (k.ends);
+    }
+}
+
 TEST (Fields, WithNumbersThatDoNotFitAreAbsent)
 {
   json_t *o = json_loads ("{\"a\":1e300,\"b\":-1e300,\"c\":7.9}", 0, nullptr);
