Stalled runs: how long a run may show no progress depends on its pace

What callers saw: a task of 240 s was started eight times and stopped seven times in 45 s, on idle workers, and never ended.

Cause: a run that showed the same percent for 1.3 s counted as stalled. One percent of 240 s takes 2.4 s.

Change: the limit follows from the time that a step of progress takes, by the run's own changes, by the tasks beside it, or by its corrected estimate, and from the time that a stop would lose. A second stop of a task gives it four times as long and does not blame the worker. A new checkpoint is progress.

--- a/src/cellhealth.c
+++ b/src/cellhealth.c
@@ -6,7 +6,12 @@
  *
  * A worker whose runs fail for several jobs in a row is avoided for a while,
  * twice as long each time, until a run there succeeds.  A run without
- * progress is stopped, so that it can go on elsewhere.
+ * progress is stopped, so that it can go on elsewhere.  Progress is reported
+ * in whole percents or larger steps, so how long a run may stand depends on
+ * the time that a step takes: by the changes of its progress so far, or by
+ * those of other tasks of its step, or by its estimate.  It may stand the
+ * longer the more work a stop would lose.  A task that is stopped again
+ * elsewhere gets more time with each run: the worker is not the cause.
  *
  * A worker's speed comes from its runs compared with others of the same step;
  * see cellpace.c.  Where there is nothing to compare, since steps have one
@@ -18,6 +23,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* A worker is avoided when runs of this many different jobs have failed there
    in a row; a single job may fail on any worker. */
@@ -25,8 +31,22 @@
 /* First and longest span for which a worker is avoided. */
 #define AVOID_MS 1500
 #define AVOID_MAX_MS 12000
-/* A run without progress for this long has stalled. */
+/* A run without progress for this long has stalled at the earliest. */
 #define STALL_MS 1300
+/* A run may stand for the time of this many of its steps, and of this many
+   while its own pace is not known: estimates are off by factors. */
+#define STALL_STEPS 2
+#define STALL_STEPS_GUESSED 10
+/* Shortest time, in ms, that a percent is taken to need. */
+#define PERCENT_MIN_MS 10
+/* Part of the time that a stop would lose for which a run may stand. */
+#define STALL_RISK_SHARE 0.1
+/* By how much a run may stand longer than the one before that was stopped, and
+   stops from which on it is not more. */
+#define STALL_GROWTH 4
+#define STALLS_MAX 16
+/* Other tasks of its step that a run is compared with. */
+#define STALL_SIBLINGS 16
 /* Weights of one run in a worker's slowness and in the cell's average. */
 #define SLOWNESS_WEIGHT 0.15
 #define USUAL_RATIO_WEIGHT 0.01
@@ -220,22 +240,110 @@
     avoid_worker (c, w, "failing");
 }
 
-int
-health_stalled (cell_t *c, cworker_t *w, const cstep_t *s, ctask_t *t,
-                int percent)
+/* Time, in ms, that one percent of the task took in its last run; 0 if not
+   known. */
+static double
+own_percent_ms (const ctask_t *t)
+{
+  if (!t->pace_at || t->percent <= t->pace_from)
+    return 0;
+  return (double)(t->progress_at - t->pace_at) / (t->percent - t->pace_from);
+}
+
+/* The same from the estimate of the run on the worker. */
+static double
+usual_percent_ms (const cell_t *c, const cstep_t *s, const cworker_t *w)
+{
+  double ratio = c->usual_ratio > 0 ? c->usual_ratio : 1;
+
+  return fmax (s->def->estimate_ms
+                   * health_run_ratio (c, s, w, RATIO_HIGH, ratio) / 100,
+               PERCENT_MIN_MS);
+}
+
+/* For how long the task may show no progress in its run on the worker. */
+static double
+stall_limit (const cell_t *c, const cstep_t *s, const cworker_t *w,
+             const ctask_t *t)
+{
+  double ms = own_percent_ms (t);
+  double steps = ms > 0 ? STALL_STEPS : STALL_STEPS_GUESSED;
+  double grain = fmax (t->grain, 1);
+  double unreported = 0;
+  gl_ms_t kept_at
+      = t->checkpoint_at > t->sent_at ? t->checkpoint_at : t->sent_at;
+
+  if (ms <= 0)
+    ms = usual_percent_ms (c, s, w);
+  for (uint32_t i = 0; i < s->def->count && i < STALL_SIBLINGS; i++)
+    {
+      const ctask_t *o = &s->tasks[i];
+
+      grain = fmax (grain, o->grain);
+      if (steps > STALL_STEPS)
+        ms = fmax (ms, own_percent_ms (o));
+      /* It has ended without a report of progress. */
+      if (o->state == CT_DONE && !o->pace_at && !t->pace_at)
+        unreported = fmax (unreported, 2.0 * o->ran_ms);
+    }
+  ms *= steps * grain * pow (STALL_GROWTH, t->stalls);
+  return fmax (
+      fmax (STALL_MS, CELL_POLL_WAIT_MS + ms),
+      fmax (unreported, STALL_RISK_SHARE * (double)(c->now - kept_at)));
+}
+
+/* Note the progress that the worker has listed; 0 if there is none. */
+static int
+note_progress (const cell_t *c, ctask_t *t, const cell_run_t *listed)
 {
-  if (percent != t->percent || !t->progress_at)
+  int is_new = !t->progress_at || listed->percent != t->percent;
+
+  if (listed->checkpoint[0] && strcmp (listed->checkpoint, t->checkpoint))
+    {
+      t->checkpoint_at = c->now;
+      is_new = 1;
+    }
+  if (!is_new)
     {
-      t->progress_at = c->now;
+      t->stood = 1;
       return 0;
     }
+  if (t->progress_at && listed->percent > t->percent)
+    {
+      if (t->stood && listed->percent - t->percent > t->grain)
+        t->grain = (unsigned char)(listed->percent - t->percent);
+      if (!t->pace_at)
+        {
+          t->pace_at = c->now;
+          t->pace_from = (unsigned char)listed->percent;
+        }
+    }
+  if (listed->percent != t->percent)
+    t->stood = 0;
+  t->progress_at = c->now;
+  return 1;
+}
+
+int
+health_stalled (cell_t *c, cworker_t *w, const cstep_t *s, ctask_t *t,
+                const cell_run_t *listed)
+{
+  gl_ms_t stood;
+
+  if (note_progress (c, t, listed))
+    return 0;
+  stood = c->now - t->progress_at;
   if (t->state != CT_RUNNING || s->def->long_running || s->def->best_effort
-      || percent >= 100 || c->now - t->progress_at < STALL_MS)
+      || listed->percent >= 100 || stood < STALL_MS
+      || (double)stood < stall_limit (c, s, w, t))
     return 0;
-  cell_log (c, "task_stalled worker=%s percent=%d stalled_ms=%llu",
-            w->info.self.id, percent,
-            (unsigned long long)(c->now - t->progress_at));
-  avoid_worker (c, w, "stalled");
+  cell_log (c, "task_stalled worker=%s percent=%d stalled_ms=%llu stalls=%u",
+            w->info.self.id, listed->percent, (unsigned long long)stood,
+            t->stalls);
+  if (!t->stalls)
+    avoid_worker (c, w, "stalled");
+  if (t->stalls < STALLS_MAX)
+    t->stalls++;
   t->progress_at = c->now;
   return 1;
 }
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -180,6 +180,13 @@
  * @expected_end: expected end of its run, from the estimate at first and then
  *   from its progress
  * @progress_at: when its progress last changed, 0 before the first report
+ * @pace_from, @pace_at: its progress at the first change of it in this run,
+ *   and when that was; 0 before
+ * @stood: a report has shown the same progress as the one before
+ * @grain: largest change of its progress that was seen after it had stood
+ * @stalls: runs of it that were stopped since they made no progress
+ * @checkpoint_at: when its checkpoint last changed in this run, 0 if it did
+ * not
  * @failed_worker: index of the worker on which a run of it failed last, -1 for
  *   none
  * @seen_at: when its run was first known to have begun, 0 before
@@ -211,6 +218,12 @@
   uint64_t listed_tag;
   gl_ms_t expected_end;
   gl_ms_t progress_at;
+  unsigned char pace_from;
+  unsigned char stood;
+  unsigned char grain;
+  unsigned char stalls;
+  gl_ms_t pace_at;
+  gl_ms_t checkpoint_at;
   int failed_worker;
   gl_ms_t seen_at;
   unsigned char survived;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -414,6 +414,9 @@
   t->listed_tag = 0;
   t->stop_tag = 0;
   t->progress_at = 0;
+  t->pace_at = 0;
+  t->stood = 0;
+  t->checkpoint_at = 0;
   t->seen_at = 0;
   t->survived = 0;
   t->percent = 0;
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -473,9 +473,10 @@
 /** health_run_ended - learn from a run of @t that has ended on the worker */
 void health_run_ended (cell_t *c, cworker_t *w, cstep_t *s, ctask_t *t,
                        cell_outcome_t outcome);
-/** health_stalled - 1 if the run makes no progress and is to be stopped */
+/** health_stalled - 1 if the run makes no progress, as the worker has @listed
+    it, and is to be stopped */
 int health_stalled (cell_t *c, cworker_t *w, const cstep_t *s, ctask_t *t,
-                    int percent);
+                    const cell_run_t *listed);
 /** health_speed_class - -1 for a worker faster than most, 0 for one as fast as
     most, 1 for a slower one, 2 for one far slower */
 int health_speed_class (const cell_t *c, const cworker_t *w);
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -387,7 +387,7 @@
   if (here && listed->run == t->run)
     {
       if (j->next_phase < GL_PHASE_COMPLETED
-          && health_stalled (c, w, s, t, listed->percent))
+          && health_stalled (c, w, s, t, listed))
         cworker_stop (c, s, index);
       t->percent = (unsigned char)listed->percent;
       if (listed->percent >= ESTIMATE_PERCENT_MIN && c->now > t->sent_at)
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -1500,3 +1500,102 @@
 INSTANTIATE_TEST_SUITE_P (Scripts, CellScript,
                           testing::ValuesIn (scripts_in ("tests/cell")),
                           script_name);
+
+/* How a job of two tasks fared: whether it has completed in time, when, and
+   the starts of its tasks. */
+struct LongRun
+{
+  bool completed;
+  gl_ms_t took;
+  uint64_t starts;
+};
+
+/* Run tasks of @run_ms, with estimates that are off by the factor @estimate.
+ */
+static LongRun
+run_long (gl_ms_t run_ms, double estimate, int report_step,
+          gl_ms_t checkpoint_ms, gl_ms_t limit_ms, bool hangs)
+{
+  static const char *const ID = "00000000000000a1";
+  World w (2, 3, 1);
+  gl_step_t step = world_step (2, 1000);
+  gl_ms_t begin;
+
+  step.estimate_ms = (u_int)((double)run_ms * estimate);
+  step.checkpointing = checkpoint_ms > 0;
+  w.fail_one_in = 0;
+  w.run_ms = run_ms;
+  w.run_spread = 10;
+  w.report_step = report_step;
+  w.checkpoint_ms = checkpoint_ms;
+  w.run (1500);
+  w.workers[0].hangs = hangs;
+  begin = w.now;
+  w.submit (ID, "batch", { step });
+  while (w.now < begin + limit_ms && w.jobs[ID].phase != "completed")
+    {
+      w.run (std::max<gl_ms_t> (run_ms / 50, 1000));
+      w.query (ID);
+      w.run (100);
+    }
+  return { w.jobs[ID].phase == "completed", w.now - begin, w.starts };
+}
+
+/* Guards against tasks of minutes and hours that are stopped again and again
+   as stalled, since a step of their progress takes longer than short tasks may
+   stand.  A task that reports no progress at all is stopped a few times. */
+static void
+check_long (gl_ms_t run_ms, double estimate, int report_step,
+            gl_ms_t checkpoint_ms)
+{
+  LongRun r = run_long (run_ms, estimate, report_step, checkpoint_ms,
+                        3 * run_ms, false);
+  std::string what = std::to_string (run_ms) + " ms, estimate times "
+                     + std::to_string (estimate) + ", steps of "
+                     + std::to_string (report_step) + ", checkpoint after "
+                     + std::to_string (checkpoint_ms);
+
+  printf ("%s: %.2f of its time, %llu starts\n", what.c_str (),
+          (double)r.took / (double)run_ms, (unsigned long long)r.starts);
+  EXPECT_TRUE (r.completed) << what;
+  if (checkpoint_ms || (report_step == 1))
+    EXPECT_EQ (2u, r.starts) << what;
+}
+
+TEST (LongTasks, OfMinutesAreCarriedToTheirEnd)
+{
+  for (double estimate : { 0.1, 1.0, 10.0 })
+    for (int report_step : { 0, 1, 5, 25 })
+      for (gl_ms_t checkpoint_ms : { 0, 2000 })
+        check_long (120000, estimate, report_step, checkpoint_ms);
+}
+
+TEST (LongTasks, OfAnHourAreCarriedToTheirEnd)
+{
+  for (int report_step : { 0, 1, 25 })
+    check_long (3600000, 0.1, report_step, 0);
+  check_long (3600000, 1, 1, 0);
+}
+
+/* By hand, since they take a minute each: GL_LONG=1. */
+TEST (LongTasks, OfADayAreCarriedToTheirEnd)
+{
+  if (!getenv ("GL_LONG"))
+    GTEST_SKIP ();
+  check_long (86400000, 1, 1, 0);
+  check_long (86400000, 0.1, 25, 0);
+  check_long (86400000, 10, 0, 2000);
+}
+
+/* Guards against a run that stands still for good. */
+TEST (LongTasks, ThatStandStillAreMoved)
+{
+  for (double estimate : { 0.1, 1.0, 10.0 })
+    for (gl_ms_t run_ms : { 5000, 120000 })
+      {
+        LongRun r = run_long (run_ms, estimate, 1, 0, 4 * run_ms, true);
+
+        EXPECT_TRUE (r.completed) << run_ms << " " << estimate;
+        EXPECT_LT (2u, r.starts) << run_ms << " " << estimate;
+      }
+}
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1639,7 +1639,11 @@
                   + random () % (usual * 2 * (gl_ms_t)run_spread / 100);
   if (long_one_in && random () % (uint64_t)long_one_in == 0)
     takes *= LONG_FACTOR;
-  r.ends_at = now + takes * (gl_ms_t)w.slowdown + (w.hangs ? 1000000 : 0);
+  if (checkpoint_ms && k.checkpoint[0])
+    r.done_ms
+        = std::min (takes, (gl_ms_t)strtoull (k.checkpoint, nullptr, 10));
+  r.ends_at = now + (takes - r.done_ms) * (gl_ms_t)w.slowdown
+              + (w.hangs ? 1000000000 : 0);
   r.fails
       = (fail_one_in && random () % (uint64_t)fail_one_in == 0) || w.fails_all;
   if (jobs.count (id))
@@ -1777,10 +1781,17 @@
         cell_run_t row{};
         snprintf (row.task, sizeof row.task, "%s", r.first.c_str ());
         row.run = r.second.run;
-        if (r.second.ends_at > r.second.started_at && !w->hangs)
+        gl_ms_t done = now - r.second.started_at + r.second.done_ms;
+        if (r.second.ends_at > r.second.started_at && !w->hangs && report_step)
           row.percent = (int)std::min<gl_ms_t> (
-              99, (now - r.second.started_at) * 100
-                      / (r.second.ends_at - r.second.started_at));
+              99,
+              done * 100
+                  / (r.second.ends_at - r.second.started_at + r.second.done_ms)
+                  / (gl_ms_t)report_step * (gl_ms_t)report_step);
+        if (checkpoint_ms && !w->hangs && done >= checkpoint_ms)
+          snprintf (
+              row.checkpoint, sizeof row.checkpoint, "%llu",
+              (unsigned long long)(done / checkpoint_ms * checkpoint_ms));
         c->runs.push_back (row);
       }
     for (auto &e : w->ends)
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -36,6 +36,8 @@
   uint32_t run = 0; /* number of the run */
   gl_ms_t started_at = 0;
   gl_ms_t ends_at = 0; /* of a gang: as if all members had started with it */
+  gl_ms_t done_ms
+      = 0; /* work before it, of the checkpoint it has begun with */
   bool fails = false;
   int gang = 0;              /* number of members; 0: not a gang */
   bool was_complete = false; /* all members have run at the same time */
@@ -285,9 +287,13 @@
   std::string id_prefix;       /* ids of workers that are added begin so */
   gl_ms_t registers_in_ms = 0; /* time from a worker's return under its id to
                                   the registration that names its start */
-  int fail_one_in = 12;  /* one run in this many fails by itself; 0: none */
-  gl_ms_t run_ms = 500;  /* runs take from half of this to three halves */
-  int run_spread = 50;   /* percent by which runs differ from that at most */
+  int fail_one_in = 12; /* one run in this many fails by itself; 0: none */
+  gl_ms_t run_ms = 500; /* runs take from half of this to three halves */
+  int run_spread = 50;  /* percent by which runs differ from that at most */
+  int report_step = 1;  /* percents by which reports of progress grow; 0: they
+                           show none */
+  gl_ms_t checkpoint_ms = 0; /* runs save a checkpoint after each such span of
+                                work; 0: none */
   std::string rivals[2]; /* images of tasks that take half as long again when
                             one starts beside the other */
   uint64_t rival_starts = 0; /* starts beside a rival */
