--- a/src/celljob.c
+++ b/src/celljob.c
@@ -200,7 +200,12 @@
 static uint64_t
 iteration_due (const cjob_t *j, uint32_t iteration)
 {
-  return j->spec.first_start_ms + (uint64_t)iteration * j->spec.interval_ms;
+  uint64_t due;
+
+  if (__builtin_mul_overflow (j->spec.interval_ms, (uint64_t)iteration, &due)
+      || __builtin_add_overflow (due, j->spec.first_start_ms, &due))
+    return UINT64_MAX;
+  return due;
 }
 
 void
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -125,6 +125,7 @@
 /* clang-format on */
 #include "cellworld.h"
 
+#include <algorithm>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <map>
@@ -1534,7 +1535,8 @@
   w.submit (ID, "batch", { step });
   while (w.now < begin + limit_ms && w.jobs[ID].phase != "completed")
     {
-      w.run (std::max<gl_ms_t> (run_ms / 50, 1000));
+      /* An ended job is known for a quarter of an hour. */
+      w.run (std::clamp<gl_ms_t> (run_ms / 50, 1000, 600000));
       w.query (ID);
       w.run (100);
     }
--- a/tests/lonevm.h
+++ b/tests/lonevm.h
@@ -91,9 +91,12 @@
     ev.conf = decode_config (text, strlen (text));
     celld_post_event (a.cell, &ev, nullptr, nullptr);
   }
-  /* The status; @header may be NULL. */
+  std::string answer; /* body of the last one */
+
+  /* The status; @header and @body may be NULL. */
   int
-  ask (const char *method, const char *path, const char *header)
+  ask (const char *method, const char *path, const char *header,
+       const char *body = nullptr)
   {
     std::string url = std::string ("http://") + a.set.requests + path;
     const char *headers[]
@@ -105,7 +108,10 @@
     q.url = url.c_str ();
     q.headers = headers;
     q.timeout = 2000;
+    q.body = body;
+    q.len = body ? strlen (body) : 0;
     httpc_perform (client, &q, &res);
+    answer.assign (res.body ? res.body : "", res.body ? res.len : 0);
     free (res.body);
     return res.status;
   }
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -455,6 +455,65 @@
   EXPECT_EQ (400, vm.ask ("GET", "/a/x", nullptr));
 }
 
+/* Guards against numbers of a submission that are taken as 0 or cut: a job of
+   occurrences 90 days apart had them all started at once. */
+TEST (Ingress, TakesNumbersWholeOrRefusesThem)
+{
+  static const char JOB[] = "/open/00000000000000a1";
+  static const struct
+  {
+    const char *step; /* members of the step, and of the job */
+    const char *job;
+    const char *bad; /* NULL: it is taken */
+  } cases[] = {
+    { "", "", nullptr },
+    { ",\"estimateMs\":4294967295", ",\"intervalMs\":7776000000", nullptr },
+    { "", ",\"repeatCount\":4,\"initialDelayMs\":1700000000000", nullptr },
+    { ",\"estimateMs\":4294967296", "", "estimateMs" },
+    { ",\"estimateMs\":-1", "", "estimateMs" },
+    { ",\"estimateMs\":\"5\"", "", "estimateMs" },
+    { ",\"cpu\":2147483648", "", "cpu" },
+    { ",\"memMb\":1e300", "", "memMb" },
+    { ",\"gpu\":4294967297", "", "gpu" },
+    { ",\"antiAffinity\":4294967297", "", "antiAffinity" },
+    { ",\"requirements\":7", "", "requirements" },
+    { ",\"after\":[4294967296]", "", "after" },
+    { ",\"after\":[-1]", "", "after" },
+    { ",\"after\":0", "", "after" },
+    { "", ",\"repeatCount\":4294967296", "repeatCount" },
+    { "", ",\"intervalMs\":1e19", "intervalMs" },
+    { "", ",\"intervalMs\":-5", "intervalMs" },
+    { "", ",\"initialDelayMs\":-5", "initialDelayMs" },
+    { "", ",\"initialDelayMs\":1e300", "initialDelayMs" },
+  };
+  LoneVm vm;
+  std::string long_name (128, 'x');
+
+  ASSERT_NE (nullptr, vm.ingress);
+  vm.configure (WITH_TEAMS);
+  for (auto &c : cases)
+    {
+      std::string body
+          = std::string ("{\"spec\":\"s\",\"steps\":[{\"count\":1") + c.step
+            + "}]" + c.job + "}";
+
+      /* Nobody owns the cell, so what is taken is refused as not run. */
+      EXPECT_EQ (c.bad ? 400 : 503,
+                 vm.ask ("POST", JOB, nullptr, body.c_str ()))
+          << body;
+      if (c.bad)
+        {
+          EXPECT_EQ (std::string ("{\"error\":\"") + c.bad
+                         + " is out of range\"}",
+                     vm.answer);
+        }
+    }
+  EXPECT_EQ (400, vm.ask ("POST", JOB, nullptr,
+                          ("{\"steps\":[{\"count\":1,\"affinity\":\""
+                           + long_name + "\"}]}")
+                              .c_str ()));
+}
+
 /* The owner of the cell, as far as its RPCs go: it sends heartbeats to the VM,
    and serves and asks for configurations. */
 struct FakeOwner
