Attempts: a limit above 16 is reached exactly

What callers saw: a task that fails each time, on a route with maxAttempts 20, was started for ever, and its job never failed.

Cause: a task's record names 16 failed runs, and a failure that had no place there was not counted.

Change: failures are counted; the record names the last 16 runs, and the highest number of the others, up to which a failure is known.

--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -116,6 +116,23 @@
 };
 typedef struct gl_crashes_t gl_crashes_t;
 
+struct gl_failure_record_t {
+	u_int iteration;
+	u_int step;
+	u_int index;
+	u_int failures;
+	u_int unnamed_run;
+};
+typedef struct gl_failure_record_t gl_failure_record_t;
+
+struct gl_failures_t {
+	struct {
+		u_int tasks_len;
+		gl_failure_record_t *tasks_val;
+	} tasks;
+};
+typedef struct gl_failures_t gl_failures_t;
+
 struct gl_job_result_t {
 	gl_phase_t phase;
 	u_quad_t ended_ms;
@@ -318,6 +335,8 @@
 extern  bool_t xdr_gl_progress_t (XDR *, gl_progress_t*);
 extern  bool_t xdr_gl_crash_record_t (XDR *, gl_crash_record_t*);
 extern  bool_t xdr_gl_crashes_t (XDR *, gl_crashes_t*);
+extern  bool_t xdr_gl_failure_record_t (XDR *, gl_failure_record_t*);
+extern  bool_t xdr_gl_failures_t (XDR *, gl_failures_t*);
 extern  bool_t xdr_gl_job_result_t (XDR *, gl_job_result_t*);
 extern  bool_t xdr_gl_worker_record_t (XDR *, gl_worker_record_t*);
 extern  bool_t xdr_gl_worker_start_t (XDR *, gl_worker_start_t*);
@@ -354,6 +373,8 @@
 extern bool_t xdr_gl_progress_t ();
 extern bool_t xdr_gl_crash_record_t ();
 extern bool_t xdr_gl_crashes_t ();
+extern bool_t xdr_gl_failure_record_t ();
+extern bool_t xdr_gl_failures_t ();
 extern bool_t xdr_gl_job_result_t ();
 extern bool_t xdr_gl_worker_record_t ();
 extern bool_t xdr_gl_worker_start_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -77,9 +77,9 @@
 const GL_FAILURES_MAX = 16;
 
 /* What a successor has to know of one task.  run is the number of its latest
-   known run; failed_runs are the numbers of the runs that have failed, each
-   once, since workers may report a failure again and in any order.  checkpoint
-   is the name of its last checkpoint. */
+   known run; failed_runs are the numbers of the last runs that have failed,
+   each once, since workers may report a failure again and in any order.
+   checkpoint is the name of its last checkpoint. */
 struct gl_task_record_t {
   unsigned int iteration;
   unsigned int step;
@@ -107,6 +107,20 @@
 struct gl_crashes_t {
   gl_crash_record_t tasks<GL_TASK_RECORDS_MAX>;
 };
+/* A task with more failed runs than its record names: how many there were, and
+   the highest number of those that the record does not name. */
+struct gl_failure_record_t {
+  unsigned int iteration;
+  unsigned int step;
+  unsigned int index;
+  unsigned int failures;
+  unsigned int unnamed_run;
+};
+/* Follows gl_crashes_t, which is then there in any case, if there are such
+   tasks. */
+struct gl_failures_t {
+  gl_failure_record_t tasks<GL_TASK_RECORDS_MAX>;
+};
 /* How a job ended. */
 struct gl_job_result_t {
   gl_phase_t phase;
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -367,6 +367,80 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_failure_record_t (XDR *xdrs, gl_failure_record_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->iteration))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unnamed_run))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->iteration);
+			IXDR_PUT_U_LONG(buf, objp->step);
+			IXDR_PUT_U_LONG(buf, objp->index);
+			IXDR_PUT_U_LONG(buf, objp->failures);
+			IXDR_PUT_U_LONG(buf, objp->unnamed_run);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->iteration))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unnamed_run))
+				 return FALSE;
+		} else {
+			objp->iteration = IXDR_GET_U_LONG(buf);
+			objp->step = IXDR_GET_U_LONG(buf);
+			objp->index = IXDR_GET_U_LONG(buf);
+			objp->failures = IXDR_GET_U_LONG(buf);
+			objp->unnamed_run = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->iteration))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unnamed_run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gl_failures_t (XDR *xdrs, gl_failures_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, GL_TASK_RECORDS_MAX,
+		sizeof (gl_failure_record_t), (xdrproc_t) xdr_gl_failure_record_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_job_result_t (XDR *xdrs, gl_job_result_t *objp)
 {
--- a/src/cellcrash.c
+++ b/src/cellcrash.c
@@ -575,37 +575,39 @@
 }
 
 int
-crash_encode (cell_t *c, const cjob_t *j, size_t chunk, char **value,
-              size_t *len)
+crash_encode (cell_t *c, const cjob_t *j, size_t chunk, int always,
+              char **value, size_t *len)
 {
   gl_crashes_t records = { { 0, NULL } };
   int rc = 0;
 
-  if (!j->nsuspects)
+  if (!j->nsuspects && !always)
     return 0;
   records.tasks.tasks_val
-      = calloc ((size_t)j->nsuspects, sizeof (gl_crash_record_t));
+      = calloc ((size_t)j->nsuspects + 1, sizeof (gl_crash_record_t));
   if (!records.tasks.tasks_val)
     return -1;
   fill_records (c, j, chunk, &records);
-  if (records.tasks.tasks_len)
+  if (records.tasks.tasks_len || always)
     rc = codec_append ((xdrproc_t)xdr_gl_crashes_t, &records, value, len);
   free (records.tasks.tasks_val);
   return rc;
 }
 
-void
+size_t
 crash_restore (cell_t *c, cjob_t *j, size_t chunk, const char *data,
                size_t len)
 {
   gl_crashes_t records;
+  size_t used;
 
   memset (&records, 0, sizeof records);
   if (codec_decode ((xdrproc_t)xdr_gl_crashes_t, &records, data, len))
     {
       cell_log (c, "crash_records_unreadable id=%s", j->id);
-      return;
+      return 0;
     }
+  used = xdr_sizeof ((xdrproc_t)xdr_gl_crashes_t, &records);
   for (u_int i = 0; i < records.tasks.tasks_len; i++)
     {
       const gl_crash_record_t *r = &records.tasks.tasks_val[i];
@@ -628,4 +630,5 @@
     }
   crash_recount (c, j);
   codec_free ((xdrproc_t)xdr_gl_crashes_t, &records);
+  return used;
 }
--- a/src/cellend.c
+++ b/src/cellend.c
@@ -56,7 +56,7 @@
             "known_run=%u state=%d failed=%u inherited=%d",
             e->task, e->run, w->info.self.id, outcome_names[e->outcome],
             (unsigned long long)e->seq, as, t ? t->run : 0, t ? t->state : -1,
-            t ? t->nfailed_runs : 0, t ? t->inherited : 0);
+            t ? t->failures : 0, t ? t->inherited : 0);
 }
 
 /* Whether the end decides the task's state.  That of the task's present run
--- a/src/cellint.h
+++ b/src/cellint.h
@@ -165,7 +165,9 @@
  * @percent: progress of its run, 0 to 100
  * @run: number of its latest run, 0 before the first
  * @ended_run: the last run of which an end was taken, 0 for none
- * @failed_runs, @nfailed_runs: numbers of the runs that have failed
+ * @failures: failed runs
+ * @failed_runs, @nfailed_runs: numbers of the last of them
+ * @unnamed_run: highest number of the others, 0 if there are none
  * @surplus: another run than the one that is bound to a worker has ended well
  *   and decided the task; the bound one is stopped, and takes room until it is
  *   gone
@@ -208,8 +210,10 @@
   unsigned char surplus;
   uint32_t run;
   uint32_t ended_run;
+  uint32_t failures;
   uint32_t failed_runs[GL_FAILURES_MAX];
   uint32_t nfailed_runs;
+  uint32_t unnamed_run;
   int worker;
   int worker_pos;
   gl_ms_t sent_at;
--- a/src/celljob.c
+++ b/src/celljob.c
@@ -576,7 +576,20 @@
   for (uint32_t i = 0; i < t->nfailed_runs; i++)
     if (t->failed_runs[i] == run && !FAULT (FAULT_CELL_FAILURE_TWICE))
       return 1;
-  return 0;
+  return run <= t->unnamed_run;
+}
+
+/* Make room for the number of one more failed run. */
+static void
+forget_first_failure (ctask_t *t)
+{
+  uint32_t first = 0;
+
+  for (uint32_t i = 1; i < t->nfailed_runs; i++)
+    if (t->failed_runs[i] < t->failed_runs[first])
+      first = i;
+  t->unnamed_run = t->failed_runs[first];
+  t->failed_runs[first] = t->failed_runs[--t->nfailed_runs];
 }
 
 /* Record that the run has failed, once, and fail the job if the task has no
@@ -588,12 +601,14 @@
   uint32_t max_attempts
       = j->queue >= 0 ? c->conf.queues[j->queue].max_attempts : 0;
 
-  if (s->def->long_running || ctask_failure_known (t, run)
-      || t->nfailed_runs == GL_FAILURES_MAX)
+  if (s->def->long_running || ctask_failure_known (t, run))
     return;
+  if (t->nfailed_runs == GL_FAILURES_MAX)
+    forget_first_failure (t);
   t->failed_runs[t->nfailed_runs++] = run;
+  t->failures++;
   t->has_record = 1;
-  if (max_attempts && t->nfailed_runs >= max_attempts)
+  if (max_attempts && t->failures >= max_attempts)
     cjob_finish (c, j, GL_PHASE_FAILED);
 }
 
@@ -729,7 +744,8 @@
       t = &s->tasks[r->index];
       t->has_record = 1;
       t->run = r->run;
-      t->nfailed_runs = r->failed_runs.failed_runs_len;
+      t->failures = t->nfailed_runs = r->failed_runs.failed_runs_len;
+      t->unnamed_run = 0;
       if (t->nfailed_runs)
         memcpy (t->failed_runs, r->failed_runs.failed_runs_val,
                 t->nfailed_runs * sizeof *t->failed_runs);
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -522,13 +522,15 @@
 /** crash_tick - poll workers of probing runs, and fail jobs */
 void crash_tick (cell_t *c);
 /** crash_encode - append the crash records of a chunk to its encoded task
-    records, *@value of *@len bytes; -1 without memory */
-int crash_encode (cell_t *c, const cjob_t *j, size_t chunk, char **value,
-                  size_t *len);
+    records, *@value of *@len bytes, if there are any or @always; -1 without
+    memory */
+int crash_encode (cell_t *c, const cjob_t *j, size_t chunk, int always,
+                  char **value, size_t *len);
 /** crash_restore - set the counts from the records that follow the task
-    records in the key of @chunk, if there are any */
-void crash_restore (cell_t *c, cjob_t *j, size_t chunk, const char *data,
-                    size_t len);
+    records in the key of @chunk; returns their length, 0 if they cannot be
+    read */
+size_t crash_restore (cell_t *c, cjob_t *j, size_t chunk, const char *data,
+                      size_t len);
 
 /* cellroom.c */
 
--- a/src/cellrecord.c
+++ b/src/cellrecord.c
@@ -186,7 +186,9 @@
 {
   /* The records point into the tasks. */
   gl_task_record_t records[CELL_CHUNK_TASKS];
+  gl_failure_record_t failures[CELL_CHUNK_TASKS];
   gl_progress_t p = { { 0, records } };
+  gl_failures_t f = { { 0, failures } };
 
   for (size_t i = 0; i < j->steps.n; i++)
     {
@@ -197,11 +199,23 @@
       if (s)
         records_range (s, chunk, &from, &to);
       for (uint32_t k = from; k < to; k++)
-        if (s->tasks[k].has_record)
-          fill_record (s, k, &records[p.tasks.tasks_len++]);
+        {
+          const ctask_t *t = &s->tasks[k];
+
+          if (t->has_record)
+            fill_record (s, k, &records[p.tasks.tasks_len++]);
+          if (t->unnamed_run)
+            failures[f.tasks.tasks_len++]
+                = (gl_failure_record_t){ s->iteration, s->index, k,
+                                         t->failures, t->unnamed_run };
+        }
     }
   *value = codec_encode ((xdrproc_t)xdr_gl_progress_t, &p, len);
-  return *value ? crash_encode (c, j, chunk, value, len) : -1;
+  if (!*value || crash_encode (c, j, chunk, f.tasks.tasks_len > 0, value, len))
+    return -1;
+  return f.tasks.tasks_len
+             ? codec_append ((xdrproc_t)xdr_gl_failures_t, &f, value, len)
+             : 0;
 }
 
 /* ---- loading ---- */
@@ -217,6 +231,37 @@
   k->version = j->version;
 }
 
+/* Take over the counts of failures that the task records do not name. */
+static void
+restore_failures (cell_t *c, cjob_t *j, const char *data, size_t len)
+{
+  gl_failures_t f;
+
+  memset (&f, 0, sizeof f);
+  if (codec_decode ((xdrproc_t)xdr_gl_failures_t, &f, data, len))
+    {
+      cell_log (c, "failure_records_unreadable id=%s", j->id);
+      return;
+    }
+  for (u_int i = 0; i < f.tasks.tasks_len; i++)
+    {
+      const gl_failure_record_t *r = &f.tasks.tasks_val[i];
+      char name[CELL_NAME_SIZE];
+      cstep_t *s;
+      uint32_t index;
+      ctask_t *t;
+
+      snprintf (name, sizeof name, "%s.%u.%u.%u", j->id, r->iteration, r->step,
+                r->index);
+      t = ctask_find (c, name, &s, &index);
+      if (!t)
+        continue;
+      t->failures = r->failures;
+      t->unnamed_run = r->unnamed_run;
+    }
+  codec_free ((xdrproc_t)xdr_gl_failures_t, &f);
+}
+
 void
 records_load (cell_t *c, const cell_item_t *item)
 {
@@ -224,6 +269,7 @@
   gl_progress_t p;
   size_t chunk;
   size_t used;
+  size_t crashes_len = 0;
   cjob_t *j;
 
   if (parse_key (item->key, id, &chunk))
@@ -247,7 +293,11 @@
   cjob_restore (c, j, &p, chunk);
   used = xdr_sizeof ((xdrproc_t)xdr_gl_progress_t, &p);
   if (item->len > used)
-    crash_restore (c, j, chunk, item->value + used, item->len - used);
+    crashes_len
+        = crash_restore (c, j, chunk, item->value + used, item->len - used);
+  used += crashes_len;
+  if (crashes_len && item->len > used)
+    restore_failures (c, j, item->value + used, item->len - used);
   codec_free ((xdrproc_t)xdr_gl_progress_t, &p);
   /* A chunk has no records of tasks that do not exist. */
   if (chunk >= j->nchunks)
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -1502,6 +1502,48 @@
                           testing::ValuesIn (scripts_in ("tests/cell")),
                           script_name);
 
+/* Guards against a task that fails each time and is started for ever, since
+   its queue allows more attempts than its record names, and against an owner
+   that counts anew. */
+TEST (Attempts, EndAtAnyLimit)
+{
+  for (int limit : { 1, 16, 17, 40 })
+    for (bool kill : { false, true })
+      {
+        static const char *const ID = "00000000000000a1";
+        World w (3, 4, 1);
+
+        w.fail_one_in = 0;
+        w.run_ms = 200;
+        w.max_attempts = limit;
+        w.configure (2, { "urgent", "batch" });
+        w.run (1500);
+        w.failing_tasks.insert (std::string (ID) + ".0.0.0");
+        w.submit (ID, "batch", { world_step (1, 1000) });
+        uint64_t kill_at = 20;
+        for (int i = 0; i < 600; i++)
+          {
+            w.run (100);
+            /* Owners change when the record names not all failed runs. */
+            if (kill && w.starts >= kill_at && w.owner () >= 0)
+              {
+                int vm = w.owner ();
+
+                kill_at += 10;
+
+                w.kill_vm (vm);
+                w.run (2000);
+                w.start_vm (vm);
+              }
+          }
+        w.query (ID);
+        w.run (500);
+        EXPECT_EQ ("failed", w.jobs[ID].phase) << limit;
+        EXPECT_EQ ((uint64_t)limit, w.starts) << limit << " " << kill;
+        EXPECT_TRUE (w.violations.empty ()) << w.violations[0];
+      }
+}
+
 /* How a job of two tasks fared: whether it has completed in time, when, and
    the starts of its tasks. */
 struct LongRun
