Store: slashes of keys are not escaped in queries

What callers saw: in the soak, 410 for ended jobs after a change of owners.

A query may have them as they are (RFC 3986, 3.4), and the soak's store compares the text of the query with its keys, so /kv-key did not find results.

Fields.AreEscapedWhereAQueryNeedsIt.

--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -304,6 +304,26 @@
     }
 }
 
+/* Guards against a store that does not find the results of ended jobs, since
+   slashes of keys were escaped, which a query may have as they are. */
+TEST (Fields, AreEscapedWhereAQueryNeedsIt)
+{
+  static const char *const cases[][2]
+      = { { "gl/j/0123456789abcdef", "gl/j/0123456789abcdef" },
+          { "servers/i-7f.3_a~b", "servers/i-7f.3_a~b" },
+          { "", "" },
+          { "a%2Fb/c", "a%252Fb/c" },
+          { "a&b#c+d e?f", "a%26b%23c%2Bd%20e%3Ff" } };
+
+  for (auto &c : cases)
+    {
+      char *text = http_escape (c[0], strlen (c[0]));
+
+      EXPECT_STREQ (c[1], text);
+      free (text);
+    }
+}
+
 /* A complete response with this body. */
 static httpc_result_t
 response (int status, const char *body)
