--- a/src/cellsettle.c
+++ b/src/cellsettle.c
@@ -100,15 +100,17 @@
       is_new = 1;
       cworker_unregister (c, o);
       c->counters.restarts++;
-      cell_log (c,
-                "worker_restarted id=%s before=%llu now=%llu via=%s tasks=%d "
-                "dead=%d lease_sent_ms=%lld taken_seq=%llu ack_cursor=%llu",
-                o->info.self.id, (unsigned long long)o->info.self.started_at,
-                (unsigned long long)w->info.self.started_at,
-                w->registered ? "registration" : "answer", o->ntasks, o->dead,
-                cell_age_ms (c, o->lease_sent_at),
-                (unsigned long long)o->taken_seq,
-                (unsigned long long)o->ack_cursor);
+      cell_log (
+          c,
+          "worker_restarted id=%s before=%llu now=%llu via=%s tasks=%d "
+          "dead=%d lease_sent_ms=%lld taken_seq=%llu ack_cursor=%llu "
+          "clock_before=%llu clock_now=%llu",
+          o->info.self.id, (unsigned long long)o->info.self.started_at,
+          (unsigned long long)w->info.self.started_at,
+          w->registered ? "registration" : "answer", o->ntasks, o->dead,
+          cell_age_ms (c, o->lease_sent_at), (unsigned long long)o->taken_seq,
+          (unsigned long long)o->ack_cursor, (unsigned long long)o->clock,
+          (unsigned long long)k->worker_clock);
       if (o->dead)
         crash_note_late_restart (c, o);
       else
--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -96,9 +96,10 @@
   census_set_accounted (c, w);
   cell_log (c,
             "worker_dead id=%s why=%s tasks=%d lease_sent_ms=%lld "
-            "answered_ms=%lld missed_polls=%u",
+            "answered_ms=%lld foreign_lease_ended_ms=%lld missed_polls=%u",
             w->info.self.id, why, n, cell_age_ms (c, w->lease_sent_at),
-            cell_age_ms (c, w->clock_at), w->missed_polls);
+            cell_age_ms (c, w->clock_at), cell_age_ms (c, w->foreign_until),
+            w->missed_polls);
   if (w->restarted_at)
     crash_note_restart (c, w);
   else
