Emulator: late calls that reach a worker's next life, and owners by generation

Late starts and stops were lost at a cut, polls were never late, and no script could say which calls were on their way as a worker returned. "worker N calls_late" makes calls to an address late, polls with their deadline and acknowledgements among them; they are carried out by the incarnation that is there then, behind a cut, too.

The oracle took the fencing token for the owner. It now uses the generation that the calling VM shows at the begin of its ownership, which stays the same when tokens differ within one.

A run beside one that a late order has begun, on an incarnation of which no owner has heard, is reported as such.

--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -60,6 +60,9 @@
  *   worker N crash|show            N is the worker's number
  *   worker N reachable|deaf|listed|unanswered|fails_all|hangs 0|1
  *   worker N late|stops_in|leaves_in|answers_in MS
+ *   worker N calls_late MS [polls|starts|stops [answered]]   see
+ *                                  World::make_calls_late
+ *   worker N has TASK              print whether the task runs there
  *   worker N slow FACTOR           see struct Worker
  *   worker N down MS               it crashes and is back after this time
  *   worker N returns MS [CLOCK [BACK]]   the same, under its id; see
@@ -235,9 +238,10 @@
   {
     int i;
     std::string what;
-    int arg = 0;
+    std::string word;
 
-    in >> i >> what >> arg;
+    in >> i >> what >> word;
+    int arg = atoi (word.c_str ());
     Worker &x = w->workers[(size_t)i];
     if (what == "crash")
       w->crash_worker (i);
@@ -271,10 +275,27 @@
       w->show_start (i, arg);
     else if (what == "answers_in")
       x.answers_in_ms = (gl_ms_t)arg;
+    else if (what == "calls_late")
+      {
+        std::string kind;
+        std::string answered;
+
+        in >> kind >> answered;
+        w->make_calls_late (i, (gl_ms_t)arg,
+                            kind == "polls"    ? CELL_OP_POLL
+                            : kind == "starts" ? CELL_OP_START
+                            : kind == "stops"  ? CELL_OP_STOP
+                                               : -1,
+                            !answered.empty ());
+      }
     else if (what == "stops_in")
       x.stop_ms = (gl_ms_t)arg;
     else if (what == "leaves_in")
       w->announce_leaving (i, (uint32_t)arg);
+    else if (what == "has")
+      out.push_back (word
+                     + (x.running.count (word) ? " runs" : " does not run")
+                     + " there");
     else if (what == "capacity")
       {
         int memory_mb = 0;
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -229,6 +229,7 @@
   v.stopping = false;
   v.frozen = false;
   v.lease_id = 0;
+  v.owns = false;
   v.confirming = false;
   v.conf_seen = 0;
   v.started_at = now;
@@ -651,12 +652,35 @@
     report_violation ("older configuration at " + v.name);
   v.conf_seen = cell_conf_version (v.cell);
   step_s += (double)(clock () - began) / CLOCKS_PER_SEC;
+  note_ownership (v);
   for (size_t k = 0; k < fx.n; k++)
     if (vms[(size_t)i].incarnation == incarnation)
       run_effect (i, fx.v[k]);
   cell_effects_destroy (&fx);
 }
 
+/* A new ownership shows after the event that begins it, before its effects are
+   carried out. */
+void
+World::note_ownership (Vm &v)
+{
+  static const std::string name = "\ncell_generation ";
+  bool owns = cell_is_owner (v.cell);
+  text_t t{};
+
+  if (owns && !v.owns)
+    {
+      cell_metrics (v.cell, &t);
+      std::string metrics = "\n" + std::string (t.s ? t.s : "");
+      size_t at = metrics.find (name);
+      if (at != std::string::npos)
+        v.generation
+            = strtoull (metrics.c_str () + at + name.size (), nullptr, 10);
+      free (t.s);
+    }
+  v.owns = owns;
+}
+
 void
 World::run_effect (int i, cell_effect_t &e)
 {
@@ -1310,6 +1334,16 @@
   });
 }
 
+void
+World::make_calls_late (int w, gl_ms_t ms, int op, bool answered)
+{
+  const std::string addr = workers[(size_t)w].info.addr;
+
+  late_calls_.erase (addr);
+  if (ms)
+    late_calls_[addr] = { ms, op, answered };
+}
+
 void
 World::show_start (int w, int64_t ms)
 {
@@ -1477,8 +1511,8 @@
 }
 
 void
-World::check_start (Worker &w, const std::string &task, const Run &r,
-                    bool late, gl_ms_t sent_at)
+World::check_start (Worker &w, const std::string &task, Run &r, bool late,
+                    gl_ms_t sent_at)
 {
   std::string id = task.substr (0, task.find ('.'));
   gl_res_t sum = r.need;
@@ -1490,7 +1524,10 @@
   /* Nobody can have told the incarnation yet what it must refuse. */
   if (late && w.returned
       && (!w.polled || now < w.returned_at + FIRST_CONTACT_MS))
-    how = "late order after a return: ";
+    {
+      how = "late order after a return: ";
+      r.late_order = true;
+    }
 
   starts++;
   last_start[task] = now;
@@ -1507,9 +1544,14 @@
   check_cap (task, r, sent_at, how);
   if (!within_capacity (w, sum))
     report_violation ("over capacity: " + task + " on " + w.info.self.id);
+  /* A run of a late order, of which no owner has heard, is a class of its own.
+   */
   for (auto &o : workers)
     if (o.alive && o.running.count (task) && &o != &w)
-      report_violation (how + "runs twice: " + task + " on " + w.info.self.id
+      report_violation ((how.empty () && o.running[task].late_order
+                             ? "beside a run of a late order: "
+                             : how)
+                        + "runs twice: " + task + " on " + w.info.self.id
                         + " and " + o.info.self.id);
   if (done_acked_.count (task))
     report_violation (how + "started after its acknowledged end: " + task);
@@ -1564,7 +1606,7 @@
         const auto j = jobs.find (o.first.substr (0, o.first.find ('.')));
 
         if (!w.alive || j == jobs.end () || j->second.first_team != name
-            || (o.second.fencing_token < r.fencing_token
+            || (o.second.generation < r.generation
                 && is_forgotten (o.first, o.second)))
           continue;
         cpus_m += o.second.need.cpus_m;
@@ -1604,8 +1646,8 @@
 }
 
 void
-World::do_start (Worker &w, const cell_wcall_t &k, bool late,
-                 cell_wstatus_t &status)
+World::do_start (Worker &w, const cell_wcall_t &k, uint64_t generation,
+                 bool late, cell_wstatus_t &status)
 {
   std::string task = k.task;
   std::string id = task.substr (0, task.find ('.'));
@@ -1654,7 +1696,7 @@
                    ? jobs[id].task_counts[(size_t)step]
                    : 0;
     }
-  r.fencing_token = k.fencing_token;
+  r.generation = generation;
   bool beside_rival = false;
   for (auto &o : w.running)
     if (!r.image.empty ()
@@ -1668,7 +1710,7 @@
     r.ends_at += (r.ends_at - now) / 2;
   rival_starts += beside_rival;
   check_start (w, task, r, late, k.sent_at);
-  auto told = done_told_.find ({ k.fencing_token, task });
+  auto told = done_told_.find ({ generation, task });
   if (told != done_told_.end () && k.sent_at > told->second)
     report_violation ("started by an owner that was told of its end: " + task);
   w.running[task] = r;
@@ -1715,6 +1757,7 @@
   };
   auto c = std::make_shared<Copy> ();
   uint64_t incarnation = vms[(size_t)i].incarnation;
+  uint64_t generation = vms[(size_t)i].generation;
   auto deliver = [=, this] (auto &self) -> void {
     cell_event_t ev{};
 
@@ -1729,7 +1772,7 @@
       }
     for (auto &e : c->ends)
       if (e.outcome == CELL_RUN_DONE)
-        done_told_.insert ({ { c->k.fencing_token, e.task }, now });
+        done_told_.insert ({ { generation, e.task }, now });
     c->done = true;
     c->k.runs = c->runs.data ();
     c->k.nruns = (int)c->runs.size ();
@@ -1815,15 +1858,29 @@
                            + (c->runs.size () + c->ends.size ()) * ROW_BYTES),
         answer);
   };
+  auto late_calls = late_calls_.find (call.addr);
+  bool taken = late_calls != late_calls_.end ()
+               && (late_calls->second.op < 0
+                   || late_calls->second.op == (int)call.op);
+  auto find_taker = [=, this] () -> Worker * {
+    for (Worker &w : workers)
+      if (w.alive && !strcmp (w.info.addr, c->k.addr))
+        return &w;
+    return nullptr;
+  };
   auto arrive = [=, this] (bool answered) {
-    Worker *w = find_worker ();
+    Worker *w = taken ? find_taker () : find_worker ();
 
-    if (refusing_.count (c->k.addr))
+    if (taken)
+      last_fault_at_ = now;
+    else if (refusing_.count (c->k.addr))
       schedule (NET_MS, answer);
-    if (!w || !w->reachable || w->deaf)
+    if (!w || (!taken && (!w->reachable || w->deaf)))
       return;
     if (strcmp (w->info.self.id, c->k.worker_id))
       {
+        if (taken && !answered)
+          return;
         c->k.status = CELL_W_RESTARTED;
         c->k.worker_clock = worker_clock (*w);
         schedule (NET_MS, answer);
@@ -1835,12 +1892,13 @@
         if (c->k.fencing_token < w->fencing_token)
           {
             c->k.status = CELL_W_FENCED;
-            schedule (NET_MS, answer);
+            if (answered)
+              schedule (NET_MS, answer);
             return;
           }
         c->serial = w->serial;
         foreign_acks += w->returned && !w->polled && c->k.ack_cursor;
-        w->polled = true;
+        w->polled |= answered;
         w->fencing_token = c->k.fencing_token;
         extend_lease (*w, c->k.lease_until);
         for (auto &e : w->ends)
@@ -1862,6 +1920,8 @@
                                          return e.seq <= c->k.ack_cursor;
                                        }),
                        w->ends.end ());
+        if (!answered)
+          return;
         if (c->k.wait_ms && w->ends.empty ())
           {
             w->delayed_polls.push_back (answer_poll);
@@ -1873,7 +1933,8 @@
       }
     cell_wstatus_t status = CELL_W_OK;
     if (c->k.op == CELL_OP_START)
-      do_start (*w, c->k, !answered || !in_touch ((size_t)i), status);
+      do_start (*w, c->k, generation,
+                taken || !answered || !in_touch ((size_t)i), status);
     else
       do_stop (*w, c->k);
     if (!answered || w->loses_answers)
@@ -1883,11 +1944,13 @@
     schedule (NET_MS, answer);
   };
   Worker *w = find_worker ();
-  int late = w && c->k.op != CELL_OP_POLL && w->late_ms && random () % 2
-                 ? w->late_ms
-                 : 0;
+  gl_ms_t late = taken ? late_calls->second.ms
+                 : w && c->k.op != CELL_OP_POLL && w->late_ms && random () % 2
+                     ? (gl_ms_t)w->late_ms
+                     : 0;
   gl_ms_t out_ms = link_ms (&vms[(size_t)i].out_free_at, bytes);
-  schedule (NET_MS + out_ms + (gl_ms_t)late, [=] { arrive (!late); });
+  bool answered = !late || (taken && late_calls->second.answered);
+  schedule (NET_MS + out_ms + late, [=] { arrive (answered); });
 }
 
 /* ---- advisor ---- */
@@ -2297,7 +2360,7 @@
             || w.slowdown != 1))
       return true;
   return store_mode != StoreMode::up || store_ms > STORE_SLOW_MS
-         || !cut_domain.empty () || advisor_fails > 0;
+         || !cut_domain.empty () || advisor_fails > 0 || !late_calls_.empty ();
 }
 
 void
@@ -2644,6 +2707,7 @@
 
   store_mode = StoreMode::up;
   cut_domain = "";
+  late_calls_.clear ();
   for (Worker &w : workers)
     {
       w.reachable = true;
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -44,7 +44,8 @@
   gl_ms_t lingers_until = 0; /* its gang has ended; the run is listed until
                                 then; 0: the gang has not ended */
   gl_res_t need{};
-  uint64_t fencing_token = 0; /* of the owner that started it */
+  uint64_t generation = 0; /* of the owner that started it */
+  bool late_order = false; /* no owner can have told the worker to refuse it */
   std::string image;
 };
 
@@ -138,6 +139,17 @@
   bool watch_failing = false;
   uint64_t lease_id = 0;
   uint64_t incarnation = 0;
+  bool owns = false;       /* after its last event */
+  uint64_t generation = 0; /* of its last ownership */
+};
+
+/* Calls to an address that are carried out @ms late, by the incarnation that
+   is there then. */
+struct LateCalls
+{
+  gl_ms_t ms;
+  int op; /* enum cell_wop_t; -1: calls of all kinds */
+  bool answered;
 };
 
 /* What the callers know of a job; vectors are by step. */
@@ -223,6 +235,11 @@
      after its own, without a change of the worker: they lag, or the entry is
      of another writer. */
   void show_start (int w, int64_t ms);
+  /* Calls of kind @op, or of all kinds if that is -1, that are sent to the
+     worker's address from now on are late by @ms; 0: none are.  The network
+     has taken them, so they are carried out behind a cut, too.  They get no
+     answer, unless they are @answered and the caller still waits. */
+  void make_calls_late (int w, gl_ms_t ms, int op = -1, bool answered = false);
   /* Add a worker at the address of worker @same_addr_as, or at a new one if
      that is -1. */
   void add_worker (int same_addr_as);
@@ -390,6 +407,7 @@
   void tell_to_stop (int vm, gl_ms_t ends_in);
   gl_ms_t link_ms (double *free_at, size_t bytes);
   void step (int vm, cell_event_t &ev);
+  void note_ownership (Vm &v);
   void run_effect (int vm, cell_effect_t &e);
   void run_txn (int vm, uint64_t tag, const cell_txn_t &x);
   /* Carry the transaction out if its conditions hold. */
@@ -470,8 +488,8 @@
   void end_member (Worker &w, const std::string &task);
   void end_gang (const std::string &task, uint32_t run, bool fails);
   void end_run (Worker &w, const std::string &task, cell_outcome_t outcome);
-  void do_start (Worker &w, const cell_wcall_t &k, bool late,
-                 cell_wstatus_t &status);
+  void do_start (Worker &w, const cell_wcall_t &k, uint64_t generation,
+                 bool late, cell_wstatus_t &status);
   void do_stop (Worker &w, const cell_wcall_t &k);
   bool is_deadly (const std::string &task) const;
   /* Whether workers have crashed under a deadly task of the job so often that
@@ -480,8 +498,8 @@
   /* Check the guarantees that a start could violate; @late: the start was
      delayed on its way, or its sender was not in touch, so the job may have
      been cancelled meanwhile. */
-  void check_start (Worker &w, const std::string &task, const Run &r,
-                    bool late, gl_ms_t sent_at);
+  void check_start (Worker &w, const std::string &task, Run &r, bool late,
+                    gl_ms_t sent_at);
   /* Report a start that brings the running total of its job's team above every
      cap that the team has had since shortly before the start was sent. */
   void check_cap (const std::string &task, const Run &r, gl_ms_t sent_at,
@@ -563,6 +581,7 @@
   std::map<std::string, int> starts_after_crashes_;
   std::vector<PastTeam> past_teams_; /* all that were configured */
   std::set<std::string> refusing_;   /* addresses of crashed workers */
+  std::map<std::string, LateCalls> late_calls_; /* by address */
   bool attempts_used_up (const std::string &id) const;
   /* Tasks of whose good end a poll was answered. */
   std::set<std::string> done_reported_;
