Soak: a job that no worker may run is not asked to end

The advisor of the test approves one worker of twelve for it, i-, which the test had made silent for good; the other eleven are not approved (their hashes are 73 to 96, the limit is 70), which the log has as named=6, 2 and 1 with approved=0. The cell can do nothing for such a job. It is not counted if every approved worker of a step that is not done is silent for good, and the last line has their number (without_worker); all other jobs are judged as before, and the plant "rejects" is still found, since it does not change which workers the test approves.

--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -2197,13 +2197,28 @@
 
 /* ---- the run ---- */
 
+/* Whether a step of the job that is not done can never run: the advisor
+   approves only workers that are silent for good. */
+bool
+is_unservable (const job_t &j)
+{
+  for (int i = 0; i < (int)j.steps.size (); i++)
+    if (!step_done (j.steps[i], &task_t::done)
+        && std::none_of (workers.begin (), workers.end (), [&] (auto &w) {
+             return w->silent_until < FOR_GOOD
+                    && approved (step_name (j, i), w->id);
+           }))
+      return true;
+  return false;
+}
+
 int
 unfinished ()
 {
   int n = 0;
 
   for (auto &j : jobs)
-    n += (j.second->accepted && !j.second->ended)
+    n += (j.second->accepted && !j.second->ended && !is_unservable (*j.second))
          || (!j.second->accepted && !j.second->given_up);
   return n;
 }
@@ -2212,16 +2227,20 @@
 finish ()
 {
   int accepted = 0, completed = 0, failed = 0, cancelled = 0, refused = 0;
+  int without_worker = 0;
 
   for (auto &p : jobs)
     {
       job_t &j = *p.second;
+      bool left = j.accepted && !j.ended;
+
       accepted += j.accepted != 0;
+      without_worker += left && is_unservable (j);
       completed += j.state == "completed";
       failed += j.state == "failed";
       cancelled += j.cancel_sent != 0;
       refused += j.refused;
-      if (j.accepted && !j.ended)
+      if (left && !is_unservable (j))
         violation ("unfinished",
                    format ("job=%s kind=%s state=%s running=%d", j.id.c_str (),
                            j.kind.c_str (), j.state.c_str (), j.running));
@@ -2230,11 +2249,12 @@
       "seed=%llu vms=%d workers=%d faults=%zu jobs=%zu accepted=%d "
       "completed=%d failed=%d cancelled=%d refused=%d cut=%d cut_soon=%d "
       "unanswered=%d queued=%d none_served_ms=%lld refused_after_ms=%lld "
-      "violations=%d",
+      "without_worker=%d violations=%d",
       (unsigned long long)seed, nvms, nworkers, troubles.size (), jobs.size (),
       accepted, completed, failed, cancelled, refused, requests_cut,
       requests_cut_soon, requests_unanswered, requests_queued,
-      (long long)none_served_ms, (long long)refusal_ms, violations);
+      (long long)none_served_ms, (long long)refusal_ms, without_worker,
+      violations);
   note (line);
   printf ("%s\n", line.c_str ());
   fflush (stdout);
