--- a/tests/fuzz_cell.cc
+++ b/tests/fuzz_cell.cc
@@ -792,8 +792,8 @@
                                                      script, &starts, red);
       if (!without.empty () && !is_red (without, red))
         {
-          ADD_FAILURE () << "script " << i
-                         << " fails without the fault: " << v;
+          ADD_FAILURE () << "script " << i << " fails without the fault: " << v
+                         << ", " << without;
           v = "";
         }
       fault_on = GetParam ();
