--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -1821,6 +1821,7 @@
     c->k.worker_started_at = w->info.self.started_at;
     for (auto &r : w->running)
       {
+        r.second.late_order = false;
         cell_run_t row{};
         snprintf (row.task, sizeof row.task, "%s", r.first.c_str ());
         row.run = r.second.run;
