RPC between VMs: bound what accepted connections hold

Another VM got no answer when 512 connections of strangers were open, which was for good if they were silent; records of 2 MB that stop short of their end held 2 MB each, 512 times.

Cause: as in the HTTP servers, a limit of a record and one of connections bound only their product, first come, first served.

At most 448 connections are accepted, so that calls to peers always find a place; a new one takes that of the connection that has been silent the longest. Buffers of accepted connections are bounded in sum to a sixteenth of the machine's memory (8 MB at least), by closing the one with an incomplete record that has been silent the longest. A record that stays incomplete for 8 s closes its connection, as do replies that are not read; replies are bounded by OUT_MAX like calls, and large empty buffers are freed.

--- a/src/celld.c
+++ b/src/celld.c
@@ -33,6 +33,10 @@
 #define LOG_FLUSH_MS 100
 /* Time within which a request or consultation of a peer is answered. */
 #define PEER_TIMEOUT_MS 2500
+/* Part of the machine's memory for buffers of connections of other VMs, and
+   its lower bound. */
+#define PEER_MEMORY_PART 16
+#define PEER_MEMORY_MIN (8u << 20)
 /* Set in the tags of requests, to tell them from the reducer's own tags. */
 #define REQUEST_TAG (1ull << 48)
 
@@ -799,10 +803,21 @@
 celld_metrics (celld_t *d, text_t *t)
 {
   cell_metrics (d->cell, t);
+  rpcmux_metrics (d->rpc, t);
   text_add (t, "line_waiting %zu\nlog_lines_dropped %lu\n", d->consult_queue.n,
             logs_dropped ());
 }
 
+/* Bytes for records of other VMs and of strangers; two of the longest always
+   have room. */
+static size_t
+peer_buffers (const cellset_t *set)
+{
+  size_t n = ((size_t)set->memory_mb << 20) / PEER_MEMORY_PART;
+
+  return n < PEER_MEMORY_MIN ? PEER_MEMORY_MIN : n;
+}
+
 celld_t *
 celld_new (const cellset_t *set)
 {
@@ -822,7 +837,7 @@
                   wall_ms () ^ XXH3_64bits (set->name, strlen (set->name)));
   if (!d->loop || !d->cell)
     goto fail;
-  d->rpc = rpcmux_new (d->loop, set->rpc, &hooks);
+  d->rpc = rpcmux_new (d->loop, set->rpc, peer_buffers (set), &hooks);
   if (!d->rpc)
     goto fail;
   return d;
--- a/src/rpcmux.c
+++ b/src/rpcmux.c
@@ -8,6 +8,12 @@
  * socket does not take are buffered, and calls to a peer that does not read
  * them fail once more than OUT_MAX bytes are buffered.
  *
+ * Whoever reaches the port may connect and send, so what is held for accepted
+ * connections is bounded in sum and in time: received bytes of incomplete
+ * records and unsent replies by a share of the machine's memory, an incomplete
+ * record by RECORD_MS.  When there is no room, the accepted connection goes
+ * that has been silent the longest; other VMs send heartbeats all the time.
+ *
  * When a call times out on a connection on which nothing was received for
  * SILENT_MS, the connection is closed, since either end may have lost it
  * without notice to the other.
@@ -26,17 +32,27 @@
 
 #include "codec.h"
 #include "httpd.h"
+#include "logs.h"
 
 /* Program of the calls between the VMs of the cell. */
 #define PROGRAM 0x20047a12
 #define VERSION 1
 /* Most connections, accepted ones included. */
 #define CONNS_MAX 512
+/* Most of them that were accepted; the others are for calls to peers. */
+#define ACCEPTED_MAX 448
 /* Longest record to receive, in bytes. */
 #define RECORD_MAX 2097152
 /* Unsent bytes of a connection above which calls on it fail. */
 #define OUT_MAX 4194304
 #define LISTEN_BACKLOG 64
+/* How long an accepted connection may take for a record, or for the receipt of
+   replies: RECORD_MAX at 2 Mbit/s. */
+#define RECORD_MS 8000
+/* Buffers above this size are freed when they are empty. */
+#define BUFFER_KEPT 65536
+/* Least time between two log lines about connections that were closed. */
+#define LOG_MS 1000
 /* How long the kernel waits for the acknowledgement of sent data. */
 #define USER_TIMEOUT_MS 1500
 #define CONNECT_TIMEOUT_MS 400
@@ -67,6 +83,8 @@
  * @last_received: when data came last, or the connect finished, in ms
  * @peer: "IP:port" that this side connected to, or that
  * rpcmux_set_peer_addr gave; may be empty on accepted connections
+ * @incomplete_since: when the first byte of the incomplete record in @in came,
+ * or the first unsent one was added to @out, in ms; 0 for neither
  * @in: received bytes of incomplete records
  * @out: bytes that are not sent yet
  */
@@ -80,6 +98,7 @@
   gl_ms_t opened;
   gl_ms_t last_received;
   char peer[64];
+  gl_ms_t incomplete_since;
   buf_t in;
   buf_t out;
 } conn_t;
@@ -106,6 +125,10 @@
  * @listener: listening socket
  * @conns: the connections; unused entries are NULL
  * @last_id, @last_xid: connection id and transaction id used last
+ * @naccepted: accepted connections
+ * @held_max: most bytes in buffers of accepted connections
+ * @counts, @logged, @logged_at: connections closed for others or for their
+ * silence, also at the time of the last log line, and that time
  * @calls: pending calls, in no order
  */
 struct rpcmux
@@ -116,6 +139,11 @@
   conn_t *conns[CONNS_MAX];
   uint32_t last_id;
   uint32_t last_xid;
+  int naccepted;
+  size_t held_max;
+  rpcmux_counts_t counts;
+  rpcmux_counts_t logged;
+  gl_ms_t logged_at;
   pending_call_t *calls;
   size_t ncalls;
   size_t capcalls;
@@ -149,6 +177,10 @@
 {
   memmove (b->data, b->data + n, b->len - n);
   b->len -= n;
+  if (b->len || b->cap <= BUFFER_KEPT)
+    return;
+  free (b->data);
+  memset (b, 0, sizeof *b);
 }
 
 /* ---- connections ---- */
@@ -209,6 +241,7 @@
   for (int i = 0; i < CONNS_MAX; i++)
     if (m->conns[i] == c)
       m->conns[i] = NULL;
+  m->naccepted -= c->outgoing ? 0 : 1;
   loop_watch (m->loop, c->fd, 0, NULL, NULL);
   close (c->fd);
   free (c->in.data);
@@ -223,6 +256,62 @@
     conn_open (m, peer);
 }
 
+/* ---- bounds on accepted connections ---- */
+
+static size_t
+bytes_held (const rpcmux_t *m)
+{
+  size_t n = 0;
+
+  for (int i = 0; i < CONNS_MAX; i++)
+    if (m->conns[i] && !m->conns[i]->outgoing)
+      n += m->conns[i]->in.cap + m->conns[i]->out.cap;
+  return n;
+}
+
+/* Closes the accepted connection other than @keep that has been silent the
+   longest; @holding: of those with an incomplete record.  0, or -1 if there is
+   none. */
+static int
+evict (rpcmux_t *m, const conn_t *keep, int holding)
+{
+  conn_t *found = NULL;
+
+  for (int i = 0; i < CONNS_MAX; i++)
+    {
+      conn_t *c = m->conns[i];
+
+      if (c && !c->outgoing && c != keep && (!holding || c->incomplete_since)
+          && (!found || c->last_received < found->last_received))
+        found = c;
+    }
+  if (!found)
+    return -1;
+  m->counts.evicted++;
+  /* Its end says nothing about a peer. */
+  found->peer[0] = 0;
+  conn_close (m, found, GL_UNKNOWN);
+  return 0;
+}
+
+static void
+bound_buffers (rpcmux_t *m, const conn_t *keep)
+{
+  while (bytes_held (m) > m->held_max && !evict (m, keep, 1))
+    ;
+}
+
+/* Accepted connections with an incomplete record, or with replies that their
+   peer does not read. */
+static void
+note_progress (conn_t *c)
+{
+  if (!c->in.len && !c->out.len)
+    c->incomplete_since = 0;
+  else if (!c->incomplete_since)
+    c->incomplete_since = clock_ms ();
+}
+
 static void
 conn_set_events (rpcmux_t *m, conn_t *c, int write)
 {
@@ -277,7 +366,11 @@
     return;
   n = send (c->fd, c->out.data, c->out.len, MSG_NOSIGNAL);
   if (n > 0)
-    buf_consume (&c->out, (size_t)n);
+    {
+      buf_consume (&c->out, (size_t)n);
+      c->incomplete_since = 0;
+    }
+  note_progress (c);
   if (!!c->out.len != c->want_write)
     conn_set_events (m, c, !!c->out.len);
 }
@@ -377,6 +470,7 @@
               const void *out)
 {
   conn_t *c = conn_by_id (m, from.conn);
+  uint32_t id = from.conn;
   size_t room = HEADER_MAX + (proc ? xdr_sizeof (proc, (void *)out) : 0);
   char *data = c ? malloc (room + sizeof (uint32_t)) : NULL;
   struct rpc_msg msg;
@@ -397,11 +491,14 @@
       size_t len = xdr_getpos (&x);
 
       put_record_mark (data, len);
-      if (!buf_add (&c->out, data, len + sizeof (uint32_t)))
+      if (c->out.len <= OUT_MAX
+          && !buf_add (&c->out, data, len + sizeof (uint32_t)))
         conn_flush (m, c);
     }
   xdr_destroy (&x);
   free (data);
+  if ((c = conn_by_id (m, id)))
+    bound_buffers (m, c);
 }
 
 void
@@ -485,6 +582,7 @@
         return -1;
       memcpy (data, c->in.data + sizeof mark, len);
       buf_consume (&c->in, len + sizeof mark);
+      c->incomplete_since = 0;
       if (ntohl (((uint32_t *)(void *)data)[1]) == CALL)
         handle_call (m, id, data, len);
       else
@@ -550,6 +648,11 @@
   c->last_received = clock_ms ();
   if (handle_records (m, id) && (c = conn_by_id (m, id)))
     conn_close (m, c, GL_UNKNOWN);
+  else if ((c = conn_by_id (m, id)) && !c->outgoing)
+    {
+      note_progress (c);
+      bound_buffers (m, c);
+    }
 }
 
 static void
@@ -557,11 +660,17 @@
 {
   rpcmux_t *m = ctx;
   int s = accept4 (fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  conn_t *c = s < 0 ? NULL : conn_add (m, s);
+  conn_t *c;
 
   (void)events;
+  if (s >= 0 && m->naccepted >= ACCEPTED_MAX)
+    evict (m, NULL, 0);
+  c = s < 0 ? NULL : conn_add (m, s);
   if (c)
-    conn_set_events (m, c, 0);
+    {
+      m->naccepted++;
+      conn_set_events (m, c, 0);
+    }
   else if (s >= 0)
     close (s);
 }
@@ -591,7 +700,8 @@
 }
 
 rpcmux_t *
-rpcmux_new (loop_t *loop, const char *addr, const rpcmux_hooks_t *hooks)
+rpcmux_new (loop_t *loop, const char *addr, size_t held_max,
+            const rpcmux_hooks_t *hooks)
 {
   rpcmux_t *m = calloc (1, sizeof *m);
 
@@ -599,6 +709,7 @@
     return NULL;
   m->loop = loop;
   m->hooks = *hooks;
+  m->held_max = held_max;
   m->last_xid = (uint32_t)clock_ms ();
   m->listener = listen_on (addr);
   if (m->listener < 0 || loop_watch (loop, m->listener, EPOLLIN, on_accept, m))
@@ -628,6 +739,39 @@
   free (m);
 }
 
+/* When an accepted connection is closed for an incomplete record or unread
+   replies; UINT64_MAX for never. */
+static gl_ms_t
+overdue_at (const conn_t *c)
+{
+  return c->outgoing || !c->incomplete_since ? UINT64_MAX
+                                             : c->incomplete_since + RECORD_MS;
+}
+
+static void
+log_counts (rpcmux_t *m, gl_ms_t now)
+{
+  if (!memcmp (&m->counts, &m->logged, sizeof m->counts)
+      || now < m->logged_at + LOG_MS)
+    return;
+  log_info ("rpc_connections_closed evicted=%lu incomplete=%lu accepted=%d "
+            "held=%zu",
+            m->counts.evicted, m->counts.incomplete, m->naccepted,
+            bytes_held (m));
+  m->logged = m->counts;
+  m->logged_at = now;
+}
+
+void
+rpcmux_metrics (const rpcmux_t *m, text_t *t)
+{
+  text_add (t,
+            "rpc_connections_accepted %d\nrpc_buffered_bytes %zu\n"
+            "rpc_connections_evicted %lu\nrpc_records_incomplete %lu\n",
+            m->naccepted, bytes_held (m), m->counts.evicted,
+            m->counts.incomplete);
+}
+
 gl_ms_t
 rpcmux_due (const rpcmux_t *m)
 {
@@ -640,6 +784,8 @@
     if (m->conns[i] && m->conns[i]->connecting
         && m->conns[i]->opened + CONNECT_TIMEOUT_MS < due)
       due = m->conns[i]->opened + CONNECT_TIMEOUT_MS;
+    else if (m->conns[i] && overdue_at (m->conns[i]) < due)
+      due = overdue_at (m->conns[i]);
   return due;
 }
 
@@ -652,6 +798,13 @@
     if (m->conns[i] && m->conns[i]->connecting
         && m->conns[i]->opened + CONNECT_TIMEOUT_MS <= now)
       conn_close (m, m->conns[i], GL_RETRY);
+    else if (m->conns[i] && overdue_at (m->conns[i]) <= now)
+      {
+        m->counts.incomplete++;
+        m->conns[i]->peer[0] = 0;
+        conn_close (m, m->conns[i], GL_UNKNOWN);
+      }
+  log_counts (m, now);
   for (size_t i = m->ncalls; i-- > 0;)
     {
       conn_t *c;
--- a/src/rpcmux.h
+++ b/src/rpcmux.h
@@ -6,6 +6,7 @@
 
 #include "gentianlatch.h"
 #include "loop.h"
+#include "metrics.h"
 
 /** typedef rpcmux_t - multiplexer ("mux"): a server and its connections to
     peers, each of which carries many calls at once */
@@ -49,10 +50,25 @@
   void *ctx;
 } rpcmux_hooks_t;
 
-/** rpcmux_new - create a mux that serves calls on @addr, "IP:port"; NULL when
-    out of memory or when it cannot listen there */
-rpcmux_t *rpcmux_new (loop_t *loop, const char *addr,
+/**
+ * struct rpcmux_counts_t - accepted connections that the mux has closed
+ * @evicted: for others, as connections or buffers were used up
+ * @incomplete: for a record that stayed incomplete, or replies not read
+ */
+typedef struct
+{
+  unsigned long evicted;
+  unsigned long incomplete;
+} rpcmux_counts_t;
+
+/** rpcmux_new - create a mux that serves calls on @addr, "IP:port", with at
+   most
+    @held_max bytes in buffers of accepted connections; NULL when out of memory
+    or when it cannot listen there */
+rpcmux_t *rpcmux_new (loop_t *loop, const char *addr, size_t held_max,
                       const rpcmux_hooks_t *hooks);
+/** rpcmux_metrics - append connections, bytes held and counts */
+void rpcmux_metrics (const rpcmux_t *m, text_t *t);
 /** rpcmux_free - close all connections, which ends their calls, and free the
     mux; NULL is ignored */
 void rpcmux_free (rpcmux_t *m);
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -561,7 +561,7 @@
   {
     rpcmux_hooks_t hooks{ done, serve, [] (void *, const char *) {}, this };
 
-    rpc = rpcmux_new (loop, addr.c_str (), &hooks);
+    rpc = rpcmux_new (loop, addr.c_str (), 8 << 20, &hooks);
   }
   void
   start ()
