tests: A crowd of whole bodies that take much memory when parsed

450 clients send a whole body of 262,144 bytes each, a list of empty lists; the ordinary request after each crowd now has the longest legal body.

--- a/tests/crowd.cc
+++ b/tests/crowd.cc
@@ -54,9 +54,11 @@
   return s + word (0) + word (0) + word (0) + word (0);
 }
 
-/* One ordinary request; 0 if it has no answer. */
+/* One ordinary request, with a body of the longest size if @longest; 0 if it
+   has no answer. */
 static int
-ordinary (const std::string &server, const std::string &addr, const char *id)
+ordinary (const std::string &server, const std::string &addr, const char *id,
+          bool longest = false)
 {
   if (server == "rpc")
     {
@@ -72,10 +74,12 @@
     }
   if (server != "requests")
     return crowd_ask (addr, "GET", "/readyz", "", 5000);
-  return crowd_ask_until_served (
-      addr, "POST", std::string ("/q/") + id,
-      "{\"spec\":\"done 500\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-      "\"memMb\":256,\"estimateMs\":500}]}");
+  std::string body = "{\"spec\":\"done 500\",\"steps\":[{\"count\":1,"
+                     "\"cpu\":1000,\"memMb\":256,\"estimateMs\":500}]}";
+
+  if (longest)
+    body.append (BODY_MAX - body.size (), ' ');
+  return crowd_ask_until_served (addr, "POST", std::string ("/q/") + id, body);
 }
 
 int
@@ -118,7 +122,7 @@
     for (auto [status, n] : crowd.statuses ())
       printf (" %d:%d", status, n);
   }
-  int after = ordinary (server, addr, "00000000000000a2");
+  int after = ordinary (server, addr, "00000000000000a2", true);
   long peak = crowd_memory_kb (pid, "VmHWM");
   long left = crowd_memory_kb (pid, "VmRSS");
 
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -42,6 +42,7 @@
     "legal-headers", /* announces a body of legal size and sends none */
     "part",          /* a part of a header */
     "silent",        /* sends nothing */
+    "whole",         /* whole bodies that take much memory when parsed */
     "unread",        /* sends GETs and reads no answers */
   };
   return kinds;
@@ -72,6 +73,14 @@
 
   if (kind == "announced")
     return length (limit) + std::string (limit - limit / 1000 - 1, 'x');
+  if (kind == "whole")
+    {
+      std::string body = "{\"steps\":[[]";
+
+      while (body.size () + 5 <= limit)
+        body += ",[]";
+      return length (body.size () + 2) + body + "]}";
+    }
   if (kind == "chunks")
     return chunks (limit / 8, limit / 8 * 7);
   if (kind == "tiny-chunks")
--- a/tests/crowd.sh
+++ b/tests/crowd.sh
@@ -13,7 +13,7 @@
 MEMORY_MB=48
 CASES=(requests:announced requests:chunks requests:tiny-chunks requests:over
   requests:over-chunks requests:headers requests:legal-headers requests:part
-  requests:silent requests:unread ready:silent metrics:unread rpc:record
+  requests:silent requests:unread requests:whole ready:silent metrics:unread rpc:record
   rpc:silent)
 STAND=$BUILD/stand
 TMP=$(mktemp -d) || exit 2
