--- a/src/celld.c
+++ b/src/celld.c
@@ -808,14 +808,23 @@
             logs_dropped ());
 }
 
-/* Bytes for records of other VMs and of strangers; two of the longest always
-   have room. */
-static size_t
-peer_buffers (const cellset_t *set)
-{
-  size_t n = ((size_t)set->memory_mb << 20) / PEER_MEMORY_PART;
-
-  return n < PEER_MEMORY_MIN ? PEER_MEMORY_MIN : n;
+/* Settings that were not loaded from a file are 0. */
+static rpcmux_limits_t
+peer_limits (const cellset_t *set)
+{
+  size_t part = ((size_t)set->memory_mb << 20) / PEER_MEMORY_PART;
+
+  if (set->peer_memory_mb)
+    part = (size_t)set->peer_memory_mb << 20;
+  else if (part < PEER_MEMORY_MIN)
+    part = PEER_MEMORY_MIN;
+  return (rpcmux_limits_t){
+    .accepted_max
+    = set->peer_connections ? set->peer_connections : CELLSET_PEER_CONNECTIONS,
+    .held_max = part,
+    .record_ms = set->peer_record_ms ? (gl_ms_t)set->peer_record_ms
+                                     : CELLSET_PEER_RECORD_MS,
+  };
 }
 
 celld_t *
@@ -823,6 +832,7 @@
 {
   celld_t *d = calloc (1, sizeof *d);
   rpcmux_hooks_t hooks = { call_done, serve_peer, peer_down, d };
+  rpcmux_limits_t peers = peer_limits (set);
   cell_limits_t limits;
 
   if (!d)
@@ -837,7 +847,7 @@
                   wall_ms () ^ XXH3_64bits (set->name, strlen (set->name)));
   if (!d->loop || !d->cell)
     goto fail;
-  d->rpc = rpcmux_new (d->loop, set->rpc, peer_buffers (set), &hooks);
+  d->rpc = rpcmux_new (d->loop, set->rpc, &peers, &hooks);
   if (!d->rpc)
     goto fail;
   return d;
--- a/src/cellset.h
+++ b/src/cellset.h
@@ -5,6 +5,11 @@
 #include "cell.h"
 #include "inifile.h"
 
+/* Defaults of settings that modules need without a file, too: 64 connections
+   of the 512 are left for calls to peers; a record of 2 MB at 2 Mbit/s. */
+#define CELLSET_PEER_CONNECTIONS 448
+#define CELLSET_PEER_RECORD_MS 8000
+
 /**
  * struct cellset_t - settings of one VM; addresses are "IP:port"
  * @name: this VM's name
@@ -23,6 +28,9 @@
  * @header_ms, @body_ms, @reply_ms, @client_bytes_per_s: how long a client may
  * take for a header, a body and the receipt of an answer, the latter two
  * longer by the time that the bytes take at the rate
+ * @peer_connections: most connections of other VMs
+ * @peer_memory_mb: memory for their buffers, 0 for a part of the machine's
+ * @peer_record_ms: how long another VM may take for a message
  * @drain_s: time from SIGTERM to the end of the process
  * @worker_lease_max_ms: longest lease that a worker accepts
  * @stop_max_ms: longest time that a worker takes to stop a run
@@ -50,6 +58,9 @@
   int body_ms;
   int reply_ms;
   int client_bytes_per_s;
+  int peer_connections;
+  int peer_memory_mb;
+  int peer_record_ms;
   double drain_s;
   int worker_lease_max_ms;
   int stop_max_ms;
--- a/src/rpcmux.c
+++ b/src/rpcmux.c
@@ -11,7 +11,7 @@
  * Whoever reaches the port may connect and send, so what is held for accepted
  * connections is bounded in sum and in time: received bytes of incomplete
  * records and unsent replies by a share of the machine's memory, an incomplete
- * record by RECORD_MS.  When there is no room, the accepted connection goes
+ * record by a time.  When there is no room, the accepted connection goes
  * that has been silent the longest; other VMs send heartbeats all the time.
  *
  * When a call times out on a connection on which nothing was received for
@@ -39,16 +39,11 @@
 #define VERSION 1
 /* Most connections, accepted ones included. */
 #define CONNS_MAX 512
-/* Most of them that were accepted; the others are for calls to peers. */
-#define ACCEPTED_MAX 448
 /* Longest record to receive, in bytes. */
 #define RECORD_MAX 2097152
 /* Unsent bytes of a connection above which calls on it fail. */
 #define OUT_MAX 4194304
 #define LISTEN_BACKLOG 64
-/* How long an accepted connection may take for a record, or for the receipt of
-   replies: RECORD_MAX at 2 Mbit/s. */
-#define RECORD_MS 8000
 /* Buffers above this size are freed when they are empty. */
 #define BUFFER_KEPT 65536
 /* Least time between two log lines about connections that were closed. */
@@ -126,7 +121,7 @@
  * @conns: the connections; unused entries are NULL
  * @last_id, @last_xid: connection id and transaction id used last
  * @naccepted: accepted connections
- * @held_max: most bytes in buffers of accepted connections
+ * @limits: bounds on accepted connections
  * @counts, @logged, @logged_at: connections closed for others or for their
  * silence, also at the time of the last log line, and that time
  * @calls: pending calls, in no order
@@ -140,7 +135,7 @@
   uint32_t last_id;
   uint32_t last_xid;
   int naccepted;
-  size_t held_max;
+  rpcmux_limits_t limits;
   rpcmux_counts_t counts;
   rpcmux_counts_t logged;
   gl_ms_t logged_at;
@@ -297,7 +292,7 @@
 static void
 bound_buffers (rpcmux_t *m, const conn_t *keep)
 {
-  while (bytes_held (m) > m->held_max && !evict (m, keep, 1))
+  while (bytes_held (m) > m->limits.held_max && !evict (m, keep, 1))
     ;
 }
 
@@ -663,7 +658,7 @@
   conn_t *c;
 
   (void)events;
-  if (s >= 0 && m->naccepted >= ACCEPTED_MAX)
+  if (s >= 0 && m->naccepted >= m->limits.accepted_max)
     evict (m, NULL, 0);
   c = s < 0 ? NULL : conn_add (m, s);
   if (c)
@@ -700,7 +695,7 @@
 }
 
 rpcmux_t *
-rpcmux_new (loop_t *loop, const char *addr, size_t held_max,
+rpcmux_new (loop_t *loop, const char *addr, const rpcmux_limits_t *limits,
             const rpcmux_hooks_t *hooks)
 {
   rpcmux_t *m = calloc (1, sizeof *m);
@@ -709,7 +704,7 @@
     return NULL;
   m->loop = loop;
   m->hooks = *hooks;
-  m->held_max = held_max;
+  m->limits = *limits;
   m->last_xid = (uint32_t)clock_ms ();
   m->listener = listen_on (addr);
   if (m->listener < 0 || loop_watch (loop, m->listener, EPOLLIN, on_accept, m))
@@ -742,10 +737,11 @@
 /* When an accepted connection is closed for an incomplete record or unread
    replies; UINT64_MAX for never. */
 static gl_ms_t
-overdue_at (const conn_t *c)
+overdue_at (const rpcmux_t *m, const conn_t *c)
 {
-  return c->outgoing || !c->incomplete_since ? UINT64_MAX
-                                             : c->incomplete_since + RECORD_MS;
+  return c->outgoing || !c->incomplete_since
+             ? UINT64_MAX
+             : c->incomplete_since + m->limits.record_ms;
 }
 
 static void
@@ -784,8 +780,8 @@
     if (m->conns[i] && m->conns[i]->connecting
         && m->conns[i]->opened + CONNECT_TIMEOUT_MS < due)
       due = m->conns[i]->opened + CONNECT_TIMEOUT_MS;
-    else if (m->conns[i] && overdue_at (m->conns[i]) < due)
-      due = overdue_at (m->conns[i]);
+    else if (m->conns[i] && overdue_at (m, m->conns[i]) < due)
+      due = overdue_at (m, m->conns[i]);
   return due;
 }
 
@@ -798,7 +794,7 @@
     if (m->conns[i] && m->conns[i]->connecting
         && m->conns[i]->opened + CONNECT_TIMEOUT_MS <= now)
       conn_close (m, m->conns[i], GL_RETRY);
-    else if (m->conns[i] && overdue_at (m->conns[i]) <= now)
+    else if (m->conns[i] && overdue_at (m, m->conns[i]) <= now)
       {
         m->counts.incomplete++;
         m->conns[i]->peer[0] = 0;
--- a/src/rpcmux.h
+++ b/src/rpcmux.h
@@ -61,11 +61,23 @@
   unsigned long incomplete;
 } rpcmux_counts_t;
 
-/** rpcmux_new - create a mux that serves calls on @addr, "IP:port", with at
-   most
-    @held_max bytes in buffers of accepted connections; NULL when out of memory
-    or when it cannot listen there */
-rpcmux_t *rpcmux_new (loop_t *loop, const char *addr, size_t held_max,
+/**
+ * struct rpcmux_limits_t - bounds on accepted connections
+ * @accepted_max: most at once, below the 512 that a mux has with its own ones
+ * @held_max: most bytes in their buffers
+ * @record_ms: longest time for a record, or for the receipt of replies
+ */
+typedef struct
+{
+  int accepted_max;
+  size_t held_max;
+  gl_ms_t record_ms;
+} rpcmux_limits_t;
+
+/** rpcmux_new - create a mux that serves calls on @addr, "IP:port"; NULL when
+    out of memory or when it cannot listen there */
+rpcmux_t *rpcmux_new (loop_t *loop, const char *addr,
+                      const rpcmux_limits_t *limits,
                       const rpcmux_hooks_t *hooks);
 /** rpcmux_metrics - append connections, bytes held and counts */
 void rpcmux_metrics (const rpcmux_t *m, text_t *t);
--- a/tests/wire.cc
+++ b/tests/wire.cc
@@ -561,7 +561,8 @@
   {
     rpcmux_hooks_t hooks{ done, serve, [] (void *, const char *) {}, this };
 
-    rpc = rpcmux_new (loop, addr.c_str (), 8 << 20, &hooks);
+    rpcmux_limits_t limits{ 64, 8 << 20, 8000 };
+    rpc = rpcmux_new (loop, addr.c_str (), &limits, &hooks);
   }
   void
   start ()
