--- a/src/celld.c
+++ b/src/celld.c
@@ -33,6 +33,10 @@
 #define LOG_FLUSH_MS 100
 /* Time within which a request or consultation of a peer is answered. */
 #define PEER_TIMEOUT_MS 2500
+/* Part of the machine's memory for buffers of connections of other VMs, and
+   its lower bound. */
+#define PEER_MEMORY_PART 16
+#define PEER_MEMORY_MIN (8u << 20)
 /* Set in the tags of requests, to tell them from the reducer's own tags. */
 #define REQUEST_TAG (1ull << 48)
 
@@ -799,15 +803,36 @@
 celld_metrics (celld_t *d, text_t *t)
 {
   cell_metrics (d->cell, t);
+  rpcmux_metrics (d->rpc, t);
   text_add (t, "line_waiting %zu\nlog_lines_dropped %lu\n", d->consult_queue.n,
             logs_dropped ());
 }
 
+/* Settings that were not loaded from a file are 0. */
+static rpcmux_limits_t
+peer_limits (const cellset_t *set)
+{
+  size_t part = ((size_t)set->memory_mb << 20) / PEER_MEMORY_PART;
+
+  if (set->peer_memory_mb)
+    part = (size_t)set->peer_memory_mb << 20;
+  else if (part < PEER_MEMORY_MIN)
+    part = PEER_MEMORY_MIN;
+  return (rpcmux_limits_t){
+    .accepted_max
+    = set->peer_connections ? set->peer_connections : CELLSET_PEER_CONNECTIONS,
+    .held_max = part,
+    .record_ms = set->peer_record_ms ? (gl_ms_t)set->peer_record_ms
+                                     : CELLSET_PEER_RECORD_MS,
+  };
+}
+
 celld_t *
 celld_new (const cellset_t *set)
 {
   celld_t *d = calloc (1, sizeof *d);
   rpcmux_hooks_t hooks = { call_done, serve_peer, peer_down, d };
+  rpcmux_limits_t peers = peer_limits (set);
   cell_limits_t limits;
 
   if (!d)
@@ -822,7 +847,7 @@
                   wall_ms () ^ XXH3_64bits (set->name, strlen (set->name)));
   if (!d->loop || !d->cell)
     goto fail;
-  d->rpc = rpcmux_new (d->loop, set->rpc, &hooks);
+  d->rpc = rpcmux_new (d->loop, set->rpc, &peers, &hooks);
   if (!d->rpc)
     goto fail;
   return d;
