--- a/src/cellset.c
+++ b/src/cellset.c
@@ -5,6 +5,11 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <sys/sysinfo.h>
+
+/* Highest value of memory_mb, and the one if the system reports none. */
+#define MEMORY_MB_MAX 1048576
+#define MEMORY_MB_UNKNOWN 256
 
 /* Rows of the table: section and key in the file, the member that takes the
    value, and for numbers the bounds and the default. */
@@ -35,7 +40,7 @@
   TEXT ("vm", "domain", KIND_NAME, domain),
   REAL ("vm", "cpu_share", cpu_share, 0, 1024, 1),
   REAL ("vm", "link_mbps", link_mbps, 0, 1000000, 0),
-  INT ("vm", "memory_mb", memory_mb, 16, 1048576, 256),
+  INT ("vm", "memory_mb", memory_mb, 0, MEMORY_MB_MAX, 0),
   INT ("listen", "connections", connections, 0, 1000000, 0),
   INT ("listen", "body_memory_mb", body_memory_mb, 0, 1048576, 0),
   INT ("listen", "header_ms", header_ms, 100, 600000, 5000),
@@ -63,6 +68,19 @@
   INT ("jobs", "kept_s", retention_s, 1, 86400, 120),
 };
 
+/* The memory that the system reports, in MB. */
+static int
+system_memory_mb (void)
+{
+  struct sysinfo s;
+  unsigned long long mb;
+
+  if (sysinfo (&s))
+    return MEMORY_MB_UNKNOWN;
+  mb = (unsigned long long)s.totalram * s.mem_unit >> 20;
+  return mb < MEMORY_MB_MAX ? (int)mb : MEMORY_MB_MAX;
+}
+
 static gl_code_t
 check_required (const cellset_t *s, char *err)
 {
@@ -88,6 +106,8 @@
 
   memset (s, 0, sizeof *s);
   rc = inifile_load (&f, path);
+  if (!s->memory_mb)
+    s->memory_mb = system_memory_mb ();
   return rc ? rc : check_required (s, err);
 }
 
--- a/src/cellset.h
+++ b/src/cellset.h
@@ -21,7 +21,7 @@
  * @writes_per_s: transactions that the store takes from all VMs together
  * @cpu_share: this VM's share of a core
  * @link_mbps: rate of its link in megabits per second, 0 if not known
- * @memory_mb: memory of its machine
+ * @memory_mb: memory of its machine, by default what the system reports
  * @connections: most connections of callers, 0 for what the memory allows
  * @body_memory_mb: memory for requests of callers, 0 for a quarter of the
  * machine's
