tests: Crowds that do not behave against gl-entry, gl-admin and gl-scheduler

Real processes on loopback with stand-ins. A crowd holds its connections open while peak memory, descriptors, threads and one ordinary request are checked.

Programs that do not know the lowered limits run with their own. The stand-in of upstreams answers /bytes/N with N bytes.

--- a/Makefile
+++ b/Makefile
@@ -159,6 +159,7 @@
 	$(BUILD)/bench-split tests/split/day.json | diff - tests/split/expected.txt
 	tests/system.sh
 	BUILD=$(BUILD) tests/crowd.sh
+	BUILD=$(BUILD) tests/crowd_daemons.sh
 	BUILD=$(BUILD) tests/soak.sh --seconds $(SOAK_S) --seed $(SOAK_SEED)
 
 # Fuzzing for a given time from a given seed on: make fuzz SECONDS=600 SEED=7
--- a/examples/cell.sh
+++ b/examples/cell.sh
@@ -10,7 +10,8 @@
 #   WORKERS_EACH    workers without accelerators; two more have four each
 #   INSTANCES_EACH  upstream instances of the service "gait"
 #   WORK_MS               time that an upstream takes for a request
-#   SCHED_SETTINGS        further lines of the [scheduler] section
+#   ADMIN_SETTINGS, ENTRY_SETTINGS, SCHED_SETTINGS
+#                         further lines of these sections of the settings
 #   VIA                   number of the VM whose admin daemon CTL calls
 
 BUILD=${BUILD:-build}
@@ -65,10 +66,12 @@
     echo "[admin]"
     echo "http = $(admin_of "$vm")"
     echo "rpc = 127.0.0.1:$(vm_port "$vm" 1)"
+    echo "${ADMIN_SETTINGS:-}"
     echo "[entry]"
     echo "http = $(entry_of "$vm")"
     echo "entries = 2"
     echo "number = $(((vm - 1) % 2))"
+    echo "${ENTRY_SETTINGS:-}"
     echo "[scheduler]"
     echo "rpc = 127.0.0.1:$(vm_port "$vm" 4)"
     echo "http = 127.0.0.1:$(vm_port "$vm" 5)"
--- a/standin/upstreams.c
+++ b/standin/upstreams.c
@@ -4,6 +4,7 @@
  *   /u/NAME/healthz   200, or 503 while leaving
  *   /u/NAME/...       answered after --work-ms with the instance's name, the
  *                     path and the length of the body
+ *   /u/NAME/bytes/N   the same with a response body of N bytes
  *   POST /fault?instance=NAME&kind=K&ms=N
  *     leave   refuses new requests for N ms; those in progress end normally
  *     dead    sends no response for N ms
@@ -31,6 +32,8 @@
 #define INSTANCES_MAX 512
 #define DELAYED_MAX 8192
 #define KEYS_MAX 65536
+/* Longest response body that a request may ask for. */
+#define BYTES_MAX 16777216
 /* Interval at which delayed requests are checked, microseconds. */
 #define TICK_US 1000
 /* Time after which a request that a fault leaves without its response is
@@ -219,6 +222,22 @@
   pthread_mutex_unlock (&lock);
 }
 
+/* Answer a request that has run. */
+static void
+send_result (httpd_call_t *call, const instance_t *inst)
+{
+  const char *bytes = strstr (call->path, "/bytes/");
+  size_t n = bytes ? strtoul (bytes + 7, NULL, 10) : 0;
+  char *body = n && n <= BYTES_MAX ? malloc (n) : NULL;
+
+  if (body)
+    httpd_reply (call, 200, "text/plain", memset (body, 'x', n), n);
+  else
+    httpd_text (call, 200,
+                "{\"instance\":\"%s\",\"path\":\"%.200s\",\"bytes\":%zu}\n",
+                inst->name, call->path, call->len);
+}
+
 /* Answer the delayed requests that are due. */
 static void
 answer_delayed (void)
@@ -238,9 +257,7 @@
           continue;
         }
       d.inst->busy--;
-      httpd_text (d.call, 200,
-                  "{\"instance\":\"%s\",\"path\":\"%.200s\",\"bytes\":%zu}\n",
-                  d.inst->name, d.call->path, d.call->len);
+      send_result (d.call, d.inst);
     }
 }
 
