--- a/tests/crowd_daemons.sh
+++ b/tests/crowd_daemons.sh
@@ -77,27 +77,36 @@
   request POST /v1/jobs "Content-Length: ${#body}"
   printf %s "$body"
 }
-# rpc_record: a record of 2 MB of which 4 bytes are missing
-rpc_record() { printf '\x80\x1f\xff\xf0'; head -c 2097132 /dev/zero; }
+# long_record, short_record: a record of 2 MB or 60,000 bytes without its last 4
+long_record() { printf '\x80\x1f\xff\xf0'; head -c 2097132 /dev/zero; }
+short_record() { printf '\x80\x00\xea\x60'; head -c 59996 /dev/zero; }
+# call_and_part: a whole call of an unknown program, and a part of a record
+call_and_part() {
+  printf '\x80\0\0\x28\0\0\0\1\0\0\0\0\0\0\0\2\0\0\0\1\0\0\0\1'
+  head -c 20 /dev/zero
+  printf '\x80\0\xea\x60part'
+}
 
 # kb_of NAME FIELD: a field of the process's status
 kb_of() { awk -v f="$2:" '$1 == f { print $2 }' "/proc/${PIDS[$1]}/status" 2>/dev/null; }
 status_of() { curl -s -m 12 -o "$RUN/body" -w '%{http_code}' "$@"; }
-# verdict NAME URL: the checks of a case, while the crowd is there
+# verdict NAME WANTED CURL-ARGUMENT...: the checks of a case, while the crowd is
+# there; an ordinary request is answered with the status WANTED
 verdict() {
-  local pid=${PIDS[$1]} i
+  local name=$1 wanted=$2 pid=${PIDS[$1]} i
+  shift 2
   # A refusal that promises "not run" and asks to come back is repeated.
   for i in 1 2 3 4 5 6; do
-    [ "$(status_of "$2")" = 503 ] || break
+    [ "$(status_of "$@")" = 503 ] || break
     sleep 1
   done
-  check "one ordinary request is answered" "$(status_of "$2")" 200
+  check "one ordinary request is answered" "$(status_of "$@")" "$wanted"
   check "the process lives" "$(kill -0 "$pid" 2>/dev/null && echo yes)" yes
-  at_most "peak memory" $(($(kb_of "$1" VmHWM) / 1024)) "$MEMORY_MB"
+  at_most "peak memory" $(($(kb_of "$name" VmHWM) / 1024)) "$MEMORY_MB"
   at_most "descriptors" "$(ls "/proc/$pid/fd" 2>/dev/null | wc -l)" "$DESCRIPTORS"
-  at_most "threads" "$(kb_of "$1" Threads)" "$THREADS"
-  echo "     $CASE: peak $(kb_of "$1" VmHWM) KB, now $(kb_of "$1" VmRSS) KB," \
-    "$(ls "/proc/$pid/fd" | wc -l) descriptors, $(kb_of "$1" Threads) threads"
+  at_most "threads" "$(kb_of "$name" Threads)" "$THREADS"
+  echo "     $CASE: peak $(kb_of "$name" VmHWM) KB, now $(kb_of "$name" VmRSS) KB," \
+    "$(ls "/proc/$pid/fd" | wc -l) descriptors, $(kb_of "$name" Threads) threads"
   close_clients
 }
 # ready URL: it is answered with 200
@@ -108,6 +117,8 @@
   start "$1" "$BUILD/gl-${1%1}" --settings "$RUN/vm1.ini"
   until_true 15 ready "$2" || check "the process serves" no yes
 }
+# one_owner: the scheduler is active and known
+one_owner() { [ "$(owners)" = 1 ]; }
 # wanted NAME: this case is played; its name begins each of its checks
 wanted() { CASE=$1 && [ -z "$ONLY" ] || [ "$1" = "$ONLY" ]; }
 
@@ -130,32 +141,32 @@
   fresh entry1 "$E/gait/1"
   open_clients "$E_PORT" 40
   each_sends announced /gait/1 8388608 8388600
-  verdict entry1 "$E/gait/1"
+  verdict entry1 200 "$E/gait/1"
 fi
 if wanted entry-chunks-short-of-their-end; then
   fresh entry1 "$E/gait/1"
   open_clients "$E_PORT" 40
   each_sends chunked /gait/1 32767 255
-  verdict entry1 "$E/gait/1"
+  verdict entry1 200 "$E/gait/1"
 fi
 if wanted entry-bodies-over-the-limit; then
   fresh entry1 "$E/gait/1"
   open_clients "$E_PORT" 40
   each_sends announced /gait/1 100000000000000 9000000
-  verdict entry1 "$E/gait/1"
+  verdict entry1 200 "$E/gait/1"
 fi
 if wanted entry-answers-not-read; then
   fresh entry1 "$E/gait/1"
   open_clients "$E_PORT" 40
   each_sends request GET /gait/bytes/8000000 "Accept: */*"
   sleep 1
-  verdict entry1 "$E/gait/1"
+  verdict entry1 200 "$E/gait/1"
 fi
 if wanted entry-connections-that-stand-still; then
   fresh entry1 "$E/gait/1"
   open_clients "$E_PORT" 2100
   for fd in "${FDS[@]}"; do part_of_head >&"$fd"; done 2>/dev/null
-  verdict entry1 "$E/gait/1"
+  verdict entry1 200 "$E/gait/1"
 fi
 MEMORY_MB=64
 if wanted admin-bodies-of-many-members; then
@@ -163,26 +174,32 @@
   kill -STOP "${PIDS[scheduler1]}"
   open_clients "$A_PORT" 60
   each_sends many_members
-  verdict admin1 "$A/v1/config"
+  verdict admin1 200 "$A/v1/config"
   kill -CONT "${PIDS[scheduler1]}"
 fi
 if wanted admin-connections-that-stand-still; then
   fresh admin1 "$A/v1/config"
   open_clients "$A_PORT" 80
   for fd in "${FDS[@]}"; do part_of_head >&"$fd"; done 2>/dev/null
-  verdict admin1 "$A/v1/config"
+  verdict admin1 200 "$A/v1/config"
 fi
 if wanted scheduler-connections-that-stand-still; then
   fresh scheduler1 "$S/metrics"
   open_clients "$S_PORT" 40
   for fd in "${FDS[@]}"; do part_of_head >&"$fd"; done 2>/dev/null
-  verdict scheduler1 "$S/metrics"
+  verdict scheduler1 200 "$S/metrics"
 fi
 if wanted scheduler-records-short-of-their-end; then
   fresh scheduler1 "$S/metrics"
-  open_clients "$R_PORT" 60
-  each_sends rpc_record
-  verdict scheduler1 "$S/metrics"
+  until_true 15 one_owner
+  open_clients "$R_PORT" 30
+  each_sends long_record
+  open_clients "$R_PORT" 30
+  each_sends short_record
+  open_clients "$R_PORT" 30
+  each_sends call_and_part
+  # A call to the scheduler by way of the admin daemon: no such worker.
+  verdict scheduler1 404 -X POST "$A/v1/cordon/nobody?on=1"
 fi
 echo "$FAILED checks failed"
 [ $FAILED = 0 ]
