HTTP server: Memory of responses, and refusals that say Not-Run

What a caller of httpd_reply has reserved for a response is returned once it was sent, and httpd_cut_unread gives up the largest response that its client does not take, for a user of the budget that finds no room.

--- a/src/httpconn.c
+++ b/src/httpconn.c
@@ -150,6 +150,23 @@
     cut (h, k, &h->counts.evicted);
 }
 
+void
+httpd_cut_unread (httpd_t *h, gl_ms_t ms)
+{
+  gl_ms_t before = clock_ms () - ms;
+  conn_t *found = NULL;
+
+  pthread_mutex_lock (&h->lock);
+  for (conn_t *k = LIST_FIRST (&h->conns); k; k = LIST_NEXT (k, link))
+    if (!k->cut && k->stage == STAGE_REPLYING && k->stage_at <= before
+        && k->call && k->call->reply_reserved
+        && (!found || k->call->reply_reserved > found->call->reply_reserved))
+      found = k;
+  if (found)
+    cut (h, found, &h->counts.unread_replies);
+  pthread_mutex_unlock (&h->lock);
+}
+
 /* Reserve @n bytes; bodies that stand still give way.  0, or -1. */
 int
 conn_reserve (httpd_t *h, httpd_call_t *call, size_t n)
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -325,6 +325,7 @@
   if (call->state == CALL_REFUSED || call->state == CALL_NO_ROOM)
     {
       httpd_add_header (call, "Retry-After: 1");
+      httpd_add_header (call, "Not-Run: 1");
       httpd_text (call, 503, "{\"error\":\"%s\",\"not_run\":true}\n",
                   call->state == CALL_REFUSED ? "stopping" : "busy");
     }
@@ -365,6 +366,7 @@
     }
   request_completed (h, k);
   conn_release_body (call);
+  budget_give (call->reply_budget, call->reply_reserved);
   free (call->reply);
   free (call);
   *state = NULL;
@@ -566,6 +568,13 @@
             n.unread_replies);
 }
 
+void
+httpd_reply_reserved (httpd_call_t *call, budget_t *b, size_t n)
+{
+  call->reply_budget = b;
+  call->reply_reserved = n;
+}
+
 void
 httpd_drop_body (httpd_call_t *call)
 {
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -74,6 +74,7 @@
  * @state: stage of the request, one of the CALL_ constants of httpd.c
  * @status: status code of the response
  * @reply, @reply_len: body of the response
+ * @reply_budget, @reply_reserved: see httpd_reply_reserved
  * @content_type: its type, or ""
  * @headers, @nheaders: further response headers, "Name: value"
  */
@@ -92,6 +93,8 @@
   int status;
   char *reply;
   size_t reply_len;
+  budget_t *reply_budget;
+  size_t reply_reserved;
   char content_type[64];
   char headers[4][96];
   int nheaders;
@@ -129,6 +132,14 @@
 /** httpd_drop_body - free the body of a request that the callback has decoded;
     what was reserved for it stands until the response is sent */
 void httpd_drop_body (httpd_call_t *call);
+/** httpd_reply_reserved - to be called before httpd_reply: @n bytes are
+    reserved in @b for the body of the response, and returned once it was
+    sent */
+void httpd_reply_reserved (httpd_call_t *call, budget_t *b, size_t n);
+/** httpd_cut_unread - close the connection that has the most reserved for its
+    response, of those whose clients have not taken theirs for @ms; to be
+    called when the budget of responses has no room */
+void httpd_cut_unread (httpd_t *h, gl_ms_t ms);
 /** httpd_set_closing - answer each further request with "Connection: close",
     after which its connection is closed; connections are still accepted */
 void httpd_set_closing (httpd_t *h);
