HTTP client, router: Upstream answers that find no room

Nothing bounded the sum of the answers that gl-entry held in memory. A request may now name a budget, in which its copy and its response body are reserved; a response whose length is announced is allocated once. A response that is too long or finds no room is dropped, and the result says so.

The router has two results for that. A request that finds no room to be sent is refused as not run. One whose answer is dropped has run: it is answered "unknown" and never "not run", is not sent again, and its instance is not limited or probed, as it is not to blame.

The fuzzer of the router reports both results for some requests.

--- a/src/gentianlatch.h
+++ b/src/gentianlatch.h
@@ -394,13 +394,18 @@
  * @GL_SEND_REFUSED: the upstream responded that it did not run the request
  * @GL_SEND_UNKNOWN: the request was sent, but no complete response arrived;
  * the upstream may have run it
+ * @GL_SEND_NO_ROOM: nothing left this process, which has no memory for it
+ * @GL_SEND_DROPPED: the upstream responded, but the response was too long or
+ * this process had no memory for it
  */
 typedef enum
 {
   GL_SEND_ANSWERED = 0,
   GL_SEND_NOT_SENT,
   GL_SEND_REFUSED,
-  GL_SEND_UNKNOWN
+  GL_SEND_UNKNOWN,
+  GL_SEND_NO_ROOM,
+  GL_SEND_DROPPED
 } gl_send_result_t;
 
 /**
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -60,9 +60,7 @@
  *   that of delayed ones
  * @easy: curl's handle of the transfer
  * @max_body: longest response body that is accepted, in bytes
- * @too_long: the response body was longer
- * @res: the result so far
- * @capacity: bytes allocated for res.body
+ * @res: the result so far; its @reserved are the bytes allocated for the body
  *
  * The other members are those of httpc_request_t, copied.
  */
@@ -79,9 +77,8 @@
   gl_ms_t send_before;
   gl_ms_t not_before;
   size_t max_body;
-  int too_long;
+  budget_t *budget;
   httpc_result_t res;
-  size_t capacity;
 } transfer_t;
 
 /**
@@ -125,6 +122,60 @@
 
 /* ---- one transfer ---- */
 
+/* Change the bytes allocated for the response body to @n; 0, or -1 when they
+   are not left. */
+static int
+resize_body (transfer_t *t, size_t n)
+{
+  size_t had = t->res.reserved;
+  char *b;
+
+  if (n > had && budget_take (t->budget, n - had))
+    return -1;
+  b = realloc (t->res.body, n);
+  if (!b)
+    {
+      budget_give (t->budget, n > had ? n - had : 0);
+      return -1;
+    }
+  budget_give (t->budget, had > n ? had - n : 0);
+  t->res.body = b;
+  t->res.reserved = n;
+  return 0;
+}
+
+/* Make room for @n bytes of the response body and its NUL: at once for the
+   length that the response announces, else twice as much as is needed.
+   Returns 0, or -1 with the reason in the result. */
+static int
+grow_body (transfer_t *t, size_t n)
+{
+  curl_off_t announced = -1;
+  size_t size = 2 * n < t->max_body ? 2 * n : t->max_body;
+
+  if (n < t->res.reserved)
+    return 0;
+  curl_easy_getinfo (t->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &announced);
+  if (announced >= (curl_off_t)n)
+    size = (size_t)announced;
+  if (n > t->max_body || size > t->max_body)
+    t->res.too_long = 1;
+  else if (resize_body (t, size + 1))
+    t->res.no_room = 1;
+  return t->res.too_long || t->res.no_room ? -1 : 0;
+}
+
+/* Forget the response body. */
+static void
+drop_body (transfer_t *t)
+{
+  free (t->res.body);
+  budget_give (t->budget, t->res.reserved);
+  t->res.body = NULL;
+  t->res.len = 0;
+  t->res.reserved = 0;
+}
+
 /* curl's write callback; a result other than the size ends the transfer. */
 static size_t
 on_body (char *data, size_t size, size_t n, void *ctx)
@@ -132,20 +183,11 @@
   transfer_t *t = ctx;
   size_t add = size * n;
 
-  if (t->res.len + add > t->max_body)
+  if (grow_body (t, t->res.len + add))
     {
-      t->too_long = 1;
+      drop_body (t);
       return 0;
     }
-  if (t->res.len + add + 1 > t->capacity)
-    {
-      size_t cap = (t->res.len + add + 1) * 2;
-      char *b = realloc (t->res.body, cap);
-      if (!b)
-        return 0;
-      t->res.body = b;
-      t->capacity = cap;
-    }
   memcpy (t->res.body + t->res.len, data, add);
   t->res.len += add;
   t->res.body[t->res.len] = 0;
@@ -220,7 +262,8 @@
     handle_release (c, t->easy);
   curl_slist_free_all (t->headers);
   free (t->body);
-  free (t->res.body);
+  budget_give (t->budget, t->len);
+  drop_body (t);
   free (t);
 }
 
@@ -298,16 +341,19 @@
 
   if (!t)
     return NULL;
+  t->budget = r->budget;
   t->easy = handle_acquire (c);
   if (!t->easy || set_headers (t, r))
     goto fail;
   if (r->len)
     {
+      if (budget_take (t->budget, r->len))
+        goto fail;
+      t->len = r->len;
       t->body = malloc (r->len);
       if (!t->body)
         goto fail;
       memcpy (t->body, r->body, r->len);
-      t->len = r->len;
     }
   t->done = r->done;
   t->ctx = r->ctx;
@@ -372,6 +418,9 @@
   t->res.outcome = outcome_of (t, code);
   t->res.status = (int)status;
   t->res.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  /* Less is always possible; a failure leaves it as it is. */
+  if (t->res.len + 1 < t->res.reserved / 2)
+    resize_body (t, t->res.len + 1);
   t->done (t->ctx, &t->res);
   transfer_free (c, t);
 }
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "budget.h"
 #include "gentianlatch.h"
 
 /**
@@ -28,9 +29,12 @@
  * @not_run: the response has a Not-Run header: the server refused the request
  *   before it began to execute it
  * @timed_out: a timeout expired
+ * @too_long, @no_room: the server responded, but the body was longer than
+ *   accepted, or found no room in the budget; @outcome is HTTPC_UNKNOWN
  * @retry_after_s: value of the Retry-After header in seconds, 0 without one
  * @content_type: value of the Content-Type header, "" without one
  * @body: the body, with a NUL after its @len bytes; may be NULL if it is empty
+ * @reserved: bytes of the request's budget that are held for @body
  */
 typedef struct
 {
@@ -39,14 +43,18 @@
   uint64_t etag;
   int not_run;
   int timed_out;
+  int too_long;
+  int no_room;
   unsigned int retry_after_s;
   char content_type[64];
   char *body;
   size_t len;
+  size_t reserved;
 } httpc_result_t;
 
 /** httpc_done_t - a request has ended; called on the client's thread, where it
-    must not block; @res and its body are borrowed */
+    must not block; @res and its body are borrowed.  To keep the body and what
+    is reserved for it, the callback sets both to 0 in @res. */
 typedef void (*httpc_done_t) (void *ctx, httpc_result_t *res);
 
 /**
@@ -59,6 +67,8 @@
  * @not_before: instant before which it is not sent, 0 for none
  * @send_before: instant from which on it is no longer sent, 0 for none
  * @max_body: longest response body in bytes that is accepted, 0 for 2 MiB
+ * @budget: where the copy of @body, and the response body, are reserved; NULL
+ *   for no bound
  * @fresh_conn: use a new connection
  * @at_most_once: never send it a second time, not even if a reused connection
  *   breaks; implies a new connection
@@ -76,6 +86,7 @@
   gl_ms_t not_before;
   gl_ms_t send_before;
   size_t max_body;
+  budget_t *budget;
   int fresh_conn;
   int at_most_once;
   httpc_done_t done;
@@ -97,8 +108,8 @@
  * sent yet.
  */
 void httpc_free (httpc_t *c);
-/** httpc_send - queue a request; any thread; -1 when it cannot be queued, and
-    r->done is not called */
+/** httpc_send - queue a request; any thread; -1 when it cannot be queued or
+    its budget has no room for it, and r->done is not called */
 int httpc_send (httpc_t *c, const httpc_request_t *r);
 /**
  * httpc_perform - send a request and block until it has ended
--- a/src/route.c
+++ b/src/route.c
@@ -13,6 +13,9 @@
  *                       if it is repeatable and the retry budget of its
  *                       class allows it, after a jittered delay; otherwise
  *                       it is answered "unknown" at once
+ *   no room             not run, and refused: it finds no memory to be sent
+ *   dropped             answered "unknown": it ran, and there is no memory
+ *                       for its response
  *
  * A request that cannot be served before its deadline is answered as soon as
  * that is known: on arrival, if the queue is full or the expected wait is too
@@ -500,6 +503,17 @@
       else
         resend_or_answer_unknown (r, h, q);
       break;
+    case GL_SEND_NO_ROOM:
+      r->c.no_room++;
+      request_error (r, h, 503, "overloaded", !q->may_have_run,
+                     RETRY_AFTER_MS);
+      break;
+    case GL_SEND_DROPPED:
+      /* The upstream has run it, and is not to blame. */
+      upstream_answered (r, i, r->now - q->sent_at);
+      r->c.dropped++;
+      request_error (r, h, 502, "unknown", 0, RETRY_AFTER_MS);
+      break;
     }
   route_dispatch (r, service);
 }
--- a/src/routeint.h
+++ b/src/routeint.h
@@ -211,6 +211,8 @@
   X (cut_by_stop, "given up when a stop had to end")                          \
   X (not_run, "ended as not run after trying")                                \
   X (no_budget, "not sent again for lack of retry budget")                    \
+  X (no_room, "not sent for lack of memory")                                  \
+  X (dropped, "answered, but too long or no memory for the answer")           \
   X (claims, "claims of idempotency keys")                                    \
   X (claim_limit, "keyed requests given up for the rate of claims")           \
   X (claim_taken, "requests whose key was taken before")                      \
--- a/tests/fuzz_route.cc
+++ b/tests/fuzz_route.cc
@@ -328,6 +328,13 @@
   requests[x.token].last_send_unknown = false;
   if (n.leaving_since && now > n.leaving_since + LEAVE_BOUND_MS)
     violate ("a leaving instance got a request after LEAVE_BOUND_MS");
+  if (x.token % 61 == 7)
+    {
+      schedule (now + 1, [=, this] {
+        report_send (e, incarnation, copy, GL_SEND_NO_ROOM, false, false);
+      });
+      return;
+    }
   if (now < n.dead_until && random_below (2))
     {
       schedule (now + 5, [=, this] {
@@ -381,7 +388,10 @@
     });
   else
     schedule (now + work, [=, this] {
-      report_send (e, incarnation, x, GL_SEND_ANSWERED, false, true);
+      bool dropped = x.token % 61 == 11;
+      report_send (e, incarnation, x,
+                   dropped ? GL_SEND_DROPPED : GL_SEND_ANSWERED, false,
+                   !dropped);
     });
 }
 
