gl-admin: A bound on the memory of requests and of parsed jobs

A body of 256 KB takes up to 80 times as much once parsed (an array of empty objects), and it was held while the schedulers were called, for up to 4 s each: 60 operators' jobs with a member of 130,000 numbers made the process 132 MB large while the scheduler was paused. 64 connections that stood still kept the operators out.

Bodies are reserved in [admin] memory_mb, and so is what parsing takes; a job that finds no room gets 503 "retry". The parsed job is freed before the schedulers are called. Two arenas of the heap instead of one for each thread keep what was freed from adding up.

--- a/src/admin.c
+++ b/src/admin.c
@@ -10,6 +10,7 @@
  */
 #include <ck_pr.h>
 #include <jansson.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,12 +19,19 @@
 #include <xxhash.h>
 
 #include "adminint.h"
+#include "budget.h"
 #include "codec.h"
 #include "logs.h"
 
 /* Longest body of an operator's request, bytes. */
 #define BODY_MAX 262144
 #define CONNECTIONS_MAX 64
+/* Bytes of parsed JSON for one of its text: an empty object of 2 characters
+   and a comma takes about 250. */
+#define PARSED_BYTES 96
+/* Arenas of the heap.  With one for each connection's thread, each would keep
+   the memory of the largest request that it has had. */
+#define ARENAS_MAX 2
 /* Timeout of one RPC to a scheduler, milliseconds. */
 #define SCHED_RPC_TIMEOUT_MS 4000
 /* How long a stop waits for open requests, milliseconds. */
@@ -240,12 +248,11 @@
   return NULL;
 }
 
-/* Index of the owner whose domain has the most room for the job, -1 if none
+/* Index of the owner whose domain has the most room for such tasks, -1 if none
    answers: the one with the most free CPUs, less the need of one task for
    each waiting job. */
 static int
-choose_domain (const admin_t *a, const owner_t *o, int n,
-               const gl_jobspec_t *p)
+choose_domain (const admin_t *a, const owner_t *o, int n, const gl_res_t *need)
 {
   json_int_t best_room = -1;
   int best = -1;
@@ -259,12 +266,12 @@
           = json_integer_value (json_object_get (j, "free_accels"));
       json_int_t waiting
           = json_integer_value (json_object_get (j, "jobs_waiting"));
-      json_int_t room = cpus - waiting * p->need.cpus_m;
+      json_int_t room = cpus - waiting * need->cpus_m;
 
       if (!j)
         continue;
       json_decref (j);
-      if (accels < p->need.accels)
+      if (accels < need->accels)
         room = 0;
       if (room < 0)
         room = 0;
@@ -305,36 +312,78 @@
   return (XXH3_64bits (&salt, sizeof salt) >> 16) + 1;
 }
 
-static void
-handle_submit (admin_t *a, httpd_call_t *call)
+/**
+ * struct submission_t - an operator's job
+ * @in: what the scheduler gets; @in.spec is encoded and malloc'd
+ * @need: resources of one task
+ * @domain: the domain that the operator names, or ""
+ * @has_number: the operator gives the job's number
+ */
+typedef struct
+{
+  gl_submit_t in;
+  gl_res_t need;
+  char domain[GL_NAME_LEN + 1];
+  int has_number;
+} submission_t;
+
+/* Decode the body into @s; returns NULL, or what is wrong with it.  No parsed
+   JSON is left, since the calls that follow may take seconds. */
+static const char *
+decode_submission (const httpd_call_t *call, submission_t *s)
 {
   json_t *j = json_loadb (call->body ? call->body : "", call->len, 0, NULL);
   const char *domain = json_string_value (json_object_get (j, "domain"));
-  owner_t owners[OWNERS_MAX];
   gl_jobspec_t spec = { 0 };
-  gl_submit_t in = { 0 };
-  gl_answer_t out = { 0 };
   const char *why = json_is_object (j) ? parse_job (j, &spec)
                                        : "the body is not a JSON object";
   size_t len = 0;
+
+  if (!why)
+    {
+      snprintf (s->domain, sizeof s->domain, "%s", domain ? domain : "");
+      s->need = spec.need;
+      s->has_number = json_object_get (j, "id") != NULL;
+      s->in.job = job_number (j);
+      s->in.spec.spec_val
+          = codec_encode ((xdrproc_t)xdr_gl_jobspec_t, &spec, &len);
+      s->in.spec.spec_len = (u_int)len;
+    }
+  json_decref (j);
+  return why;
+}
+
+static void
+handle_submit (admin_t *a, httpd_call_t *call)
+{
+  owner_t owners[OWNERS_MAX];
+  submission_t s = { 0 };
+  gl_answer_t out = { 0 };
+  size_t cost = call->len * PARSED_BYTES;
   json_t *existing = NULL;
+  const char *why;
   gl_code_t rc;
   int n;
   int i;
 
+  if (budget_take (a->budget, cost))
+    {
+      reply_error (call, 503, "retry", "too much at once", 1000);
+      return;
+    }
+  why = decode_submission (call, &s);
+  budget_give (a->budget, cost);
   if (why)
     {
       reply_error (call, 400, "invalid", why, 0);
       goto done;
     }
   n = nodes_owners (a, owners, OWNERS_MAX);
-  in.job = job_number (j);
   /* A repeated submission goes to the domain that has the job already. */
-  i = json_object_get (j, "id") ? find_job (a, owners, n, in.job, &existing)
-                                : -1;
+  i = s.has_number ? find_job (a, owners, n, s.in.job, &existing) : -1;
   if (i < 0)
-    i = domain ? domain_index (owners, n, domain)
-               : choose_domain (a, owners, n, &spec);
+    i = s.domain[0] ? domain_index (owners, n, s.domain)
+                    : choose_domain (a, owners, n, &s.need);
   if (i < 0 && no_time_left (a))
     {
       reply_stopping (call);
@@ -343,22 +392,19 @@
   if (i < 0)
     {
       reply_error (call, 503, "not_owner",
-                   domain ? "no active scheduler in that domain"
-                          : "no active scheduler",
+                   s.domain[0] ? "no active scheduler in that domain"
+                               : "no active scheduler",
                    2000);
       goto done;
     }
-  in.spec.spec_val = codec_encode ((xdrproc_t)xdr_gl_jobspec_t, &spec, &len);
-  in.spec.spec_len = (u_int)len;
-  rc = sched_call (a, &owners[i], GL_SUBMIT, (xdrproc_t)xdr_gl_submit_t, &in,
+  rc = sched_call (a, &owners[i], GL_SUBMIT, (xdrproc_t)xdr_gl_submit_t, &s.in,
                    (xdrproc_t)xdr_gl_answer_t, &out);
   reply_answer (call, rc, &out, &owners[i]);
 
 done:
   json_decref (existing);
-  free (in.spec.spec_val);
+  free (s.in.spec.spec_val);
   xdr_free ((xdrproc_t)xdr_gl_answer_t, (void *)&out);
-  json_decref (j);
 }
 
 /* GET or DELETE of /v1/jobs/ID. */
@@ -549,6 +595,7 @@
 start (admin_t *a)
 {
   const settings_t *s = &a->settings;
+  httpd_limits_t limits;
 
   if (!s->admin_http[0] || pipe (a->stop_pipe)
       || daemon_signals (on_stop_signal, a)
@@ -562,8 +609,13 @@
       log_error ("cannot listen on %s", s->admin_rpc);
       return -1;
     }
-  a->server = httpd_new (s->admin_http, BODY_MAX, CONNECTIONS_MAX, 0,
-                         on_http_request, a);
+  mallopt (M_ARENA_MAX, ARENAS_MAX);
+  a->budget = budget_new ((size_t)s->admin_memory_mb << 20);
+  httpd_limits_init (&limits, BODY_MAX, CONNECTIONS_MAX);
+  limits.budget = a->budget;
+  a->server = a->budget
+                  ? httpd_open (s->admin_http, &limits, 0, on_http_request, a)
+                  : NULL;
   if (!a->server)
     log_error ("cannot listen on %s", s->admin_http);
   return a->server ? 0 : -1;
--- a/src/adminint.h
+++ b/src/adminint.h
@@ -36,6 +36,7 @@
  * struct admin_t - state of the administration daemon
  * @http: client for the key-value service
  * @server: serves operators over HTTP
+ * @budget: bound on the memory of their requests, parsed ones included
  * @rpc: serves daemons and peers over RPC
  * @stopping: set once a stop is requested; read with ck_pr
  * @stop_answer_at: time by which every request must be answered, by clock_ms;
@@ -54,6 +55,7 @@
   httpc_t *http;
   store_t store;
   httpd_t *server;
+  budget_t *budget;
   rpcd_t *rpc;
   unsigned int stopping;
   uint64_t stop_answer_at;
