gl-entry: A request whose answer would find no room is refused before it runs

Beside answers that callers do not read, an ordinary request was run and its answer dropped: "unknown", which a caller may not repeat if the request is not repeatable. An eighth of the memory for answers has to be free before a request is sent; else it is refused as not run, and the largest answer that has not been taken for 1 s is given up.

tests/crowd_daemons.sh passes as before (answers that are not read: peak 31 MB).

--- a/src/entry.c
+++ b/src/entry.c
@@ -36,6 +36,9 @@
 #define REQUEST_BODY_MAX 8388608
 #define RESPONSE_BODY_MAX 8388608
 #define HTTP_THREADS 2
+/* The part of the memory for answers that has to be free when a request is
+   sent: one in so many. */
+#define ANSWER_ROOM_PART 8
 /* When there is no room for a response, one that its client has not taken for
    so long is given up, in ms. */
 #define UNREAD_MS 1000
@@ -345,6 +348,16 @@
 
 /* ---- effects ---- */
 
+/* Whether an answer of usual length will find room; without it, a request is
+   better refused than run. */
+static int
+has_room_for_answer (const daemon_t *d)
+{
+  size_t limit = budget_limit (d->answers);
+
+  return budget_held (d->answers) <= limit - limit / ANSWER_ROOM_PART;
+}
+
 static void
 send_request (daemon_t *d, const gl_route_effect_t *e)
 {
@@ -389,7 +402,7 @@
                 strrchr (e->key, '/') + 1);
       headers[n++] = h_key;
     }
-  if (httpc_send (d->upstreams, &r))
+  if (!has_room_for_answer (d) || httpc_send (d->upstreams, &r))
     on_no_room (s);
 }
 
