A worker that is given up and registered is named by the handover

Cause: an owner that gives a worker up by its lease removes the worker's record. When it then released the cell it did not name the worker. The next owner still knew it by its registration, wrote its record again, took 4.1 s for what its leases can last, and handed the rest of that on to the owner after it, which waited.

Change: the handover names dead workers while they are registered, too, with no lease left.

--- a/src/cellcensus.c
+++ b/src/cellcensus.c
@@ -53,12 +53,14 @@
   return earlier > sent ? earlier : sent;
 }
 
-/* Whether the successor must wait for leases that this owner does not vouch
-   for. */
+/* Whether the successor must be told of the worker's leases: they may last, or
+   they have ended and the successor may know the worker by its record or its
+   registration. */
 static int
 is_unheard (const cworker_t *w)
 {
-  return w->dead ? w->record_revision != 0 : !w->heard || w->silent;
+  return w->dead ? w->registered || w->record_revision
+                 : !w->heard || w->silent;
 }
 
 /* The list names ids, so it has all incarnations of an id or none. */
