Jobs of dropped queues are carried to their end by any owner

What callers saw: a job that was accepted and begun stayed running for good when its queue was dropped from the configuration and all VMs were restarted after that.

Cause: a job's record had the name of its queue only, and a process that is younger than the removal has never seen what the configuration said of it.

Change: the record keeps what the configuration said of the queue at the acceptance (src/cellqueue.c, with the merging of queues from src/cell.c). An owner uses it for queues that are not in the configuration, as removed ones. It follows the team, which is "" for none; records without it are read (Records.OfJobsWithoutTheirQueueAreRead), and of several the one with the highest version goes first (Records.OfADroppedQueueGiveItsNewestVersion).

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 # The reducers of the scheduler and of the cell, and what they use.
 CORE = team pool timer metrics place conf change codec fx jobs workers lease journal \
-	snap fit policy sched view names cell cellfx cellown cellreach cellpoll celljob cellteam cellwork cellend cellcensus cellformer cellmember \
+	snap fit policy sched view names cell cellfx cellown cellreach cellpoll celljob cellteam cellqueue cellwork cellend cellcensus cellformer cellmember \
 	cellsave celldue cellshare cellincarn cellreg cellsettle cellenrol cellpace cellratio cellpair cellhealth cellcrash cellrecord cellroom cellhold cellconsult cellplan cellflow cellyield cellstop cellask cellconf conflint
 GEN = gl_rec_xdr gl_cell_xdr
 # The entry's reducer, and the I/O that the daemons share.
--- a/proto/gl_cell.h
+++ b/proto/gl_cell.h
@@ -67,6 +67,20 @@
 };
 typedef struct gl_team_t gl_team_t;
 
+struct gl_job_queue_t {
+	u_quad_t conf_version;
+	gl_cell_str_t service;
+	int priority;
+	u_int max_attempts;
+	double due_factor;
+	double due_offset_ms;
+	bool_t advised;
+	double consult_base_ms;
+	double consult_per_worker_ms;
+	u_int ticket_valid_ms;
+};
+typedef struct gl_job_queue_t gl_job_queue_t;
+
 enum gl_phase_t {
 	GL_PHASE_PENDING = 0,
 	GL_PHASE_RUNNING = 1,
@@ -330,6 +344,7 @@
 extern  bool_t xdr_gl_step_t (XDR *, gl_step_t*);
 extern  bool_t xdr_gl_cell_job_t (XDR *, gl_cell_job_t*);
 extern  bool_t xdr_gl_team_t (XDR *, gl_team_t*);
+extern  bool_t xdr_gl_job_queue_t (XDR *, gl_job_queue_t*);
 extern  bool_t xdr_gl_phase_t (XDR *, gl_phase_t*);
 extern  bool_t xdr_gl_task_record_t (XDR *, gl_task_record_t*);
 extern  bool_t xdr_gl_progress_t (XDR *, gl_progress_t*);
@@ -368,6 +383,7 @@
 extern bool_t xdr_gl_step_t ();
 extern bool_t xdr_gl_cell_job_t ();
 extern bool_t xdr_gl_team_t ();
+extern bool_t xdr_gl_job_queue_t ();
 extern bool_t xdr_gl_phase_t ();
 extern bool_t xdr_gl_task_record_t ();
 extern bool_t xdr_gl_progress_t ();
--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -60,12 +60,29 @@
   unsigned hyper accepted_ms;
 };
 
-/* The team that a job belongs to.  Follows gl_cell_job_t in the job's
-   specification, and gl_job_result_t in its result, if it has one. */
+/* The team that a job belongs to, "" for none.  Follows gl_cell_job_t in the
+   job's specification, unless the owner that wrote it is of an older version,
+   and gl_job_result_t in its result, if the job has a team. */
 struct gl_team_t {
   gl_cell_str_t name;
 };
 
+/* What the configuration in force at the job's acceptance, of version
+   conf_version, says of its queue.  Follows gl_team_t in the job's
+   specification, unless the owner that wrote it is of an older version. */
+struct gl_job_queue_t {
+  unsigned hyper conf_version;
+  gl_cell_str_t service;
+  int priority;
+  unsigned int max_attempts;
+  double due_factor;
+  double due_offset_ms;
+  bool advised;
+  double consult_base_ms;
+  double consult_per_worker_ms;
+  unsigned int ticket_valid_ms;
+};
+
 enum gl_phase_t {
   GL_PHASE_PENDING = 0,
   GL_PHASE_RUNNING = 1,
--- a/proto/gl_cell_xdr.c
+++ b/proto/gl_cell_xdr.c
@@ -194,6 +194,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gl_job_queue_t (XDR *xdrs, gl_job_queue_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->conf_version))
+		 return FALSE;
+	 if (!xdr_gl_cell_str_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max_attempts))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->due_factor))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->due_offset_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->advised))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->consult_base_ms))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->consult_per_worker_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ticket_valid_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gl_phase_t (XDR *xdrs, gl_phase_t *objp)
 {
--- a/src/cell.c
+++ b/src/cell.c
@@ -127,40 +127,12 @@
   free (conf);
 }
 
-static cell_queue_t *
-queue_named (cell_conf_t *conf, const char *name)
-{
-  for (int i = 0; i < conf->nqueues; i++)
-    if (!strcmp (conf->queues[i].name, name))
-      return &conf->queues[i];
-  return NULL;
-}
-
-/* Looks up the queue of jobs that were loaded before their queue was known. */
-static void
-resolve_queues (cell_t *c)
-{
-  size_t pos = 0;
-  handle_t h;
-
-  while ((h = pool_next (&c->jobs, &pos)))
-    {
-      cjob_t *j = pool_get (&c->jobs, h);
-
-      for (int i = 0; j->queue < 0 && i < c->conf.nqueues; i++)
-        if (!strcmp (c->conf.queues[i].name, j->spec.queue))
-          j->queue = i;
-    }
-}
-
-/* Replaces the configuration by a newer one.  Queues keep their indices, since
-   jobs refer to them by index; a queue that is no longer in the configuration
-   is marked as removed. */
+/* Replaces the configuration by a newer one. */
 static void
 apply_conf (cell_t *c, cell_conf_t *conf)
 {
   int nteams = conf->teams.n;
-  int added = 0;
+  int added;
 
   if (conf->version <= c->conf.version && !FAULT (FAULT_CELL_CONF_REVERTS))
     {
@@ -175,26 +147,7 @@
       cell_conf_free (conf);
       return;
     }
-  for (int i = 0; i < c->conf.nqueues; i++)
-    c->conf.queues[i].removed = 1;
-  for (int i = 0; i < conf->nqueues; i++)
-    {
-      cell_queue_t *q = queue_named (&c->conf, conf->queues[i].name);
-      cell_queue_t *v;
-
-      if (q)
-        {
-          *q = conf->queues[i];
-          continue;
-        }
-      v = realloc (c->conf.queues, (size_t)(c->conf.nqueues + 1) * sizeof *v);
-      if (!v)
-        break;
-      c->conf.queues = v;
-      v[c->conf.nqueues++] = conf->queues[i];
-      added++;
-    }
-  resolve_queues (c);
+  added = queues_merge (c, conf);
   cell_log (c, "config version=%llu previous=%llu queues=%d added=%d teams=%d",
             (unsigned long long)conf->version,
             (unsigned long long)c->conf.version, conf->nqueues, added, nteams);
--- a/src/cell.h
+++ b/src/cell.h
@@ -85,6 +85,7 @@
  *   consultation, and for each worker that it names
  * @ticket_valid_ms: how long a ticket is valid
  * @allow_anonymous: callers of it need no key of a team
+ * @conf_version: version of the configuration that says this
  * @removed: the queue has left the configuration and takes no new jobs
  */
 typedef struct
@@ -102,6 +103,7 @@
   double consult_per_worker_ms;
   uint32_t ticket_valid_ms;
   int allow_anonymous;
+  uint64_t conf_version;
   int removed;
 } cell_queue_t;
 
--- a/src/cellmods.h
+++ b/src/cellmods.h
@@ -243,6 +243,19 @@
 /** cjobs_tick - timer: make iterations that are due, forget old jobs */
 void cjobs_tick (void *ctx, gl_ms_t now);
 
+/* cellqueue.c */
+
+/** queues_merge - take over the queues of @conf, which replaces the present
+    configuration; returns how many are new */
+int queues_merge (cell_t *c, const cell_conf_t *conf);
+/** queue_append - append the job's team and what is known of its queue to its
+    specification in @p; -1 without memory */
+int queue_append (const cell_t *c, const cjob_t *j, cell_put_t *p);
+/** queue_restore - learn of the queue of a job that was loaded from @item, in
+    which its team follows the first @used bytes */
+void queue_restore (cell_t *c, cjob_t *j, const cell_item_t *item,
+                    size_t used);
+
 /* cellteam.c */
 
 /** cjob_team - index of the team with this name, which is added as a removed
--- a/src/cellown.c
+++ b/src/cellown.c
@@ -536,6 +536,7 @@
   if (!j)
     return;
   j->team = cjob_team_at (c, item, used);
+  queue_restore (c, j, item, used);
   j->durable = j->inherited = 1;
   j->spec_revision = item->revision;
   /* Its age counts from its acceptance by the earlier owner. */
--- a/src/cellsave.c
+++ b/src/cellsave.c
@@ -189,7 +189,7 @@
   add_check (txn, "d", j->id, 0);
   p = add_put (txn, "j", j->id);
   p->value = codec_encode ((xdrproc_t)xdr_gl_cell_job_t, &j->spec, &p->len);
-  return p->value ? append_team (c, j, p) : -1;
+  return p->value ? queue_append (c, j, p) : -1;
 }
 
 static int
--- a/tests/cell.cc
+++ b/tests/cell.cc
@@ -975,6 +975,87 @@
   EXPECT_EQ (1, w.count_keys ("gl/w/"));
 }
 
+/* Let all VMs be killed and started. */
+static void
+restart_cell (World *w)
+{
+  for (size_t i = 0; i < w->vms.size (); i++)
+    w->kill_vm ((int)i);
+  w->run (3000);
+  for (size_t i = 0; i < w->vms.size (); i++)
+    w->start_vm ((int)i);
+}
+
+/* Bytes behind a job's specification: the team "", and what the configuration
+   says of the queue, with the service "svc". */
+static const size_t TEAM_BYTES = 4;
+static const size_t QUEUE_BYTES = 8 + 8 + 4 + 4 + 8 + 8 + 4 + 8 + 8 + 4;
+
+/* Guards against jobs of older versions that are not gone on with: their
+   specifications end with the job, or with its team.  Nor may a queue that is
+   not readable hold up a job whose queue is configured. */
+TEST (Records, OfJobsWithoutTheirQueueAreRead)
+{
+  for (size_t cut : { QUEUE_BYTES + TEAM_BYTES, QUEUE_BYTES, (size_t)8 })
+    {
+      static const char *const ID = "00000000000000a1";
+      World w (3, 4, 1);
+
+      w.fail_one_in = 0;
+      w.run (1500);
+      w.submit (ID, "batch",
+                { world_step (1, 1000), world_step (1, 1000, false, { 0 }) });
+      w.run (50);
+      w.cut_value (std::string ("gl/j/") + ID, cut);
+      restart_cell (&w);
+      w.run (12000);
+      w.query (ID);
+      w.run (500);
+      EXPECT_EQ ("completed", w.jobs[ID].phase) << cut;
+      EXPECT_EQ (cut == 8, std::any_of (w.log.begin (), w.log.end (),
+                                        [] (const std::string &l) {
+                                          return l.find ("queue_unreadable ")
+                                                 != std::string::npos;
+                                        }));
+      EXPECT_TRUE (w.violations.empty ()) << w.violations[0];
+    }
+}
+
+/* Guards against an owner that takes what an older configuration said of a
+   queue that has been dropped: jobs of two versions are loaded in the order of
+   their ids. */
+TEST (Records, OfADroppedQueueGiveItsNewestVersion)
+{
+  for (bool newest_first : { false, true })
+    {
+      const std::string ids[] = { "00000000000000a1", "00000000000000a2" };
+      World w (3, 4, 1);
+      std::string last;
+
+      w.fail_one_in = 0;
+      w.run_ms = 60000;
+      w.run (1500);
+      for (int i = 0; i < 2; i++)
+        {
+          w.submit (ids[newest_first ? 1 - i : i], "batch",
+                    { world_step (1, 1000) });
+          w.run (500);
+          w.configure (2, { "urgent", "batch" });
+          w.run (500);
+        }
+      w.configure (3, { "urgent" });
+      w.run (500);
+      w.log.clear ();
+      restart_cell (&w);
+      w.run (6000);
+      for (const std::string &l : w.log)
+        if (l.find (" queue_restored ") != std::string::npos)
+          last = l.substr (l.find ("queue_restored"));
+      EXPECT_EQ ("queue_restored name=batch service=svc version=2", last);
+      EXPECT_TRUE (w.violations.empty ()) << w.violations[0];
+    }
+}
+
 /* What a restart of workers costs. */
 struct RestartCost
 {
--- a/tests/cellworld.cc
+++ b/tests/cellworld.cc
@@ -866,6 +866,14 @@
   items_.erase (from);
 }
 
+void
+World::cut_value (const std::string &key, size_t bytes)
+{
+  std::string &value = items_.at (key).value;
+
+  value.resize (value.size () - bytes);
+}
+
 void
 World::run_txn (int i, uint64_t tag, const cell_txn_t &x)
 {
--- a/tests/cellworld.h
+++ b/tests/cellworld.h
@@ -243,6 +243,8 @@
   int count_keys (const std::string &prefix) const;
   /* Move a key of the store, and its lease and revision, without a report. */
   void rename_key (const std::string &from, const std::string &to);
+  /* Take the last @bytes of a key's value away, without a report. */
+  void cut_value (const std::string &key, size_t bytes);
   /* Index of the VM that owns the cell, or -1. */
   int owner () const;
   /* End all faults and wait for @ms, and up to @more_ms longer while tasks of
