--- a/proto/gl_cell.x
+++ b/proto/gl_cell.x
@@ -163,8 +163,8 @@
   unsigned hyper foreign_until;
 };
 /* Follows gl_worker_start_t, unless the owner that wrote it is of an older
-   version, whose foreign_until may be too early.  token: a fencing token that
-   the incarnation has seen; it refuses calls with lower ones. */
+   version, whose foreign_until may be too early.  token: the fencing
+   token of the calls to the incarnation. */
 struct gl_worker_token_t {
   unsigned hyper token;
 };
--- a/src/cellenrol.c
+++ b/src/cellenrol.c
@@ -81,7 +81,7 @@
 }
 
 /* What follows the record; all 0 if nothing does, as in an older version.
- *@is_bound: no call to a former incarnation can lengthen the leases. */
+ * @is_bound: no call to a former incarnation can lengthen the leases. */
 static gl_worker_start_t
 recorded_start (const cell_item_t *item, gl_worker_record_t *record,
                 int *is_bound)
