--- a/src/cellint.h
+++ b/src/cellint.h
@@ -31,8 +31,7 @@
   ((gl_ms_t)(CELL_WORKER_LEASE_MS / CELL_CLOCK_RATE_MIN))
 /* Fencing tokens of an ownership: the last ones up to its generation. */
 #define CELL_TOKENS (1ull << 20)
-/* How late a call without an answer is taken to be carried out at most, for a
-   worker that has not been heard. */
+/* How late calls to a worker that has not been heard are taken to be. */
 #define CELL_LATE_CALL_MS 5000
 /* An owner renews workers' leases, and starts tasks, for this long after the
    store last confirmed its ownership.  A successor has to wait for such leases
