Workers: a clock that goes back says nothing in the answer to a poll

A worker that returned under its id and tells no start was polled without a pause while its clock was behind the former one: each answer made the owner poll anew and dropped the answer. A worker of another id that answers in its place (CELL_W_RESTARTED) with a clock behind would not have been noticed by polls at all, by reading.

Cause: looked at the clock of every answer. Only answers to starts and stops need that; a poll's answer tells the start, or nobody does.

--- a/src/cellwork.c
+++ b/src/cellwork.c
@@ -332,8 +332,10 @@
 {
   if (!k->worker_clock)
     return;
-  /* Not each answer tells a start, but a clock never goes back. */
-  if (k->sent_at >= w->clock_at && k->worker_clock < w->clock)
+  /* A poll's answer tells the start; a clock never goes back.  A worker of
+     another id has answered with CELL_W_RESTARTED. */
+  if (k->op != CELL_OP_POLL && k->status != CELL_W_RESTARTED
+      && k->sent_at >= w->clock_at && k->worker_clock < w->clock)
     census_note_return (c, w);
   if (k->worker_clock > w->clock)
     {
